Serve a request from end to end through one entry process

The thin path: a caller's request passes the filters, reaches a backend server and is answered; settings come from YAML, the configuration from the platform's store, the servers from the platform's host list.

--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/Decision.java
@@ -0,0 +1,23 @@
+package org.geraniumstand.decisions;
+
+import java.lang.annotation.Documented;
+import java.lang.annotation.ElementType;
+import java.lang.annotation.Retention;
+import java.lang.annotation.RetentionPolicy;
+import java.lang.annotation.Target;
+
+/**
+ * Declares the one-sentence summary of a decision.
+ *
+ * <p>Answers, the time line and {@code geraniumctl explain} print the summary as the reason of what was done.
+ */
+@Documented
+@Retention(RetentionPolicy.RUNTIME)
+@Target(ElementType.TYPE)
+public @interface Decision {
+    /** Returns the decision's name, in kebab case. */
+    String name();
+
+    /** Returns the decision's summary, one sentence. */
+    String summary();
+}
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/TrafficControllerTest.java
@@ -0,0 +1,45 @@
+package org.geraniumstand.decisions;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.instanceOf;
+
+import java.util.List;
+import org.geraniumstand.model.config.Priority;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.id.RouteId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.time.Moment;
+import org.junit.jupiter.api.Test;
+
+final class TrafficControllerTest {
+    private static final Moment START = new Moment(0, 0);
+    private static final long SECOND_NANOS = 1_000_000_000L;
+
+    private final TrafficController controller = new TrafficController(new ProcessId("p1"));
+
+    @Test
+    void refusesRequestWithoutConfiguration() {
+        List<Action> actions = controller.on(new Observation.RequestArrived(request()), START);
+
+        assertThat(actions, contains(instanceOf(Action.Refuse.class)));
+    }
+
+    private static RequestFacts request() {
+        return new RequestFacts(
+                new RequestId("r1"),
+                new TeamId("counter"),
+                new ServiceId("board-model"),
+                new RouteId("chat"),
+                true,
+                false,
+                Priority.INTERACTIVE,
+                SECOND_NANOS,
+                10,
+                10,
+                List.of());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
@@ -0,0 +1,76 @@
+package org.geraniumstand.entry;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.nio.file.Path;
+import org.geraniumstand.entry.settings.Settings;
+import org.geraniumstand.entry.settings.SettingsFile;
+import org.geraniumstand.platform.log.LogSetup;
+
+/** Binary {@code geraniumstand}: the entry process. */
+public final class Geraniumstand {
+    private static final int EXIT_USAGE = 2;
+    private static final long STOP_TIMEOUT_MILLIS = 60_000;
+
+    @Parameter(
+            names = {"--settings", "-s"},
+            required = true,
+            description = "YAML file with the settings of this process")
+    private String settingsFile;
+
+    @Parameter(
+            names = {"--help", "-h"},
+            help = true,
+            description = "Print this help")
+    private boolean help;
+
+    private Geraniumstand() {}
+
+    /**
+     * Starts the process.
+     *
+     * @param args the command line
+     */
+    @SuppressWarnings("SystemOut")
+    public static void main(String[] args) {
+        Geraniumstand command = new Geraniumstand();
+        JCommander parser = JCommander.newBuilder()
+                .programName("geraniumstand")
+                .addObject(command)
+                .build();
+        try {
+            parser.parse(args);
+        } catch (ParameterException e) {
+            System.err.println(e.getMessage());
+            System.exit(EXIT_USAGE);
+        }
+        if (command.help) {
+            parser.usage();
+            return;
+        }
+        LogSetup.apply();
+        SettingsFile.read(Path.of(command.settingsFile)).fold(Geraniumstand::run, Geraniumstand::refuse);
+    }
+
+    // The process is its own server, so no container could manage its shutdown.
+    @SuppressWarnings("ShutdownHook")
+    private static boolean run(Settings settings) {
+        EntryProcess process = EntryProcess.start(settings);
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            process.stopGracefully(STOP_TIMEOUT_MILLIS);
+                            process.close();
+                        },
+                        "stop"));
+        return true;
+    }
+
+    @SuppressWarnings("SystemOut")
+    private static boolean refuse(String reason) {
+        System.err.println(reason);
+        System.exit(EXIT_USAGE);
+        return false;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/core/Core.java
@@ -0,0 +1,135 @@
+package org.geraniumstand.entry.core;
+
+import com.lmax.disruptor.BlockingWaitStrategy;
+import com.lmax.disruptor.dsl.Disruptor;
+import com.lmax.disruptor.dsl.ProducerType;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.decisions.TrafficController;
+import org.geraniumstand.http.CoreInbox;
+import org.geraniumstand.http.RequestMailbox;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.time.Moment;
+
+/**
+ * The task that owns all decision state: one thread behind a ring of messages.
+ *
+ * <p>Messages are handled in the order in which they arrive. When the ring is full, senders wait, which slows I/O
+ * threads down instead of growing memory.
+ */
+public final class Core implements CoreInbox, AutoCloseable {
+    private static final int RING_SIZE = 16 * 1024;
+
+    private final TrafficController controller;
+    private final Consumer<Action> effects;
+    private final Map<RequestId, RequestMailbox> mailboxes = new HashMap<>();
+    private final Disruptor<Message> disruptor;
+    private final AtomicReference<Configuration> configuration = new AtomicReference<>();
+
+    private Core(TrafficController controller, Consumer<Action> effects) {
+        this.controller = controller;
+        this.effects = effects;
+        this.disruptor =
+                new Disruptor<>(Message::new, RING_SIZE, Core::thread, ProducerType.MULTI, new BlockingWaitStrategy());
+        this.disruptor.handleEventsWith((message, _sequence, _endOfBatch) -> handle(message));
+    }
+
+    /**
+     * Starts the task.
+     *
+     * @param controller takes the decisions
+     * @param effects carries out actions that concern no single request; called on the task's thread, must not block
+     */
+    public static Core start(TrafficController controller, Consumer<Action> effects) {
+        Core core = new Core(controller, effects);
+        core.disruptor.start();
+        return core;
+    }
+
+    @Override
+    public void tell(Observation observation) {
+        disruptor.publishEvent((message, _sequence) -> message.set(observation, null));
+    }
+
+    @Override
+    public void arrive(RequestFacts request, RequestMailbox mailbox) {
+        Observation observation = new Observation.RequestArrived(request);
+        disruptor.publishEvent((message, _sequence) -> message.set(observation, mailbox));
+    }
+
+    @Override
+    public Optional<Configuration> configuration() {
+        return Optional.ofNullable(configuration.get());
+    }
+
+    @Override
+    public void close() {
+        disruptor.halt();
+    }
+
+    private static Thread thread(Runnable task) {
+        Thread thread = new Thread(task, "core");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private void handle(Message message) {
+        Observation observation = message.observation;
+        if (observation instanceof Observation.RequestArrived arrived) {
+            mailboxes.put(arrived.request().id(), message.mailbox);
+        }
+        message.set(null, null);
+        Moment now = new Moment(System.nanoTime(), System.currentTimeMillis());
+        controller.on(observation, now).forEach(this::carryOut);
+        configuration.set(controller.configuration().orElse(null));
+        forgetEnded(observation);
+    }
+
+    private void carryOut(Action action) {
+        if (action instanceof Action.Dispatch dispatch) {
+            post(dispatch.request(), action);
+        } else if (action instanceof Action.CancelAttempt cancel) {
+            post(cancel.request(), action);
+        } else if (action instanceof Action.Refuse refuse) {
+            post(refuse.request(), action);
+            mailboxes.remove(refuse.request());
+        } else {
+            effects.accept(action);
+        }
+    }
+
+    private void post(RequestId request, Action action) {
+        RequestMailbox mailbox = mailboxes.get(request);
+        if (mailbox != null) {
+            mailbox.post(action);
+        }
+    }
+
+    private void forgetEnded(Observation observation) {
+        if (observation instanceof Observation.RequestAbandoned abandoned) {
+            mailboxes.remove(abandoned.request());
+        } else if (observation instanceof Observation.AttemptEnded ended
+                && ended.report().end() == AttemptEnd.ANSWERED) {
+            mailboxes.remove(ended.request());
+        }
+    }
+
+    /** A slot of the ring. */
+    private static final class Message {
+        private Observation observation;
+        private RequestMailbox mailbox;
+
+        private void set(Observation seen, RequestMailbox box) {
+            observation = seen;
+            mailbox = box;
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/filter/MatchRoute.java
@@ -0,0 +1,23 @@
+package org.geraniumstand.http.filter;
+
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.model.request.RefusalReason;
+import org.geraniumstand.model.result.Result;
+
+/** Finds the route and the service of a path. */
+@Decision(name = "match-route", summary = "A request whose path matches no route is refused.")
+public final class MatchRoute implements Filter {
+    @Override
+    public Result<Admission, Refusal> apply(Admission admission) {
+        return admission
+                .configuration()
+                .routeFor(admission.request().path())
+                .flatMap(route -> admission
+                        .configuration()
+                        .service(route.service())
+                        .map(service -> admission.withRoute(route, service)))
+                .<Result<Admission, Refusal>>map(Result::ok)
+                .orElseGet(() -> Result.err(Refusal.notRun(RefusalReason.UNKNOWN_ROUTE, 0)));
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/geraniumstand/model/id/RouteId.java
@@ -0,0 +1,27 @@
+package org.geraniumstand.model.id;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Names a route.
+ *
+ * @param value the name, never empty
+ */
+public record RouteId(@JsonValue String value) implements Comparable<RouteId> {
+    /** Checks that the name is not empty. */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public RouteId {
+        Names.requireName(value, "RouteId");
+    }
+
+    @Override
+    public int compareTo(RouteId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
@@ -0,0 +1,56 @@
+package org.geraniumstand.model.request;
+
+/** Why a request is refused or given up on. */
+public enum RefusalReason {
+    /** The request is malformed. */
+    BAD_REQUEST("bad-request", 400, "The request is malformed."),
+    /** The bearer token names no team. */
+    UNKNOWN_TEAM("unknown-team", 401, "The bearer token names no team."),
+    /** No route matches the path. */
+    UNKNOWN_ROUTE("unknown-route", 404, "No route matches the path."),
+    /** The idempotency key was used for another request. */
+    KEY_REUSED("key-reused", 422, "The idempotency key was used for another request."),
+    /** An earlier request with the same key has an unknown outcome. */
+    KEY_UNSETTLED("key-unsettled", 409, "An earlier request with this key may have run; it is not run again."),
+    /** The body is larger than the route accepts. */
+    BODY_TOO_LARGE("body-too-large", 413, "The body is larger than the route accepts."),
+    /** The team has more work waiting than its share. */
+    OVER_SHARE("over-share", 429, "The team has more work waiting than its share."),
+    /** No backend server can answer before the deadline. */
+    DEADLINE("deadline", 503, "No backend server can answer before the deadline."),
+    /** No backend server of the service may take the request now. */
+    NO_SERVER("no-server", 503, "No backend server of the service may take the request now."),
+    /** The claim of an order cannot be recorded now. */
+    STORE_UNAVAILABLE("store-unavailable", 503, "The claim of the order cannot be recorded now."),
+    /** The process is stopping. */
+    STOPPING("stopping", 503, "The process is stopping."),
+    /** The backend server failed and the request may not be repeated. */
+    SERVER_FAILED("server-failed", 502, "The backend server failed and the request may not be repeated."),
+    /** The backend server fell silent and the request may not be repeated. */
+    SERVER_SILENT("server-silent", 504, "The backend server fell silent and the request may not be repeated.");
+
+    private final String text;
+    private final int status;
+    private final String summary;
+
+    RefusalReason(String text, int status, String summary) {
+        this.text = text;
+        this.status = status;
+        this.summary = summary;
+    }
+
+    /** Returns the word used in answers, logs and the time line. */
+    public String text() {
+        return text;
+    }
+
+    /** Returns the HTTP status code. */
+    public int status() {
+        return status;
+    }
+
+    /** Returns one sentence for people. */
+    public String summary() {
+        return summary;
+    }
+}
