Make the stand-ins whole, with faults switched while they run

The first stand-ins answered only the plain case, so no failure could be brought about. Store, cloud, model engine, order desk, balancer and relay now have their faults as switches, set in the same process or over HTTP at /control. The load tool checks each answer against text that it recomputes itself.

Ruled out: bare maps of settings (a wrong name would pass unseen; an enum a stand-in refuses it).

--- /dev/null
+++ b/standins/src/main/java/org/geraniumstand/standins/CloudHosts.java
@@ -0,0 +1,148 @@
+package org.geraniumstand.standins;
+
+import io.undertow.server.HttpServerExchange;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.platform.io.Closer;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.standins.HostLauncher.HostOrder;
+import org.geraniumstand.standins.HostLauncher.Launched;
+
+/** Hosts that were ordered from the cloud. */
+final class CloudHosts implements AutoCloseable {
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int UNAVAILABLE = 503;
+
+    private final Switches<CloudSwitch> switches;
+    private final HostLauncher launcher;
+    private final Consumer<BackendServer> onRunning;
+    private final Consumer<String> onStopped;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+    private final Map<String, Host> hosts = new TreeMap<>();
+    private long highestFence;
+
+    private record Host(HostOrder order, ScheduledFuture<?> start, Launched launched) {}
+
+    private record Shown(
+            String host,
+            String dataCentre,
+            String hostClass,
+            boolean reclaimable,
+            String service,
+            String version,
+            String state) {}
+
+    private record HostsShown(List<Shown> hosts) {}
+
+    CloudHosts(
+            Switches<CloudSwitch> switches,
+            HostLauncher launcher,
+            Consumer<BackendServer> onRunning,
+            Consumer<String> onStopped) {
+        this.switches = switches;
+        this.launcher = launcher;
+        this.onRunning = onRunning;
+        this.onStopped = onStopped;
+    }
+
+    void handle(HttpServerExchange exchange, String rest) throws IOException {
+        String host = rest.isEmpty() ? "" : rest.substring(1);
+        if (exchange.getRequestMethod().equalToString("PUT")) {
+            exchange.setStatusCode(order(host, Json.LENIENT.readValue(exchange.getInputStream(), HostOrder.class)));
+        } else if (exchange.getRequestMethod().equalToString("DELETE")) {
+            exchange.setStatusCode(stop(host, Long.parseLong(HttpStandin.parameter(exchange, "fence"))));
+        } else {
+            exchange.getResponseSender().send(Json.write(shown()));
+        }
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+        try (Closer closer = new Closer()) {
+            synchronized (this) {
+                hosts.values().stream()
+                        .filter(host -> host.launched() != null)
+                        .forEach(host -> closer.add(host.launched().process()));
+            }
+        }
+    }
+
+    private synchronized int order(String host, HostOrder order) {
+        if (fenced(order.fence())) {
+            return CONFLICT;
+        }
+        if (hosts.containsKey(host)) {
+            return 200;
+        }
+        if (order.hostClass().equals(switches.text(CloudSwitch.REFUSE_CLASS))
+                || switches.take(CloudSwitch.REFUSE_STARTS)) {
+            return UNAVAILABLE;
+        }
+        ScheduledFuture<?> start = timer.schedule(
+                () -> run(host, order), switches.number(CloudSwitch.STARTING_MILLIS), TimeUnit.MILLISECONDS);
+        hosts.put(host, new Host(order, start, null));
+        return 200;
+    }
+
+    private synchronized void run(String host, HostOrder order) {
+        Host starting = hosts.get(host);
+        if (starting == null) {
+            return;
+        }
+        Launched launched = launcher.launch(host, order);
+        hosts.put(host, new Host(order, starting.start(), launched));
+        if (launched != null) {
+            onRunning.accept(launched.server());
+        }
+    }
+
+    private synchronized int stop(String host, long fence) {
+        if (fenced(fence)) {
+            return CONFLICT;
+        }
+        Host stopped = hosts.remove(host);
+        if (stopped == null) {
+            return NOT_FOUND;
+        }
+        stopped.start().cancel(false);
+        onStopped.accept(host);
+        if (stopped.launched() != null) {
+            try (Closer closer = new Closer()) {
+                closer.add(stopped.launched().process());
+            }
+        }
+        return 200;
+    }
+
+    private boolean fenced(long fence) {
+        boolean old = switches.on(CloudSwitch.FENCING) && fence < highestFence;
+        highestFence = Math.max(highestFence, fence);
+        return old;
+    }
+
+    private synchronized HostsShown shown() {
+        return new HostsShown(hosts.entrySet().stream()
+                .map(entry -> {
+                    HostOrder order = entry.getValue().order();
+                    return new Shown(
+                            entry.getKey(),
+                            order.dataCentre(),
+                            order.hostClass(),
+                            order.reclaimable(),
+                            order.service(),
+                            order.version(),
+                            entry.getValue().start().isDone() ? "RUNNING" : "STARTING");
+                })
+                .toList());
+    }
+}
--- a/standins/src/main/java/org/geraniumstand/standins/Standins.java
+++ b/standins/src/main/java/org/geraniumstand/standins/Standins.java
@@ -23,12 +23,18 @@
         CloudCommand cloud = new CloudCommand();
         EngineCommand engine = new EngineCommand();
         OrderDeskCommand orderDesk = new OrderDeskCommand();
+        BalancerCommand balancer = new BalancerCommand();
+        RelayCommand relay = new RelayCommand();
+        LoadCommand load = new LoadCommand();
         JCommander parser = JCommander.newBuilder()
                 .programName("standins")
                 .addCommand("store", store)
                 .addCommand("cloud", cloud)
                 .addCommand("engine", engine)
                 .addCommand("order-desk", orderDesk)
+                .addCommand("balancer", balancer)
+                .addCommand("relay", relay)
+                .addCommand("load", load)
                 .build();
         try {
             parser.parse(args);
@@ -45,6 +51,9 @@
             case "store" -> StoreStandin.start(store.port);
             case "cloud" -> CloudStandin.start(cloud.port);
             case "engine" -> EngineStandin.start(engine.port, engine.tokenMillis);
+            case "balancer" -> balancer.start();
+            case "relay" -> relay.start();
+            case "load" -> load.run();
             default -> OrderDeskStandin.start(orderDesk.port);
         }
     }
