Match routes in whole path segments

Cause: a prefix matched as plain text, so /orders-of-last-year reached the order desk's route. Ruled out: asking operators to end each prefix with a slash, since the bare path would then match nothing. After: a prefix matches itself and what lies under it.

--- a/model/src/main/java/org/geraniumstand/model/config/Configuration.java
+++ b/model/src/main/java/org/geraniumstand/model/config/Configuration.java
@@ -63,13 +63,13 @@
     }
 
     /**
-     * Finds the route with the longest prefix of a path.
+     * Finds the route with the longest prefix of a path, in whole segments.
      *
      * @param path the request path
      */
     public Optional<Route> routeFor(String path) {
         return routes.stream()
-                .filter(r -> path.startsWith(r.pathPrefix()))
+                .filter(r -> r.matches(path))
                 .max(Comparator.comparingInt(r -> r.pathPrefix().length()));
     }
 
--- a/model/src/main/java/org/geraniumstand/model/config/Route.java
+++ b/model/src/main/java/org/geraniumstand/model/config/Route.java
@@ -19,4 +19,17 @@
         ServiceId service,
         Repeatability repeatability,
         long maxBodyBytes,
-        String lookupPath) {}
+        String lookupPath) {
+    /**
+     * Returns whether a path lies under the prefix, in whole segments.
+     *
+     * @param path the request path
+     */
+    public boolean matches(String path) {
+        if (!path.startsWith(pathPrefix)) {
+            return false;
+        }
+        boolean whole = path.length() == pathPrefix.length();
+        return whole || pathPrefix.endsWith("/") || path.charAt(pathPrefix.length()) == '/';
+    }
+}
