Add a harness that runs entry processes as real processes, and its ledger oracle

Failures such as a kill or a pause cannot be brought about inside one process. The oracle compares what callers were told with what order desks ran and knows nothing else of the system.

--- /dev/null
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/Cluster.java
@@ -0,0 +1,177 @@
+package org.geraniumstand.proofs.process;
+
+import java.io.IOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.platform.io.Closer;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.standins.BalancerStandin;
+import org.geraniumstand.standins.StoreStandin;
+import org.geraniumstand.standins.TcpRelay;
+import org.geraniumstand.standins.load.Caller;
+
+/** Entry processes, backend servers and the platform on loopback; ends all that it started. */
+final class Cluster implements AutoCloseable {
+    private static final String CONFIGURATION = "geraniumstand/configuration";
+    private static final long CHECK_MILLIS = 200;
+    private static final long CALL_MILLIS = 20_000;
+
+    // Loggers are kept here because a logger that nothing refers to forgets its level.
+    private static final List<Logger> LIBRARIES = Stream.of("io.undertow", "org.xnio", "org.jboss")
+            .map(Logger::getLogger)
+            .toList();
+
+    private final Closer closer = new Closer();
+    private final Path directory;
+    private final StoreStandin store = closer.add(StoreStandin.start(0));
+    private final TcpRelay storeRelay = closer.add(TcpRelay.to(store.port()));
+    private final Backends backends = closer.add(new Backends());
+    private final List<EntryHost.Address> addresses;
+    private final List<EntryHost> hosts = new ArrayList<>();
+    private final BalancerStandin balancer;
+    private int replaced;
+
+    private Cluster(int entryHosts) {
+        LIBRARIES.forEach(library -> library.setLevel(Level.SEVERE));
+        this.directory = newDirectory();
+        this.addresses = IntStream.range(0, entryHosts)
+                .mapToObj(i -> EntryHost.Address.of(
+                        "entry-" + (i + 1), Documents.DATA_CENTRES.get(i % Documents.DATA_CENTRES.size())))
+                .toList();
+        this.balancer = closer.add(BalancerStandin.start(0, this::targets, CHECK_MILLIS));
+    }
+
+    /** Starts a cluster with two engines and one order desk a data centre, and waits until it is ready. */
+    static Cluster start(int entryHosts) {
+        return start(entryHosts, 5);
+    }
+
+    static Cluster start(int entryHosts, int tokenMillis) {
+        Cluster cluster = new Cluster(entryHosts);
+        for (String dataCentre : Documents.DATA_CENTRES) {
+            cluster.backends.addEngine(dataCentre, Documents.FIRST, tokenMillis);
+            cluster.backends.addEngine(dataCentre, Documents.FIRST, tokenMillis);
+            cluster.backends.addDesk(dataCentre);
+        }
+        cluster.configure(Documents.first());
+        cluster.addresses.forEach(address -> cluster.hosts.add(EntryHost.start(address, cluster.shared())));
+        try {
+            cluster.awaitReady();
+        } catch (IllegalStateException e) {
+            cluster.close();
+            throw e;
+        }
+        return cluster;
+    }
+
+    StoreStandin store() {
+        return store;
+    }
+
+    TcpRelay storeRelay() {
+        return storeRelay;
+    }
+
+    Backends backends() {
+        return backends;
+    }
+
+    BalancerStandin balancer() {
+        return balancer;
+    }
+
+    List<EntryHost> hosts() {
+        synchronized (hosts) {
+            return List.copyOf(hosts);
+        }
+    }
+
+    /** Writes a configuration as the only operator. */
+    void configure(Configuration configuration) {
+        store.put(CONFIGURATION, Json.write(configuration));
+    }
+
+    /** A caller that reaches the system through the balancer. */
+    Caller caller() {
+        return caller(balancer.port());
+    }
+
+    /** A caller that reaches one entry host. */
+    Caller caller(EntryHost host) {
+        return caller(host.address().callerPort());
+    }
+
+    private static Caller caller(int port) {
+        return new Caller(URI.create("http://127.0.0.1:" + port), Documents.COUNTER_TOKEN, CALL_MILLIS);
+    }
+
+    /** Starts a new process in place of one that ended. */
+    EntryHost replace(EntryHost old) {
+        replaced++;
+        EntryHost.Address address = EntryHost.Address.of(
+                old.address().name() + "-r" + replaced, old.address().dataCentre());
+        EntryHost host = EntryHost.start(address, shared());
+        synchronized (hosts) {
+            hosts.set(hosts.indexOf(old), host);
+        }
+        return host;
+    }
+
+    void awaitReady() {
+        for (EntryHost host : hosts()) {
+            Conditions.await(host.address().name() + " is ready\n" + host.log(), host::ready);
+        }
+        Conditions.await(
+                "the balancer sends requests on",
+                () -> Http.get(balancer.port(), "/none").status() > 0);
+    }
+
+    /** The last lines of all logs, to explain a failure. */
+    String logs() {
+        StringBuilder text = new StringBuilder();
+        for (EntryHost host : hosts()) {
+            List<String> lines = host.log().lines().toList();
+            text.append("---- ").append(host.address().name()).append('\n');
+            lines.subList(Math.max(0, lines.size() - 40), lines.size())
+                    .forEach(line -> text.append(line).append('\n'));
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() {
+        hosts().forEach(EntryHost::close);
+        closer.close();
+    }
+
+    private List<BalancerStandin.Target> targets() {
+        return hosts().stream()
+                .map(EntryHost::address)
+                .map(a -> new BalancerStandin.Target(a.callerPort(), a.operatorPort()))
+                .toList();
+    }
+
+    private EntryHost.Shared shared() {
+        List<Integer> seeds =
+                addresses.stream().map(EntryHost.Address::peerPort).toList();
+        return new EntryHost.Shared(
+                directory, storeRelay.port(), backends.cloud().port(), seeds, "a-key-that-all-entry-processes-share");
+    }
+
+    private static Path newDirectory() {
+        try {
+            Path parent = Files.createDirectories(Path.of("target", "process-proofs"));
+            return Files.createTempDirectory(parent, "cluster-");
+        } catch (IOException e) {
+            throw Ports.failed(e);
+        }
+    }
+}
--- /dev/null
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/ClusterTest.java
@@ -0,0 +1,33 @@
+package org.geraniumstand.proofs.process;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import org.geraniumstand.standins.load.Load;
+import org.geraniumstand.standins.load.Profile;
+import org.geraniumstand.standins.load.Told;
+import org.junit.jupiter.api.Test;
+
+/** Requests through real processes without any fault: all are answered. */
+final class ClusterTest {
+    private static final long SEED = 11;
+
+    @Test
+    void answersEachRequestWithoutFaults() throws InterruptedException {
+        try (Cluster cluster = Cluster.start(2)) {
+            Load load = new Load(List.of(cluster.caller()), Profile.HEARTHGUARD, SEED, "calm");
+            List<Told> told = load.run(100, 5_000, 40);
+            assertThat(
+                    cluster.logs(),
+                    Oracle.contradictions(told, cluster.backends().ran()),
+                    is(empty()));
+            assertThat(
+                    told.stream()
+                            .filter(t -> t.verdict() != Told.Verdict.ANSWERED)
+                            .toList(),
+                    is(empty()));
+        }
+    }
+}
--- a/standins/src/main/java/org/geraniumstand/standins/HttpStandin.java
+++ b/standins/src/main/java/org/geraniumstand/standins/HttpStandin.java
@@ -7,6 +7,7 @@
 import io.undertow.server.handlers.BlockingHandler;
 import io.undertow.server.handlers.PathHandler;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Deque;
 import org.xnio.IoUtils;
@@ -40,7 +41,8 @@
      * @param switches the stand-in's switches
      */
     public static HttpStandin start(int port, HttpHandler handler, Switches<?> switches) {
-        PathHandler paths = new PathHandler(new BlockingHandler(handler)).addExactPath(CONTROL, switches::control);
+        PathHandler paths =
+                new PathHandler(new BlockingHandler(quiet(handler))).addExactPath(CONTROL, switches::control);
         HttpStandin standin = new HttpStandin(port, paths);
         standin.server.start();
         return standin;
@@ -58,6 +60,21 @@
         server.stop();
     }
 
+    private static HttpHandler quiet(HttpHandler handler) {
+        return exchange -> {
+            try {
+                handler.handleRequest(exchange);
+            } catch (IOException _e) {
+                // The caller left.
+                cut(exchange);
+            } catch (InterruptedException _e) {
+                // The stand-in is being closed.
+                cut(exchange);
+                Thread.currentThread().interrupt();
+            }
+        };
+    }
+
     /** Closes the connection of an exchange without an answer. */
     static void cut(HttpServerExchange exchange) {
         IoUtils.safeClose(exchange.getConnection());
