Split the traffic controller into parts for limits, choice, admission, retries and reclaims

Cause: one class chose the least loaded server and knew no grants, shares, budgets or reclaims. Each decision now has its own class with a declared summary; the controller hands observations to the parts.

The test of a refusal without a configuration expects the event for the time line beside the refusal and nothing else; it is as strict as before.

--- a/decisions/src/main/java/org/geraniumstand/decisions/Action.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/Action.java
@@ -33,6 +33,10 @@
     /**
      * End a request with a refusal.
      *
+     * <p>A request that must run at most once and whose attempt ended with
+     * {@link org.geraniumstand.model.request.AttemptEnd#SERVER_ERROR} is not refused: the task that holds the caller
+     * relays the backend server's own answer.
+     *
      * @param request the request
      * @param refusal the final answer
      */
--- a/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
@@ -1,27 +1,23 @@
 package org.geraniumstand.decisions;
 
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import org.geraniumstand.decisions.moves.MoveBoard;
+import org.geraniumstand.decisions.admission.StopGate;
+import org.geraniumstand.decisions.flow.Attempts;
+import org.geraniumstand.decisions.flow.Endings;
+import org.geraniumstand.decisions.flow.Intake;
+import org.geraniumstand.decisions.flow.Parts;
+import org.geraniumstand.decisions.flow.Progress;
+import org.geraniumstand.decisions.reclaim.Evacuation;
 import org.geraniumstand.model.config.Configuration;
-import org.geraniumstand.model.config.Service;
 import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.fleet.CacheEvent;
+import org.geraniumstand.model.fleet.ReclaimNotice;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.HostId;
 import org.geraniumstand.model.id.ProcessId;
-import org.geraniumstand.model.id.RequestId;
-import org.geraniumstand.model.id.ServerId;
-import org.geraniumstand.model.id.VersionId;
-import org.geraniumstand.model.request.AttemptEnd;
-import org.geraniumstand.model.request.Refusal;
-import org.geraniumstand.model.request.RefusalReason;
-import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.time.Moment;
 import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.model.timeline.Field;
@@ -30,21 +26,17 @@
  * Takes all decisions of one process: observations go in, actions come out.
  *
  * <p>It has no clock, thread, socket or random source of its own, so that a test bench can drive it by observations
- * alone. It belongs to one thread.
+ * alone. It belongs to one thread. It only hands each observation to the parts that it concerns.
  */
 public final class TrafficController {
-    private static final long RETRY_AFTER_MILLIS = 1_000;
-    private static final int MAX_ATTEMPTS = 3;
-
-    private final Map<RequestId, InFlight> inFlight = new HashMap<>();
-    private final Map<ServerId, Integer> load = new HashMap<>();
-    private final Set<HostId> reclaimed = new HashSet<>();
-    private final MoveBoard moves;
-    private Optional<Configuration> configuration = Optional.empty();
-    private List<BackendServer> fleet = List.of();
-    private boolean stopping;
-
-    private record InFlight(RequestFacts facts, int attempt, BackendServer server) {}
+    private final ProcessId self;
+    private final Parts parts;
+    private final Attempts attempts;
+    private final Intake intake;
+    private final Progress progress;
+    private final Endings endings;
+    private final Evacuation evacuation;
+    private final StopGate gate = new StopGate();
 
     /**
      * Creates the controller of a process.
@@ -52,12 +44,18 @@
      * @param self the process
      */
     public TrafficController(ProcessId self) {
-        this.moves = new MoveBoard(self);
+        this.self = self;
+        this.parts = new Parts(self);
+        this.attempts = new Attempts(parts);
+        this.intake = new Intake(parts, attempts);
+        this.progress = new Progress(parts);
+        this.endings = new Endings(parts, intake);
+        this.evacuation = new Evacuation(parts.fleet());
     }
 
     /** Returns the configuration in force, if any. */
     public Optional<Configuration> configuration() {
-        return configuration;
+        return parts.configuration();
     }
 
     /**
@@ -68,105 +66,124 @@
      */
     public List<Action> on(Observation observation, Moment now) {
         List<Action> actions = new ArrayList<>();
-        if (observation instanceof Observation.ConfigurationAccepted accepted) {
-            accept(accepted.configuration(), now, actions);
-        } else if (observation instanceof Observation.FleetListed listed) {
-            fleet = listed.servers();
-            actions.addAll(moves.onFleet(fleet, now));
-        } else if (observation instanceof Observation.ReclaimsNoticed noticed) {
-            noticed.notices().forEach(notice -> reclaimed.add(notice.host()));
-        } else if (observation instanceof Observation.RequestArrived arrived) {
-            dispatch(arrived.request(), 1, Optional.empty(), now, actions);
-        } else if (observation instanceof Observation.RequestAbandoned abandoned) {
-            abandon(abandoned.request(), actions);
+        parts.limits().onTime(now);
+        if (!onRequest(observation, now, actions) && !onPeer(observation, now, actions)) {
+            onPlatform(observation, now, actions);
+        }
+        if (gate.completes(parts.flights().isEmpty(), now)) {
+            actions.add(new Action.StopCompleted());
+        }
+        return actions;
+    }
+
+    private boolean onRequest(Observation observation, Moment now, List<Action> actions) {
+        if (observation instanceof Observation.RequestArrived arrived) {
+            intake.arrive(arrived.request(), gate.open(now), now, actions);
+        } else if (observation instanceof Observation.AnswerStarted started) {
+            progress.onStarted(started, now, actions);
+        } else if (observation instanceof Observation.StreamAdvanced advanced) {
+            progress.onAdvanced(advanced, now, actions);
         } else if (observation instanceof Observation.AttemptEnded ended) {
-            end(ended, now, actions);
+            endings.onEnded(ended, now, actions);
+        } else if (observation instanceof Observation.RequestAbandoned abandoned) {
+            endings.onAbandoned(abandoned.request(), now, actions);
+        } else {
+            return false;
+        }
+        return true;
+    }
+
+    private boolean onPeer(Observation observation, Moment now, List<Action> actions) {
+        if (observation instanceof Observation.GrantsReceived received) {
+            parts.limits().onGrants(received.keeper(), received.grants());
+            drainAll(now, actions);
+        } else if (observation instanceof Observation.DemandsReceived received) {
+            actions.addAll(parts.limits().onDemands(received.demands()));
         } else if (observation instanceof Observation.EvidenceReceived received) {
-            actions.addAll(moves.onEvidence(received.rows(), now));
+            actions.addAll(parts.moves().onEvidence(received.rows(), now));
         } else if (observation instanceof Observation.BadMarksReceived received) {
-            actions.addAll(moves.onBadMarks(received.marks(), now));
-        } else if (observation instanceof Observation.Tick) {
-            actions.addAll(moves.onTick(now));
-        } else if (observation instanceof Observation.StopRequested) {
-            stopping = true;
+            actions.addAll(parts.moves().onBadMarks(received.marks(), now));
+        } else if (observation instanceof Observation.MembersSeen seen) {
+            onMembers(seen.members(), actions);
+        } else {
+            return false;
         }
-        if (stopping && inFlight.isEmpty()) {
-            actions.add(new Action.StopCompleted());
+        return true;
+    }
+
+    private void onPlatform(Observation observation, Moment now, List<Action> actions) {
+        if (observation instanceof Observation.ConfigurationAccepted accepted) {
+            onConfiguration(accepted.configuration(), now, actions);
+        } else if (observation instanceof Observation.FleetListed listed) {
+            onFleet(listed.servers(), now, actions);
+        } else if (observation instanceof Observation.ReclaimsNoticed noticed) {
+            onReclaims(noticed.notices(), now, actions);
+        } else if (observation instanceof Observation.LoadReported reported) {
+            parts.fleet().find(reported.server()).ifPresent(state -> {
+                state.onReport(reported.report(), now);
+                actions.addAll(parts.limits().onReport(state, reported.report()));
+            });
+            drainAll(now, actions);
+        } else if (observation instanceof Observation.CacheChanged changed) {
+            onCache(changed.event(), now);
+        } else if (observation instanceof Observation.StopRequested) {
+            gate.onStop(now);
+        } else if (observation instanceof Observation.Tick) {
+            onTick(now, actions);
         }
-        return actions;
     }
 
-    private void accept(Configuration next, Moment now, List<Action> actions) {
-        if (configuration.map(Configuration::generation).orElse(-1L) >= next.generation()) {
+    private void onConfiguration(Configuration next, Moment now, List<Action> actions) {
+        if (configuration().map(Configuration::generation).orElse(-1L) >= next.generation()) {
             return;
         }
-        configuration = Optional.of(next);
-        actions.addAll(moves.onConfiguration(next, now));
+        parts.onConfiguration(next);
+        parts.fleet().onDataCentresOut(next.dataCentresOut());
+        actions.addAll(parts.limits().onConfiguration(next));
+        actions.addAll(parts.moves().onConfiguration(next, now));
         actions.add(new Action.Note(
                 EventKind.CONFIGURATION_IN_FORCE, "", List.of(Field.of("generation", next.generation()))));
+        drainAll(now, actions);
     }
 
-    private void dispatch(
-            RequestFacts facts, int attempt, Optional<BackendServer> avoid, Moment now, List<Action> actions) {
-        Optional<Service> service = configuration.flatMap(c -> c.service(facts.service()));
-        Optional<BackendServer> server = service.flatMap(s -> choose(s, moves.versionsFor(facts, now), avoid));
-        if (server.isEmpty() || now.nanos() >= facts.deadlineNanos()) {
-            inFlight.remove(facts.id());
-            actions.add(new Action.Refuse(facts.id(), Refusal.notRun(RefusalReason.NO_SERVER, RETRY_AFTER_MILLIS)));
-            return;
+    private void onFleet(List<BackendServer> servers, Moment now, List<Action> actions) {
+        parts.fleet().onFleet(servers);
+        actions.addAll(parts.limits().onFleet());
+        actions.addAll(parts.moves().onFleet(servers, now));
+        drainAll(now, actions);
+    }
+
+    private void onReclaims(List<ReclaimNotice> notices, Moment now, List<Action> actions) {
+        for (HostId host : parts.fleet().onReclaims(notices, now)) {
+            actions.add(new Action.Note(
+                    EventKind.RECLAIM_NOTICED, Reasons.of(Evacuation.class), List.of(Field.of("host", host))));
         }
-        BackendServer chosen = server.get();
-        inFlight.put(facts.id(), new InFlight(facts, attempt, chosen));
-        load.merge(chosen.id(), 1, Integer::sum);
-        int silence = service.get().silenceMillis();
-        Action.AttemptLimits limits = new Action.AttemptLimits(silence, silence, !facts.idempotent());
-        Action.Transfer transfer = attempt == 1 ? Action.Transfer.NONE : Action.Transfer.RESUME;
-        actions.add(new Action.Dispatch(facts.id(), attempt, chosen, limits, transfer));
+        evacuation.onTick(parts.flights().values(), attempts::move, now, actions);
     }
 
-    private Optional<BackendServer> choose(Service service, List<VersionId> versions, Optional<BackendServer> avoid) {
-        Set<DataCentreId> out = configuration.map(Configuration::dataCentresOut).orElseGet(Set::of);
-        return fleet.stream()
-                .filter(s -> s.service().equals(service.id()))
-                .filter(s -> versions.contains(s.version()))
-                .filter(s -> !s.leaving() && !reclaimed.contains(s.host()) && !out.contains(s.dataCentre()))
-                .filter(s -> avoid.map(a -> !a.id().equals(s.id())).orElse(true))
-                .min(Comparator.comparingInt(s -> load.getOrDefault(s.id(), 0)));
+    private void onMembers(List<Member> members, List<Action> actions) {
+        Optional<DataCentreId> home = members.stream()
+                .filter(m -> m.id().equals(self))
+                .map(Member::dataCentre)
+                .findFirst();
+        actions.addAll(parts.limits().onMembers(members));
+        parts.choice().onMembers(home, parts.limits().processes());
     }
 
-    private void abandon(RequestId request, List<Action> actions) {
-        InFlight flight = inFlight.remove(request);
-        if (flight == null) {
-            return;
-        }
-        release(flight.server());
-        actions.add(new Action.CancelAttempt(request, flight.attempt()));
+    private void onCache(CacheEvent event, Moment now) {
+        long nowMillis = now.nanos() / Moment.NANOS_PER_MILLI;
+        parts.fleet().find(event.server()).ifPresent(state -> parts.prefixes().onEvent(state.slot(), event, nowMillis));
     }
 
-    private void end(Observation.AttemptEnded ended, Moment now, List<Action> actions) {
-        InFlight flight = inFlight.get(ended.request());
-        if (flight == null || flight.attempt() != ended.attempt()) {
-            return;
-        }
-        release(flight.server());
-        actions.addAll(moves.onAttemptEnded(flight.facts(), flight.server(), ended.report(), now));
-        AttemptEnd how = ended.report().end();
-        if (how == AttemptEnd.ANSWERED) {
-            inFlight.remove(ended.request());
-            return;
-        }
-        boolean notRun = how == AttemptEnd.NOT_CONNECTED || how == AttemptEnd.DECLINED;
-        if ((flight.facts().idempotent() || notRun) && flight.attempt() < MAX_ATTEMPTS) {
-            dispatch(flight.facts(), flight.attempt() + 1, Optional.of(flight.server()), now, actions);
-            return;
-        }
-        inFlight.remove(ended.request());
-        RefusalReason reason = how == AttemptEnd.SILENT ? RefusalReason.SERVER_SILENT : RefusalReason.SERVER_FAILED;
-        Refusal refusal = notRun ? Refusal.notRun(reason, RETRY_AFTER_MILLIS) : Refusal.unknown(reason);
-        actions.add(new Action.Refuse(ended.request(), refusal));
+    private void onTick(Moment now, List<Action> actions) {
+        actions.addAll(parts.moves().onTick(now));
+        progress.onTick(now, actions);
+        evacuation.onTick(parts.flights().values(), attempts::move, now, actions);
+        intake.onTick(now, actions);
+        actions.addAll(parts.limits().onTick(intake.waiting(now)));
     }
 
-    private void release(BackendServer server) {
-        load.merge(server.id(), -1, Integer::sum);
+    private void drainAll(Moment now, List<Action> actions) {
+        parts.services().forEach(service -> intake.drain(service, now, actions));
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/RendezvousKeepers.java
@@ -0,0 +1,44 @@
+package org.geraniumstand.decisions.limits;
+
+import java.util.List;
+import java.util.Optional;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.decisions.Hash;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.ServerId;
+
+/**
+ * Names keepers by rendezvous hashing over the live processes.
+ *
+ * <p>Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+ */
+@Decision(
+        name = "keeper",
+        summary = "The live process with the highest hash together with the server's name keeps the server.")
+public final class RendezvousKeepers implements Keepers {
+    private final List<ProcessId> processes;
+
+    /**
+     * Creates the keepers of a set of processes.
+     *
+     * @param processes all live processes
+     */
+    public RendezvousKeepers(List<ProcessId> processes) {
+        this.processes = List.copyOf(processes);
+    }
+
+    @Override
+    public Optional<ProcessId> keeperOf(ServerId server) {
+        long seed = Hash.of(server.value());
+        ProcessId best = null;
+        long most = 0;
+        for (ProcessId process : processes) {
+            long hash = Hash.mix(seed ^ Hash.of(process.value()));
+            if (best == null || hash > most) {
+                best = process;
+                most = hash;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/routing/Room.java
@@ -0,0 +1,18 @@
+package org.geraniumstand.decisions.routing;
+
+/** Tells what limits allow at a backend server. */
+public interface Room {
+    /**
+     * Returns how many more requests this process may send to a server now.
+     *
+     * @param state the server
+     */
+    int spare(ServerState state);
+
+    /**
+     * Returns whether a server is known to be warm.
+     *
+     * @param state the server
+     */
+    boolean warm(ServerState state);
+}
--- a/decisions/src/test/java/org/geraniumstand/decisions/TrafficControllerTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/TrafficControllerTest.java
@@ -25,7 +25,7 @@
     void refusesRequestWithoutConfiguration() {
         List<Action> actions = controller.on(new Observation.RequestArrived(request()), START);
 
-        assertThat(actions, contains(instanceOf(Action.Refuse.class)));
+        assertThat(actions, contains(instanceOf(Action.Refuse.class), instanceOf(Action.Note.class)));
     }
 
     private static RequestFacts request() {
--- a/model/src/main/java/org/geraniumstand/model/limits/Demand.java
+++ b/model/src/main/java/org/geraniumstand/model/limits/Demand.java
@@ -9,6 +9,14 @@
  * @param server the backend server
  * @param process the process that wishes
  * @param inFlight requests that it has at the server
- * @param wanted requests that it would like to have there
+ * @param wanted requests that it would like to have there; {@link #SUSPECTS_COLD} says that it found the server cold
  */
-public record Demand(ServerId server, ProcessId process, int inFlight, int wanted) {}
+public record Demand(ServerId server, ProcessId process, int inFlight, int wanted) {
+    /** The wish of a process that found a backend server to be cold again. */
+    public static final int SUSPECTS_COLD = -1;
+
+    /** Returns whether the process found the server to be cold again. */
+    public boolean suspectsCold() {
+        return wanted <= SUSPECTS_COLD;
+    }
+}
