--- /dev/null
+++ b/proofs/src/test/java/org/geraniumstand/proofs/trial/PrefixCache.java
@@ -0,0 +1,45 @@
+package org.geraniumstand.proofs.trial;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The prefix cache of a fake engine: limited memory, the block used least lately goes first. */
+final class PrefixCache {
+    private final int capacity;
+    private final Map<Long, Boolean> blocks = new LinkedHashMap<>(64, 0.75f, true);
+
+    PrefixCache(int capacity) {
+        this.capacity = capacity;
+    }
+
+    /** Returns how many blocks at the start of a prompt are held. */
+    int depth(List<Long> prefix) {
+        int depth = 0;
+        while (depth < prefix.size() && blocks.get(prefix.get(depth)) != null) {
+            depth++;
+        }
+        return depth;
+    }
+
+    /** Stores blocks and returns those that had to go. */
+    List<Long> store(List<Long> prefix) {
+        prefix.forEach(block -> blocks.put(block, true));
+        List<Long> evicted = new ArrayList<>();
+        while (blocks.size() > capacity) {
+            Long oldest = blocks.keySet().iterator().next();
+            blocks.remove(oldest);
+            evicted.add(oldest);
+        }
+        return evicted;
+    }
+
+    void clear() {
+        blocks.clear();
+    }
+
+    int size() {
+        return blocks.size();
+    }
+}
