--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/membership/NeighbourChoice.java
@@ -0,0 +1,35 @@
+package org.geraniumstand.decisions.membership;
+
+import java.util.Collection;
+import java.util.List;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.member.Member;
+
+/** Chooses the members that a process keeps connections to. */
+@Decision(
+        name = "neighbour-choice",
+        summary = "Up to 16 members are connected all to all; beyond that each keeps connections to a stable few.")
+public final class NeighbourChoice {
+    /** Largest number of members, this process included, that are connected all to all. */
+    public static final int FULL_MESH_MEMBERS = 16;
+
+    /** Members that a process connects to beyond that; about as many others connect to it. */
+    public static final int CHOSEN_NEIGHBOURS = 4;
+
+    private NeighbourChoice() {}
+
+    /**
+     * Returns the members to be connected to.
+     *
+     * @param self this process
+     * @param members the live members
+     */
+    public static List<Member> choose(ProcessId self, Collection<Member> members) {
+        List<Member> others = members.stream().filter(m -> !m.id().equals(self)).toList();
+        if (others.size() < FULL_MESH_MEMBERS) {
+            return others;
+        }
+        return Rendezvous.top("neighbours/" + self, others, m -> m.id().value(), CHOSEN_NEIGHBOURS);
+    }
+}
--- a/model/src/main/java/org/geraniumstand/model/config/Configuration.java
+++ b/model/src/main/java/org/geraniumstand/model/config/Configuration.java
@@ -21,6 +21,8 @@
  * @param pools classes of hosts and their prices
  * @param dataCentresOut data centres that take no new work
  * @param moves declared version moves, ended ones included
+ * @param writer tokens of the latest changes, newest first and separated by spaces, by which a writer whose answer was
+ *     lost finds out whether its change took effect
  */
 public record Configuration(
         long generation,
@@ -32,7 +34,8 @@
         List<Team> teams,
         List<HostPool> pools,
         Set<DataCentreId> dataCentresOut,
-        List<VersionMove> moves) {
+        List<VersionMove> moves,
+        String writer) {
     /** Copies the lists so that the document cannot change. */
     public Configuration {
         presets = copy(presets);
@@ -42,6 +45,7 @@
         pools = copy(pools);
         dataCentresOut = dataCentresOut == null ? Set.of() : Set.copyOf(dataCentresOut);
         moves = copy(moves);
+        writer = writer == null ? "" : writer;
     }
 
     private static <T> List<T> copy(List<T> list) {
@@ -91,7 +95,17 @@
      */
     public Configuration withGeneration(long next) {
         return new Configuration(
-                next, requiredLevel, presetInForce, presets, services, routes, teams, pools, dataCentresOut, moves);
+                next,
+                requiredLevel,
+                presetInForce,
+                presets,
+                services,
+                routes,
+                teams,
+                pools,
+                dataCentresOut,
+                moves,
+                writer);
     }
 
     /**
@@ -101,7 +115,17 @@
      */
     public Configuration withPreset(PresetId preset) {
         return new Configuration(
-                generation, requiredLevel, preset, presets, services, routes, teams, pools, dataCentresOut, moves);
+                generation,
+                requiredLevel,
+                preset,
+                presets,
+                services,
+                routes,
+                teams,
+                pools,
+                dataCentresOut,
+                moves,
+                writer);
     }
 
     /**
@@ -111,7 +135,7 @@
      */
     public Configuration withDataCentresOut(Set<DataCentreId> out) {
         return new Configuration(
-                generation, requiredLevel, presetInForce, presets, services, routes, teams, pools, out, moves);
+                generation, requiredLevel, presetInForce, presets, services, routes, teams, pools, out, moves, writer);
     }
 
     /**
@@ -130,7 +154,8 @@
                 teams,
                 pools,
                 dataCentresOut,
-                next);
+                next,
+                writer);
     }
 
     /**
@@ -140,6 +165,44 @@
      */
     public Configuration withServices(List<Service> next) {
         return new Configuration(
-                generation, requiredLevel, presetInForce, presets, next, routes, teams, pools, dataCentresOut, moves);
+                generation,
+                requiredLevel,
+                presetInForce,
+                presets,
+                next,
+                routes,
+                teams,
+                pools,
+                dataCentresOut,
+                moves,
+                writer);
+    }
+
+    /**
+     * Returns this document with other tokens of its latest changes.
+     *
+     * @param tokens the tokens, newest first and separated by spaces
+     */
+    public Configuration withWriter(String tokens) {
+        return new Configuration(
+                generation,
+                requiredLevel,
+                presetInForce,
+                presets,
+                services,
+                routes,
+                teams,
+                pools,
+                dataCentresOut,
+                moves,
+                tokens);
+    }
+
+    /**
+     * Returns an empty document without a generation.
+     */
+    public static Configuration empty() {
+        return new Configuration(
+                0, 0, null, List.of(), List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), "");
     }
 }
