Exchange members, configuration and findings between processes over TCP

Frames with four bytes of length carry MessagePack records; both sides prove the shared key by HMAC over challenges. One thread with a selector owns all sockets: XNIO's channels would have put pools and listeners between it and the limits on memory. A newer configuration is pulled from one peer at a time, so that it arrives once; its text is passed on as read, so that an older process drops no entry. Broadcasts are numbered and relayed past 16 members.

--- a/decisions/src/main/java/org/geraniumstand/decisions/membership/SubsetChoice.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/membership/SubsetChoice.java
@@ -19,7 +19,7 @@
         summary = "Past 16 processes, each uses a stable part of the backend servers of a service and data centre.")
 public final class SubsetChoice {
     /** Backend servers that a process uses of one service, version and data centre past the full mesh. */
-    public static final int SERVERS_PER_GROUP = 12;
+    public static final int SERVERS_PER_GROUP = 4;
 
     private SubsetChoice() {}
 
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/EncodedMessage.java
@@ -0,0 +1,46 @@
+package org.geraniumstand.peer;
+
+import java.util.Arrays;
+
+/** The immutable bytes of an encoded message. */
+public final class EncodedMessage {
+    private final byte[] bytes;
+
+    private EncodedMessage(byte[] bytes) {
+        this.bytes = bytes;
+    }
+
+    /**
+     * Returns a copy of some bytes.
+     *
+     * @param bytes the bytes
+     */
+    public static EncodedMessage of(byte[] bytes) {
+        return new EncodedMessage(bytes.clone());
+    }
+
+    /** Returns a copy of the bytes. */
+    public byte[] bytes() {
+        return bytes.clone();
+    }
+
+    /** Returns the number of bytes. */
+    public int size() {
+        return bytes.length;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof EncodedMessage message && Arrays.equals(bytes, message.bytes);
+    }
+
+    @Override
+    public int hashCode() {
+        return Arrays.hashCode(bytes);
+    }
+
+    @Override
+    public String toString() {
+        return "EncodedMessage[size=" + bytes.length + "]";
+    }
+}
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -1,37 +1,77 @@
 package org.geraniumstand.peer;
 
 import java.util.List;
-import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.evidence.BadMark;
 import org.geraniumstand.model.evidence.EvidenceRow;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.limits.Demand;
 import org.geraniumstand.model.limits.Grant;
-import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.member.Confirmation;
+import org.geraniumstand.model.member.MemberNews;
 
 /** A message between entry processes. */
 public sealed interface PeerMessage {
     /**
-     * The members and the configuration that a process knows; sent as a heartbeat.
+     * A regular sign of life.
      *
-     * @param sender the sending process as it is now
-     * @param members all members that it believes to be alive
+     * @param beat the sender's count of its own statements
+     * @param memberDigest equal where the same members are held to be alive
      * @param generation generation of the configuration in force there, or -1 without one
-     * @param confirmationAgeMillis how long ago the store or a peer confirmed that generation, in milliseconds
+     * @param checksum checksum of that document's text
+     * @param confirmationAgeMillis how long ago the store confirmed that generation, in milliseconds, or -1 if it never
+     *     did
      */
-    record Heartbeat(Member sender, List<Member> members, long generation, long confirmationAgeMillis)
-            implements PeerMessage {
+    record Heartbeat(long beat, long memberDigest, long generation, long checksum, long confirmationAgeMillis)
+            implements PeerMessage {}
+
+    /**
+     * Statements about members.
+     *
+     * @param news the statements
+     */
+    record MemberShare(List<MemberNews> news) implements PeerMessage {
+        /** Copies the list. */
+        public MemberShare {
+            news = List.copyOf(news);
+        }
+    }
+
+    /**
+     * Says which processes have which configuration in force.
+     *
+     * @param confirmations one entry a process, merged by maximum
+     */
+    record ConfirmationShare(List<Confirmation> confirmations) implements PeerMessage {
         /** Copies the list. */
-        public Heartbeat {
-            members = List.copyOf(members);
+        public ConfirmationShare {
+            confirmations = List.copyOf(confirmations);
         }
     }
 
     /**
-     * A whole configuration, sent to a peer that has an older one.
+     * Asks for the configuration in force at the receiver.
+     *
+     * @param aboveGeneration generation that the sender has, or -1 without one
+     */
+    record ConfigurationAsk(long aboveGeneration) implements PeerMessage {}
+
+    /**
+     * A whole configuration, sent to a peer that asked for it.
+     *
+     * <p>The text is passed on as it was read, so that a process of a lower protocol level loses no entry.
+     *
+     * @param text the document, JSON text
+     */
+    record ConfigurationOffer(String text) implements PeerMessage {}
+
+    /**
+     * A message that is passed on from neighbour to neighbour until all members have it.
      *
-     * @param configuration the document
+     * @param origin the process that sent it first
+     * @param sequence number of the message at its origin
+     * @param content the message as its origin encoded it
      */
-    record ConfigurationOffer(Configuration configuration) implements PeerMessage {}
+    record Relayed(ProcessId origin, long sequence, EncodedMessage content) implements PeerMessage {}
 
     /**
      * Evidence about versions.
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/StreamTakenCodec.java
@@ -0,0 +1,26 @@
+package org.geraniumstand.peer.codec;
+
+import org.geraniumstand.peer.PeerMessage;
+
+/** Codec of {@link PeerMessage.StreamTaken}. */
+final class StreamTakenCodec implements MessageCodec<PeerMessage.StreamTaken> {
+    @Override
+    public int number() {
+        return 9;
+    }
+
+    @Override
+    public Class<PeerMessage.StreamTaken> type() {
+        return PeerMessage.StreamTaken.class;
+    }
+
+    @Override
+    public void write(FieldWriter out, PeerMessage.StreamTaken message) {
+        out.fields(2).text(message.team()).text(message.callerRequestId());
+    }
+
+    @Override
+    public PeerMessage.StreamTaken read(FieldReader in) {
+        return new PeerMessage.StreamTaken(in.text(), in.text());
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/net/HelloFrame.java
@@ -0,0 +1,69 @@
+package org.geraniumstand.peer.net;
+
+import java.io.IOException;
+import java.util.function.Function;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.peer.codec.FieldReader;
+import org.geraniumstand.peer.codec.FieldWriter;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * The first frame that each side sends.
+ *
+ * @param process who sends it
+ * @param level its protocol level
+ * @param challenge random bytes that the other side's proof must cover
+ * @param proof the sender's own proof, empty where it has not seen the other's challenge yet
+ */
+@SuppressWarnings("DangerousRecordArrayField") // The frames are used once and never compared.
+record HelloFrame(ProcessId process, int level, byte[] challenge, byte[] proof) {
+    static final int CHALLENGE_BYTES = 16;
+    private static final int PROOF_BYTES = 32;
+    private static final String NAME = "geraniumstand";
+
+    byte[] encode() {
+        return new FieldWriter()
+                .fields(5)
+                .text(NAME)
+                .text(process.value())
+                .number(level)
+                .bytes(challenge)
+                .bytes(proof)
+                .toBytes();
+    }
+
+    static Result<HelloFrame, HelloError> decode(byte[] bytes) {
+        return decode(bytes, HelloFrame::read);
+    }
+
+    static byte[] encodeProof(byte[] proof) {
+        return new FieldWriter().fields(1).bytes(proof).toBytes();
+    }
+
+    static Result<byte[], HelloError> decodeProof(byte[] bytes) {
+        return decode(bytes, in -> in.bytes(PROOF_BYTES));
+    }
+
+    private static HelloFrame read(FieldReader in) {
+        if (!in.text().equals(NAME)) {
+            throw new IllegalArgumentException("another protocol");
+        }
+        ProcessId process = new ProcessId(in.text());
+        int level = in.smallNumber();
+        byte[] challenge = in.bytes(CHALLENGE_BYTES);
+        if (challenge.length != CHALLENGE_BYTES) {
+            throw new IllegalArgumentException("the challenge is too short");
+        }
+        return new HelloFrame(process, level, challenge, in.bytes(PROOF_BYTES));
+    }
+
+    private static <T> Result<T, HelloError> decode(byte[] bytes, Function<FieldReader, T> record) {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            return Result.ok(FieldReader.read(unpacker, record));
+        } catch (IOException | RuntimeException _e) {
+            return Result.err(HelloError.MALFORMED);
+        }
+    }
+}
--- /dev/null
+++ b/peer/src/test/java/org/geraniumstand/peer/net/Nodes.java
@@ -0,0 +1,65 @@
+package org.geraniumstand.peer.net;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.peer.PeerSettings;
+import org.geraniumstand.peer.exchange.Exchange;
+import org.geraniumstand.platform.json.Json;
+
+/** Starts networks on loopback and closes them. */
+final class Nodes implements AutoCloseable {
+    static final String KEY = "a shared key";
+    private static final String LOOPBACK = "127.0.0.1";
+
+    private final List<TcpPeerNetwork> running = new ArrayList<>();
+
+    TcpPeerNetwork start(String name, int level, String key) {
+        List<Exchange.Seed> seeds = running.stream()
+                .map(n -> new Exchange.Seed(LOOPBACK, n.self().peerPort()))
+                .toList();
+        return start(name, level, key, seeds);
+    }
+
+    TcpPeerNetwork start(String name, int level, String key, List<Exchange.Seed> seeds) {
+        Member self = new Member(new ProcessId(name), new DataCentreId("dc-1"), LOOPBACK, 1, 0, 2, level, false);
+        TcpPeerNetwork network = TcpPeerNetwork.start(new PeerSettings(self, 0, key, seeds, name.hashCode()));
+        running.add(network);
+        return network;
+    }
+
+    List<TcpPeerNetwork> startMany(int count) {
+        List<TcpPeerNetwork> nodes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            nodes.add(start("node-" + i, 1, KEY));
+        }
+        return nodes;
+    }
+
+    void stop(TcpPeerNetwork network) {
+        running.remove(network);
+        network.close();
+    }
+
+    static String document(long generation, int requiredLevel) {
+        Configuration document =
+                Configuration.empty().withGeneration(generation).withWriter("test");
+        return Json.write(document).replace("\"requiredLevel\":0", "\"requiredLevel\":" + requiredLevel);
+    }
+
+    static boolean allSee(List<TcpPeerNetwork> nodes, int members) {
+        return nodes.stream().allMatch(n -> n.members().size() == members);
+    }
+
+    static boolean allHave(List<TcpPeerNetwork> nodes, long generation) {
+        return nodes.stream().allMatch(n -> n.view().generation() == generation);
+    }
+
+    @Override
+    public void close() {
+        running.forEach(TcpPeerNetwork::close);
+    }
+}
