Check proposed configurations by one rule a class

An accepted configuration is in force everywhere within seconds, so a wrong one must not be accepted at all. Each rule is a class of its own with a declared summary; all findings are reported at once with the path of the entry. The types that operators' listener and commands share are records of the model.

--- a/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
@@ -17,11 +17,14 @@
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.RequestId;
 import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.TeamId;
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.status.MoveStatus;
+import org.geraniumstand.model.status.ServerStatus;
 import org.geraniumstand.model.time.Moment;
 import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.model.timeline.Field;
@@ -60,6 +63,31 @@
         return configuration;
     }
 
+    /** Returns what operators see of the state. */
+    public TrafficStatus status() {
+        Map<TeamId, Integer> teams = new HashMap<>();
+        inFlight.values().forEach(flight -> teams.merge(flight.facts().team(), 1, Integer::sum));
+        int streams = (int) inFlight.values().stream()
+                .filter(flight -> flight.facts().streaming())
+                .count();
+        List<ServerStatus> servers = fleet.stream().map(this::status).toList();
+        List<MoveStatus> declared = configuration.stream()
+                .flatMap(c -> c.moves().stream())
+                .map(move -> new MoveStatus(move, -1, 0, 0, 0, 0))
+                .toList();
+        return new TrafficStatus(inFlight.size(), streams, teams, servers, declared);
+    }
+
+    private ServerStatus status(BackendServer server) {
+        boolean out = configuration
+                .map(c -> c.dataCentresOut().contains(server.dataCentre()))
+                .orElse(false);
+        String state = server.leaving()
+                ? "leaving"
+                : reclaimed.contains(server.host()) ? "reclaimed" : out ? "data-centre-out" : "taking";
+        return new ServerStatus(server, state, "unknown", -1, load.getOrDefault(server.id(), 0));
+    }
+
     /**
      * Takes in an observation and returns what is to be done, in order.
      *
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/configuration/DataCentreRemains.java
@@ -0,0 +1,28 @@
+package org.geraniumstand.decisions.configuration;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.ConfigurationFinding;
+import org.geraniumstand.model.config.HostPool;
+import org.geraniumstand.model.id.DataCentreId;
+
+/** Keeps operators from taking the last data centre out by mistake. */
+@Decision(
+        name = "data-centre-remains",
+        summary = "A configuration that takes all data centres out is refused unless operators insist.")
+public final class DataCentreRemains implements ConfigurationRule {
+    @Override
+    public List<ConfigurationFinding> check(Configuration next, CheckContext context) {
+        Set<DataCentreId> known =
+                next.pools().stream().map(HostPool::dataCentre).collect(Collectors.toSet());
+        Findings findings = new Findings();
+        findings.errorIf(
+                !context.force() && !known.isEmpty() && next.dataCentresOut().containsAll(known),
+                "dataCentresOut",
+                "all data centres would be out and every request refused; use --force to insist");
+        return findings.list();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/configuration/DataCentresKnown.java
@@ -0,0 +1,28 @@
+package org.geraniumstand.decisions.configuration;
+
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.ConfigurationFinding;
+import org.geraniumstand.model.config.HostPool;
+import org.geraniumstand.model.id.DataCentreId;
+
+/** Warns of a data centre that is out and has no pool of hosts. */
+@Decision(
+        name = "data-centres-known",
+        summary = "A data centre that is out but has no pool of hosts may be a typing error.")
+public final class DataCentresKnown implements ConfigurationRule {
+    @Override
+    public List<ConfigurationFinding> check(Configuration next, CheckContext _context) {
+        Findings findings = new Findings();
+        Set<DataCentreId> known =
+                next.pools().stream().map(HostPool::dataCentre).collect(Collectors.toSet());
+        next.dataCentresOut().stream()
+                .sorted()
+                .forEach(out -> findings.warningIf(
+                        !known.contains(out), "dataCentresOut", "no pool of hosts is in data centre " + out));
+        return findings.list();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/configuration/PresetInForceExists.java
@@ -0,0 +1,22 @@
+package org.geraniumstand.decisions.configuration;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.ConfigurationFinding;
+
+/** Requires the preset in force to be one of the presets. */
+@Decision(name = "preset-in-force-exists", summary = "Exactly one preset is in force, and it is one of the presets.")
+public final class PresetInForceExists implements ConfigurationRule {
+    @Override
+    public List<ConfigurationFinding> check(Configuration next, CheckContext _context) {
+        Findings findings = new Findings();
+        String allowed = next.presets().stream().map(p -> p.id().value()).collect(Collectors.joining(", "));
+        findings.errorIf(
+                next.preset().isEmpty(),
+                "presetInForce",
+                "no preset is named " + next.presetInForce() + "; allowed: " + allowed);
+        return findings.list();
+    }
+}
--- a/model/src/main/java/org/geraniumstand/model/timeline/EventKind.java
+++ b/model/src/main/java/org/geraniumstand/model/timeline/EventKind.java
@@ -6,10 +6,14 @@
     PROCESS_STARTED,
     /** A process began to stop. */
     PROCESS_STOPPING,
+    /** A process ended its work and stops. */
+    PROCESS_STOPPED,
     /** A process saw a change of the members. */
     MEMBERS_CHANGED,
     /** A configuration came into force in a process. */
     CONFIGURATION_IN_FORCE,
+    /** Operators' change of the configuration was accepted or refused. */
+    CONFIGURATION_CHANGED,
     /** The platform's store became reachable or unreachable. */
     STORE_STATE,
     /** The cloud announced a reclaim. */
@@ -22,6 +26,12 @@
     STREAM_MOVED,
     /** A stream was handed to another process. */
     STREAM_HANDED_OVER,
+    /** A request passed the filters at the edge. */
+    REQUEST_ARRIVED,
+    /** An attempt was sent to a backend server. */
+    REQUEST_DISPATCHED,
+    /** An attempt at a backend server ended. */
+    ATTEMPT_ENDED,
     /** A request was refused or given up on. */
     REQUEST_REFUSED,
     /** A request was answered. */
