Serve operators' HTTP interface, the time line and metrics

Operators change the configuration by compare-and-swap on a listener of its own behind a bearer token; each change is checked by all rules first and answered with the generation that holds it. Decisions' state is read on the thread that owns it, by a question over the ring. The time line and the metrics follow the core as listeners on its own thread; events of single requests are written out only when somebody reads them.

--- a/entry/src/main/java/org/geraniumstand/entry/core/Core.java
+++ b/entry/src/main/java/org/geraniumstand/entry/core/Core.java
@@ -4,10 +4,13 @@
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.decisions.TrafficController;
@@ -30,13 +33,15 @@
 
     private final TrafficController controller;
     private final Consumer<Action> effects;
+    private final List<CoreListener> listeners;
     private final Map<RequestId, RequestMailbox> mailboxes = new HashMap<>();
     private final Disruptor<Message> disruptor;
     private final AtomicReference<Configuration> configuration = new AtomicReference<>();
 
-    private Core(TrafficController controller, Consumer<Action> effects) {
+    private Core(TrafficController controller, Consumer<Action> effects, List<CoreListener> listeners) {
         this.controller = controller;
         this.effects = effects;
+        this.listeners = List.copyOf(listeners);
         this.disruptor =
                 new Disruptor<>(Message::new, RING_SIZE, Core::thread, ProducerType.MULTI, new BlockingWaitStrategy());
         this.disruptor.handleEventsWith((message, _sequence, _endOfBatch) -> handle(message));
@@ -47,9 +52,10 @@
      *
      * @param controller takes the decisions
      * @param effects carries out actions that concern no single request; called on the task's thread, must not block
+     * @param listeners follow what is seen and decided
      */
-    public static Core start(TrafficController controller, Consumer<Action> effects) {
-        Core core = new Core(controller, effects);
+    public static Core start(TrafficController controller, Consumer<Action> effects, List<CoreListener> listeners) {
+        Core core = new Core(controller, effects, listeners);
         core.disruptor.start();
         return core;
     }
@@ -65,6 +71,31 @@
         disruptor.publishEvent((message, _sequence) -> message.set(observation, mailbox));
     }
 
+    /**
+     * Asks the decisions' state on the thread that owns it.
+     *
+     * @param question reads the state; must not block
+     * @param <T> type of the answer
+     * @return the answer, completed on the core's thread
+     */
+    public <T> CompletableFuture<T> query(Function<TrafficController, T> question) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        Consumer<TrafficController> task = state -> {
+            try {
+                answer.complete(question.apply(state));
+            } catch (RuntimeException e) {
+                answer.completeExceptionally(e);
+            }
+        };
+        disruptor.publishEvent((message, _sequence) -> message.ask(task));
+        return answer;
+    }
+
+    /** Returns the number of messages that wait. */
+    public long depth() {
+        return RING_SIZE - disruptor.getRingBuffer().remainingCapacity();
+    }
+
     @Override
     public Optional<Configuration> configuration() {
         return Optional.ofNullable(configuration.get());
@@ -82,18 +113,27 @@
     }
 
     private void handle(Message message) {
+        if (message.question != null) {
+            Consumer<TrafficController> question = message.question;
+            message.ask(null);
+            question.accept(controller);
+            return;
+        }
         Observation observation = message.observation;
         if (observation instanceof Observation.RequestArrived arrived) {
             mailboxes.put(arrived.request().id(), message.mailbox);
+            listeners.forEach(l -> l.arrived(arrived.request(), message.mailbox.callerRequestId()));
         }
         message.set(null, null);
         Moment now = new Moment(System.nanoTime(), System.currentTimeMillis());
+        listeners.forEach(l -> l.observed(observation));
         controller.on(observation, now).forEach(this::carryOut);
         configuration.set(controller.configuration().orElse(null));
         forgetEnded(observation);
     }
 
     private void carryOut(Action action) {
+        listeners.forEach(l -> l.decided(action));
         if (action instanceof Action.Dispatch dispatch) {
             post(dispatch.request(), action);
         } else if (action instanceof Action.CancelAttempt cancel) {
@@ -126,10 +166,15 @@
     private static final class Message {
         private Observation observation;
         private RequestMailbox mailbox;
+        private Consumer<TrafficController> question;
 
         private void set(Observation seen, RequestMailbox box) {
             observation = seen;
             mailbox = box;
         }
+
+        private void ask(Consumer<TrafficController> asked) {
+            question = asked;
+        }
     }
 }
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/metrics/TrafficMetrics.java
@@ -0,0 +1,160 @@
+package org.geraniumstand.entry.metrics;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
+import com.codahale.metrics.MetricRegistry;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.entry.core.CoreListener;
+import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.RequestFacts;
+
+/**
+ * Counts requests by service, team and outcome.
+ *
+ * <p>All of it runs on the core's thread, which alone writes the maps; metrics that exist already are found by a small
+ * key, without building names.
+ */
+public final class TrafficMetrics implements CoreListener {
+    private static final String ANSWERED = "answered";
+    private static final String ABANDONED = "abandoned";
+
+    private final MetricRegistry registry;
+    private final LongSupplier nanos;
+    private final Map<RequestId, Flight> inFlight = new HashMap<>();
+    private final Map<OutcomeKey, Counter> outcomes = new HashMap<>();
+    private final Map<TimeKey, Histogram> times = new HashMap<>();
+    private final Map<TeamId, TeamTotals> teams = new HashMap<>();
+    private final Counter retries;
+    private final Counter grantsSent;
+    private final Counter grantsReceived;
+    private final Counter tokens;
+    private volatile int inFlightCount;
+
+    private record Flight(ServiceId service, TeamId team, long startNanos) {}
+
+    private record OutcomeKey(ServiceId service, String outcome) {}
+
+    private record TimeKey(ServiceId service, String name) {}
+
+    /**
+     * How often requests of a team ended in a way.
+     *
+     * @param answered requests that were answered
+     * @param refused requests that were refused
+     */
+    public record TeamTotals(long answered, long refused) {
+        /** Totals of a team without requests. */
+        public static final TeamTotals NONE = new TeamTotals(0, 0);
+    }
+
+    /**
+     * Creates the metrics.
+     *
+     * @param metrics the registry to add them to
+     * @param nanos reads the monotonic clock, in nanoseconds
+     */
+    public TrafficMetrics(ProcessMetrics metrics, LongSupplier nanos) {
+        this.registry = metrics.registry();
+        this.nanos = nanos;
+        this.retries = registry.counter("geraniumstand_retries_total");
+        this.grantsSent = registry.counter("geraniumstand_grants_sent_total");
+        this.grantsReceived = registry.counter("geraniumstand_grants_received_total");
+        this.tokens = registry.counter("geraniumstand_answer_tokens_total");
+        metrics.gauge("geraniumstand_requests_in_flight", () -> inFlightCount);
+    }
+
+    /** Returns totals by team; called on the core's thread. */
+    public Map<TeamId, TeamTotals> teams() {
+        return Map.copyOf(teams);
+    }
+
+    @Override
+    public void arrived(RequestFacts request, String _callerRequestId) {
+        inFlight.put(request.id(), new Flight(request.service(), request.team(), nanos.getAsLong()));
+        inFlightCount = inFlight.size();
+    }
+
+    @Override
+    public void observed(Observation observation) {
+        if (observation instanceof Observation.AnswerStarted started && started.attempt() == 1) {
+            Flight flight = inFlight.get(started.request());
+            if (flight != null) {
+                time(flight.service(), "first_byte").update(millisSince(flight));
+            }
+        } else if (observation instanceof Observation.AttemptEnded ended
+                && ended.report().end() == AttemptEnd.ANSWERED) {
+            answered(ended);
+        } else if (observation instanceof Observation.RequestAbandoned abandoned) {
+            end(abandoned.request(), ABANDONED);
+        } else if (observation instanceof Observation.GrantsReceived received) {
+            grantsReceived.inc(received.grants().size());
+        }
+    }
+
+    @Override
+    public void decided(Action action) {
+        if (action instanceof Action.Dispatch dispatch && dispatch.attempt() > 1) {
+            retries.inc();
+        } else if (action instanceof Action.Refuse refuse) {
+            Flight flight = end(refuse.request(), refuse.refusal().reason().text());
+            if (flight != null) {
+                teams.merge(flight.team(), new TeamTotals(0, 1), TrafficMetrics::sum);
+            }
+        } else if (action instanceof Action.SendGrants grants) {
+            grantsSent.inc(grants.grants().size());
+        }
+    }
+
+    private void answered(Observation.AttemptEnded ended) {
+        Flight flight = end(ended.request(), ANSWERED);
+        if (flight != null) {
+            tokens.inc(ended.report().tokens());
+            time(flight.service(), "answer").update(millisSince(flight));
+            teams.merge(flight.team(), new TeamTotals(1, 0), TrafficMetrics::sum);
+        }
+    }
+
+    private Flight end(RequestId request, String outcome) {
+        Flight flight = inFlight.remove(request);
+        if (flight != null) {
+            outcomes.computeIfAbsent(new OutcomeKey(flight.service(), outcome), this::counter)
+                    .inc();
+            inFlightCount = inFlight.size();
+        }
+        return flight;
+    }
+
+    private long millisSince(Flight flight) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos.getAsLong() - flight.startNanos());
+    }
+
+    private Counter counter(OutcomeKey key) {
+        return registry.counter(MetricName.of(
+                "geraniumstand_requests_total", "service", key.service().value(), "outcome", key.outcome()));
+    }
+
+    private Histogram time(ServiceId service, String name) {
+        return times.computeIfAbsent(
+                new TimeKey(service, name),
+                key -> registry.histogram(
+                        MetricName.of(
+                                "geraniumstand_" + key.name() + "_millis",
+                                "service",
+                                key.service().value()),
+                        () -> new Histogram(
+                                LockFreeExponentiallyDecayingReservoir.builder().build())));
+    }
+
+    private static TeamTotals sum(TeamTotals a, TeamTotals b) {
+        return new TeamTotals(a.answered() + b.answered(), a.refused() + b.refused());
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/CheckedChanges.java
@@ -0,0 +1,85 @@
+package org.geraniumstand.entry.operator;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
+import org.geraniumstand.decisions.configuration.CheckContext;
+import org.geraniumstand.decisions.configuration.ConfigurationChecks;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.ConfigurationFinding;
+import org.geraniumstand.model.operation.ChangeAnswer;
+import org.geraniumstand.model.result.Result;
+
+/** Lets only changes through that leave a configuration which keeps all rules. */
+public final class CheckedChanges {
+    private final ConfigurationChanges changes;
+    private final LongSupplier wallMillis;
+    private final IntSupplier lowestMemberLevel;
+    private final Consumer<Configuration> onAccepted;
+
+    /**
+     * Creates the checks before a writer.
+     *
+     * @param changes writes accepted documents
+     * @param wallMillis reads the wall clock, in milliseconds since 1970
+     * @param lowestMemberLevel lowest protocol level among the live members
+     * @param onAccepted told each accepted document, so that it comes into force here at once
+     */
+    public CheckedChanges(
+            ConfigurationChanges changes,
+            LongSupplier wallMillis,
+            IntSupplier lowestMemberLevel,
+            Consumer<Configuration> onAccepted) {
+        this.changes = changes;
+        this.wallMillis = wallMillis;
+        this.lowestMemberLevel = lowestMemberLevel;
+        this.onAccepted = onAccepted;
+    }
+
+    /**
+     * Changes the configuration.
+     *
+     * @param edit the edit
+     * @param force whether operators insist on a change that leaves no data centre
+     * @param callback told the generation that holds the change, or why it was refused
+     */
+    public void change(ConfigurationEdit edit, boolean force, Consumer<Result<ChangeAnswer, ChangeError>> callback) {
+        changes.change(
+                current -> edit.apply(current).fold(next -> checked(current, next, force), Result::err),
+                result -> callback.accept(result.map(accepted -> answer(accepted, force))));
+    }
+
+    /**
+     * Checks a document without changing anything.
+     *
+     * @param document the document
+     * @param current the document in force, if any
+     * @param force whether a document that leaves no data centre is let through
+     */
+    public List<ConfigurationFinding> check(Configuration document, Optional<Configuration> current, boolean force) {
+        CheckContext context = new CheckContext(current, wallMillis.getAsLong(), lowestMemberLevel.getAsInt(), force);
+        return ConfigurationChecks.check(document, context);
+    }
+
+    private Result<Configuration, ChangeError> checked(
+            Optional<Configuration> current, Configuration next, boolean force) {
+        if (current.filter(next::equals).isPresent()) {
+            return Result.ok(next);
+        }
+        List<ConfigurationFinding> findings = check(next, current, force);
+        if (ConfigurationChecks.refused(findings)) {
+            return Result.err(new ChangeError(
+                    ChangeError.Kind.INVALID, "The configuration breaks rules; nothing was changed.", findings));
+        }
+        return Result.ok(next);
+    }
+
+    private ChangeAnswer answer(ConfigurationChanges.Accepted accepted, boolean force) {
+        onAccepted.accept(accepted.configuration());
+        List<ConfigurationFinding> warnings =
+                check(accepted.configuration(), Optional.of(accepted.configuration()), force);
+        return new ChangeAnswer(accepted.configuration().generation(), accepted.changed(), warnings);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/ConfigurationEdits.java
@@ -0,0 +1,189 @@
+package org.geraniumstand.entry.operator;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Stream;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.MoveState;
+import org.geraniumstand.model.config.Service;
+import org.geraniumstand.model.config.VersionMove;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.MoveId;
+import org.geraniumstand.model.id.PresetId;
+import org.geraniumstand.model.operation.MoveDeclaration;
+import org.geraniumstand.model.result.Result;
+
+/** The changes of the configuration that operators ask for; each is without effect when it is repeated. */
+public final class ConfigurationEdits {
+    private static final String WITHDRAWN_REASON = "withdrawn by operators";
+
+    private ConfigurationEdits() {}
+
+    /**
+     * Replaces the whole document.
+     *
+     * @param document the new document, at the generation that it was made from
+     */
+    public static ConfigurationEdit replace(Configuration document) {
+        return current -> {
+            boolean first = current.isEmpty();
+            boolean stale = !first && current.get().generation() != document.generation();
+            if (stale
+                    && current.get()
+                            .equals(document.withGeneration(current.get().generation()))) {
+                return Result.ok(current.get());
+            }
+            if (stale) {
+                return Result.err(ChangeError.of(
+                        ChangeError.Kind.CONFLICT,
+                        "The document was made from generation " + document.generation() + ", but generation "
+                                + current.get().generation()
+                                + " is in force; start again from `geraniumctl config show`."));
+            }
+            return Result.ok(document);
+        };
+    }
+
+    /**
+     * Puts a preset in force.
+     *
+     * @param preset the preset
+     */
+    public static ConfigurationEdit switchPreset(PresetId preset) {
+        return onCurrent(current -> Result.ok(current.withPreset(preset)));
+    }
+
+    /**
+     * Takes a data centre out.
+     *
+     * @param dataCentre the data centre
+     */
+    public static ConfigurationEdit takeOut(DataCentreId dataCentre) {
+        return onCurrent(current -> {
+            Set<DataCentreId> out = new TreeSet<>(current.dataCentresOut());
+            out.add(dataCentre);
+            return Result.ok(current.withDataCentresOut(out));
+        });
+    }
+
+    /**
+     * Brings a data centre back.
+     *
+     * @param dataCentre the data centre
+     */
+    public static ConfigurationEdit bringBack(DataCentreId dataCentre) {
+        return onCurrent(current -> {
+            Set<DataCentreId> out = new TreeSet<>(current.dataCentresOut());
+            out.remove(dataCentre);
+            return Result.ok(current.withDataCentresOut(out));
+        });
+    }
+
+    /**
+     * Declares a version move.
+     *
+     * @param declaration the order
+     * @param nowEpochMillis wall clock now, in milliseconds since 1970
+     */
+    public static ConfigurationEdit declareMove(MoveDeclaration declaration, long nowEpochMillis) {
+        return onCurrent(current -> {
+            Optional<Service> service = current.service(declaration.service());
+            if (service.isEmpty()) {
+                return notFound("No service is named " + declaration.service() + ".");
+            }
+            MoveId id = declaration.id() == null ? freeId(current, declaration) : declaration.id();
+            VersionMove move = new VersionMove(
+                    id,
+                    declaration.service(),
+                    service.get().version(),
+                    declaration.to(),
+                    declaration.startEpochMillis() == 0 ? nowEpochMillis : declaration.startEpochMillis(),
+                    declaration.deadlineEpochMillis(),
+                    declaration.firstSharePercent(),
+                    MoveState.UNDER_WAY,
+                    "");
+            return Result.ok(
+                    current.moveOf(move.service()).filter(m -> same(m, move)).isPresent()
+                            ? current
+                            : current.withMoves(Stream.concat(current.moves().stream(), Stream.of(move))
+                                    .toList()));
+        });
+    }
+
+    /**
+     * Withdraws a version move, so that the old version has all the traffic again.
+     *
+     * @param id the move
+     */
+    public static ConfigurationEdit withdrawMove(MoveId id) {
+        return endMove(id, MoveState.WITHDRAWN, WITHDRAWN_REASON);
+    }
+
+    /**
+     * Ends a version move; the service stays at the old version or goes over to the new one.
+     *
+     * @param id the move
+     * @param end done or withdrawn
+     * @param reason why
+     */
+    public static ConfigurationEdit endMove(MoveId id, MoveState end, String reason) {
+        return onCurrent(current -> {
+            Optional<VersionMove> found =
+                    current.moves().stream().filter(m -> m.id().equals(id)).findFirst();
+            if (found.isEmpty()) {
+                return notFound("No move is named " + id + ".");
+            }
+            VersionMove move = found.get();
+            if (move.state() == end) {
+                return Result.ok(current);
+            }
+            if (move.state() != MoveState.UNDER_WAY) {
+                return Result.err(ChangeError.of(
+                        ChangeError.Kind.CONFLICT, "The move " + id + " has ended as " + move.state() + "."));
+            }
+            List<VersionMove> moves = new ArrayList<>(current.moves());
+            moves.replaceAll(m -> m.id().equals(id) ? m.ended(end, reason) : m);
+            Configuration ended = current.withMoves(moves);
+            return Result.ok(end == MoveState.DONE ? withVersion(ended, move) : ended);
+        });
+    }
+
+    private static Configuration withVersion(Configuration configuration, VersionMove move) {
+        return configuration.withServices(configuration.services().stream()
+                .map(s -> s.id().equals(move.service()) ? s.withVersion(move.to()) : s)
+                .toList());
+    }
+
+    private static boolean same(VersionMove known, VersionMove declared) {
+        return known.to().equals(declared.to())
+                && known.deadlineEpochMillis() == declared.deadlineEpochMillis()
+                && known.firstSharePercent() == declared.firstSharePercent();
+    }
+
+    private static MoveId freeId(Configuration current, MoveDeclaration declaration) {
+        String base = declaration.service() + "-to-" + declaration.to();
+        return Stream.iterate(1, n -> n + 1)
+                .map(n -> new MoveId(n == 1 ? base : base + "-" + n))
+                .filter(id -> current.moves().stream().noneMatch(m -> m.id().equals(id)))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static ConfigurationEdit onCurrent(CurrentEdit edit) {
+        return current ->
+                current.map(edit::apply).orElseGet(() -> notFound("There is no configuration yet; apply one first."));
+    }
+
+    private static Result<Configuration, ChangeError> notFound(String title) {
+        return Result.err(ChangeError.of(ChangeError.Kind.NOT_FOUND, title));
+    }
+
+    /** An edit that needs a document in force. */
+    @FunctionalInterface
+    private interface CurrentEdit {
+        Result<Configuration, ChangeError> apply(Configuration current);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/OperatorApi.java
@@ -0,0 +1,197 @@
+package org.geraniumstand.entry.operator;
+
+import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.geraniumstand.entry.metrics.Exposition;
+import org.geraniumstand.entry.timeline.Timeline;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.MoveId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.operation.MoveDeclaration;
+import org.geraniumstand.model.operation.PresetList;
+import org.geraniumstand.model.operation.PresetSwitch;
+import org.geraniumstand.model.operation.TimelinePage;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.model.status.StatusReport;
+
+/** The operators' HTTP interface: a table of methods and paths, each with what answers it. */
+public final class OperatorApi {
+    private static final int NOT_FOUND = 404;
+    private static final int FAILED = 500;
+    private static final String ID = "id";
+    private static final String FORCE = "force";
+    private static final String CONFIGURATION_PATH = "/v1/configuration";
+    private static final String DATA_CENTRE_PATH = "/v1/data-centres/{id}";
+
+    private final ProcessId self;
+    private final Supplier<Optional<Configuration>> configuration;
+    private final CheckedChanges changes;
+    private final Supplier<CompletableFuture<StatusReport>> status;
+    private final Timeline timeline;
+    private final Supplier<String> metrics;
+    private final LongSupplier wallMillis;
+
+    /**
+     * An endpoint with its place.
+     *
+     * @param method the HTTP method
+     * @param path the path, with parameters in braces
+     * @param endpoint answers it
+     */
+    public record Bound(HttpString method, String path, Endpoint endpoint) {}
+
+    /**
+     * Creates the interface.
+     *
+     * @param self the process
+     * @param configuration reads the configuration in force
+     * @param changes changes the configuration
+     * @param status gathers the status
+     * @param timeline the time line of this process
+     * @param metrics writes the metrics in the text exposition format
+     * @param wallMillis reads the wall clock, in milliseconds since 1970
+     */
+    public OperatorApi(
+            ProcessId self,
+            Supplier<Optional<Configuration>> configuration,
+            CheckedChanges changes,
+            Supplier<CompletableFuture<StatusReport>> status,
+            Timeline timeline,
+            Supplier<String> metrics,
+            LongSupplier wallMillis) {
+        this.self = self;
+        this.configuration = configuration;
+        this.changes = changes;
+        this.status = status;
+        this.timeline = timeline;
+        this.metrics = metrics;
+        this.wallMillis = wallMillis;
+    }
+
+    /** Returns all endpoints. */
+    public List<Bound> endpoints() {
+        List<Bound> bound = new ArrayList<>();
+        bound.add(new Bound(Methods.GET, CONFIGURATION_PATH, this::showConfiguration));
+        bound.add(new Bound(Methods.PUT, CONFIGURATION_PATH, this::applyConfiguration));
+        bound.add(new Bound(Methods.POST, CONFIGURATION_PATH + "/validate", this::validate));
+        bound.add(new Bound(Methods.GET, "/v1/presets", this::presets));
+        bound.add(new Bound(Methods.PUT, "/v1/presets/in-force", this::switchPreset));
+        bound.add(new Bound(Methods.GET, "/v1/moves", (_request, reply) -> withStatus(reply, StatusReport::moves)));
+        bound.add(new Bound(Methods.POST, "/v1/moves", this::declareMove));
+        bound.add(new Bound(Methods.POST, "/v1/moves/{id}/withdraw", this::withdrawMove));
+        bound.add(new Bound(Methods.POST, DATA_CENTRE_PATH + "/out", this::takeOut));
+        bound.add(new Bound(Methods.POST, DATA_CENTRE_PATH + "/in", this::bringBack));
+        bound.add(new Bound(Methods.GET, "/v1/status", (_request, reply) -> withStatus(reply, report -> report)));
+        bound.add(new Bound(Methods.GET, "/v1/requests/{id}", this::explain));
+        bound.add(new Bound(Methods.GET, "/v1/timeline", this::events));
+        bound.add(new Bound(
+                Methods.GET,
+                "/metrics",
+                (_request, reply) -> reply.accept(Reply.text(Exposition.CONTENT_TYPE, metrics.get()))));
+        return List.copyOf(bound);
+    }
+
+    private void showConfiguration(OperatorRequest _request, Consumer<Reply> reply) {
+        reply.accept(configuration.get().map(Reply::json).orElseGet(OperatorApi::noConfiguration));
+    }
+
+    private void applyConfiguration(OperatorRequest request, Consumer<Reply> reply) {
+        Result<Configuration, Reply> document = request.document(Configuration.class)
+                .fold(read -> request.number("expected", read.generation()).map(read::withGeneration), Result::err);
+        settle(document, reply, read -> change(ConfigurationEdits.replace(read), request, reply));
+    }
+
+    private void validate(OperatorRequest request, Consumer<Reply> reply) {
+        settle(
+                request.document(Configuration.class),
+                reply,
+                read -> reply.accept(Reply.json(changes.check(read, configuration.get(), request.flag(FORCE)))));
+    }
+
+    private void presets(OperatorRequest _request, Consumer<Reply> reply) {
+        reply.accept(configuration
+                .get()
+                .map(c -> Reply.json(new PresetList(c.presetInForce(), c.presets())))
+                .orElseGet(OperatorApi::noConfiguration));
+    }
+
+    private void switchPreset(OperatorRequest request, Consumer<Reply> reply) {
+        settle(
+                request.document(PresetSwitch.class),
+                reply,
+                order -> change(ConfigurationEdits.switchPreset(order.preset()), request, reply));
+    }
+
+    private void declareMove(OperatorRequest request, Consumer<Reply> reply) {
+        settle(
+                request.document(MoveDeclaration.class),
+                reply,
+                order -> change(ConfigurationEdits.declareMove(order, wallMillis.getAsLong()), request, reply));
+    }
+
+    private void withdrawMove(OperatorRequest request, Consumer<Reply> reply) {
+        change(ConfigurationEdits.withdrawMove(new MoveId(request.parameter(ID).orElse(""))), request, reply);
+    }
+
+    private void takeOut(OperatorRequest request, Consumer<Reply> reply) {
+        change(ConfigurationEdits.takeOut(dataCentre(request)), request, reply);
+    }
+
+    private void bringBack(OperatorRequest request, Consumer<Reply> reply) {
+        change(ConfigurationEdits.bringBack(dataCentre(request)), request, reply);
+    }
+
+    private void explain(OperatorRequest request, Consumer<Reply> reply) {
+        String id = request.parameter(ID).orElse("");
+        reply.accept(Reply.json(new TimelinePage(self, timeline.about(id), timeline.dropped())));
+    }
+
+    private void events(OperatorRequest request, Consumer<Reply> reply) {
+        settle(
+                request.number("since", 0),
+                reply,
+                since -> reply.accept(Reply.json(
+                        new TimelinePage(self, timeline.since(since, request.flag("requests")), timeline.dropped()))));
+    }
+
+    private void change(ConfigurationEdit edit, OperatorRequest request, Consumer<Reply> reply) {
+        changes.change(edit, request.flag(FORCE), result -> reply.accept(result.fold(Reply::accepted, Reply::of)));
+    }
+
+    // Both ends of the future are answered; what it returns has no further use.
+    @SuppressWarnings("FutureReturnValueIgnored")
+    private void withStatus(Consumer<Reply> reply, StatusPart part) {
+        status.get()
+                .whenComplete((report, failure) -> reply.accept(
+                        failure == null
+                                ? Reply.json(part.of(report))
+                                : Reply.problem(FAILED, "failed", "The status could not be read.")));
+    }
+
+    private static <T> void settle(Result<T, Reply> result, Consumer<Reply> reply, Consumer<T> onOk) {
+        result.error().ifPresent(reply);
+        result.value().ifPresent(onOk);
+    }
+
+    private static DataCentreId dataCentre(OperatorRequest request) {
+        return new DataCentreId(request.parameter(ID).orElse(""));
+    }
+
+    private static Reply noConfiguration() {
+        return Reply.problem(NOT_FOUND, "not-found", "There is no configuration yet; apply one first.");
+    }
+
+    /** Picks what operators asked for from the status. */
+    @FunctionalInterface
+    private interface StatusPart {
+        Object of(StatusReport report);
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/operator/OperatorListener.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/OperatorListener.java
@@ -1,28 +1,59 @@
 package org.geraniumstand.entry.operator;
 
 import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpHandler;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.handlers.PathHandler;
+import io.undertow.server.RoutingHandler;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.platform.log.Log;
 
 /** Listens for operators and for the balancer's checks. */
 public final class OperatorListener implements AutoCloseable {
+    /** Largest body that is accepted, in bytes; the store holds values up to this size. */
+    public static final int MAX_BODY_BYTES = 1024 * 1024;
+
+    private static final Log LOG = Log.of(OperatorListener.class);
+    private static final int READ_TIMEOUT_MILLIS = 30_000;
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int NOT_FOUND = 404;
+    private static final int WRONG_METHOD = 405;
+    private static final int TOO_LARGE = 413;
+    private static final int FAILED = 500;
     private static final int UNAVAILABLE = 503;
+    private static final String TEXT = "text/plain; charset=utf-8";
 
+    private final BearerToken token;
     private final BooleanSupplier ready;
     private final Undertow server;
 
-    private OperatorListener(String host, int port, BooleanSupplier ready) {
+    private OperatorListener(String host, int port, BearerToken token, BooleanSupplier ready, OperatorApi api) {
+        this.token = token;
         this.ready = ready;
-        PathHandler paths = new PathHandler()
-                .addExactPath(
-                        "/healthz", exchange -> exchange.getResponseSender().send("alive\n"))
-                .addExactPath("/readyz", this::readiness);
+        RoutingHandler routes = new RoutingHandler()
+                .get("/healthz", exchange -> send(exchange, Reply.text(TEXT, "alive\n")))
+                .get("/readyz", this::readiness)
+                .setFallbackHandler(guarded((_request, reply) ->
+                        reply.accept(Reply.problem(NOT_FOUND, "not-found", "There is nothing at this path."))))
+                .setInvalidMethodHandler(guarded((_request, reply) -> reply.accept(
+                        Reply.problem(WRONG_METHOD, "wrong-method", "The path does not take this method."))));
+        api.endpoints().forEach(bound -> routes.add(bound.method(), bound.path(), guarded(bound.endpoint())));
         this.server = Undertow.builder()
                 .addHttpListener(port, host)
                 .setIoThreads(1)
                 .setWorkerThreads(1)
-                .setHandler(paths)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, READ_TIMEOUT_MILLIS)
+                .setHandler(routes)
                 .build();
     }
 
@@ -30,15 +61,24 @@
      * Starts to listen.
      *
      * @param host IP number to listen on
-     * @param port port to listen on
+     * @param port port to listen on, zero for any
+     * @param token bearer token that operators must show
      * @param ready whether the balancer may send requests
+     * @param api answers operators
      */
-    public static OperatorListener start(String host, int port, BooleanSupplier ready) {
-        OperatorListener listener = new OperatorListener(host, port, ready);
+    public static OperatorListener start(String host, int port, String token, BooleanSupplier ready, OperatorApi api) {
+        OperatorListener listener = new OperatorListener(host, port, new BearerToken(token), ready, api);
         listener.server.start();
         return listener;
     }
 
+    /** Returns the port that it listens on. */
+    public int port() {
+        InetSocketAddress address =
+                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
+        return address.getPort();
+    }
+
     @Override
     public void close() {
         server.stop();
@@ -46,9 +86,68 @@
 
     private void readiness(HttpServerExchange exchange) {
         boolean answer = ready.getAsBoolean();
-        if (!answer) {
-            exchange.setStatusCode(UNAVAILABLE);
+        send(exchange, new Reply(answer ? 200 : UNAVAILABLE, TEXT, answer ? "ready\n" : "not ready\n"));
+    }
+
+    private HttpHandler guarded(Endpoint endpoint) {
+        return exchange -> {
+            if (!token.shownIn(Optional.ofNullable(exchange.getRequestHeaders().getFirst(Headers.AUTHORIZATION)))) {
+                LOG.warn(
+                        "operator-refused",
+                        Field.of("path", exchange.getRequestPath()),
+                        Field.of(
+                                "peer", exchange.getSourceAddress().getAddress().getHostAddress()));
+                send(exchange, Reply.problem(UNAUTHORIZED, "unauthorized", "The operators' bearer token is needed."));
+                return;
+            }
+            exchange.dispatch(SameThreadExecutor.INSTANCE, () -> read(exchange, endpoint));
+        };
+    }
+
+    private static void read(HttpServerExchange exchange, Endpoint endpoint) {
+        exchange.setMaxEntitySize(MAX_BODY_BYTES);
+        if (exchange.getRequestContentLength() > MAX_BODY_BYTES) {
+            send(exchange, tooLarge());
+            return;
+        }
+        exchange.getRequestReceiver()
+                .receiveFullBytes(
+                        (_exchange, bytes) -> answer(exchange, endpoint, bytes),
+                        (_exchange, _e) -> send(exchange, tooLarge()));
+    }
+
+    private static void answer(HttpServerExchange exchange, Endpoint endpoint, byte[] bytes) {
+        OperatorRequest request = new OperatorRequest(parameters(exchange), new String(bytes, StandardCharsets.UTF_8));
+        try {
+            endpoint.handle(request, reply -> exchange.getIoThread().execute(() -> send(exchange, reply)));
+        } catch (IllegalArgumentException e) {
+            // Thrown by identifiers of the model, such as an empty name.
+            send(exchange, Reply.problem(BAD_REQUEST, "bad-request", String.valueOf(e.getMessage())));
+        } catch (RuntimeException e) {
+            LOG.warn("operator-request-failed", Field.of("path", exchange.getRequestPath()), Field.of("error", e));
+            send(exchange, Reply.problem(FAILED, "failed", "The request failed; the log says why."));
+        }
+    }
+
+    private static Map<String, String> parameters(HttpServerExchange exchange) {
+        Map<String, String> found = new HashMap<>();
+        for (Map.Entry<String, Deque<String>> entry :
+                exchange.getQueryParameters().entrySet()) {
+            found.put(entry.getKey(), entry.getValue().getFirst());
+        }
+        return found;
+    }
+
+    private static Reply tooLarge() {
+        return Reply.problem(TOO_LARGE, "body-too-large", "The body is larger than " + MAX_BODY_BYTES + " bytes.");
+    }
+
+    private static void send(HttpServerExchange exchange, Reply reply) {
+        if (exchange.isResponseStarted()) {
+            return;
         }
-        exchange.getResponseSender().send(answer ? "ready\n" : "not ready\n");
+        exchange.setStatusCode(reply.status());
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, reply.contentType());
+        exchange.getResponseSender().send(reply.text());
     }
 }
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/timeline/TimelineListener.java
@@ -0,0 +1,110 @@
+package org.geraniumstand.entry.timeline;
+
+import java.util.List;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.entry.core.CoreListener;
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.id.RouteId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.AttemptReport;
+import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.timeline.EventKind;
+import org.geraniumstand.model.timeline.Field;
+
+/** Puts what the core sees and decides on the time line. */
+public final class TimelineListener implements CoreListener {
+    /** Name of the field with a process's own name for a request. */
+    public static final String REQUEST = "request";
+
+    /** Name of the field with a caller's name for a request. */
+    public static final String CALLER_REQUEST = "callerRequest";
+
+    private static final String FIRST_ATTEMPT = "The request was sent to the backend server that was chosen for it.";
+    private static final String LATER_ATTEMPT =
+            "The attempt before did not bring the whole answer, so the request was sent again.";
+
+    private final Timeline timeline;
+
+    /**
+     * Creates a listener.
+     *
+     * @param timeline takes the events
+     */
+    public TimelineListener(Timeline timeline) {
+        this.timeline = timeline;
+    }
+
+    @Override
+    public void arrived(RequestFacts request, String callerRequestId) {
+        // Only names are kept; the facts hold the prompt's prefix blocks, which may be many.
+        RequestId id = request.id();
+        TeamId team = request.team();
+        ServiceId service = request.service();
+        RouteId route = request.route();
+        timeline.noteRequest(
+                EventKind.REQUEST_ARRIVED,
+                "",
+                () -> List.of(
+                        Field.of(REQUEST, id),
+                        Field.of(CALLER_REQUEST, callerRequestId),
+                        Field.of("team", team),
+                        Field.of("service", service),
+                        Field.of("route", route)));
+    }
+
+    @Override
+    public void observed(Observation observation) {
+        if (observation instanceof Observation.AttemptEnded ended) {
+            AttemptReport report = ended.report();
+            EventKind kind = report.end() == AttemptEnd.ANSWERED ? EventKind.REQUEST_ANSWERED : EventKind.ATTEMPT_ENDED;
+            timeline.noteRequest(
+                    kind,
+                    "",
+                    () -> List.of(
+                            Field.of(REQUEST, ended.request()),
+                            Field.of("attempt", ended.attempt()),
+                            Field.of("end", report.end()),
+                            Field.of("firstByteMillis", report.firstByteMillis()),
+                            Field.of("totalMillis", report.totalMillis()),
+                            Field.of("tokens", report.tokens())));
+        }
+    }
+
+    @Override
+    public void decided(Action action) {
+        if (action instanceof Action.Note note) {
+            timeline.note(note.kind(), note.reason(), note.fields());
+        } else if (action instanceof Action.Dispatch dispatch) {
+            noteDispatch(dispatch);
+        } else if (action instanceof Action.Refuse refuse) {
+            Refusal refusal = refuse.refusal();
+            timeline.noteRequest(
+                    EventKind.REQUEST_REFUSED,
+                    refusal.reason().summary(),
+                    () -> List.of(
+                            Field.of(REQUEST, refuse.request()),
+                            Field.of("refusal", refusal.reason().text()),
+                            Field.of("outcome", refusal.outcome().text())));
+        }
+    }
+
+    private void noteDispatch(Action.Dispatch dispatch) {
+        boolean first = dispatch.attempt() == 1;
+        BackendServer server = dispatch.server();
+        timeline.noteRequest(
+                first ? EventKind.REQUEST_DISPATCHED : EventKind.REQUEST_RETRIED,
+                first ? FIRST_ATTEMPT : LATER_ATTEMPT,
+                () -> List.of(
+                        Field.of(REQUEST, dispatch.request()),
+                        Field.of("attempt", dispatch.attempt()),
+                        Field.of("server", server.id()),
+                        Field.of("version", server.version()),
+                        Field.of("dataCentre", server.dataCentre()),
+                        Field.of("transfer", dispatch.transfer())));
+    }
+}
--- a/http/src/main/java/org/geraniumstand/http/RequestMailbox.java
+++ b/http/src/main/java/org/geraniumstand/http/RequestMailbox.java
@@ -11,4 +11,9 @@
      * @param action the action
      */
     void post(Action action);
+
+    /** Returns the caller's own name for the request, or an empty text where it is not known. */
+    default String callerRequestId() {
+        return "";
+    }
 }
--- a/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
@@ -55,6 +55,11 @@
         thread.execute(() -> act(action));
     }
 
+    @Override
+    public String callerRequestId() {
+        return admission.request().callerRequestId();
+    }
+
     private void act(Action action) {
         if (done) {
             return;
