Add the operators' commands

geraniumctl asks the entry processes that operators name and the members that these know, tries the next when one does not answer, and follows an accepted change until every live member has it in force. Commands are classes of their own; the time line is merged over all processes into lines of text or one page that needs nothing from outside.

--- a/entry/src/main/java/org/geraniumstand/entry/timeline/Timeline.java
+++ b/entry/src/main/java/org/geraniumstand/entry/timeline/Timeline.java
@@ -13,13 +13,16 @@
 /**
  * Keeps the newest events of one process in bounded memory.
  *
- * <p>Events of single requests have a ring of their own, so that a busy minute does not push out when a configuration
+ * <p>Events of single requests have rings of their own, so that a busy minute does not push out when a configuration
  * came into force. They are written out only when somebody reads them.
  */
 public final class Timeline {
     /** Events kept about the process, its configuration, its peers and its backend servers. */
     public static final int STATE_EVENTS = 4_096;
 
+    /** Events kept about requests that were refused or repeated. */
+    public static final int EXCEPTION_EVENTS = 2_048;
+
     /** Events kept about single requests. */
     public static final int REQUEST_EVENTS = 8_192;
 
@@ -28,6 +31,7 @@
     private final ProcessId self;
     private final HybridClock clock;
     private final Ring<TimelineEvent> states = new Ring<>(STATE_EVENTS);
+    private final Ring<RequestEvent> exceptions = new Ring<>(EXCEPTION_EVENTS);
     private final Ring<RequestEvent> requests = new Ring<>(REQUEST_EVENTS);
 
     /**
@@ -60,14 +64,15 @@
      * @param fields writes the details out when somebody reads them
      */
     public void noteRequest(EventKind kind, String reason, Supplier<List<Field>> fields) {
-        requests.add(new RequestEvent(clock.next(), kind, reason, fields));
+        boolean exception = kind == EventKind.REQUEST_REFUSED || kind == EventKind.REQUEST_RETRIED;
+        (exception ? exceptions : requests).add(new RequestEvent(clock.next(), kind, reason, fields));
     }
 
     /**
      * Returns events since a time, the oldest first.
      *
      * @param epochMillis the time in milliseconds since 1970
-     * @param withRequests whether events of single requests are wanted
+     * @param withRequests whether events of requests are wanted that were neither refused nor repeated
      */
     public List<TimelineEvent> since(long epochMillis, boolean withRequests) {
         return all(withRequests)
@@ -97,13 +102,13 @@
 
     /** Returns how many events no longer fitted into memory. */
     public long dropped() {
-        return states.dropped() + requests.dropped();
+        return states.dropped() + exceptions.dropped() + requests.dropped();
     }
 
     private Stream<TimelineEvent> all(boolean withRequests) {
-        Stream<TimelineEvent> ofRequests =
-                withRequests ? requests.entries().stream().map(e -> e.written(self)) : Stream.empty();
-        return Stream.concat(states.entries().stream(), ofRequests);
+        List<RequestEvent> ordinary = withRequests ? requests.entries() : List.of();
+        Stream<RequestEvent> ofRequests = Stream.concat(exceptions.entries().stream(), ordinary.stream());
+        return Stream.concat(states.entries().stream(), ofRequests.map(event -> event.written(self)));
     }
 
     private static boolean names(TimelineEvent event, String request) {
--- /dev/null
+++ b/operator/src/main/java/org/geraniumstand/operator/CommandLine.java
@@ -0,0 +1,135 @@
+package org.geraniumstand.operator;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.geraniumstand.operator.command.ConfigApply;
+import org.geraniumstand.operator.command.ConfigShow;
+import org.geraniumstand.operator.command.ConfigValidate;
+import org.geraniumstand.operator.command.DataCentreIn;
+import org.geraniumstand.operator.command.DataCentreOut;
+import org.geraniumstand.operator.command.Explain;
+import org.geraniumstand.operator.command.MoveDeclare;
+import org.geraniumstand.operator.command.MoveListing;
+import org.geraniumstand.operator.command.MoveWithdraw;
+import org.geraniumstand.operator.command.PresetListing;
+import org.geraniumstand.operator.command.StatusCommand;
+import org.geraniumstand.operator.command.SwitchPreset;
+import org.geraniumstand.operator.command.TimelineCommand;
+
+/** Finds the command that a command line names and runs it. */
+public final class CommandLine {
+    private static final String PROGRAM = "geraniumctl";
+    private static final List<String> HELP = List.of("--help", "-h", "help");
+
+    /** The commands by their words. */
+    private final Map<String, Command> commands = new LinkedHashMap<>();
+
+    /** Creates the command line with all commands. */
+    public CommandLine() {
+        commands.put("config validate", new ConfigValidate());
+        commands.put("config apply", new ConfigApply());
+        commands.put("config show", new ConfigShow());
+        commands.put("preset list", new PresetListing());
+        commands.put("preset switch", new SwitchPreset());
+        commands.put("move declare", new MoveDeclare());
+        commands.put("move status", new MoveListing());
+        commands.put("move withdraw", new MoveWithdraw());
+        commands.put("data-centre out", new DataCentreOut());
+        commands.put("data-centre in", new DataCentreIn());
+        commands.put("status", new StatusCommand());
+        commands.put("explain", new Explain());
+        commands.put("timeline", new TimelineCommand());
+    }
+
+    /**
+     * Runs a command.
+     *
+     * @param args the command line
+     * @param console where to print
+     */
+    public ExitCode run(List<String> args, Console console) {
+        if (args.isEmpty() || HELP.contains(args.get(0))) {
+            console.print(help());
+            return args.isEmpty() ? ExitCode.USAGE : ExitCode.DONE;
+        }
+        String name = nameOf(args);
+        Command command = commands.get(name);
+        if (command == null) {
+            console.complain("There is no command " + name + "; the commands are: "
+                    + String.join(", ", commands.keySet()) + ".");
+            return ExitCode.USAGE;
+        }
+        List<String> rest = args.subList(name.split(" ").length, args.size());
+        return run(name, command, rest, console);
+    }
+
+    private ExitCode run(String name, Command command, List<String> args, Console console) {
+        HelpOption help = new HelpOption();
+        JCommander parser = JCommander.newBuilder()
+                .programName(PROGRAM + " " + name)
+                .addObject(command)
+                .addObject(help)
+                .build();
+        try {
+            parser.parse(args.toArray(new String[0]));
+        } catch (ParameterException e) {
+            console.complain(e.getMessage() + "\nTry: " + command.example());
+            return ExitCode.USAGE;
+        }
+        if (help.asked) {
+            console.print(usage(parser, command));
+            return ExitCode.DONE;
+        }
+        return command.run(console);
+    }
+
+    private static String usage(JCommander parser, Command command) {
+        StringBuilder text = new StringBuilder(description(command)).append("\n\n");
+        parser.getUsageFormatter().usage(text);
+        return text.append("\nExample: ").append(command.example()).toString();
+    }
+
+    private String help() {
+        List<String> lines = new ArrayList<>();
+        lines.add(PROGRAM + " drives a fleet of geraniumstand entry processes.");
+        lines.add("");
+        commands.forEach((name, command) -> {
+            lines.add(name);
+            lines.add("    " + description(command) + ".");
+            lines.add("    " + command.example());
+        });
+        lines.add("");
+        lines.add(
+                "Each command takes --help. Which entry processes to ask stands in --entry IP:port[,IP:port...] or in");
+        lines.add("the variable GERANIUMSTAND_ENTRY, the operators' token in --token-file or GERANIUMSTAND_TOKEN.");
+        lines.add("");
+        lines.add("Exit codes: 0 done, 1 refused, 2 wrong command line or file, 3 no entry process answered,");
+        lines.add("            4 accepted, but not confirmed by every member in time");
+        return String.join("\n", lines);
+    }
+
+    private String nameOf(List<String> args) {
+        boolean twoWords = args.size() > 1 && !commands.containsKey(args.get(0));
+        return twoWords ? args.get(0) + " " + args.get(1) : args.get(0);
+    }
+
+    private static String description(Command command) {
+        Parameters parameters = command.getClass().getAnnotation(Parameters.class);
+        return parameters == null ? "" : parameters.commandDescription();
+    }
+
+    /** The option that prints help. */
+    private static final class HelpOption {
+        @Parameter(
+                names = {"--help", "-h"},
+                help = true,
+                description = "Print what the command does, its options and an example")
+        private boolean asked;
+    }
+}
--- a/operator/src/main/java/org/geraniumstand/operator/Geraniumctl.java
+++ b/operator/src/main/java/org/geraniumstand/operator/Geraniumctl.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.operator;
 
-import com.beust.jcommander.JCommander;
+import java.util.List;
+import org.geraniumstand.platform.log.LogSetup;
 
 /** Binary {@code geraniumctl}: the operators' commands. */
 public final class Geraniumctl {
@@ -9,9 +10,12 @@
     /**
      * Runs a command.
      *
-     * @param _args the command line
+     * @param args the command line
      */
-    public static void main(String[] _args) {
-        JCommander.newBuilder().programName("geraniumctl").build().usage();
+    @SuppressWarnings("SystemOut") // A command line program answers on standard output.
+    public static void main(String[] args) {
+        LogSetup.apply();
+        Console console = new Console(System.out, System.err);
+        System.exit(new CommandLine().run(List.of(args), console).code());
     }
 }
--- /dev/null
+++ b/operator/src/main/java/org/geraniumstand/operator/command/DataCentreIn.java
@@ -0,0 +1,28 @@
+package org.geraniumstand.operator.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import org.geraniumstand.operator.Command;
+import org.geraniumstand.operator.Console;
+import org.geraniumstand.operator.ExitCode;
+
+/** Brings a data centre back. */
+@Parameters(commandDescription = "Bring a data centre back")
+public final class DataCentreIn implements Command {
+    @Parameter(description = "DATA-CENTRE", required = true)
+    private String dataCentre;
+
+    @ParametersDelegate
+    private final ChangeOptions options = new ChangeOptions();
+
+    @Override
+    public ExitCode run(Console console) {
+        return options.change(console, "POST", "/v1/data-centres/" + Paths.segment(dataCentre) + "/in", null);
+    }
+
+    @Override
+    public String example() {
+        return "geraniumctl data-centre in west-1";
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/geraniumstand/operator/command/MoveDeclare.java
@@ -0,0 +1,64 @@
+package org.geraniumstand.operator.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.time.Instant;
+import java.util.Optional;
+import org.geraniumstand.model.id.MoveId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.operation.MoveDeclaration;
+import org.geraniumstand.operator.Command;
+import org.geraniumstand.operator.Console;
+import org.geraniumstand.operator.ExitCode;
+
+/** Declares a version move. */
+@Parameters(commandDescription = "Move a service's traffic to another version by a deadline")
+public final class MoveDeclare implements Command {
+    @Parameter(names = "--service", required = true, description = "The service")
+    private String service;
+
+    @Parameter(names = "--to", required = true, description = "The version that shall have the traffic")
+    private String to;
+
+    @Parameter(
+            names = "--deadline",
+            required = true,
+            description = "When the move must be done or taken back: a duration from now such as 90s, 30m or 2h, or a"
+                    + " time such as 2026-12-04T05:00:00Z")
+    private String deadline;
+
+    @Parameter(
+            names = "--first-share",
+            description = "Largest share of the new version before evidence speaks for it, in percent")
+    private int firstShare = 1;
+
+    @Parameter(names = "--id", description = "Name of the move; without it, it is named after service and version")
+    private String id;
+
+    @ParametersDelegate
+    private final ChangeOptions options = new ChangeOptions();
+
+    @Override
+    public ExitCode run(Console console) {
+        Optional<Instant> by = Times.future(deadline, Instant.now());
+        if (by.isEmpty()) {
+            console.complain("--deadline takes 90s, 30m, 2h or 2026-12-04T05:00:00Z, not " + deadline + ".");
+            return ExitCode.USAGE;
+        }
+        MoveDeclaration declaration = new MoveDeclaration(
+                id == null ? null : new MoveId(id),
+                new ServiceId(service),
+                new VersionId(to),
+                0,
+                by.get().toEpochMilli(),
+                firstShare);
+        return options.change(console, "POST", "/v1/moves", declaration);
+    }
+
+    @Override
+    public String example() {
+        return "geraniumctl move declare --service board-model --to v2 --deadline 30m --first-share 1";
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/geraniumstand/operator/command/MoveWithdraw.java
@@ -0,0 +1,28 @@
+package org.geraniumstand.operator.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import org.geraniumstand.operator.Command;
+import org.geraniumstand.operator.Console;
+import org.geraniumstand.operator.ExitCode;
+
+/** Withdraws a version move. */
+@Parameters(commandDescription = "Withdraw a version move; the old version has all the traffic again")
+public final class MoveWithdraw implements Command {
+    @Parameter(description = "MOVE", required = true)
+    private String move;
+
+    @ParametersDelegate
+    private final ChangeOptions options = new ChangeOptions();
+
+    @Override
+    public ExitCode run(Console console) {
+        return options.change(console, "POST", "/v1/moves/" + Paths.segment(move) + "/withdraw", null);
+    }
+
+    @Override
+    public String example() {
+        return "geraniumctl move withdraw board-model-to-v2";
+    }
+}
--- /dev/null
+++ b/operator/src/main/java/org/geraniumstand/operator/text/StatusText.java
@@ -0,0 +1,152 @@
+package org.geraniumstand.operator.text;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.status.DataCentreStatus;
+import org.geraniumstand.model.status.MemberStatus;
+import org.geraniumstand.model.status.MoveStatus;
+import org.geraniumstand.model.status.ServerStatus;
+import org.geraniumstand.model.status.StatusReport;
+import org.geraniumstand.model.status.TeamStatus;
+import org.geraniumstand.operator.client.Fleet;
+
+/** Writes the status for people, with sums over all entry processes that answered. */
+public final class StatusText {
+    private final List<String> lines = new ArrayList<>();
+    private final List<StatusReport> reports;
+    private final StatusReport newest;
+    private final Map<ProcessId, Long> generations;
+
+    private StatusText(Fleet fleet) {
+        this.reports = fleet.reports().values().stream()
+                .sorted(Comparator.comparing(report -> report.process().value()))
+                .toList();
+        this.newest = reports.stream()
+                .max(Comparator.comparingLong(StatusReport::generation))
+                .orElseThrow();
+        this.generations = fleet.generations();
+    }
+
+    /**
+     * Returns the status.
+     *
+     * @param fleet at least one report
+     */
+    public static String of(Fleet fleet) {
+        StatusText text = new StatusText(fleet);
+        text.head();
+        text.members();
+        text.dataCentres();
+        text.servers();
+        text.moves();
+        text.teams();
+        return String.join("\n", text.lines);
+    }
+
+    /**
+     * Returns a move as one line.
+     *
+     * @param status the move
+     */
+    public static String move(MoveStatus status) {
+        String share = status.sharePercent() < 0
+                ? "share unknown"
+                : String.format(Locale.ROOT, "share %.1f %%", status.sharePercent());
+        String reason =
+                status.move().reason().isEmpty() ? "" : " (" + status.move().reason() + ")";
+        return status.move().id() + "  " + status.move().service() + " "
+                + status.move().from() + " -> "
+                + status.move().to() + "  "
+                + status.move().state().name().toLowerCase(Locale.ROOT).replace('_', ' ') + reason + "  " + share
+                + "  deadline " + Instant.ofEpochMilli(status.move().deadlineEpochMillis()) + "  old "
+                + status.oldRequests() + " requests, " + status.oldFailures() + " failed; new " + status.newRequests()
+                + " requests, " + status.newFailures() + " failed";
+    }
+
+    private void head() {
+        lines.add("configuration  generation " + newest.generation() + ", preset "
+                + (newest.presetInForce().isEmpty() ? "none" : newest.presetInForce()));
+    }
+
+    private void members() {
+        lines.add("members");
+        Map<ProcessId, MemberStatus> known = new TreeMap<>();
+        reports.forEach(
+                report -> report.members().forEach(m -> known.put(m.member().id(), m)));
+        known.forEach((id, status) -> lines.add("  " + member(id, status)));
+    }
+
+    private String member(ProcessId id, MemberStatus status) {
+        Member member = status.member();
+        String line = TimelineText.pad(id.value(), 20) + "  " + member.dataCentre() + "  generation "
+                + generations.getOrDefault(id, status.generation());
+        return reports.stream()
+                .filter(report -> report.process().equals(id))
+                .findFirst()
+                .map(report -> line + (report.ready() ? "  ready" : "  not ready")
+                        + (report.stopping() ? "  stopping" : "") + "  store " + report.storeState() + "  streams "
+                        + report.streams())
+                .orElseGet(() -> line + "  did not answer; confirmed " + status.confirmationAgeMillis() + " ms ago");
+    }
+
+    private void dataCentres() {
+        lines.add("data centres");
+        for (DataCentreStatus status : newest.dataCentres()) {
+            int inFlight = reports.stream()
+                    .flatMap(report -> report.dataCentres().stream())
+                    .filter(other -> other.dataCentre().equals(status.dataCentre()))
+                    .mapToInt(DataCentreStatus::inFlight)
+                    .sum();
+            lines.add("  " + TimelineText.pad(status.dataCentre().value(), 14) + (status.out() ? "  OUT" : "  in ")
+                    + "  " + status.servers() + " servers, " + inFlight + " requests in flight");
+        }
+    }
+
+    private void servers() {
+        lines.add("backend servers");
+        newest.servers().stream()
+                .sorted(Comparator.comparing(status -> status.server().id().value()))
+                .forEach(status -> lines.add("  " + server(status)));
+    }
+
+    private String server(ServerStatus status) {
+        int inFlight = reports.stream()
+                .flatMap(report -> report.servers().stream())
+                .filter(other -> other.server().id().equals(status.server().id()))
+                .mapToInt(ServerStatus::inFlight)
+                .sum();
+        return TimelineText.pad(status.server().id().value(), 16) + "  "
+                + status.server().service() + " "
+                + status.server().version() + "  " + status.server().dataCentre() + "  " + status.state() + "  "
+                + status.warmth() + "  in flight " + inFlight
+                + (status.budget() < 0 ? "" : " of " + status.budget());
+    }
+
+    private void moves() {
+        if (!newest.moves().isEmpty()) {
+            lines.add("version moves");
+            newest.moves().forEach(status -> lines.add("  " + move(status)));
+        }
+    }
+
+    private void teams() {
+        lines.add("teams");
+        for (TeamStatus team : newest.teams()) {
+            List<TeamStatus> all = reports.stream()
+                    .flatMap(report -> report.teams().stream())
+                    .filter(other -> other.team().equals(team.team()))
+                    .toList();
+            lines.add("  " + TimelineText.pad(team.team().value(), 14) + "  weight " + team.weight() + "  in flight "
+                    + all.stream().mapToInt(TeamStatus::inFlight).sum() + "  answered "
+                    + all.stream().mapToLong(TeamStatus::answered).sum() + "  refused "
+                    + all.stream().mapToLong(TeamStatus::refused).sum());
+        }
+    }
+}
