--- a/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
+++ b/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
@@ -5,6 +5,7 @@
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
 import org.geraniumstand.entry.settings.Settings;
+import org.geraniumstand.entry.settings.SettingsError;
 import org.geraniumstand.entry.settings.SettingsFile;
 import org.geraniumstand.platform.log.LogSetup;
 
@@ -19,6 +20,9 @@
             description = "YAML file with the settings of this process")
     private String settingsFile;
 
+    @Parameter(names = "--check", description = "Check the settings and end")
+    private boolean check;
+
     @Parameter(
             names = {"--help", "-h"},
             help = true,
@@ -47,10 +51,12 @@
         }
         if (command.help) {
             parser.usage();
+            System.out.println("Example: geraniumstand --settings entry-1.yaml --check");
             return;
         }
         LogSetup.apply();
-        SettingsFile.read(Path.of(command.settingsFile)).fold(Geraniumstand::run, Geraniumstand::refuse);
+        SettingsFile.read(Path.of(command.settingsFile))
+                .fold(settings -> command.check ? confirm(command.settingsFile) : run(settings), Geraniumstand::refuse);
     }
 
     // The process is its own server, so no container could manage its shutdown.
@@ -68,8 +74,14 @@
     }
 
     @SuppressWarnings("SystemOut")
-    private static boolean refuse(String reason) {
-        System.err.println(reason);
+    private static boolean confirm(String file) {
+        System.out.println(file + ": the settings are valid");
+        return true;
+    }
+
+    @SuppressWarnings("SystemOut")
+    private static boolean refuse(SettingsError error) {
+        System.err.println(error.text());
         System.exit(EXIT_USAGE);
         return false;
     }
