--- a/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
@@ -9,6 +9,7 @@
 import org.geraniumstand.decisions.flow.Intake;
 import org.geraniumstand.decisions.flow.Parts;
 import org.geraniumstand.decisions.flow.Progress;
+import org.geraniumstand.decisions.flow.StatusReport;
 import org.geraniumstand.decisions.reclaim.Evacuation;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.fleet.BackendServer;
@@ -58,6 +59,11 @@
         return parts.configuration();
     }
 
+    /** Returns what operators see of the state. */
+    public TrafficStatus status() {
+        return StatusReport.of(parts);
+    }
+
     /**
      * Takes in an observation and returns what is to be done, in order.
      *
