--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -1,6 +1,8 @@
 package org.geraniumstand.peer;
 
 import java.util.List;
+import org.geraniumstand.decisions.orders.ClaimChange;
+import org.geraniumstand.decisions.orders.ClaimVerdict;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.evidence.BadMark;
 import org.geraniumstand.model.evidence.EvidenceRow;
@@ -95,4 +97,36 @@
      * @param callerRequestId the caller's name for the request
      */
     record StreamTaken(String team, String callerRequestId) implements PeerMessage {}
+
+    /**
+     * A change of a claim, sent to the usual writer of its slot.
+     *
+     * @param correlation the sender's number of the message
+     * @param change the change
+     */
+    record ClaimForward(long correlation, ClaimChange change) implements PeerMessage {}
+
+    /**
+     * What became of a forwarded change.
+     *
+     * @param correlation the number of the message that brought the change
+     * @param verdict what became of it
+     */
+    record ClaimReply(long correlation, ClaimVerdict verdict) implements PeerMessage {}
+
+    /**
+     * Asks whether the receiver holds a stream that was handed over.
+     *
+     * @param team the caller's team
+     * @param callerRequestId the caller's name for the request
+     */
+    record StreamAsk(String team, String callerRequestId) implements PeerMessage {}
+
+    /**
+     * Says that the sender holds a stream that was handed over.
+     *
+     * @param team the caller's team
+     * @param callerRequestId the caller's name for the request
+     */
+    record StreamHeld(String team, String callerRequestId) implements PeerMessage {}
 }
--- a/peer/src/main/java/org/geraniumstand/peer/StreamState.java
+++ b/peer/src/main/java/org/geraniumstand/peer/StreamState.java
@@ -1,5 +1,7 @@
 package org.geraniumstand.peer;
 
+import java.util.List;
+
 /**
  * A stream of a caller, as far as it was relayed.
  *
@@ -11,6 +13,7 @@
  * @param tokens tokens generated so far
  * @param lastEventId id of the last event relayed
  * @param remainingMillis how much longer the caller waits, in milliseconds
+ * @param recentEvents data of the latest events, the one with {@code lastEventId} last, bounded in bytes
  */
 public record StreamState(
         String team,
@@ -20,4 +23,10 @@
         String generated,
         int tokens,
         int lastEventId,
-        long remainingMillis) {}
+        long remainingMillis,
+        List<String> recentEvents) {
+    /** Copies the list. */
+    public StreamState {
+        recentEvents = List.copyOf(recentEvents);
+    }
+}
