--- a/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
@@ -9,7 +9,7 @@
 import org.geraniumstand.decisions.flow.Intake;
 import org.geraniumstand.decisions.flow.Parts;
 import org.geraniumstand.decisions.flow.Progress;
-import org.geraniumstand.decisions.flow.StatusReport;
+import org.geraniumstand.decisions.flow.TrafficReport;
 import org.geraniumstand.decisions.reclaim.Evacuation;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.fleet.BackendServer;
@@ -61,7 +61,7 @@
 
     /** Returns what operators see of the state. */
     public TrafficStatus status() {
-        return StatusReport.of(parts);
+        return TrafficReport.of(parts);
     }
 
     /**
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/Documents.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/Documents.java
@@ -70,7 +70,8 @@
                         .map(dc -> new HostPool(new DataCentreId(dc), "gpu-l", true, 300))
                         .toList(),
                 Set.of(),
-                List.of());
+                List.of(),
+                "");
     }
 
     private static String sha256(String text) {
