Ask the keeper of the best server before a worse one is used, and suspect cold servers later

Requests waited up to 1.5 s for grants although servers were idle, as an idle server's budget of 12 split over 8 users gave grants of zero, and wishes went to servers in the order of a list.

Now most of the spare is spread, wishes name the server that would be best, a keeper always answers who has requests waiting, and a server counts as cold only when it was slow for 1.2 s without a break.

--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/Attempts.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/Attempts.java
@@ -8,6 +8,7 @@
 import org.geraniumstand.decisions.Reasons;
 import org.geraniumstand.decisions.flight.Flight;
 import org.geraniumstand.decisions.reclaim.TransferChoice;
+import org.geraniumstand.decisions.routing.Room;
 import org.geraniumstand.decisions.routing.ServerChoice;
 import org.geraniumstand.decisions.routing.ServerState;
 import org.geraniumstand.model.config.Service;
@@ -20,7 +21,11 @@
 
 /** Finds servers for requests and starts attempts there. */
 public final class Attempts {
+    private static final long ASK_MILLIS = 3;
+    private static final double WORTH_ASKING = 1.5;
+
     private final Parts parts;
+    private final Room roomEverywhere;
 
     /**
      * Creates the attempts of a process.
@@ -29,6 +34,7 @@
      */
     public Attempts(Parts parts) {
         this.parts = parts;
+        this.roomEverywhere = new RoomEverywhere(parts.limits());
     }
 
     /**
@@ -42,7 +48,7 @@
     public boolean place(Flight flight, Moment now, List<Action> actions) {
         Optional<Service> service = parts.service(flight.facts().service());
         Optional<ServerState> found = service.flatMap(s -> find(flight, s, flight.tried(), now));
-        if (found.isEmpty()) {
+        if (found.isEmpty() || worthAsking(flight, service.get(), found.get(), now)) {
             return false;
         }
         Action.Transfer transfer = flight.attempt() == 0 ? Action.Transfer.NONE : Action.Transfer.RESUME;
@@ -83,10 +89,36 @@
     }
 
     private Optional<ServerState> find(Flight flight, Service service, Set<ServerId> avoid, Moment now) {
-        RequestFacts facts = flight.facts();
-        List<VersionId> versions = parts.moves().versionsFor(facts, now);
-        ServerChoice.Query query = new ServerChoice.Query(facts, service, versions, avoid, parts.targets());
-        return parts.choice().choose(query, parts.limits(), now);
+        return parts.choice().choose(query(flight, service, avoid, now), parts.limits(), now);
+    }
+
+    private ServerChoice.Query query(Flight flight, Service service, Set<ServerId> avoid, Moment now) {
+        List<VersionId> versions = parts.moves().versionsFor(flight.facts(), now);
+        return new ServerChoice.Query(flight.facts(), service, versions, avoid, parts.targets());
+    }
+
+    /**
+     * Returns the server that would be best for a request if this process had room everywhere.
+     *
+     * @param flight the request
+     * @param now the time
+     */
+    Optional<ServerState> wished(Flight flight, Moment now) {
+        return parts.service(flight.facts().service())
+                .flatMap(s -> parts.choice().choose(query(flight, s, flight.tried(), now), roomEverywhere, now));
+    }
+
+    /** A keeper answers within a few milliseconds, so a much better server is asked for before a worse one is used. */
+    private boolean worthAsking(Flight flight, Service service, ServerState found, Moment now) {
+        if (now.millisSince(flight.arrived()) >= ASK_MILLIS || flight.attempt() > 0) {
+            return false;
+        }
+        Optional<ServerState> best = wished(flight, now);
+        if (best.isEmpty() || best.get() == found) {
+            return false;
+        }
+        ServerChoice.Query query = query(flight, service, flight.tried(), now);
+        return parts.choice().ratio(best.get(), found, query, roomEverywhere, now) > WORTH_ASKING;
     }
 
     private void start(
--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
@@ -145,14 +145,9 @@
     public Limits.Waiting waiting(Moment now) {
         Map<ServerId, Integer> wishes = new HashMap<>();
         for (ServiceWork work : parts.allWork().values()) {
-            int next = 0;
             for (Flight flight : work.queue().some(MOST_WISHES)) {
-                List<ServerState> servers = attempts.usable(flight.facts(), now);
-                if (servers.isEmpty()) {
-                    continue;
-                }
-                ServerState wished = servers.get(next++ % servers.size());
-                wishes.merge(wished.server().id(), 1, Integer::sum);
+                attempts.wished(flight, now)
+                        .ifPresent(wished -> wishes.merge(wished.server().id(), 1, Integer::sum));
             }
         }
         return state -> wishes.getOrDefault(state.server().id(), 0);
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/GrantLedger.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/GrantLedger.java
@@ -21,7 +21,7 @@
  */
 @Decision(
         name = "grant-shares",
-        summary = "A keeper grants what is in flight, then what is wanted, then half of the spare to all users alike,"
+        summary = "A keeper grants what is in flight, then what is wanted, then most of the spare to all users alike,"
                 + " never more than the budget.")
 public final class GrantLedger {
     /** How long a grant holds from its receipt, in milliseconds. */
@@ -34,6 +34,7 @@
     public static final int GRANT_TIME_MILLIS = VALID_MILLIS + MARGIN_MILLIS;
 
     private static final int RENEW_MILLIS = 300;
+    private static final double SPREAD_SHARE = 0.75;
     private static final int USER_FORGOTTEN_MILLIS = 3_000;
 
     private final ServerId server;
@@ -46,6 +47,7 @@
         private Moment seen;
         private int sent;
         private boolean sentWarm;
+        private boolean asks;
         private Moment sentAt;
         private final List<Sent> outstanding = new ArrayList<>();
 
@@ -83,6 +85,7 @@
         Holder holder = holders.computeIfAbsent(demand.process(), _key -> new Holder());
         int before = holder.demand == null ? 0 : holder.demand.inFlight();
         holder.demand = demand;
+        holder.asks = demand.wanted() > demand.inFlight();
         holder.seen = now;
         return Math.max(0, before - demand.inFlight());
     }
@@ -131,6 +134,10 @@
     }
 
     private static boolean due(Holder holder, int next, boolean warm, Moment now) {
+        // Who has requests waiting is always answered, so that these can go elsewhere when they get nothing here.
+        if (holder.asks) {
+            return true;
+        }
         if (holder.sentAt == null || next != holder.sent || warm != holder.sentWarm) {
             return holder.sentAt != null || next > 0 || warm;
         }
@@ -138,6 +145,7 @@
     }
 
     private static void send(Holder holder, int next, boolean warm, Moment now) {
+        holder.asks = false;
         holder.sent = next;
         holder.sentWarm = warm;
         holder.sentAt = now;
@@ -154,7 +162,7 @@
         }
         left = giveWanted(shares, left, ownWish);
         int users = holders.size() + 1;
-        int each = warm ? left / 2 / users : 0;
+        int each = warm ? (int) (left * SPREAD_SHARE / users) : 0;
         if (each > 0) {
             shares.replaceAll((_key, share) -> share + each);
         }
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
@@ -198,7 +198,7 @@
         KeptServer server = kept.get(state.server().id());
         double past = state.slowness();
         state.onRatio(ratio);
-        if (warm(state) && suspicion.onRatio(state.server().id(), ratio, past)) {
+        if (warm(state) && suspicion.onRatio(state.server().id(), ratio, past, now)) {
             return cold(state);
         }
         if (server == null) {
@@ -220,7 +220,7 @@
      * @param ratio time waited against time expected
      */
     public List<Action> onMissing(ServerState state, double ratio) {
-        if (warm(state) && suspicion.onRatio(state.server().id(), ratio, state.slowness())) {
+        if (warm(state) && suspicion.onRatio(state.server().id(), ratio, state.slowness(), now)) {
             return cold(state);
         }
         return List.of();
--- a/decisions/src/main/java/org/geraniumstand/decisions/routing/EngineCost.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/routing/EngineCost.java
@@ -16,7 +16,7 @@
         summary = "The server is chosen that costs least in engine time and price, recomputed tokens included, among"
                 + " those that meet the latency target.")
 public final class EngineCost {
-    private static final double COMFORTABLE = 0.6;
+    private static final double COMFORTABLE = 0.35;
     private static final double LATE_WEIGHT = 8;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final double OTHER_DATA_CENTRE_MILLIS = 1;
--- a/decisions/src/main/java/org/geraniumstand/decisions/routing/ServerChoice.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/routing/ServerChoice.java
@@ -87,6 +87,20 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns how many times as dear as the server that would be best without limits a server is.
+     *
+     * @param best the server that would be best
+     * @param other the other
+     * @param query what the choice is for
+     * @param room what limits allow
+     * @param now the time
+     */
+    public double ratio(ServerState best, ServerState other, Query query, Room room, Moment now) {
+        prefixes.find(query.facts().prefixBlocks(), now.nanos() / Moment.NANOS_PER_MILLI, found);
+        return cost(query, other, room.spare(other), now) / cost(query, best, room.spare(best), now);
+    }
+
     /**
      * Returns the prompt tokens that a server would have to compute.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/routing/ServerState.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/routing/ServerState.java
@@ -11,6 +11,7 @@
     private static final double MOST_SLOWNESS = 20;
     private static final double TRUST_GAIN = 0.1;
     private static final double LEAST_TRUST = 0.1;
+    private static final double SPARE_SPREAD = 4.0 / 3;
     private static final long REPORT_USEFUL_MILLIS = 2_000;
 
     private final int slot;
@@ -151,8 +152,8 @@
         if (reportedAt != null && now.millisSince(reportedAt) < REPORT_USEFUL_MILLIS) {
             return inFlight + reportedOthers;
         }
-        // The keeper spreads half of the spare evenly, so one's own spare tells of the whole.
-        double guess = most - 2.0 * spare * users;
+        // The keeper spreads most of the spare evenly, so one's own spare tells of the whole.
+        double guess = most - SPARE_SPREAD * spare * users;
         return users <= 1 ? inFlight : Math.max(inFlight, Math.min(most, guess));
     }
 }
--- a/proofs/src/test/java/org/geraniumstand/proofs/trial/Measures.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/trial/Measures.java
@@ -19,6 +19,7 @@
  * @param ranTwice at-most-once requests that more than one server began
  * @param attemptsPerCall attempts a request
  * @param overloads times a cold server got more than it bears
+ * @param warmServers servers that are warm at the end
  * @param lateWork new work to servers and data centres that had been leaving for three seconds
  */
 public record Measures(
@@ -34,6 +35,7 @@
         int ranTwice,
         double attemptsPerCall,
         int overloads,
+        int warmServers,
         int lateWork) {
     private static final double MILLIS_PER_HOUR = 3_600_000;
 
@@ -72,11 +74,13 @@
         double rent = 0;
         double recomputed = 0;
         int overloads = 0;
+        int warm = 0;
         for (FakeServer server : world.servers()) {
             cost += server.busyMillis() / MILLIS_PER_HOUR * server.listed().centsPerHour();
             rent += world.clock().millis() / MILLIS_PER_HOUR * server.listed().centsPerHour();
             recomputed += server.recomputedTokens();
             overloads += server.overloads();
+            warm += server.cold() || server.dead() ? 0 : 1;
         }
         double thousands = Math.max(1, inTarget) / 1_000.0;
         return new Measures(
@@ -92,6 +96,7 @@
                 ranTwice,
                 (double) attempts / Math.max(1, calls),
                 overloads,
+                warm,
                 world.newWorkToLeaving());
     }
 }
--- a/proofs/src/test/java/org/geraniumstand/proofs/trial/Workload.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/trial/Workload.java
@@ -19,6 +19,9 @@
     /** Tokens of a prefix block. */
     public static final int BLOCK_TOKENS = 256;
 
+    /** When the first requests come, as processes are ready only when they know the backend servers. */
+    public static final double READY_MILLIS = 5_000;
+
     private static final int INSTRUCTION_BLOCKS = 3;
     private static final int FIRST_BLOCKS = 3;
     private static final int MOST_TURN_BLOCKS = 2;
@@ -53,12 +56,14 @@
      */
     public static Workload start(TrialWorld world, double[] teamShares, double ordersEachSecond, double untilMillis) {
         Workload workload = new Workload(world, teamShares, untilMillis);
-        for (int team = 0; team < teamShares.length; team++) {
-            workload.startTeam(team, 0);
-        }
-        if (ordersEachSecond > 0) {
-            workload.order(ordersEachSecond);
-        }
+        world.clock().at(READY_MILLIS, () -> {
+            for (int team = 0; team < teamShares.length; team++) {
+                workload.startTeam(team, 0);
+            }
+            if (ordersEachSecond > 0) {
+                workload.order(ordersEachSecond);
+            }
+        });
         return workload;
     }
 
