--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -4,13 +4,15 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.decisions.TrafficController;
+import org.geraniumstand.decisions.membership.Incarnation;
 import org.geraniumstand.entry.core.Core;
 import org.geraniumstand.entry.operator.OperatorListener;
 import org.geraniumstand.entry.settings.Settings;
-import org.geraniumstand.entry.task.ConfigurationWatch;
+import org.geraniumstand.entry.task.FactTasks;
 import org.geraniumstand.entry.task.HostListPoll;
 import org.geraniumstand.http.caller.CallerListener;
 import org.geraniumstand.model.id.ProcessId;
@@ -31,16 +33,15 @@
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final ProcessId self;
     private final Core core;
+    private final AtomicReference<FactTasks> facts = new AtomicReference<>();
 
     private EntryProcess(Settings settings) {
-        this.self = new ProcessId(
-                settings.process().name() + "-" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX));
+        this.self = Incarnation.name(settings.process().name(), System.currentTimeMillis());
         this.core = closer.add(Core.start(new TrafficController(self), this::carryOut));
         HttpCalls calls = closer.add(HttpCalls.start("platform"));
         ConfigurationStore store =
                 new HttpConfigurationStore(calls, settings.store().url());
-        String key = settings.store().prefix() + "/configuration";
-        new ConfigurationWatch(store, calls, key, core).start();
+        facts.set(closer.add(FactTasks.start(settings, self, store, calls, core)));
         new HostListPoll(new HttpHostList(calls, settings.cloud().url()), calls, core).start();
         closer.add(CallerListener.start(
                 self,
@@ -74,6 +75,7 @@
     public void stopGracefully(long timeoutMillis) {
         stopping.set(true);
         LOG.info("process-stopping", Field.of("process", self));
+        facts.get().announceStop();
         core.tell(new Observation.StopRequested());
         try {
             boolean clean = stopped.await(timeoutMillis, TimeUnit.MILLISECONDS);
@@ -89,7 +91,9 @@
     }
 
     private boolean ready() {
-        return core.configuration().isPresent() && !stopping.get();
+        return core.configuration().isPresent()
+                && !stopping.get()
+                && facts.get().readiness().refusal().isEmpty();
     }
 
     private void carryOut(Action action) {
@@ -99,6 +103,16 @@
             LOG.info(
                     note.kind().name().toLowerCase(Locale.ROOT).replace('_', '-'),
                     note.fields().toArray(new Field[0]));
+        } else {
+            carryOutFact(action);
+        }
+    }
+
+    // The core runs a moment before the tasks that share facts do; nothing that it says then concerns them.
+    private void carryOutFact(Action action) {
+        FactTasks tasks = facts.get();
+        if (tasks != null) {
+            tasks.carryOut(action);
         }
     }
 }
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/task/BadMarkStore.java
@@ -0,0 +1,95 @@
+package org.geraniumstand.entry.task;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import org.geraniumstand.model.evidence.BadMark;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.platform.store.ConfigurationStore;
+
+/** Keeps marks of bad versions in the store, one key a move, as soon as it answers. */
+public final class BadMarkStore {
+    private static final Log LOG = Log.of(BadMarkStore.class);
+
+    private final ConfigurationStore store;
+    private final Timer timer;
+    private final String prefix;
+    private final StoreContact contact;
+    private final Consumer<List<BadMark>> found;
+
+    /**
+     * Creates a keeper of marks.
+     *
+     * @param store the platform's store
+     * @param timer waits between tries
+     * @param prefix prefix of the marks' keys, ends with a slash
+     * @param contact told whether the store answers
+     * @param found told the marks that the store holds at the start
+     */
+    public BadMarkStore(
+            ConfigurationStore store, Timer timer, String prefix, StoreContact contact, Consumer<List<BadMark>> found) {
+        this.store = store;
+        this.timer = timer;
+        this.prefix = prefix;
+        this.contact = contact;
+        this.found = found;
+    }
+
+    /** Reads the marks; tries until the store answers. */
+    public void start() {
+        store.list(
+                prefix,
+                result -> result.fold(
+                        entries -> {
+                            contact.onAnswer();
+                            accept(entries);
+                            return true;
+                        },
+                        _error -> retry(this::start)));
+    }
+
+    /**
+     * Writes a mark; tries until the store answers.
+     *
+     * @param mark the mark
+     */
+    public void write(BadMark mark) {
+        // The key must not exist: the first mark of a move stands, whoever wrote it.
+        store.compareAndSwap(
+                prefix + mark.move(),
+                Json.write(mark),
+                0,
+                result -> result.fold(
+                        written -> {
+                            contact.onAnswer();
+                            LOG.info("bad-mark-stored", Field.of("move", mark.move()), Field.of("first", written));
+                            return true;
+                        },
+                        _error -> retry(() -> write(mark))));
+    }
+
+    private boolean retry(Runnable task) {
+        timer.after(task, contact.onFailure());
+        return false;
+    }
+
+    private void accept(List<ConfigurationStore.Entry> entries) {
+        List<BadMark> marks =
+                entries.stream().flatMap(e -> read(e.stored().value())).toList();
+        if (!marks.isEmpty()) {
+            found.accept(marks);
+        }
+    }
+
+    private static Stream<BadMark> read(String text) {
+        try {
+            return Stream.of(Json.LENIENT.readValue(text, BadMark.class));
+        } catch (JsonProcessingException e) {
+            LOG.warn("bad-mark-unreadable", Field.of("reason", e.getOriginalMessage()));
+            return Stream.empty();
+        }
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/task/ConfigurationWatch.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/ConfigurationWatch.java
@@ -1,42 +1,93 @@
 package org.geraniumstand.entry.task;
 
-import org.geraniumstand.decisions.Observation;
-import org.geraniumstand.http.CoreInbox;
-import org.geraniumstand.model.config.Configuration;
-import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.log.Log;
-import org.geraniumstand.platform.net.HttpCalls;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.geraniumstand.decisions.membership.WatcherChoice;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.peer.SharedFacts;
+import org.geraniumstand.peer.exchange.ExchangeView;
 import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.platform.store.StoreError;
 
-/** Watches the operators' configuration in the store and tells the core of each newer document. */
+/**
+ * Brings the operators' configuration from the store.
+ *
+ * <p>A few members watch. The others get it from peers and read the store only while nobody has confirmed what they
+ * have for a while.
+ */
 public final class ConfigurationWatch {
-    private static final Log LOG = Log.of(ConfigurationWatch.class);
-    private static final long RETRY_MILLIS = 500;
+    private static final long ROLE_MILLIS = 500;
+    private static final long BETWEEN_WATCHES_MILLIS = 50;
+    private static final long UNCONFIRMED_NANOS = TimeUnit.SECONDS.toNanos(15);
+    private static final long FIRST_READ_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final ConfigurationStore store;
-    private final HttpCalls calls;
+    private final Timer timer;
     private final String key;
-    private final CoreInbox core;
+    private final ProcessId self;
+    private final SharedFacts facts;
+    private final StoreContact contact;
+    private long lastReadNanos;
 
     /**
      * Creates a watch.
      *
      * @param store the platform's store
-     * @param calls waits between tries
+     * @param timer waits between calls
      * @param key key of the document
-     * @param core told of each document
+     * @param self this process
+     * @param facts told of each document
+     * @param contact told whether the store answers
      */
-    public ConfigurationWatch(ConfigurationStore store, HttpCalls calls, String key, CoreInbox core) {
+    public ConfigurationWatch(
+            ConfigurationStore store,
+            Timer timer,
+            String key,
+            ProcessId self,
+            SharedFacts facts,
+            StoreContact contact) {
         this.store = store;
-        this.calls = calls;
+        this.timer = timer;
         this.key = key;
-        this.core = core;
+        this.self = self;
+        this.facts = facts;
+        this.contact = contact;
     }
 
-    /** Starts to watch; it goes on until the calls are closed. */
+    /** Starts; it goes on until the timer stops. */
     public void start() {
-        watch(0);
+        read();
+    }
+
+    private void next() {
+        ExchangeView view = facts.view();
+        if (WatcherChoice.watches(self, view.members())) {
+            watch(0);
+        } else if (isReadDue(view, System.nanoTime())) {
+            read();
+        } else {
+            timer.after(this::next, ROLE_MILLIS);
+        }
+    }
+
+    private boolean isReadDue(ExchangeView view, long now) {
+        long limit = view.generation() < 0 ? FIRST_READ_NANOS : UNCONFIRMED_NANOS;
+        boolean unconfirmed = view.confirmedNanos().map(at -> now - at > limit).orElse(true);
+        return unconfirmed && now - lastReadNanos > limit;
+    }
+
+    private void read() {
+        lastReadNanos = System.nanoTime();
+        store.read(
+                key,
+                result -> result.fold(
+                        stored -> {
+                            contact.onAnswer();
+                            stored.ifPresent(found -> facts.offerStored(found.value()));
+                            timer.after(this::next, contact.spread(ROLE_MILLIS));
+                            return true;
+                        },
+                        this::fail));
     }
 
     private void watch(long index) {
@@ -45,32 +96,32 @@
                 index,
                 result -> result.fold(
                         watched -> {
-                            watched.entries()
-                                    .forEach(entry -> accept(entry.stored().value()));
-                            return next(watched.index(), watched.entries().isEmpty());
+                            contact.onAnswer();
+                            accept(watched.entries());
+                            continueWatch(watched.index(), index);
+                            return true;
                         },
-                        _error -> next(0, true)));
+                        this::fail));
     }
 
-    private long next(long index, boolean wait) {
-        if (wait) {
-            calls.schedule(() -> watch(index), RETRY_MILLIS);
-        } else {
-            watch(index);
+    private void accept(List<ConfigurationStore.Entry> entries) {
+        entries.stream()
+                .filter(entry -> entry.key().equals(key))
+                .forEach(entry -> facts.offerStored(entry.stored().value()));
+    }
+
+    // An index that went back tells of a store that was restored, so that the watch starts anew.
+    private void continueWatch(long index, long before) {
+        if (!WatcherChoice.watches(self, facts.view().members())) {
+            timer.after(this::next, ROLE_MILLIS);
+            return;
         }
-        return index;
+        long from = index < before ? 0 : index;
+        timer.after(() -> watch(from), from == 0 ? ROLE_MILLIS : BETWEEN_WATCHES_MILLIS);
     }
 
-    private void accept(String text) {
-        Json.read(text, Configuration.class)
-                .fold(
-                        configuration -> {
-                            core.tell(new Observation.ConfigurationAccepted(configuration));
-                            return configuration;
-                        },
-                        why -> {
-                            LOG.warn("configuration-unreadable", Field.of("reason", why));
-                            return why;
-                        });
+    private boolean fail(StoreError _error) {
+        timer.after(this::next, contact.onFailure());
+        return false;
     }
 }
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/task/ConfigurationWriter.java
@@ -0,0 +1,233 @@
+package org.geraniumstand.entry.task;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.geraniumstand.entry.task.ChangeError.Kind;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.peer.SharedFacts;
+import org.geraniumstand.peer.exchange.ExchangeView;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.platform.store.Stored;
+
+/**
+ * Changes the operators' configuration by compare-and-swap.
+ *
+ * <p>A change is applied again when another one came first. A lost answer is settled by reading back: the document
+ * names the tokens of its latest changes. Callbacks run on the store's thread.
+ */
+public final class ConfigurationWriter {
+    private static final int CONFLICTS_ALLOWED = 50;
+    private static final int READS_BACK = 20;
+    private static final long READ_BACK_MILLIS = 250;
+    private static final long CONFLICT_MILLIS = 40;
+    private static final int VALUE_BYTES = 1_000_000;
+
+    private final ConfigurationStore store;
+    private final Timer timer;
+    private final String key;
+    private final SharedFacts facts;
+    private final Supplier<String> tokens;
+    private final Function<Long, Long> spread;
+
+    /**
+     * Creates a writer.
+     *
+     * @param store the platform's store
+     * @param timer waits between tries
+     * @param key key of the document
+     * @param facts tells the document in force and the members' protocol levels
+     * @param tokens makes unique tokens
+     * @param spread spreads a delay in milliseconds at random
+     */
+    public ConfigurationWriter(
+            ConfigurationStore store,
+            Timer timer,
+            String key,
+            SharedFacts facts,
+            Supplier<String> tokens,
+            Function<Long, Long> spread) {
+        this.store = store;
+        this.timer = timer;
+        this.key = key;
+        this.facts = facts;
+        this.tokens = tokens;
+        this.spread = spread;
+    }
+
+    /** Turns the document in force into the wanted one, or says why that cannot be. */
+    @FunctionalInterface
+    public interface Change {
+        /**
+         * Returns the wanted document; generation and writer are set by the writer of the configuration.
+         *
+         * @param current the document to start from; without services if there is none yet
+         */
+        Result<Configuration, String> apply(Configuration current);
+    }
+
+    /**
+     * Makes a change.
+     *
+     * @param change the change; applied again when another change came first
+     * @param callback told the accepted generation, or why there is none
+     */
+    public void change(Change change, Consumer<Result<Long, ChangeError>> callback) {
+        attempt(new Order(change, callback, 0));
+    }
+
+    private record Order(Change change, Consumer<Result<Long, ChangeError>> callback, int conflicts) {
+        private Order afterConflict() {
+            return new Order(change, callback, conflicts + 1);
+        }
+
+        private boolean fail(Kind kind, String detail) {
+            callback.accept(Result.err(new ChangeError(kind, detail)));
+            return false;
+        }
+
+        private boolean accept(long generation) {
+            callback.accept(Result.ok(generation));
+            return true;
+        }
+    }
+
+    private record Draft(String text, long generation, String token, long index) {}
+
+    private void attempt(Order order) {
+        store.read(
+                key,
+                result -> result.fold(
+                        stored -> prepare(order, stored),
+                        _error -> order.fail(Kind.STORE_UNAVAILABLE, "the store does not answer")));
+    }
+
+    private boolean prepare(Order order, Optional<Stored> stored) {
+        Result<Configuration, ChangeError> base = base(stored);
+        return base.fold(
+                current -> order.change()
+                        .apply(current)
+                        .fold(next -> propose(order, current, next, stored), why -> order.fail(Kind.REFUSED, why)),
+                error -> order.fail(error.kind(), error.detail()));
+    }
+
+    // A store that was restored to an earlier state must not make a generation that every process ignores.
+    private Result<Configuration, ChangeError> base(Optional<Stored> stored) {
+        ExchangeView view = facts.view();
+        Optional<String> inForce = view.text();
+        Result<Configuration, ChangeError> kept =
+                stored.map(s -> read(s.value())).orElseGet(() -> Result.ok(Configuration.empty()));
+        boolean behind =
+                kept.value().map(c -> c.generation() < view.generation()).orElse(false);
+        return behind && inForce.isPresent() ? read(inForce.get()) : kept;
+    }
+
+    private static Result<Configuration, ChangeError> read(String text) {
+        return Json.read(text, Configuration.class).fold(Result::ok, why -> Result.err(unreadable(text, why)));
+    }
+
+    private static ChangeError unreadable(String text, String why) {
+        try {
+            Json.LENIENT.readValue(text, Configuration.class);
+            return new ChangeError(Kind.DOCUMENT_TOO_NEW, "this process would lose entries of the document: " + why);
+        } catch (JsonProcessingException _e) {
+            return new ChangeError(Kind.REFUSED, "the stored document cannot be read: " + why);
+        }
+    }
+
+    private boolean propose(Order order, Configuration current, Configuration next, Optional<Stored> stored) {
+        Configuration unchanged = next.withGeneration(current.generation()).withWriter(current.writer());
+        if (stored.isPresent() && unchanged.equals(current)) {
+            return order.accept(current.generation());
+        }
+        int lowest = facts.view().lowestLevel();
+        if (next.requiredLevel() > lowest) {
+            String detail =
+                    "a live member speaks protocol level " + lowest + ", the document needs " + next.requiredLevel();
+            return order.fail(Kind.LEVEL_TOO_HIGH, detail);
+        }
+        String token = tokens.get();
+        long generation = current.generation() + 1;
+        String text =
+                Json.write(next.withGeneration(generation).withWriter(WriterTokens.prepend(token, current.writer())));
+        if (text.getBytes(StandardCharsets.UTF_8).length > VALUE_BYTES) {
+            return order.fail(Kind.TOO_LARGE, "the document would be larger than " + VALUE_BYTES + " bytes");
+        }
+        long index = stored.map(Stored::index).orElse(0L);
+        write(order, new Draft(text, generation, token, index), READS_BACK);
+        return true;
+    }
+
+    private void write(Order order, Draft draft, int readsLeft) {
+        store.compareAndSwap(
+                key,
+                draft.text(),
+                draft.index(),
+                result -> result.fold(
+                        written -> written ? take(order, draft) : settle(order, draft, readsLeft - 1),
+                        _error -> settleLater(order, draft, readsLeft)));
+    }
+
+    private boolean take(Order order, Draft draft) {
+        facts.offerStored(draft.text());
+        return order.accept(draft.generation());
+    }
+
+    private boolean settleLater(Order order, Draft draft, int readsLeft) {
+        if (readsLeft <= 0) {
+            return order.fail(
+                    Kind.UNSETTLED, "generation " + draft.generation() + " was sent, the store does not tell its end");
+        }
+        timer.after(() -> settle(order, draft, readsLeft - 1), spread.apply(READ_BACK_MILLIS));
+        return false;
+    }
+
+    // Also after a refused write, as an earlier try of the same write may have taken effect.
+    private boolean settle(Order order, Draft draft, int readsLeft) {
+        store.read(
+                key,
+                result -> result.fold(
+                        stored -> compare(order, draft, stored, readsLeft),
+                        _error -> settleLater(order, draft, readsLeft)));
+        return false;
+    }
+
+    private boolean compare(Order order, Draft draft, Optional<Stored> stored, int readsLeft) {
+        long index = stored.map(Stored::index).orElse(0L);
+        if (index == draft.index()) {
+            return readsLeft > 0 ? rewrite(order, draft, readsLeft) : settleLater(order, draft, 0);
+        }
+        Optional<Configuration> found = stored.flatMap(s -> lenient(s.value()));
+        if (found.map(c -> WriterTokens.contains(c.writer(), draft.token())).orElse(false)) {
+            return take(order, draft);
+        }
+        if (found.map(c -> c.generation() - draft.generation() >= WriterTokens.KEPT)
+                .orElse(true)) {
+            return order.fail(Kind.UNSETTLED, "too many changes came after generation " + draft.generation());
+        }
+        if (order.conflicts() >= CONFLICTS_ALLOWED) {
+            return order.fail(Kind.TOO_MANY_CONFLICTS, "other changes came first again and again");
+        }
+        timer.after(() -> attempt(order.afterConflict()), spread.apply(CONFLICT_MILLIS));
+        return false;
+    }
+
+    // The same text with the same token and index can take effect once at most, however often it is sent.
+    private boolean rewrite(Order order, Draft draft, int readsLeft) {
+        write(order, draft, readsLeft);
+        return false;
+    }
+
+    private static Optional<Configuration> lenient(String text) {
+        try {
+            return Optional.ofNullable(Json.LENIENT.readValue(text, Configuration.class));
+        } catch (JsonProcessingException _e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/task/FactTasks.java
@@ -0,0 +1,174 @@
+package org.geraniumstand.entry.task;
+
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.entry.settings.Settings;
+import org.geraniumstand.http.CoreInbox;
+import org.geraniumstand.model.evidence.BadMark;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.member.ProtocolLevel;
+import org.geraniumstand.peer.PeerMessage;
+import org.geraniumstand.peer.PeerSettings;
+import org.geraniumstand.peer.exchange.Exchange;
+import org.geraniumstand.peer.net.TcpPeerNetwork;
+import org.geraniumstand.platform.net.HttpCalls;
+import org.geraniumstand.platform.store.ConfigurationStore;
+
+/** Wires the tasks that share facts with the store and with other entry processes. */
+public final class FactTasks implements AutoCloseable {
+    private static final int TOKEN_RADIX = 36;
+
+    private final HttpCalls calls;
+    private final CoreInbox core;
+    private final TcpPeerNetwork peers;
+    private final StoreContact contact;
+    private final MemberRegistration registration;
+    private final BadMarkStore marks;
+    private final ConfigurationWriter writer;
+    private final MoveEnding endings;
+    private final LoadPoll loads;
+    private final ReadinessCheck readiness;
+
+    private FactTasks(Settings settings, ProcessId self, ConfigurationStore store, HttpCalls calls, CoreInbox core) {
+        Random random = new Random(self.hashCode());
+        Timer timer = calls::schedule;
+        String prefix = settings.store().prefix();
+        String key = prefix + "/configuration";
+        this.calls = calls;
+        this.core = core;
+        this.peers = TcpPeerNetwork.open(peerSettings(settings, self));
+        this.contact = new StoreContact(random, System.nanoTime());
+        this.registration = new MemberRegistration(store, timer, prefix + "/members/", peers.self(), peers, contact);
+        this.marks = new BadMarkStore(store, timer, prefix + "/bad/", contact, this::acceptStored);
+        SecureRandom secure = new SecureRandom();
+        this.writer = new ConfigurationWriter(
+                store, timer, key, peers, () -> Long.toUnsignedString(secure.nextLong(), TOKEN_RADIX), contact::spread);
+        this.endings = new MoveEnding(writer, timer, self, peers, contact);
+        this.loads = new LoadPoll(calls, core::tell, random);
+        this.readiness = new ReadinessCheck(peers, contact, ProtocolLevel.CURRENT);
+        subscribe();
+        peers.start();
+        ConfigurationWatch watch = new ConfigurationWatch(store, timer, key, self, peers, contact);
+        calls.schedule(registration::start, 0);
+        calls.schedule(watch::start, 0);
+        calls.schedule(marks::start, 0);
+        calls.schedule(new TickTask(timer, core)::start, 0);
+    }
+
+    /**
+     * Starts the tasks.
+     *
+     * @param settings the settings of this process
+     * @param self this process
+     * @param store the platform's store
+     * @param calls makes calls and waits; its thread owns the tasks' state
+     * @param core told of what the facts say
+     */
+    public static FactTasks start(
+            Settings settings, ProcessId self, ConfigurationStore store, HttpCalls calls, CoreInbox core) {
+        return new FactTasks(settings, self, store, calls, core);
+    }
+
+    /** Returns the network of entry processes. */
+    public TcpPeerNetwork peers() {
+        return peers;
+    }
+
+    /** Returns what changes the configuration. */
+    public ConfigurationWriter writer() {
+        return writer;
+    }
+
+    /** Returns the check whether the shared facts allow this process to serve. */
+    public ReadinessCheck readiness() {
+        return readiness;
+    }
+
+    /**
+     * Carries out an action that concerns the shared facts.
+     *
+     * @param action the action; others are ignored
+     */
+    public void carryOut(Action action) {
+        if (action instanceof Action.SendGrants send) {
+            peers.send(send.to(), new PeerMessage.GrantShare(send.grants()));
+        } else if (action instanceof Action.SendDemands send) {
+            peers.send(send.keeper(), new PeerMessage.DemandShare(send.demands()));
+        } else if (action instanceof Action.ShareEvidence share) {
+            peers.shareEvidence(share.rows());
+        } else if (action instanceof Action.ShareBadMark share) {
+            peers.broadcast(new PeerMessage.BadMarkShare(List.of(share.mark())));
+            calls.schedule(() -> marks.write(share.mark()), 0);
+        } else if (action instanceof Action.KeepServers keep) {
+            loads.keep(keep.servers());
+        } else if (action instanceof Action.EndMove end) {
+            calls.schedule(() -> endings.end(end), 0);
+        }
+    }
+
+    /** Tells all members that this process stops. */
+    public void announceStop() {
+        peers.announceStop();
+    }
+
+    @Override
+    public void close() {
+        registration.end();
+        peers.close();
+    }
+
+    private void subscribe() {
+        peers.onMembers(members -> core.tell(new Observation.MembersSeen(members)));
+        peers.onConfiguration(document -> core.tell(new Observation.ConfigurationAccepted(document)));
+        peers.subscribe(
+                PeerMessage.EvidenceShare.class,
+                (_from, share) -> core.tell(new Observation.EvidenceReceived(share.rows())));
+        peers.subscribe(
+                PeerMessage.BadMarkShare.class,
+                (_from, share) -> core.tell(new Observation.BadMarksReceived(share.marks())));
+        peers.subscribe(
+                PeerMessage.GrantShare.class,
+                (from, share) -> core.tell(new Observation.GrantsReceived(from, share.grants())));
+        peers.subscribe(
+                PeerMessage.DemandShare.class,
+                (_from, share) -> core.tell(new Observation.DemandsReceived(share.demands())));
+    }
+
+    private void acceptStored(List<BadMark> stored) {
+        peers.offerMarks(stored);
+        core.tell(new Observation.BadMarksReceived(stored));
+    }
+
+    private static PeerSettings peerSettings(Settings settings, ProcessId self) {
+        Settings.PeerSettings own = settings.peers();
+        Member member = new Member(
+                self,
+                settings.process().dataCentre(),
+                own.host(),
+                settings.callers().port(),
+                own.port(),
+                settings.operators().port(),
+                ProtocolLevel.CURRENT,
+                false);
+        List<Exchange.Seed> seeds = own.seeds().stream()
+                .map(FactTasks::seed)
+                .flatMap(Optional::stream)
+                .toList();
+        return new PeerSettings(member, own.port(), own.sharedKey(), seeds, self.hashCode());
+    }
+
+    private static Optional<Exchange.Seed> seed(String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            return Optional.of(
+                    new Exchange.Seed(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+        } catch (IndexOutOfBoundsException | NumberFormatException _e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/task/LoadPoll.java
@@ -0,0 +1,142 @@
+package org.geraniumstand.entry.task;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.net.URI;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Consumer;
+import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.fleet.CacheEvent;
+import org.geraniumstand.model.fleet.LoadReport;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.platform.net.HttpAnswer;
+import org.geraniumstand.platform.net.HttpCalls;
+import org.geraniumstand.platform.net.HttpRequest;
+
+/** Polls the load and the cache events of the backend servers that this process keeps; runs on the calls' thread. */
+public final class LoadPoll {
+    private static final long PERIOD_MILLIS = 500;
+    private static final long TIMEOUT_MILLIS = 400;
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    // A server without cache events is asked again in case a newer version of it has them.
+    private static final int ROUNDS_WITHOUT_EVENTS = 120;
+
+    private final HttpCalls calls;
+    private final Consumer<Observation> core;
+    private final Random random;
+    private final Map<ServerId, Kept> kept = new HashMap<>();
+
+    private static final class Kept {
+        private BackendServer server;
+        private long sequence = -1;
+        private int skip;
+
+        private Kept(BackendServer server) {
+            this.server = server;
+        }
+
+        private URI origin() {
+            return URI.create("http://" + server.address() + ":" + server.port());
+        }
+    }
+
+    /**
+     * Creates a poll.
+     *
+     * @param calls makes the calls
+     * @param core told what the servers say
+     * @param random spreads the polls over time
+     */
+    public LoadPoll(HttpCalls calls, Consumer<Observation> core, Random random) {
+        this.calls = calls;
+        this.core = core;
+        this.random = random;
+    }
+
+    /**
+     * Polls exactly these servers from now on; any thread may call it.
+     *
+     * @param servers the servers
+     */
+    public void keep(List<BackendServer> servers) {
+        calls.schedule(() -> replace(servers), 0);
+    }
+
+    private void replace(List<BackendServer> servers) {
+        List<ServerId> ids = servers.stream().map(BackendServer::id).toList();
+        kept.keySet().retainAll(ids);
+        for (BackendServer server : servers) {
+            Kept known = kept.get(server.id());
+            if (known == null) {
+                Kept fresh = new Kept(server);
+                kept.put(server.id(), fresh);
+                calls.schedule(() -> poll(fresh), (long) (random.nextDouble() * PERIOD_MILLIS));
+            } else {
+                known.server = server;
+            }
+        }
+    }
+
+    private void poll(Kept entry) {
+        ServerId id = entry.server.id();
+        if (kept.get(id) != entry) {
+            return;
+        }
+        calls.send(HttpRequest.get(entry.origin(), "/load", TIMEOUT_MILLIS), result -> {
+            Optional<LoadReport> report = result.value().flatMap(LoadPoll::load);
+            core.accept(report.<Observation>map(load -> new Observation.LoadReported(id, load))
+                    .orElseGet(() -> new Observation.LoadUnknown(id)));
+            pollEvents(entry, report.isPresent());
+        });
+        calls.schedule(() -> poll(entry), PERIOD_MILLIS * 3 / 4 + (long) (random.nextDouble() * PERIOD_MILLIS / 2));
+    }
+
+    private void pollEvents(Kept entry, boolean answers) {
+        if (entry.skip > 0 || !answers) {
+            entry.skip = Math.max(0, entry.skip - 1);
+            return;
+        }
+        String path = "/cache-events?after=" + entry.sequence;
+        calls.send(
+                HttpRequest.get(entry.origin(), path, TIMEOUT_MILLIS),
+                result -> result.value().ifPresent(answer -> accept(entry, answer)));
+    }
+
+    private void accept(Kept entry, HttpAnswer answer) {
+        if (answer.status() == NOT_FOUND) {
+            entry.skip = ROUNDS_WITHOUT_EVENTS;
+            return;
+        }
+        for (CacheEvent event : events(answer)) {
+            if (event.sequence() > entry.sequence) {
+                entry.sequence = event.sequence();
+                core.accept(new Observation.CacheChanged(event));
+            }
+        }
+    }
+
+    private static Optional<LoadReport> load(HttpAnswer answer) {
+        return answer.status() == OK ? read(answer, LoadReport.class) : Optional.empty();
+    }
+
+    private static List<CacheEvent> events(HttpAnswer answer) {
+        if (answer.status() != OK) {
+            return List.of();
+        }
+        return read(answer, CacheEvent[].class).map(List::of).orElseGet(List::of);
+    }
+
+    private static <T> Optional<T> read(HttpAnswer answer, Class<T> type) {
+        try {
+            return Optional.ofNullable(Json.LENIENT.readValue(answer.text(), type));
+        } catch (JsonProcessingException _e) {
+            return Optional.empty();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/task/MemberRegistration.java
@@ -0,0 +1,157 @@
+package org.geraniumstand.entry.task;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.peer.SharedFacts;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.platform.store.ConfigurationStore.Lease;
+import org.geraniumstand.platform.store.StoreError;
+
+/** Keeps this process registered in the store by a lease, and reads now and then who else is. */
+public final class MemberRegistration {
+    private static final Log LOG = Log.of(MemberRegistration.class);
+    private static final long LEASE_MILLIS = 15_000;
+    private static final long RENEW_MILLIS = 4_000;
+    private static final long LIST_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long LIST_ALONE_NANOS = TimeUnit.SECONDS.toNanos(2);
+
+    private final ConfigurationStore store;
+    private final Timer timer;
+    private final String prefix;
+    private final Member self;
+    private final SharedFacts facts;
+    private final StoreContact contact;
+    private Optional<Lease> lease = Optional.empty();
+    private long listedNanos;
+
+    /**
+     * Creates a registration.
+     *
+     * @param store the platform's store
+     * @param timer waits between calls
+     * @param prefix prefix of the members' keys, ends with a slash
+     * @param self this process
+     * @param facts told who is registered
+     * @param contact told whether the store answers
+     */
+    public MemberRegistration(
+            ConfigurationStore store,
+            Timer timer,
+            String prefix,
+            Member self,
+            SharedFacts facts,
+            StoreContact contact) {
+        this.store = store;
+        this.timer = timer;
+        this.prefix = prefix;
+        this.self = self;
+        this.facts = facts;
+        this.contact = contact;
+    }
+
+    /** Starts; it goes on until the timer stops. */
+    public void start() {
+        list();
+        open();
+    }
+
+    /** Ends the registration. */
+    public void end() {
+        lease.ifPresent(held -> store.closeLease(held, _result -> {}));
+    }
+
+    private void open() {
+        store.openLease(LEASE_MILLIS, result -> result.fold(this::register, this::reopen));
+    }
+
+    private boolean register(Lease opened) {
+        store.acquire(
+                prefix + self.id(),
+                Json.write(self),
+                opened,
+                result -> result.fold(
+                        held -> {
+                            contact.onAnswer();
+                            lease = held ? Optional.of(opened) : Optional.empty();
+                            LOG.info("member-registered", Field.of("process", self.id()), Field.of("held", held));
+                            renewLater();
+                            return held;
+                        },
+                        this::reopen));
+        return true;
+    }
+
+    private void renewLater() {
+        timer.after(this::renew, contact.spread(RENEW_MILLIS));
+    }
+
+    private void renew() {
+        listIfDue();
+        if (lease.isEmpty()) {
+            open();
+            return;
+        }
+        store.renewLease(
+                lease.get(),
+                result -> result.fold(
+                        _held -> {
+                            contact.onAnswer();
+                            renewLater();
+                            return true;
+                        },
+                        this::onRenewFailed));
+    }
+
+    private boolean onRenewFailed(StoreError error) {
+        if (error == StoreError.LEASE_LOST) {
+            contact.onAnswer();
+            lease = Optional.empty();
+            open();
+        } else {
+            timer.after(this::renew, contact.onFailure());
+        }
+        return false;
+    }
+
+    private boolean reopen(StoreError _error) {
+        timer.after(this::open, contact.onFailure());
+        return false;
+    }
+
+    private void listIfDue() {
+        boolean alone = facts.view().members().size() <= 1;
+        if (System.nanoTime() - listedNanos > (alone ? LIST_ALONE_NANOS : LIST_NANOS)) {
+            list();
+        }
+    }
+
+    private void list() {
+        listedNanos = System.nanoTime();
+        store.list(
+                prefix,
+                result -> result.value().ifPresent(entries -> {
+                    contact.onAnswer();
+                    facts.offerListed(members(entries));
+                }));
+    }
+
+    private static List<Member> members(List<ConfigurationStore.Entry> entries) {
+        return entries.stream().flatMap(MemberRegistration::member).toList();
+    }
+
+    private static Stream<Member> member(ConfigurationStore.Entry entry) {
+        try {
+            return Stream.of(Json.LENIENT.readValue(entry.stored().value(), Member.class));
+        } catch (JsonProcessingException e) {
+            LOG.warn("member-unreadable", Field.of("key", entry.key()), Field.of("reason", e.getOriginalMessage()));
+            return Stream.empty();
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/task/MoveEnding.java
@@ -0,0 +1,136 @@
+package org.geraniumstand.entry.task;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.membership.Rendezvous;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.MoveState;
+import org.geraniumstand.model.config.Service;
+import org.geraniumstand.model.config.VersionMove;
+import org.geraniumstand.model.id.MoveId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.peer.SharedFacts;
+import org.geraniumstand.platform.log.Log;
+
+/**
+ * Records the end of version moves in the configuration.
+ *
+ * <p>Every process may come to the same end; they try one after the other, and the first one's record stands.
+ */
+public final class MoveEnding {
+    private static final Log LOG = Log.of(MoveEnding.class);
+    private static final long TURN_MILLIS = 300;
+    private static final int LAST_TURN = 20;
+
+    private final ConfigurationWriter writer;
+    private final Timer timer;
+    private final ProcessId self;
+    private final SharedFacts facts;
+    private final StoreContact contact;
+    private final Set<MoveId> underWay = new HashSet<>();
+
+    /**
+     * Creates the recorder.
+     *
+     * @param writer changes the configuration
+     * @param timer waits between tries
+     * @param self this process
+     * @param facts tells the members
+     * @param contact spaces the tries while the store is out
+     */
+    public MoveEnding(
+            ConfigurationWriter writer, Timer timer, ProcessId self, SharedFacts facts, StoreContact contact) {
+        this.writer = writer;
+        this.timer = timer;
+        this.self = self;
+        this.facts = facts;
+        this.contact = contact;
+    }
+
+    /**
+     * Records an end; tries until the store answers. Called on the timer's thread.
+     *
+     * @param end the end
+     */
+    public void end(Action.EndMove end) {
+        if (underWay.add(end.move())) {
+            timer.after(() -> write(end), turn(end.move()) * TURN_MILLIS);
+        }
+    }
+
+    /**
+     * Returns the document in which a move has ended.
+     *
+     * @param current the document
+     * @param end the end
+     * @return the changed document, the same one if the move had ended before, or an error for an unknown move
+     */
+    public static Result<Configuration, String> apply(Configuration current, Action.EndMove end) {
+        List<VersionMove> moves = new ArrayList<>(current.moves());
+        for (int i = 0; i < moves.size(); i++) {
+            VersionMove move = moves.get(i);
+            if (move.id().equals(end.move())) {
+                if (move.state() != MoveState.UNDER_WAY) {
+                    return Result.ok(current);
+                }
+                moves.set(i, move.ended(end.end(), end.reason()));
+                return Result.ok(current.withMoves(moves).withServices(services(current, move, end.end())));
+            }
+        }
+        return Result.err("the configuration has no move " + end.move());
+    }
+
+    private static List<Service> services(Configuration current, VersionMove move, MoveState end) {
+        return current.services().stream()
+                .map(s -> s.id().equals(move.service())
+                        ? s.withVersion(end == MoveState.DONE ? move.to() : move.from())
+                        : s)
+                .toList();
+    }
+
+    private void write(Action.EndMove end) {
+        writer.change(
+                current -> apply(current, end),
+                result -> result.fold(
+                        generation -> {
+                            underWay.remove(end.move());
+                            LOG.info(
+                                    "move-end-recorded",
+                                    Field.of("move", end.move()),
+                                    Field.of("generation", generation));
+                            return true;
+                        },
+                        error -> retry(end, error)));
+    }
+
+    private boolean retry(Action.EndMove end, ChangeError error) {
+        boolean lasting = error.kind() == ChangeError.Kind.REFUSED;
+        if (lasting) {
+            underWay.remove(end.move());
+        } else {
+            timer.after(() -> write(end), contact.onFailure());
+        }
+        LOG.warn(
+                "move-end-not-recorded",
+                Field.of("move", end.move()),
+                Field.of("reason", error.detail()),
+                Field.of("again", !lasting));
+        return false;
+    }
+
+    private int turn(MoveId move) {
+        List<Member> order = Rendezvous.top("end/" + move, facts.view().members(), m -> m.id().value(), LAST_TURN);
+        for (int i = 0; i < order.size(); i++) {
+            if (order.get(i).id().equals(self)) {
+                return i;
+            }
+        }
+        return LAST_TURN;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/task/WriterTokens.java
@@ -0,0 +1,27 @@
+package org.geraniumstand.entry.task;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** The tokens of a document's latest changes, by which a writer whose answer was lost finds its change again. */
+final class WriterTokens {
+    /** Changes whose tokens a document keeps. */
+    static final int KEPT = 16;
+
+    private WriterTokens() {}
+
+    static String prepend(String token, String earlier) {
+        return Stream.concat(Stream.of(token), list(earlier).stream())
+                .limit(KEPT)
+                .collect(Collectors.joining(" "));
+    }
+
+    static boolean contains(String tokens, String token) {
+        return list(tokens).contains(token);
+    }
+
+    private static List<String> list(String tokens) {
+        return Stream.of(tokens.split(" ")).filter(t -> !t.isEmpty()).toList();
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/task/ConfigurationWriterTest.java
@@ -0,0 +1,207 @@
+package org.geraniumstand.entry.task;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasItems;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.Stream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.MoveState;
+import org.geraniumstand.model.config.VersionMove;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.MoveId;
+import org.geraniumstand.model.id.PresetId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.platform.json.Json;
+import org.junit.jupiter.api.Test;
+
+final class ConfigurationWriterTest {
+    private static final String KEY = "g/configuration";
+    private static final long LONG_MILLIS = 600_000;
+
+    private final VirtualTimer timer = new VirtualTimer();
+    private final FakeFacts facts = new FakeFacts();
+    private final FakeStore store = new FakeStore(timer, new Random(1));
+    private final List<Result<Long, ChangeError>> results = new ArrayList<>();
+    private int tokens;
+
+    @Test
+    void theFirstDocumentGetsTheFirstGeneration() {
+        change(writer(store), c -> Result.ok(c.withPreset(new PresetId("day"))));
+        assertThat(results, is(List.of(Result.ok(1L))));
+        assertThat(document(store).presetInForce(), is(new PresetId("day")));
+        assertThat(facts.stored(), hasSize(1));
+    }
+
+    @Test
+    void aChangeThatChangesNothingIsAcceptedWithoutAWrite() {
+        change(writer(store), c -> Result.ok(c.withPreset(new PresetId("day"))));
+        change(writer(store), c -> Result.ok(c.withPreset(new PresetId("day"))));
+        assertThat(results, is(List.of(Result.ok(1L), Result.ok(1L))));
+    }
+
+    @Test
+    void aRefusingChangeWritesNothing() {
+        change(writer(store), _c -> Result.err("no such preset"));
+        assertThat(kind(results.get(0)), is(Optional.of(ChangeError.Kind.REFUSED)));
+        assertThat(store.value(KEY), is(Optional.empty()));
+    }
+
+    @Test
+    void aLevelAboveTheLowestMemberIsRefused() {
+        facts.members(List.of(member("a", 1), member("b", 2)));
+        change(writer(store), ConfigurationWriterTest::needingLevelTwo);
+        assertThat(kind(results.get(0)), is(Optional.of(ChangeError.Kind.LEVEL_TOO_HIGH)));
+        facts.members(List.of(member("b", 2)));
+        change(writer(store), ConfigurationWriterTest::needingLevelTwo);
+        assertThat(results.get(1), is(Result.ok(1L)));
+    }
+
+    @Test
+    void anOutageBeforeTheWriteIsToldAsSuch() {
+        store.out(true);
+        change(writer(store), c -> Result.ok(c.withPreset(new PresetId("day"))));
+        assertThat(kind(results.get(0)), is(Optional.of(ChangeError.Kind.STORE_UNAVAILABLE)));
+    }
+
+    @Test
+    void aRestoredStoreDoesNotLeadToAGenerationThatIsIgnored() {
+        store.put(KEY, Json.write(Configuration.empty().withGeneration(3)));
+        Configuration inForce = Configuration.empty().withGeneration(9).withPreset(new PresetId("peak"));
+        facts.inForce(9, Json.write(inForce));
+        change(writer(store), c -> Result.ok(c.withMoves(List.of(move("m")))));
+        assertThat(results, is(List.of(Result.ok(10L))));
+        assertThat(document(store).presetInForce(), is(new PresetId("peak")));
+    }
+
+    @Test
+    void entriesThatThisProcessDoesNotKnowAreNotLost() {
+        String newer = Json.write(Configuration.empty().withGeneration(2)).replaceFirst("\\{", "{\"added\":1,");
+        store.put(KEY, newer);
+        change(writer(store), c -> Result.ok(c.withPreset(new PresetId("day"))));
+        assertThat(kind(results.get(0)), is(Optional.of(ChangeError.Kind.DOCUMENT_TOO_NEW)));
+        assertThat(store.value(KEY).orElseThrow(), containsString("added"));
+    }
+
+    @Test
+    void theEndOfAMoveIsRecordedOnceHoweverManyProcessesRecordIt() {
+        store.put(KEY, Json.write(Configuration.empty().withGeneration(1).withMoves(List.of(move("m")))));
+        Action.EndMove done = new Action.EndMove(new MoveId("m"), MoveState.DONE, "all traffic moved");
+        Action.EndMove bad = new Action.EndMove(new MoveId("m"), MoveState.WITHDRAWN, "it fails");
+        List<ProcessId> processes = Stream.of("a", "b", "c").map(ProcessId::new).toList();
+        facts.members(Stream.of("a", "b", "c").map(n -> member(n, 1)).toList());
+        store.out(true);
+        for (ProcessId process : processes) {
+            StoreContact contact = new StoreContact(new Random(1), 0);
+            MoveEnding ending = new MoveEnding(writer(store), timer, process, facts, contact);
+            ending.end(process.value().equals("b") ? bad : done);
+        }
+        timer.runUntil(LONG_MILLIS);
+        store.out(false);
+        timer.runUntil(2 * LONG_MILLIS);
+        assertThat(document(store).generation(), is(2L));
+        assertThat(document(store).moves().get(0).state() == MoveState.UNDER_WAY, is(false));
+    }
+
+    /** Each accepted change is in the document once, each refused one never, whatever answers get lost. */
+    @Property(tries = 300, seed = "42")
+    void racingOperatorsLoseNoChangeAndRepeatNone(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 2, max = 6) int operators,
+            @ForAll @IntRange(max = 6) int tenths) {
+        VirtualTimer time = new VirtualTimer();
+        FakeStore racy = new FakeStore(time, new Random(seed));
+        racy.faults(tenths / 10.0);
+        Map<String, Result<Long, ChangeError>> told = new HashMap<>();
+        for (int i = 0; i < operators; i++) {
+            String name = "move-" + i;
+            ConfigurationWriter writer = writer(racy, time, new FakeFacts(), new Random(seed + i));
+            time.after(() -> writer.change(current -> add(current, name), result -> told.put(name, result)), 3L * i);
+        }
+        time.runUntil(LONG_MILLIS);
+        Configuration last = racy.value(KEY).map(ConfigurationWriterTest::parse).orElseGet(Configuration::empty);
+        List<String> present = last.moves().stream().map(m -> m.id().value()).toList();
+        List<String> accepted = told.keySet().stream()
+                .filter(name -> told.get(name).value().isPresent())
+                .toList();
+        List<String> possible = told.keySet().stream()
+                .filter(name ->
+                        accepted.contains(name) || kind(told.get(name)).equals(Optional.of(ChangeError.Kind.UNSETTLED)))
+                .toList();
+        assertThat(told.size(), is(operators));
+        assertThat(present, hasItems(accepted.toArray(new String[0])));
+        assertThat(possible, hasItems(present.toArray(new String[0])));
+        assertThat(present, containsInAnyOrder(present.stream().distinct().toArray()));
+        assertThat(last.generation(), is((long) present.size()));
+    }
+
+    private static Result<Configuration, String> add(Configuration current, String name) {
+        List<VersionMove> moves = new ArrayList<>(current.moves());
+        moves.add(move(name));
+        return Result.ok(current.withMoves(moves));
+    }
+
+    private static Result<Configuration, String> needingLevelTwo(Configuration current) {
+        return Result.ok(parse(Json.write(current).replace("\"requiredLevel\":0", "\"requiredLevel\":2")));
+    }
+
+    private void change(ConfigurationWriter writer, ConfigurationWriter.Change change) {
+        writer.change(change, results::add);
+        timer.runUntil(LONG_MILLIS * (results.size() + 1));
+    }
+
+    private ConfigurationWriter writer(FakeStore used) {
+        return writer(used, timer, facts, new Random(5));
+    }
+
+    private ConfigurationWriter writer(FakeStore used, VirtualTimer time, FakeFacts known, Random random) {
+        return new ConfigurationWriter(
+                used, time, KEY, known, () -> "t" + ++tokens, millis -> 1 + (long) (random.nextDouble() * millis));
+    }
+
+    private static Optional<ChangeError.Kind> kind(Result<Long, ChangeError> result) {
+        return result.error().map(ChangeError::kind);
+    }
+
+    private static Configuration document(FakeStore store) {
+        return parse(store.value(KEY).orElseThrow());
+    }
+
+    private static Configuration parse(String text) {
+        return Json.read(text, Configuration.class).value().orElseThrow();
+    }
+
+    private static Member member(String name, int level) {
+        return new Member(new ProcessId(name), new DataCentreId("dc"), "127.0.0.1", 1, 2, 3, level, false);
+    }
+
+    private static VersionMove move(String name) {
+        return new VersionMove(
+                new MoveId(name),
+                new ServiceId("s"),
+                new VersionId("1"),
+                new VersionId("2"),
+                0,
+                1,
+                1,
+                MoveState.UNDER_WAY,
+                "");
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/task/FakeStore.java
@@ -0,0 +1,177 @@
+package org.geraniumstand.entry.task;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.platform.store.StoreError;
+import org.geraniumstand.platform.store.Stored;
+
+/** A store in memory that loses calls, loses answers, and carries writes out after their answers were given up. */
+final class FakeStore implements ConfigurationStore {
+    private static final long TIMEOUT_MILLIS = 2_000;
+    private static final long LATE_MILLIS = 4_000;
+    private static final double EACH = 1.0 / 3;
+
+    private final VirtualTimer timer;
+    private final Random random;
+    private final Map<String, Stored> values = new HashMap<>();
+    private final Map<String, String> owners = new HashMap<>();
+    private final Set<String> leases = new HashSet<>();
+    private final List<Object> lostAnswers = new ArrayList<>();
+    private double faults;
+    private boolean out;
+    private long index = 1;
+    private int calls;
+
+    FakeStore(VirtualTimer timer, Random random) {
+        this.timer = timer;
+        this.random = random;
+    }
+
+    /** Sets the share of calls that go wrong. */
+    void faults(double share) {
+        faults = share;
+    }
+
+    /** Takes the store out or brings it back. */
+    void out(boolean isOut) {
+        out = isOut;
+    }
+
+    int calls() {
+        return calls;
+    }
+
+    Optional<String> value(String key) {
+        return Optional.ofNullable(values.get(key)).map(Stored::value);
+    }
+
+    void put(String key, String value) {
+        index++;
+        values.put(key, new Stored(value, index));
+    }
+
+    /** Lets all leases lapse. */
+    void lapse() {
+        leases.clear();
+        owners.keySet().forEach(values::remove);
+        owners.clear();
+    }
+
+    @Override
+    public void read(String key, Consumer<Result<Optional<Stored>, StoreError>> callback) {
+        call(() -> Result.ok(Optional.ofNullable(values.get(key))), callback);
+    }
+
+    @Override
+    public void list(String prefix, Consumer<Result<List<Entry>, StoreError>> callback) {
+        call(() -> Result.ok(entries(prefix)), callback);
+    }
+
+    @Override
+    public void watch(String prefix, long _known, Consumer<Result<Watched, StoreError>> callback) {
+        call(() -> Result.ok(new Watched(entries(prefix), index)), callback);
+    }
+
+    @Override
+    public void compareAndSwap(String key, String value, long known, Consumer<Result<Boolean, StoreError>> callback) {
+        call(() -> Result.ok(swap(key, value, known)), callback);
+    }
+
+    @Override
+    public void acquire(String key, String value, Lease lease, Consumer<Result<Boolean, StoreError>> callback) {
+        call(
+                () -> {
+                    boolean held = leases.contains(lease.id());
+                    if (held) {
+                        put(key, value);
+                        owners.put(key, lease.id());
+                    }
+                    return Result.ok(held);
+                },
+                callback);
+    }
+
+    @Override
+    public void openLease(long _ttlMillis, Consumer<Result<Lease, StoreError>> callback) {
+        call(
+                () -> {
+                    index++;
+                    Lease lease = new Lease("lease-" + index);
+                    leases.add(lease.id());
+                    return Result.ok(lease);
+                },
+                callback);
+    }
+
+    @Override
+    public void renewLease(Lease lease, Consumer<Result<Lease, StoreError>> callback) {
+        call(() -> leases.contains(lease.id()) ? Result.ok(lease) : Result.err(StoreError.LEASE_LOST), callback);
+    }
+
+    @Override
+    public void closeLease(Lease lease, Consumer<Result<Lease, StoreError>> callback) {
+        call(
+                () -> {
+                    leases.remove(lease.id());
+                    owners.entrySet()
+                            .removeIf(e -> e.getValue().equals(lease.id()) && values.remove(e.getKey()) != null);
+                    return Result.ok(lease);
+                },
+                callback);
+    }
+
+    @Override
+    public void close() {}
+
+    private List<Entry> entries(String prefix) {
+        return values.entrySet().stream()
+                .filter(e -> e.getKey().startsWith(prefix))
+                .map(e -> new Entry(e.getKey(), e.getValue()))
+                .toList();
+    }
+
+    private boolean swap(String key, String value, long known) {
+        long current = Optional.ofNullable(values.get(key)).map(Stored::index).orElse(0L);
+        if (current != known) {
+            return false;
+        }
+        put(key, value);
+        return true;
+    }
+
+    private <T> void call(Supplier<Result<T, StoreError>> effect, Consumer<Result<T, StoreError>> callback) {
+        calls++;
+        Runnable lost = () -> callback.accept(Result.err(StoreError.UNAVAILABLE));
+        if (out) {
+            timer.after(lost, TIMEOUT_MILLIS);
+            return;
+        }
+        if (random.nextDouble() >= faults) {
+            timer.after(() -> answer(effect, callback), 1 + random.nextInt(5));
+            return;
+        }
+        timer.after(lost, TIMEOUT_MILLIS);
+        double kind = random.nextDouble();
+        if (kind < EACH) {
+            timer.after(() -> lostAnswers.add(effect.get()), 1);
+        } else if (kind < 2 * EACH) {
+            timer.after(() -> lostAnswers.add(effect.get()), LATE_MILLIS);
+        }
+    }
+
+    // The effect and the answer lie apart, so that other writers come between them.
+    private <T> void answer(Supplier<Result<T, StoreError>> effect, Consumer<Result<T, StoreError>> callback) {
+        Result<T, StoreError> result = effect.get();
+        timer.after(() -> callback.accept(result), 1 + random.nextInt(5));
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/task/VirtualTimer.java
@@ -0,0 +1,29 @@
+package org.geraniumstand.entry.task;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Runs tasks in the order of their times, without waiting. */
+final class VirtualTimer implements Timer {
+    private final PriorityQueue<Task> tasks =
+            new PriorityQueue<>(Comparator.comparingLong(Task::atMillis).thenComparingLong(Task::number));
+    private long nowMillis;
+    private long count;
+
+    private record Task(long atMillis, long number, Runnable body) {}
+
+    @Override
+    public void after(Runnable task, long delayMillis) {
+        count++;
+        tasks.add(new Task(nowMillis + Math.max(0, delayMillis), count, task));
+    }
+
+    void runUntil(long endMillis) {
+        while (!tasks.isEmpty() && tasks.peek().atMillis() <= endMillis) {
+            Task next = tasks.poll();
+            nowMillis = next.atMillis();
+            next.body().run();
+        }
+        nowMillis = endMillis;
+    }
+}
--- a/model/src/main/java/org/geraniumstand/model/config/Configuration.java
+++ b/model/src/main/java/org/geraniumstand/model/config/Configuration.java
@@ -48,6 +48,45 @@
         writer = writer == null ? "" : writer;
     }
 
+    /**
+     * Creates a document that no change has been recorded in.
+     *
+     * @param generation grows by one with each accepted change
+     * @param requiredLevel lowest protocol level that a process needs to apply the document
+     * @param presetInForce the preset in force
+     * @param presets all presets
+     * @param services all services
+     * @param routes all routes
+     * @param teams all teams
+     * @param pools classes of hosts and their prices
+     * @param dataCentresOut data centres that take no new work
+     * @param moves declared version moves, ended ones included
+     */
+    public Configuration(
+            long generation,
+            int requiredLevel,
+            PresetId presetInForce,
+            List<Preset> presets,
+            List<Service> services,
+            List<Route> routes,
+            List<Team> teams,
+            List<HostPool> pools,
+            Set<DataCentreId> dataCentresOut,
+            List<VersionMove> moves) {
+        this(
+                generation,
+                requiredLevel,
+                presetInForce,
+                presets,
+                services,
+                routes,
+                teams,
+                pools,
+                dataCentresOut,
+                moves,
+                "");
+    }
+
     private static <T> List<T> copy(List<T> list) {
         return list == null ? List.of() : List.copyOf(list);
     }
@@ -198,9 +237,7 @@
                 tokens);
     }
 
-    /**
-     * Returns an empty document without a generation.
-     */
+    /** Returns an empty document without a generation. */
     public static Configuration empty() {
         return new Configuration(
                 0, 0, null, List.of(), List.of(), List.of(), List.of(), List.of(), Set.of(), List.of(), "");
--- a/peer/src/main/java/org/geraniumstand/peer/net/TcpPeerNetwork.java
+++ b/peer/src/main/java/org/geraniumstand/peer/net/TcpPeerNetwork.java
@@ -73,21 +73,24 @@
     }
 
     /**
-     * Starts to listen and to look for peers.
+     * Opens the listener; nothing is accepted before {@link #start}, so that handlers can be set first.
      *
      * @param settings the settings
      * @throws UncheckedIOException if the address cannot be listened on
      */
-    public static TcpPeerNetwork start(PeerSettings settings) {
+    public static TcpPeerNetwork open(PeerSettings settings) {
         try {
-            TcpPeerNetwork network = new TcpPeerNetwork(settings);
-            network.thread.start();
-            return network;
+            return new TcpPeerNetwork(settings);
         } catch (IOException e) {
             throw new UncheckedIOException("the peer listener cannot be opened", e);
         }
     }
 
+    /** Starts to accept and to look for peers. */
+    public void start() {
+        thread.start();
+    }
+
     /** Returns this process as its peers know it. */
     public Member self() {
         return self;
--- a/peer/src/test/java/org/geraniumstand/peer/net/Nodes.java
+++ b/peer/src/test/java/org/geraniumstand/peer/net/Nodes.java
@@ -26,7 +26,8 @@
 
     TcpPeerNetwork start(String name, int level, String key, List<Exchange.Seed> seeds) {
         Member self = new Member(new ProcessId(name), new DataCentreId("dc-1"), LOOPBACK, 1, 0, 2, level, false);
-        TcpPeerNetwork network = TcpPeerNetwork.start(new PeerSettings(self, 0, key, seeds, name.hashCode()));
+        TcpPeerNetwork network = TcpPeerNetwork.open(new PeerSettings(self, 0, key, seeds, name.hashCode()));
+        network.start();
         running.add(network);
         return network;
     }
