--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.entry;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -10,18 +11,25 @@
 import org.geraniumstand.decisions.TrafficController;
 import org.geraniumstand.decisions.membership.Incarnation;
 import org.geraniumstand.entry.core.Core;
+import org.geraniumstand.entry.metrics.ObservedStore;
+import org.geraniumstand.entry.operator.CheckedChanges;
+import org.geraniumstand.entry.operator.Observability;
+import org.geraniumstand.entry.operator.OperatorApi;
 import org.geraniumstand.entry.operator.OperatorListener;
+import org.geraniumstand.entry.operator.StatusSource;
+import org.geraniumstand.entry.operator.WriterChanges;
 import org.geraniumstand.entry.settings.Settings;
 import org.geraniumstand.entry.task.FactTasks;
 import org.geraniumstand.entry.task.HostListPoll;
 import org.geraniumstand.http.caller.CallerListener;
 import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.status.MemberStatus;
+import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.platform.cloud.HttpHostList;
 import org.geraniumstand.platform.io.Closer;
 import org.geraniumstand.platform.log.Log;
 import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.store.ConfigurationStore;
 import org.geraniumstand.platform.store.HttpConfigurationStore;
 
 /** Wires the tasks of an entry process and gathers what must be closed. */
@@ -31,17 +39,29 @@
     private final Closer closer = new Closer();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AtomicBoolean stopping = new AtomicBoolean();
+    private final Settings settings;
     private final ProcessId self;
+    private final Observability observability;
     private final Core core;
     private final AtomicReference<FactTasks> facts = new AtomicReference<>();
+    private final CheckedChanges changes;
 
     private EntryProcess(Settings settings) {
+        this.settings = settings;
         this.self = Incarnation.name(settings.process().name(), System.currentTimeMillis());
-        this.core = closer.add(Core.start(new TrafficController(self), this::carryOut));
+        this.observability = Observability.of(self);
+        this.core = closer.add(Core.start(new TrafficController(self), this::carryOut, observability.listeners()));
         HttpCalls calls = closer.add(HttpCalls.start("platform"));
-        ConfigurationStore store =
-                new HttpConfigurationStore(calls, settings.store().url());
-        facts.set(closer.add(FactTasks.start(settings, self, store, calls, core)));
+        ObservedStore store = observability.observe(
+                new HttpConfigurationStore(calls, settings.store().url()));
+        FactTasks tasks = closer.add(FactTasks.start(settings, self, store, calls, core));
+        facts.set(tasks);
+        // The writer itself tells the shared facts of accepted documents, which bring them into force.
+        this.changes = new CheckedChanges(
+                new WriterChanges(tasks.writer()),
+                System::currentTimeMillis,
+                () -> tasks.peers().view().lowestLevel(),
+                _accepted -> {});
         new HostListPoll(new HttpHostList(calls, settings.cloud().url()), calls, core).start();
         closer.add(CallerListener.start(
                 self,
@@ -49,8 +69,8 @@
                 settings.callers().port(),
                 settings.callers().ioThreads(),
                 core));
-        closer.add(OperatorListener.start(
-                settings.operators().host(), settings.operators().port(), this::ready));
+        observability.metrics().gauge("geraniumstand_core_messages_waiting", core::depth);
+        closer.add(startOperators(store));
     }
 
     /**
@@ -60,8 +80,8 @@
      */
     public static EntryProcess start(Settings settings) {
         EntryProcess process = new EntryProcess(settings);
-        LOG.info(
-                "process-started",
+        process.observability.note(
+                EventKind.PROCESS_STARTED,
                 Field.of("process", process.self),
                 Field.of("dataCentre", settings.process().dataCentre()));
         return process;
@@ -74,12 +94,12 @@
      */
     public void stopGracefully(long timeoutMillis) {
         stopping.set(true);
-        LOG.info("process-stopping", Field.of("process", self));
+        observability.note(EventKind.PROCESS_STOPPING, Field.of("process", self));
         facts.get().announceStop();
         core.tell(new Observation.StopRequested());
         try {
             boolean clean = stopped.await(timeoutMillis, TimeUnit.MILLISECONDS);
-            LOG.info("process-stopped", Field.of("process", self), Field.of("clean", clean));
+            observability.note(EventKind.PROCESS_STOPPED, Field.of("process", self), Field.of("clean", clean));
         } catch (InterruptedException _e) {
             Thread.currentThread().interrupt();
         }
@@ -90,6 +110,36 @@
         closer.close();
     }
 
+    private OperatorListener startOperators(ObservedStore store) {
+        StatusSource status = new StatusSource(
+                self,
+                settings.process().dataCentre(),
+                core,
+                observability.traffic(),
+                this::members,
+                this::ready,
+                stopping::get,
+                store);
+        OperatorApi api = new OperatorApi(
+                self,
+                core::configuration,
+                changes,
+                status::read,
+                observability.timeline(),
+                observability.metrics()::text,
+                System::currentTimeMillis);
+        return OperatorListener.start(
+                settings.operators().host(),
+                settings.operators().port(),
+                settings.operators().token(),
+                this::ready,
+                api);
+    }
+
+    private List<MemberStatus> members() {
+        return facts.get().members();
+    }
+
     private boolean ready() {
         return core.configuration().isPresent()
                 && !stopping.get()
--- a/entry/src/main/java/org/geraniumstand/entry/task/ConfigurationWriter.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/ConfigurationWriter.java
@@ -6,7 +6,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.Supplier;
-import org.geraniumstand.entry.task.ChangeError.Kind;
+import org.geraniumstand.entry.task.WriteError.Kind;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.peer.SharedFacts;
@@ -75,29 +75,41 @@
      * Makes a change.
      *
      * @param change the change; applied again when another change came first
-     * @param callback told the accepted generation, or why there is none
+     * @param callback told the accepted document, or why there is none
      */
-    public void change(Change change, Consumer<Result<Long, ChangeError>> callback) {
+    public void change(Change change, Consumer<Result<Accepted, WriteError>> callback) {
         attempt(new Order(change, callback, 0));
     }
 
-    private record Order(Change change, Consumer<Result<Long, ChangeError>> callback, int conflicts) {
+    /**
+     * An accepted change.
+     *
+     * @param configuration the document that holds it
+     * @param changed false if the document held it already
+     */
+    public record Accepted(Configuration configuration, boolean changed) {}
+
+    private record Order(Change change, Consumer<Result<Accepted, WriteError>> callback, int conflicts) {
         private Order afterConflict() {
             return new Order(change, callback, conflicts + 1);
         }
 
         private boolean fail(Kind kind, String detail) {
-            callback.accept(Result.err(new ChangeError(kind, detail)));
+            callback.accept(Result.err(new WriteError(kind, detail)));
             return false;
         }
 
-        private boolean accept(long generation) {
-            callback.accept(Result.ok(generation));
+        private boolean accept(Configuration configuration, boolean changed) {
+            callback.accept(Result.ok(new Accepted(configuration, changed)));
             return true;
         }
     }
 
-    private record Draft(String text, long generation, String token, long index) {}
+    private record Draft(Configuration document, String text, String token, long index) {
+        private long generation() {
+            return document.generation();
+        }
+    }
 
     private void attempt(Order order) {
         store.read(
@@ -108,7 +120,7 @@
     }
 
     private boolean prepare(Order order, Optional<Stored> stored) {
-        Result<Configuration, ChangeError> base = base(stored);
+        Result<Configuration, WriteError> base = base(stored);
         return base.fold(
                 current -> order.change()
                         .apply(current)
@@ -117,33 +129,33 @@
     }
 
     // A store that was restored to an earlier state must not make a generation that every process ignores.
-    private Result<Configuration, ChangeError> base(Optional<Stored> stored) {
+    private Result<Configuration, WriteError> base(Optional<Stored> stored) {
         ExchangeView view = facts.view();
         Optional<String> inForce = view.text();
-        Result<Configuration, ChangeError> kept =
+        Result<Configuration, WriteError> kept =
                 stored.map(s -> read(s.value())).orElseGet(() -> Result.ok(Configuration.empty()));
         boolean behind =
                 kept.value().map(c -> c.generation() < view.generation()).orElse(false);
         return behind && inForce.isPresent() ? read(inForce.get()) : kept;
     }
 
-    private static Result<Configuration, ChangeError> read(String text) {
+    private static Result<Configuration, WriteError> read(String text) {
         return Json.read(text, Configuration.class).fold(Result::ok, why -> Result.err(unreadable(text, why)));
     }
 
-    private static ChangeError unreadable(String text, String why) {
+    private static WriteError unreadable(String text, String why) {
         try {
             Json.LENIENT.readValue(text, Configuration.class);
-            return new ChangeError(Kind.DOCUMENT_TOO_NEW, "this process would lose entries of the document: " + why);
+            return new WriteError(Kind.DOCUMENT_TOO_NEW, "this process would lose entries of the document: " + why);
         } catch (JsonProcessingException _e) {
-            return new ChangeError(Kind.REFUSED, "the stored document cannot be read: " + why);
+            return new WriteError(Kind.REFUSED, "the stored document cannot be read: " + why);
         }
     }
 
     private boolean propose(Order order, Configuration current, Configuration next, Optional<Stored> stored) {
         Configuration unchanged = next.withGeneration(current.generation()).withWriter(current.writer());
         if (stored.isPresent() && unchanged.equals(current)) {
-            return order.accept(current.generation());
+            return order.accept(current, false);
         }
         int lowest = facts.view().lowestLevel();
         if (next.requiredLevel() > lowest) {
@@ -152,14 +164,14 @@
             return order.fail(Kind.LEVEL_TOO_HIGH, detail);
         }
         String token = tokens.get();
-        long generation = current.generation() + 1;
-        String text =
-                Json.write(next.withGeneration(generation).withWriter(WriterTokens.prepend(token, current.writer())));
+        Configuration document =
+                next.withGeneration(current.generation() + 1).withWriter(WriterTokens.prepend(token, current.writer()));
+        String text = Json.write(document);
         if (text.getBytes(StandardCharsets.UTF_8).length > VALUE_BYTES) {
             return order.fail(Kind.TOO_LARGE, "the document would be larger than " + VALUE_BYTES + " bytes");
         }
         long index = stored.map(Stored::index).orElse(0L);
-        write(order, new Draft(text, generation, token, index), READS_BACK);
+        write(order, new Draft(document, text, token, index), READS_BACK);
         return true;
     }
 
@@ -175,7 +187,7 @@
 
     private boolean take(Order order, Draft draft) {
         facts.offerStored(draft.text());
-        return order.accept(draft.generation());
+        return order.accept(draft.document(), true);
     }
 
     private boolean settleLater(Order order, Draft draft, int readsLeft) {
--- a/entry/src/main/java/org/geraniumstand/entry/task/FactTasks.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/FactTasks.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.TimeUnit;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.entry.settings.Settings;
@@ -12,9 +13,11 @@
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.member.ProtocolLevel;
+import org.geraniumstand.model.status.MemberStatus;
 import org.geraniumstand.peer.PeerMessage;
 import org.geraniumstand.peer.PeerSettings;
 import org.geraniumstand.peer.exchange.Exchange;
+import org.geraniumstand.peer.exchange.ExchangeView;
 import org.geraniumstand.peer.net.TcpPeerNetwork;
 import org.geraniumstand.platform.net.HttpCalls;
 import org.geraniumstand.platform.store.ConfigurationStore;
@@ -111,6 +114,23 @@
         }
     }
 
+    /** Returns the live members, the generation in force at each and how long ago the store confirmed it. */
+    public List<MemberStatus> members() {
+        ExchangeView view = peers.view();
+        long now = System.nanoTime();
+        long age = view.confirmedNanos()
+                .map(at -> TimeUnit.NANOSECONDS.toMillis(now - at))
+                .orElse(-1L);
+        return view.members().stream()
+                .map(m -> status(m, view.generations().getOrDefault(m.id(), -1L), view.generation(), age))
+                .toList();
+    }
+
+    // How old the confirmation is, is known of the generation in force here.
+    private static MemberStatus status(Member member, long generation, long inForce, long age) {
+        return new MemberStatus(member, generation, generation == inForce ? age : -1);
+    }
+
     /** Tells all members that this process stops. */
     public void announceStop() {
         peers.announceStop();
--- a/entry/src/main/java/org/geraniumstand/entry/task/MoveEnding.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/MoveEnding.java
@@ -98,19 +98,21 @@
         writer.change(
                 current -> apply(current, end),
                 result -> result.fold(
-                        generation -> {
+                        accepted -> {
                             underWay.remove(end.move());
                             LOG.info(
                                     "move-end-recorded",
                                     Field.of("move", end.move()),
-                                    Field.of("generation", generation));
+                                    Field.of(
+                                            "generation",
+                                            accepted.configuration().generation()));
                             return true;
                         },
                         error -> retry(end, error)));
     }
 
-    private boolean retry(Action.EndMove end, ChangeError error) {
-        boolean lasting = error.kind() == ChangeError.Kind.REFUSED;
+    private boolean retry(Action.EndMove end, WriteError error) {
+        boolean lasting = error.kind() == WriteError.Kind.REFUSED;
         if (lasting) {
             underWay.remove(end.move());
         } else {
--- a/entry/src/main/java/org/geraniumstand/entry/task/ChangeError.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/WriteError.java
@@ -6,7 +6,7 @@
  * @param kind the kind of error
  * @param detail what was wrong, for people
  */
-public record ChangeError(Kind kind, String detail) {
+public record WriteError(Kind kind, String detail) {
     /** Kinds of errors. */
     public enum Kind {
         /** The change itself refused the document that it found; nothing was written. */
--- a/entry/src/test/java/org/geraniumstand/entry/task/ConfigurationWriterTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/task/ConfigurationWriterTest.java
@@ -39,7 +39,7 @@
     private final VirtualTimer timer = new VirtualTimer();
     private final FakeFacts facts = new FakeFacts();
     private final FakeStore store = new FakeStore(timer, new Random(1));
-    private final List<Result<Long, ChangeError>> results = new ArrayList<>();
+    private final List<Result<Long, WriteError>> results = new ArrayList<>();
     private int tokens;
 
     @Test
@@ -60,7 +60,7 @@
     @Test
     void aRefusingChangeWritesNothing() {
         change(writer(store), _c -> Result.err("no such preset"));
-        assertThat(kind(results.get(0)), is(Optional.of(ChangeError.Kind.REFUSED)));
+        assertThat(kind(results.get(0)), is(Optional.of(WriteError.Kind.REFUSED)));
         assertThat(store.value(KEY), is(Optional.empty()));
     }
 
@@ -68,7 +68,7 @@
     void aLevelAboveTheLowestMemberIsRefused() {
         facts.members(List.of(member("a", 1), member("b", 2)));
         change(writer(store), ConfigurationWriterTest::needingLevelTwo);
-        assertThat(kind(results.get(0)), is(Optional.of(ChangeError.Kind.LEVEL_TOO_HIGH)));
+        assertThat(kind(results.get(0)), is(Optional.of(WriteError.Kind.LEVEL_TOO_HIGH)));
         facts.members(List.of(member("b", 2)));
         change(writer(store), ConfigurationWriterTest::needingLevelTwo);
         assertThat(results.get(1), is(Result.ok(1L)));
@@ -78,7 +78,7 @@
     void anOutageBeforeTheWriteIsToldAsSuch() {
         store.out(true);
         change(writer(store), c -> Result.ok(c.withPreset(new PresetId("day"))));
-        assertThat(kind(results.get(0)), is(Optional.of(ChangeError.Kind.STORE_UNAVAILABLE)));
+        assertThat(kind(results.get(0)), is(Optional.of(WriteError.Kind.STORE_UNAVAILABLE)));
     }
 
     @Test
@@ -96,7 +96,7 @@
         String newer = Json.write(Configuration.empty().withGeneration(2)).replaceFirst("\\{", "{\"added\":1,");
         store.put(KEY, newer);
         change(writer(store), c -> Result.ok(c.withPreset(new PresetId("day"))));
-        assertThat(kind(results.get(0)), is(Optional.of(ChangeError.Kind.DOCUMENT_TOO_NEW)));
+        assertThat(kind(results.get(0)), is(Optional.of(WriteError.Kind.DOCUMENT_TOO_NEW)));
         assertThat(store.value(KEY).orElseThrow(), containsString("added"));
     }
 
@@ -129,11 +129,13 @@
         VirtualTimer time = new VirtualTimer();
         FakeStore racy = new FakeStore(time, new Random(seed));
         racy.faults(tenths / 10.0);
-        Map<String, Result<Long, ChangeError>> told = new HashMap<>();
+        Map<String, Result<Long, WriteError>> told = new HashMap<>();
         for (int i = 0; i < operators; i++) {
             String name = "move-" + i;
             ConfigurationWriter writer = writer(racy, time, new FakeFacts(), new Random(seed + i));
-            time.after(() -> writer.change(current -> add(current, name), result -> told.put(name, result)), 3L * i);
+            time.after(
+                    () -> writer.change(current -> add(current, name), result -> told.put(name, generation(result))),
+                    3L * i);
         }
         time.runUntil(LONG_MILLIS);
         Configuration last = racy.value(KEY).map(ConfigurationWriterTest::parse).orElseGet(Configuration::empty);
@@ -143,7 +145,7 @@
                 .toList();
         List<String> possible = told.keySet().stream()
                 .filter(name ->
-                        accepted.contains(name) || kind(told.get(name)).equals(Optional.of(ChangeError.Kind.UNSETTLED)))
+                        accepted.contains(name) || kind(told.get(name)).equals(Optional.of(WriteError.Kind.UNSETTLED)))
                 .toList();
         assertThat(told.size(), is(operators));
         assertThat(present, hasItems(accepted.toArray(new String[0])));
@@ -163,7 +165,7 @@
     }
 
     private void change(ConfigurationWriter writer, ConfigurationWriter.Change change) {
-        writer.change(change, results::add);
+        writer.change(change, result -> results.add(generation(result)));
         timer.runUntil(LONG_MILLIS * (results.size() + 1));
     }
 
@@ -176,8 +178,12 @@
                 used, time, KEY, known, () -> "t" + ++tokens, millis -> 1 + (long) (random.nextDouble() * millis));
     }
 
-    private static Optional<ChangeError.Kind> kind(Result<Long, ChangeError> result) {
-        return result.error().map(ChangeError::kind);
+    private static Result<Long, WriteError> generation(Result<ConfigurationWriter.Accepted, WriteError> result) {
+        return result.map(accepted -> accepted.configuration().generation());
+    }
+
+    private static Optional<WriteError.Kind> kind(Result<Long, WriteError> result) {
+        return result.error().map(WriteError::kind);
     }
 
     private static Configuration document(FakeStore store) {
