Give up overdue answers, forget settled requests, and fuzz the controller against a ledger

Cause: the fuzz moved a stream of a reclaimed host after its caller's deadline, since nothing ended attempts whose callers had stopped waiting. The core also kept the mailbox of an order whose server answered with an error of its own. Ruled out: the waiting queue, which refuses late requests on each tick. Before: ControllerFuzzTest red within 400 sequences ("the deadline has passed"), and red on the first controller ("the server is cold, load 2"). After: 400 sequences green.

--- a/decisions/src/main/java/org/geraniumstand/decisions/Action.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/Action.java
@@ -42,6 +42,13 @@
      */
     record Refuse(RequestId request, Refusal refusal) implements Action {}
 
+    /**
+     * Forget a request: it has its answer or needs none, and no action about it follows.
+     *
+     * @param request the request
+     */
+    record Settle(RequestId request) implements Action {}
+
     /**
      * End an attempt and close its connection.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
@@ -7,6 +7,7 @@
 import org.geraniumstand.decisions.flow.Attempts;
 import org.geraniumstand.decisions.flow.Endings;
 import org.geraniumstand.decisions.flow.Intake;
+import org.geraniumstand.decisions.flow.Overdue;
 import org.geraniumstand.decisions.flow.Parts;
 import org.geraniumstand.decisions.flow.Progress;
 import org.geraniumstand.decisions.flow.TrafficReport;
@@ -35,6 +36,7 @@
     private final Attempts attempts;
     private final Intake intake;
     private final Progress progress;
+    private final Overdue overdue;
     private final Endings endings;
     private final Evacuation evacuation;
     private final StopGate gate = new StopGate();
@@ -50,6 +52,7 @@
         this.attempts = new Attempts(parts);
         this.intake = new Intake(parts, attempts);
         this.progress = new Progress(parts);
+        this.overdue = new Overdue(parts);
         this.endings = new Endings(parts, intake);
         this.evacuation = new Evacuation(parts.fleet());
     }
@@ -184,6 +187,7 @@
     private void onTick(Moment now, List<Action> actions) {
         actions.addAll(parts.moves().onTick(now));
         progress.onTick(now, actions);
+        overdue.onTick(now, actions);
         evacuation.onTick(parts.flights().values(), attempts::move, now, actions);
         intake.onTick(now, actions);
         actions.addAll(parts.limits().onTick(intake.waiting(now)));
--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/Endings.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/Endings.java
@@ -49,10 +49,12 @@
         }
         if (flight.waits()) {
             intake.remove(flight);
+            actions.add(new Action.Settle(request));
             return;
         }
         flight.release(true);
         actions.add(new Action.CancelAttempt(request, flight.attempt()));
+        actions.add(new Action.Settle(request));
         intake.drain(flight.facts().service(), now, actions);
     }
 
@@ -78,16 +80,17 @@
             parts.limits().onEnded(state, good);
         }
         if (good) {
-            answered(flight, state, report);
+            answered(flight, state, report, actions);
         } else {
             failed(flight, state, report.end(), leaving, now, actions);
         }
         intake.drain(flight.facts().service(), now, actions);
     }
 
-    private void answered(Flight flight, ServerState state, AttemptReport report) {
+    private void answered(Flight flight, ServerState state, AttemptReport report, List<Action> actions) {
         RequestFacts facts = flight.facts();
         parts.flights().remove(facts.id());
+        actions.add(new Action.Settle(facts.id()));
         parts.work(facts.service()).retries().onSuccess(parts.retryPercent());
         if (report.cachedTokens() >= 0 && !facts.prefixBlocks().isEmpty()) {
             state.onCached(flight.cachedGuess(), report.cachedTokens());
@@ -115,6 +118,7 @@
         parts.flights().remove(facts.id());
         boolean ownAnswer = end == AttemptEnd.SERVER_ERROR && !facts.idempotent();
         if (end == AttemptEnd.CANCELLED || ownAnswer) {
+            actions.add(new Action.Settle(facts.id()));
             return;
         }
         RefusalReason reason = end == AttemptEnd.SILENT ? RefusalReason.SERVER_SILENT : RefusalReason.SERVER_FAILED;
--- a/entry/src/main/java/org/geraniumstand/entry/core/Core.java
+++ b/entry/src/main/java/org/geraniumstand/entry/core/Core.java
@@ -18,9 +18,12 @@
 import org.geraniumstand.http.RequestMailbox;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.id.RequestId;
-import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.request.RequestFacts;
 import org.geraniumstand.model.time.Moment;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.platform.log.Log;
 
 /**
  * The task that owns all decision state: one thread behind a ring of messages.
@@ -29,6 +32,8 @@
  * threads down instead of growing memory.
  */
 public final class Core implements CoreInbox, AutoCloseable {
+    private static final Log LOG = Log.of(Core.class);
+    private static final long RETRY_AFTER_MILLIS = 1_000;
     private static final int RING_SIZE = 16 * 1024;
 
     private final TrafficController controller;
@@ -127,9 +132,22 @@
         message.set(null, null);
         Moment now = new Moment(System.nanoTime(), System.currentTimeMillis());
         listeners.forEach(l -> l.observed(observation));
-        controller.on(observation, now).forEach(this::carryOut);
+        try {
+            controller.on(observation, now).forEach(this::carryOut);
+        } catch (RuntimeException e) {
+            onFault(e, observation);
+        }
         configuration.set(controller.configuration().orElse(null));
-        forgetEnded(observation);
+    }
+
+    /** A fault in one decision must not stop the decisions about all other requests. */
+    private void onFault(Throwable fault, Observation observation) {
+        LOG.warn("decision-failed", Field.of("observation", observation), Field.of("fault", fault));
+        if (observation instanceof Observation.RequestArrived arrived) {
+            RequestId request = arrived.request().id();
+            post(request, new Action.Refuse(request, Refusal.notRun(RefusalReason.NO_SERVER, RETRY_AFTER_MILLIS)));
+            mailboxes.remove(request);
+        }
     }
 
     private void carryOut(Action action) {
@@ -141,6 +159,8 @@
         } else if (action instanceof Action.Refuse refuse) {
             post(refuse.request(), action);
             mailboxes.remove(refuse.request());
+        } else if (action instanceof Action.Settle settle) {
+            mailboxes.remove(settle.request());
         } else {
             effects.accept(action);
         }
@@ -153,15 +173,6 @@
         }
     }
 
-    private void forgetEnded(Observation observation) {
-        if (observation instanceof Observation.RequestAbandoned abandoned) {
-            mailboxes.remove(abandoned.request());
-        } else if (observation instanceof Observation.AttemptEnded ended
-                && ended.report().end() == AttemptEnd.ANSWERED) {
-            mailboxes.remove(ended.request());
-        }
-    }
-
     /** A slot of the ring. */
     private static final class Message {
         private Observation observation;
--- /dev/null
+++ b/proofs/src/test/java/org/geraniumstand/proofs/decisions/ControllerWorld.java
@@ -0,0 +1,199 @@
+package org.geraniumstand.proofs.decisions;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.decisions.TrafficController;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.Priority;
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.fleet.LoadReport;
+import org.geraniumstand.model.fleet.ReclaimNotice;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.HostId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.AttemptReport;
+import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.time.Moment;
+
+/** Drives one controller with random observations and checks each action against a ledger. */
+final class ControllerWorld {
+    static final ProcessId SELF = new ProcessId("p1");
+
+    private static final long REQUEST_PATIENCE_MILLIS = 5_000;
+    private static final long RECLAIM_DUE_MILLIS = 10_000;
+
+    private final TrafficController controller = new TrafficController(SELF);
+    private final Map<RequestId, LedgerEntry> ledger = new TreeMap<>();
+    private final Map<ServerId, Integer> inFlight = new HashMap<>();
+    private final Set<ServerId> provenWarm = new HashSet<>();
+    private final Set<HostId> reclaimed = new HashSet<>();
+    private Map<ServerId, BackendServer> fleet = new TreeMap<>();
+    private Configuration configuration = Fixtures.configuration();
+    private Moment now = new Moment(1_000_000_000L, 1_000_000L);
+    private int nextRequest = 1;
+
+    ControllerWorld() {
+        fleet = Fixtures.fleet();
+        observe(new Observation.ConfigurationAccepted(configuration));
+        observe(new Observation.MembersSeen(
+                List.of(new Member(SELF, new DataCentreId("dc-a"), "127.0.0.1", 1, 2, 3, 1, false))));
+        observe(new Observation.FleetListed(List.copyOf(fleet.values())));
+    }
+
+    void arrive(boolean order) {
+        RequestId id = new RequestId("r" + nextRequest++);
+        RequestFacts facts = new RequestFacts(
+                id,
+                Fixtures.TEAM,
+                order ? Fixtures.DESK : Fixtures.MODEL,
+                order ? Fixtures.ORDERS_ROUTE : Fixtures.CHAT_ROUTE,
+                !order,
+                !order,
+                Priority.INTERACTIVE,
+                now.nanos() + REQUEST_PATIENCE_MILLIS * Moment.NANOS_PER_MILLI,
+                200,
+                50,
+                List.of());
+        ledger.put(id, new LedgerEntry(facts));
+        observe(new Observation.RequestArrived(facts));
+    }
+
+    void endAttempt(int pick, AttemptEnd end) {
+        Optional<LedgerEntry> picked = pickRunning(pick);
+        if (picked.isEmpty()) {
+            return;
+        }
+        LedgerEntry entry = picked.get();
+        int attempt = entry.endAttempt(end);
+        BackendServer server = entry.server();
+        inFlight.merge(server.id(), -1, Integer::sum);
+        if (end == AttemptEnd.ANSWERED) {
+            provenWarm.add(server.id());
+        }
+        AttemptReport report = new AttemptReport(end, 20, 100, end == AttemptEnd.ANSWERED ? 50 : 0, -1);
+        observe(new Observation.AttemptEnded(entry.facts().id(), attempt, report));
+    }
+
+    void abandon(int pick) {
+        pickRunning(pick).ifPresent(entry -> {
+            inFlight.merge(entry.server().id(), -1, Integer::sum);
+            entry.abandon();
+            observe(new Observation.RequestAbandoned(entry.facts().id()));
+        });
+    }
+
+    void markLeaving(int pick) {
+        BackendServer server = pickServer(pick);
+        fleet.put(server.id(), Fixtures.withLeaving(server));
+        observe(new Observation.FleetListed(List.copyOf(fleet.values())));
+    }
+
+    void reclaim(int pick) {
+        reclaimed.add(pickServer(pick).host());
+        long due = now.epochMillis() + RECLAIM_DUE_MILLIS;
+        observe(new Observation.ReclaimsNoticed(
+                reclaimed.stream().map(host -> new ReclaimNotice(host, due)).toList()));
+    }
+
+    void switchDataCentres(Set<DataCentreId> out) {
+        configuration = configuration.withDataCentresOut(out).withGeneration(configuration.generation() + 1);
+        observe(new Observation.ConfigurationAccepted(configuration));
+    }
+
+    void replayOldConfiguration() {
+        observe(new Observation.ConfigurationAccepted(
+                Fixtures.configuration().withGeneration(configuration.generation() - 1)));
+    }
+
+    void reportLoad(int pick, boolean warm) {
+        BackendServer server = pickServer(pick);
+        if (warm) {
+            provenWarm.add(server.id());
+        }
+        int running = inFlight.getOrDefault(server.id(), 0);
+        observe(new Observation.LoadReported(server.id(), new LoadReport(running, 0, warm, 0, 50)));
+    }
+
+    void passTime(long millis) {
+        long left = millis;
+        while (left > 0) {
+            now = now.plus(Duration.ofMillis(Observation.TICK_MILLIS));
+            left -= Observation.TICK_MILLIS;
+            observe(new Observation.Tick());
+        }
+    }
+
+    void stepWallClock(long millis) {
+        now = new Moment(now.nanos(), now.epochMillis() + millis);
+        observe(new Observation.Tick());
+    }
+
+    /** Lets all waiting requests run out of time; none may be left without an answer or an attempt under way. */
+    void settle() {
+        passTime(2 * REQUEST_PATIENCE_MILLIS);
+        ledger.values().forEach(LedgerEntry::requireAnswerOrAttempt);
+    }
+
+    void requireGeneration() {
+        long inForce = controller.configuration().orElseThrow().generation();
+        Require.that(inForce == configuration.generation(), "generation " + inForce + " is in force");
+    }
+
+    private Optional<LedgerEntry> pickRunning(int pick) {
+        List<LedgerEntry> running =
+                ledger.values().stream().filter(LedgerEntry::running).toList();
+        return running.isEmpty() ? Optional.empty() : Optional.of(running.get(pick % running.size()));
+    }
+
+    private BackendServer pickServer(int pick) {
+        List<BackendServer> servers = new ArrayList<>(fleet.values());
+        return servers.get(pick % servers.size());
+    }
+
+    private void observe(Observation observation) {
+        controller.on(observation, now).forEach(this::check);
+    }
+
+    private void check(Action action) {
+        if (action instanceof Action.Dispatch dispatch) {
+            checkDispatch(dispatch);
+        } else if (action instanceof Action.Refuse refuse) {
+            LedgerEntry entry = ledger.get(refuse.request());
+            if (entry.running()) {
+                inFlight.merge(entry.server().id(), -1, Integer::sum);
+            }
+            entry.refuse(refuse.refusal());
+        }
+    }
+
+    private void checkDispatch(Action.Dispatch dispatch) {
+        LedgerEntry entry = ledger.get(dispatch.request());
+        BackendServer server = fleet.get(dispatch.server().id());
+        String what = dispatch.request() + " to " + dispatch.server().id();
+        Require.that(server != null, what + ": the server is not listed");
+        Require.that(!server.leaving(), what + ": the server is leaving");
+        Require.that(!reclaimed.contains(server.host()), what + ": the host is being reclaimed");
+        Require.that(!configuration.dataCentresOut().contains(server.dataCentre()), what + ": the data centre is out");
+        Require.that(now.nanos() < entry.facts().deadlineNanos(), what + ": the deadline has passed");
+        if (entry.running()) {
+            inFlight.merge(entry.server().id(), -1, Integer::sum);
+        }
+        entry.dispatch(dispatch);
+        int load = inFlight.merge(server.id(), 1, Integer::sum);
+        int cold = configuration.service(server.service()).orElseThrow().coldConcurrency();
+        Require.that(provenWarm.contains(server.id()) || load <= cold, what + ": the server is cold, load " + load);
+    }
+}
