--- a/decisions/src/main/java/org/geraniumstand/decisions/evidence/EvidenceLedger.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/evidence/EvidenceLedger.java
@@ -28,6 +28,7 @@
     private final ProcessId self;
     private final Map<EvidenceKey, Tally> rows = new HashMap<>();
     private final Map<Subject, Tally> totals = new HashMap<>();
+    private final Map<ServiceId, List<RouteId>> routes = new HashMap<>();
     private final Set<EvidenceKey> changed = new LinkedHashSet<>();
 
     private record Subject(ServiceId service, VersionId version, RouteId route) {}
@@ -81,7 +82,8 @@
         rows.keySet().removeIf(wanted.negate());
         changed.removeIf(wanted.negate());
         totals.clear();
-        rows.forEach((key, tally) -> totals.merge(subjectOf(key), tally, Tally::plus));
+        routes.clear();
+        rows.forEach((key, tally) -> add(subjectOf(key), tally));
     }
 
     /**
@@ -112,12 +114,7 @@
      * @param service the service
      */
     public List<RouteId> routes(ServiceId service) {
-        return totals.keySet().stream()
-                .filter(subject -> subject.service().equals(service))
-                .map(Subject::route)
-                .distinct()
-                .sorted()
-                .toList();
+        return routes.getOrDefault(service, List.of());
     }
 
     /**
@@ -159,7 +156,18 @@
     private void store(EvidenceKey key, Tally next) {
         Tally held = rows.put(key, next);
         Tally added = held == null ? next : next.minus(held);
-        totals.merge(subjectOf(key), added, Tally::plus);
+        add(subjectOf(key), added);
+    }
+
+    private void add(Subject subject, Tally added) {
+        Tally total = totals.merge(subject, added, Tally::plus);
+        List<RouteId> known = routes.getOrDefault(subject.service(), List.of());
+        if (total == added && !known.contains(subject.route())) {
+            List<RouteId> next = new ArrayList<>(known);
+            next.add(subject.route());
+            next.sort(null);
+            routes.put(subject.service(), List.copyOf(next));
+        }
     }
 
     private static Subject subjectOf(EvidenceKey key) {
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/moves/MoveFixture.java
@@ -0,0 +1,105 @@
+package org.geraniumstand.decisions.moves;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.MoveState;
+import org.geraniumstand.model.config.Preset;
+import org.geraniumstand.model.config.Priority;
+import org.geraniumstand.model.config.Service;
+import org.geraniumstand.model.config.ServiceKind;
+import org.geraniumstand.model.config.VersionMove;
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.HostId;
+import org.geraniumstand.model.id.MoveId;
+import org.geraniumstand.model.id.PresetId;
+import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.id.RouteId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.AttemptReport;
+import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.time.Moment;
+
+/** A service with one move under way, for tests. */
+final class MoveFixture {
+    static final ServiceId SERVICE = new ServiceId("board-model");
+    static final VersionId OLD = new VersionId("v1");
+    static final VersionId NEW = new VersionId("v2");
+    static final MoveId MOVE = new MoveId("move-1");
+    static final RouteId ROUTE = new RouteId("chat");
+
+    private MoveFixture() {}
+
+    static VersionMove move(long lengthMillis) {
+        return new VersionMove(MOVE, SERVICE, OLD, NEW, 0, lengthMillis, 5, MoveState.UNDER_WAY, "");
+    }
+
+    static Configuration configuration(long lengthMillis) {
+        PresetId day = new PresetId("day");
+        return new Configuration(
+                1,
+                1,
+                day,
+                List.of(new Preset(day, 490, 57, 1, 1, 10)),
+                List.of(new Service(SERVICE, ServiceKind.MODEL, OLD, 1, 8, 10_000)),
+                List.of(),
+                List.of(),
+                List.of(),
+                Set.of(),
+                List.of(move(lengthMillis)));
+    }
+
+    static List<BackendServer> fleet() {
+        List<BackendServer> servers = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            servers.add(server(OLD, i));
+            servers.add(server(NEW, i));
+        }
+        return servers;
+    }
+
+    static BackendServer server(VersionId version, int number) {
+        String name = version + "-" + number;
+        return new BackendServer(
+                new ServerId(name),
+                SERVICE,
+                version,
+                new DataCentreId("dc0"),
+                new HostId("h-" + name),
+                "gpu",
+                true,
+                100,
+                "127.0.0.1",
+                1,
+                false);
+    }
+
+    static RequestFacts request(String id) {
+        return new RequestFacts(
+                new RequestId(id),
+                new TeamId("counter"),
+                SERVICE,
+                ROUTE,
+                true,
+                true,
+                Priority.INTERACTIVE,
+                Long.MAX_VALUE / 2,
+                10,
+                10,
+                List.of());
+    }
+
+    static AttemptReport report(AttemptEnd end) {
+        return new AttemptReport(end, 100, 500, end == AttemptEnd.ANSWERED ? 10 : 0, -1);
+    }
+
+    static Moment at(long millis) {
+        return new Moment(millis * Moment.NANOS_PER_MILLI, millis);
+    }
+}
