--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/ClaimReplyCodec.java
@@ -0,0 +1,27 @@
+package org.geraniumstand.peer.codec;
+
+import org.geraniumstand.peer.PeerMessage;
+
+/** Codec of {@link PeerMessage.ClaimReply}. */
+final class ClaimReplyCodec implements MessageCodec<PeerMessage.ClaimReply> {
+    @Override
+    public int number() {
+        return 14;
+    }
+
+    @Override
+    public Class<PeerMessage.ClaimReply> type() {
+        return PeerMessage.ClaimReply.class;
+    }
+
+    @Override
+    public void write(FieldWriter out, PeerMessage.ClaimReply message) {
+        out.fields(2).number(message.correlation());
+        OrderRecords.writeVerdict(out, message.verdict());
+    }
+
+    @Override
+    public PeerMessage.ClaimReply read(FieldReader in) {
+        return new PeerMessage.ClaimReply(in.number(), in.record(OrderRecords::readVerdict));
+    }
+}
