--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/task/MemberRegistrationTest.java
@@ -0,0 +1,70 @@
+package org.geraniumstand.entry.task;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Optional;
+import java.util.Random;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.platform.json.Json;
+import org.junit.jupiter.api.Test;
+
+final class MemberRegistrationTest {
+    private static final String PREFIX = "g/members/";
+    private static final Member SELF = member("self");
+    private static final long MINUTE = 60_000;
+
+    private final VirtualTimer timer = new VirtualTimer();
+    private final FakeStore store = new FakeStore(timer, new Random(1));
+    private final FakeFacts facts = new FakeFacts();
+    private final MemberRegistration registration = new MemberRegistration(
+            store, timer, PREFIX, SELF, facts, new StoreContact(new Random(2), System.nanoTime()));
+
+    @Test
+    void aProcessRegistersAndReadsWhoElseIs() {
+        store.put(PREFIX + "other", Json.write(member("other")).replaceFirst("\\{", "{\"added\":1,"));
+        store.put(PREFIX + "broken", "{");
+        registration.start();
+        timer.runUntil(MINUTE);
+        assertThat(store.value(PREFIX + "self").isPresent(), is(true));
+        assertThat(facts.listed(), contains(member("other")));
+    }
+
+    @Test
+    void aLapsedLeaseIsOpenedAgain() {
+        registration.start();
+        timer.runUntil(MINUTE);
+        store.lapse();
+        assertThat(store.value(PREFIX + "self"), is(Optional.empty()));
+        timer.runUntil(2 * MINUTE);
+        assertThat(store.value(PREFIX + "self").isPresent(), is(true));
+    }
+
+    @Test
+    void aProcessThatStartsDuringAnOutageRegistersAfterIt() {
+        store.out(true);
+        registration.start();
+        timer.runUntil(2 * MINUTE);
+        // Pauses grow, so that an outage costs few calls.
+        assertThat(store.calls() < 40, is(true));
+        store.out(false);
+        timer.runUntil(4 * MINUTE);
+        assertThat(store.value(PREFIX + "self").isPresent(), is(true));
+    }
+
+    @Test
+    void theEndOfTheProcessEndsTheRegistration() {
+        registration.start();
+        timer.runUntil(MINUTE);
+        registration.end();
+        timer.runUntil(MINUTE + 100);
+        assertThat(store.value(PREFIX + "self"), is(Optional.empty()));
+    }
+
+    private static Member member(String name) {
+        return new Member(new ProcessId(name), new DataCentreId("dc"), "127.0.0.1", 1, 2, 3, 1, false);
+    }
+}
--- /dev/null
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -0,0 +1,183 @@
+package org.geraniumstand.peer.codec;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.Size;
+import org.geraniumstand.model.evidence.BadMark;
+import org.geraniumstand.model.evidence.EvidenceKey;
+import org.geraniumstand.model.evidence.EvidenceRow;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.MoveId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.RouteId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.limits.Demand;
+import org.geraniumstand.model.limits.Grant;
+import org.geraniumstand.model.member.Confirmation;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.member.MemberNews;
+import org.geraniumstand.model.member.MemberState;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.peer.EncodedMessage;
+import org.geraniumstand.peer.PeerMessage;
+import org.geraniumstand.peer.StreamState;
+import org.junit.jupiter.api.Test;
+
+final class MessageCodecsTest {
+    private static final int UNKNOWN_TYPE = 9_999;
+
+    @Property(tries = 1_000, seed = "11")
+    void whatIsEncodedIsDecoded(@ForAll("messages") PeerMessage message) {
+        assertThat(MessageCodecs.decode(MessageCodecs.encode(message)), is(Result.ok(Optional.of(message))));
+    }
+
+    @Property(tries = 1_000, seed = "12")
+    void aTruncatedMessageIsAnError(@ForAll("messages") PeerMessage message, @ForAll double cut) {
+        byte[] whole = MessageCodecs.encode(message);
+        int length = (int) (Math.abs(cut % 1) * whole.length);
+        assertThat(MessageCodecs.decode(Arrays.copyOf(whole, length)).error().isPresent(), is(true));
+    }
+
+    @Property(tries = 2_000, seed = "13")
+    void randomBytesNeverThrow(@ForAll @Size(max = 300) byte[] bytes) {
+        Result<Optional<PeerMessage>, String> result = MessageCodecs.decode(bytes);
+        assertThat(result.value().isPresent() != result.error().isPresent(), is(true));
+    }
+
+    @Property(tries = 1_000, seed = "14")
+    void damagedMessagesNeverThrow(@ForAll("messages") PeerMessage message, @ForAll int at, @ForAll byte value) {
+        byte[] bytes = MessageCodecs.encode(message);
+        bytes[Math.floorMod(at, bytes.length)] = value;
+        Result<Optional<PeerMessage>, String> result = MessageCodecs.decode(bytes);
+        assertThat(result.value().isPresent() != result.error().isPresent(), is(true));
+    }
+
+    @Test
+    void fieldsOfALaterLevelAreSkipped() {
+        byte[] later = new FieldWriter()
+                .number(9)
+                .fields(4)
+                .text("team")
+                .text("request")
+                .text("added later")
+                .fields(2)
+                .number(1)
+                .flag(true)
+                .toBytes();
+        assertThat(
+                MessageCodecs.decode(later),
+                is(Result.ok(Optional.of(new PeerMessage.StreamTaken("team", "request")))));
+    }
+
+    @Test
+    void fieldsThatAnEarlierLevelLacksAreEmpty() {
+        byte[] earlier =
+                new FieldWriter().number(1).fields(2).number(3).number(4).toBytes();
+        assertThat(MessageCodecs.decode(earlier), is(Result.ok(Optional.of(new PeerMessage.Heartbeat(3, 4, 0, 0, 0)))));
+    }
+
+    @Test
+    void typesOfALaterLevelAreSkipped() {
+        byte[] later =
+                new FieldWriter().number(UNKNOWN_TYPE).fields(1).text("new").toBytes();
+        assertThat(MessageCodecs.decode(later), is(Result.ok(Optional.empty())));
+    }
+
+    @Provide
+    Arbitrary<PeerMessage> messages() {
+        return Arbitraries.oneOf(
+                Combinators.combine(numbers(), numbers(), numbers(), numbers(), numbers())
+                        .as(PeerMessage.Heartbeat::new),
+                news().list().ofMaxSize(5).map(PeerMessage.MemberShare::new),
+                Combinators.combine(processes(), numbers())
+                        .as(Confirmation::new)
+                        .list()
+                        .ofMaxSize(5)
+                        .map(PeerMessage.ConfirmationShare::new),
+                numbers().map(PeerMessage.ConfigurationAsk::new),
+                texts().map(PeerMessage.ConfigurationOffer::new),
+                evidence().list().ofMaxSize(4).map(PeerMessage.EvidenceShare::new),
+                marks().list().ofMaxSize(4).map(PeerMessage.BadMarkShare::new),
+                grants().list().ofMaxSize(4).map(PeerMessage.GrantShare::new),
+                demands().list().ofMaxSize(4).map(PeerMessage.DemandShare::new),
+                streams().map(PeerMessage.StreamHandover::new),
+                Combinators.combine(texts(), texts()).as(PeerMessage.StreamTaken::new),
+                Combinators.combine(processes(), numbers(), contents()).as(PeerMessage.Relayed::new));
+    }
+
+    private static Arbitrary<MemberNews> news() {
+        Arbitrary<Member> members = Combinators.combine(
+                        processes(), names(), texts(), small(), small(), small(), small(), Arbitraries.of(true, false))
+                .as((id, dc, address, a, b, c, level, stopping) ->
+                        new Member(id, new DataCentreId(dc), address, a, b, c, level, stopping));
+        return Combinators.combine(members, numbers(), Arbitraries.of(MemberState.class))
+                .as(MemberNews::new);
+    }
+
+    private static Arbitrary<EvidenceRow> evidence() {
+        Arbitrary<EvidenceKey> keys = Combinators.combine(processes(), names(), names(), names())
+                .as((process, service, version, route) ->
+                        new EvidenceKey(process, new ServiceId(service), new VersionId(version), new RouteId(route)));
+        Arbitrary<List<Long>> buckets =
+                Arbitraries.longs().between(0, 1_000).list().ofMaxSize(48);
+        return Combinators.combine(keys, numbers(), numbers(), buckets).as(EvidenceRow::new);
+    }
+
+    private static Arbitrary<BadMark> marks() {
+        return Combinators.combine(names(), names(), names(), texts())
+                .as((move, service, version, reason) ->
+                        new BadMark(new MoveId(move), new ServiceId(service), new VersionId(version), reason));
+    }
+
+    private static Arbitrary<Grant> grants() {
+        return Combinators.combine(names(), processes(), small(), small(), Arbitraries.of(true, false))
+                .as((server, holder, concurrency, valid, warm) ->
+                        new Grant(new ServerId(server), holder, concurrency, valid, warm));
+    }
+
+    private static Arbitrary<Demand> demands() {
+        return Combinators.combine(names(), processes(), small(), small())
+                .as((server, process, inFlight, wanted) -> new Demand(new ServerId(server), process, inFlight, wanted));
+    }
+
+    private static Arbitrary<StreamState> streams() {
+        return Combinators.combine(texts(), texts(), texts(), texts(), texts(), small(), small(), numbers())
+                .as(StreamState::new);
+    }
+
+    private static Arbitrary<EncodedMessage> contents() {
+        return Arbitraries.bytes().array(byte[].class).ofMaxSize(50).map(EncodedMessage::of);
+    }
+
+    private static Arbitrary<ProcessId> processes() {
+        return names().map(ProcessId::new);
+    }
+
+    private static Arbitrary<String> names() {
+        return Arbitraries.strings().ofMinLength(1).ofMaxLength(12).alpha();
+    }
+
+    private static Arbitrary<String> texts() {
+        return Arbitraries.strings().ofMaxLength(20);
+    }
+
+    private static Arbitrary<Long> numbers() {
+        return Arbitraries.longs();
+    }
+
+    private static Arbitrary<Integer> small() {
+        return Arbitraries.integers();
+    }
+}
--- a/peer/src/test/java/org/geraniumstand/peer/net/TcpPeerNetworkTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/net/TcpPeerNetworkTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import org.geraniumstand.model.evidence.BadMark;
 import org.geraniumstand.model.id.MoveId;
 import org.geraniumstand.model.id.ProcessId;
@@ -96,6 +97,34 @@
         assertThat(older.view().generation(), is(4L));
     }
 
+    @Test
+    void aFrozenNodeDropsOutAndComesBackWithTheNewestConfiguration() throws InterruptedException {
+        List<TcpPeerNetwork> five = nodes.startMany(5);
+        assertThat(Await.until(() -> Nodes.allSee(five, 5)), is(true));
+        five.get(0).offerStored(Nodes.document(1, 1));
+        assertThat(Await.until(() -> Nodes.allHave(five, 1)), is(true));
+        TcpPeerNetwork frozen = five.get(4);
+        CountDownLatch thaw = new CountDownLatch(1);
+        // A handler that blocks stops the thread that owns all its sockets, as a paused process would.
+        frozen.subscribe(PeerMessage.StreamTaken.class, (_from, _message) -> await(thaw));
+        frozen.send(frozen.self().id(), new PeerMessage.StreamTaken("team", "request"));
+        List<TcpPeerNetwork> rest = five.subList(0, 4);
+        assertThat(Await.until(() -> Nodes.allSee(rest, 4)), is(true));
+        five.get(1).offerStored(Nodes.document(2, 1));
+        assertThat(Await.until(() -> Nodes.allHave(rest, 2)), is(true));
+        assertThat(frozen.view().generation(), is(1L));
+        thaw.countDown();
+        assertThat(Await.until(() -> Nodes.allSee(five, 5) && Nodes.allHave(five, 2)), is(true));
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException _e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static BadMark mark() {
         return new BadMark(new MoveId("move"), new ServiceId("service"), new VersionId("2"), "fails");
     }
