--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/StatusReport.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/TrafficReport.java
@@ -12,11 +12,11 @@
 import org.geraniumstand.model.status.ServerStatus;
 
 /** Writes down the decisions' state for operators. */
-public final class StatusReport {
+public final class TrafficReport {
     private static final double UNKNOWN_SHARE = -1;
     private static final int UNKNOWN_BUDGET = -1;
 
-    private StatusReport() {}
+    private TrafficReport() {}
 
     /**
      * Returns what operators see of the state.
