--- a/entry/src/main/java/org/geraniumstand/entry/operator/ConfigurationEdits.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/ConfigurationEdits.java
@@ -43,7 +43,7 @@
                                 + current.get().generation()
                                 + " is in force; start again from `geraniumctl config show`."));
             }
-            return Result.ok(document);
+            return Result.ok(first ? document : onto(current.get(), document));
         };
     }
 
@@ -151,6 +151,11 @@
         });
     }
 
+    /** Returns a document with what only writers change taken from the one in force. */
+    private static Configuration onto(Configuration current, Configuration document) {
+        return document.withGeneration(current.generation()).withWriter(current.writer());
+    }
+
     private static Configuration withVersion(Configuration configuration, VersionMove move) {
         return configuration.withServices(configuration.services().stream()
                 .map(s -> s.id().equals(move.service()) ? s.withVersion(move.to()) : s)
--- a/model/src/test/java/org/geraniumstand/model/config/ConfigurationTest.java
+++ b/model/src/test/java/org/geraniumstand/model/config/ConfigurationTest.java
@@ -31,7 +31,8 @@
             List.of(),
             List.of(),
             Set.of(),
-            List.of(MOVE));
+            List.of(MOVE),
+            "");
 
     @Test
     void findsPresetInForce() {
--- a/operator/src/main/java/org/geraniumstand/operator/command/ConfigShow.java
+++ b/operator/src/main/java/org/geraniumstand/operator/command/ConfigShow.java
@@ -24,7 +24,8 @@
         return connection.with(
                 console,
                 client -> client.get("/v1/configuration", Configuration.class)
-                        .fold(
+                        .map(document -> document.withWriter(""))
+                .fold(
                                 document -> {
                                     console.print(
                                             (json ? Json.write(document) : ConfigurationFile.write(document)).trim());
