Test the operators' listener, settings, time line and metrics; name the missing entry of a document

A number that a document leaves out was answered by Jackson's internal message without the entry's name; the test of bad input showed it. The message now names the entry.

--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/operator/OperatorListenerTest.java
@@ -0,0 +1,219 @@
+package org.geraniumstand.entry.operator;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import org.geraniumstand.entry.metrics.ObservedStore;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.id.PresetId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.operation.ChangeAnswer;
+import org.geraniumstand.model.operation.MoveDeclaration;
+import org.geraniumstand.model.operation.PresetSwitch;
+import org.geraniumstand.model.operation.Problem;
+import org.geraniumstand.model.operation.TimelinePage;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.model.timeline.EventKind;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.platform.net.HttpAnswer;
+import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.platform.net.HttpCalls;
+import org.geraniumstand.platform.net.HttpFailure;
+import org.geraniumstand.platform.net.HttpRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class OperatorListenerTest {
+    private static final String TOKEN = "a-token-of-operators";
+    private static final ProcessId SELF = new ProcessId("p1");
+    private static final long NOW = 1_000_000;
+
+    private final FakeStore store = new FakeStore();
+    private final Observability observability = Observability.of(SELF);
+    private final ObservedStore observed = observability.observe(store);
+    private final CheckedChanges changes =
+            new CheckedChanges(new StoreChanges(observed, "configuration"), () -> NOW, () -> 1, _next -> {});
+    private final OperatorApi api = new OperatorApi(
+            SELF,
+            this::configuration,
+            changes,
+            CompletableFuture::new,
+            observability.timeline(),
+            observability.metrics()::text,
+            () -> NOW);
+    private final HttpCalls calls = HttpCalls.start("test");
+    private final List<String> logged = new CopyOnWriteArrayList<>();
+    private final Handler handler = new RecordingHandler();
+    private OperatorListener listener;
+
+    @BeforeEach
+    void start() {
+        Logger.getLogger("").addHandler(handler);
+        listener = OperatorListener.start(
+                "127.0.0.1", 0, TOKEN, () -> configuration().isPresent(), api);
+    }
+
+    @AfterEach
+    void stop() {
+        listener.close();
+        calls.close();
+        Logger.getLogger("").removeHandler(handler);
+    }
+
+    @Test
+    void refusesWrongAndMissingTokensWithoutLoggingThem() {
+        assertThat(
+                send("GET", "/v1/configuration", "", "Bearer a-wrong-token-of-operators")
+                        .status(),
+                is(401));
+        assertThat(send("GET", "/v1/configuration", "", TOKEN).status(), is(401));
+        assertThat(send("GET", "/metrics", "", "").status(), is(401));
+        assertThat(send("GET", "/unknown", "", "").status(), is(401));
+        assertThat(
+                logged.stream()
+                        .filter(line -> line.contains("event=operator-refused"))
+                        .count(),
+                is(4L));
+        assertThat(logged.stream().filter(line -> line.contains("token-of")).toList(), empty());
+    }
+
+    @Test
+    void answersHealthAndReadinessWithoutToken() {
+        assertThat(send("GET", "/healthz", "", "").status(), is(200));
+        assertThat(send("GET", "/readyz", "", "").status(), is(503));
+        store.put(Json.write(Documents.at(1)));
+        assertThat(send("GET", "/readyz", "", "").status(), is(200));
+    }
+
+    @Test
+    void appliesAndShowsConfiguration() {
+        HttpAnswer answer = send("PUT", "/v1/configuration", Json.write(Documents.at(0)));
+
+        assertThat(answer.status(), is(202));
+        assertThat(read(answer, ChangeAnswer.class).generation(), is(1L));
+        assertThat(read(send("GET", "/v1/configuration", ""), Configuration.class), is(Documents.at(1)));
+    }
+
+    @Test
+    void reportsAllFindingsOfADocumentAndChangesNothing() {
+        Configuration wrong = Documents.at(0).withPreset(new PresetId("night"));
+
+        HttpAnswer answer = send("PUT", "/v1/configuration", Json.write(wrong));
+
+        assertThat(answer.status(), is(422));
+        assertThat(answer.header().apply("Content-Type").orElse(""), is("application/problem+json"));
+        assertThat(read(answer, Problem.class).findings().get(0).path(), is("presetInForce"));
+        assertThat(store.text(), is(""));
+    }
+
+    @Test
+    void refusesBadInputWithTheReason() {
+        assertThat(send("PUT", "/v1/configuration", "{").status(), is(400));
+        String document = Json.write(Documents.at(0));
+        assertThat(
+                send("PUT", "/v1/configuration", document.replace("\"presets\"", "\"persets\""))
+                        .text(),
+                containsString("persets"));
+        assertThat(
+                send("PUT", "/v1/configuration", document.replace("\"generation\":0,", ""))
+                        .text(),
+                containsString("generation: is missing"));
+        assertThat(send("PUT", "/v1/configuration?expected=x", document).text(), containsString("whole number"));
+        assertThat(send("GET", "/v1/timeline?since=yesterday", "").status(), is(400));
+        assertThat(send("PUT", "/v1/presets/in-force", "{\"preset\":\"\"}").status(), is(400));
+        assertThat(send("DELETE", "/v1/configuration", "").status(), is(405));
+        assertThat(send("GET", "/v1/none", "").status(), is(404));
+        assertThat(
+                send("PUT", "/v1/configuration", "x".repeat(OperatorListener.MAX_BODY_BYTES + 1))
+                        .status(),
+                is(413));
+    }
+
+    @Test
+    void switchesPresetAndTakesDataCentreOut() {
+        store.put(Json.write(Documents.at(4)));
+
+        assertThat(
+                send("PUT", "/v1/presets/in-force", Json.write(new PresetSwitch(Documents.PEAK)))
+                        .status(),
+                is(202));
+        assertThat(send("POST", "/v1/data-centres/west-1/out", "").status(), is(202));
+        assertThat(send("POST", "/v1/data-centres/west-2/out", "").status(), is(422));
+        assertThat(send("POST", "/v1/data-centres/west-2/out?force=true", "").status(), is(202));
+        assertThat(send("POST", "/v1/data-centres/west-1/in", "").status(), is(202));
+        assertThat(configuration().orElseThrow().generation(), is(8L));
+    }
+
+    @Test
+    void declaresAndWithdrawsMove() {
+        store.put(Json.write(Documents.at(4)));
+        MoveDeclaration declaration =
+                new MoveDeclaration(null, Documents.MODEL, new VersionId("v2"), 0, NOW + 60_000, 1);
+
+        assertThat(send("POST", "/v1/moves", Json.write(declaration)).status(), is(202));
+        assertThat(send("POST", "/v1/moves/board-model-to-v2/withdraw", "").status(), is(202));
+        assertThat(send("POST", "/v1/moves/none/withdraw", "").status(), is(404));
+    }
+
+    @Test
+    void saysWhenTheStoreIsOut() {
+        store.takeDown();
+
+        assertThat(send("POST", "/v1/data-centres/west-1/out", "").status(), is(503));
+        assertThat(send("GET", "/metrics", "").text(), containsString("geraniumstand_store_failures_total 1\n"));
+        assertThat(
+                read(send("GET", "/v1/timeline", ""), TimelinePage.class)
+                        .events()
+                        .get(0)
+                        .kind(),
+                is(EventKind.STORE_STATE));
+    }
+
+    private Optional<Configuration> configuration() {
+        return Json.read(store.text(), Configuration.class).value();
+    }
+
+    private HttpAnswer send(String method, String path, String body) {
+        return send(method, path, body, "Bearer " + TOKEN);
+    }
+
+    private HttpAnswer send(String method, String path, String body, String authorization) {
+        CompletableFuture<Result<HttpAnswer, HttpFailure>> answer = new CompletableFuture<>();
+        URI origin = URI.create("http://127.0.0.1:" + listener.port());
+        HttpRequest request = new HttpRequest(method, origin, path, List.of(), HttpBody.of(body), 10_000, false);
+        calls.send(
+                authorization.isEmpty() ? request : request.withHeader("Authorization", authorization),
+                answer::complete);
+        return answer.join().value().orElseThrow();
+    }
+
+    private static <T> T read(HttpAnswer answer, Class<T> type) {
+        return Json.read(answer.text(), type).value().orElseThrow();
+    }
+
+    /** Keeps all messages of the log. */
+    private final class RecordingHandler extends Handler {
+        @Override
+        public void publish(LogRecord entry) {
+            logged.add(entry.getMessage());
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/timeline/TimelineTest.java
@@ -0,0 +1,105 @@
+package org.geraniumstand.entry.timeline;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.model.config.Priority;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.id.RouteId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.AttemptReport;
+import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.model.request.RefusalReason;
+import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.time.HybridTime;
+import org.geraniumstand.model.timeline.EventKind;
+import org.geraniumstand.model.timeline.TimelineEvent;
+import org.junit.jupiter.api.Test;
+
+final class TimelineTest {
+    private final AtomicLong wall = new AtomicLong(1_000);
+    private final HybridClock clock = new HybridClock(wall::get);
+    private final Timeline timeline = new Timeline(new ProcessId("p1"), clock);
+    private final TimelineListener listener = new TimelineListener(timeline);
+
+    @Test
+    void keepsNewestStateEventsOnly() {
+        for (int i = 0; i <= Timeline.STATE_EVENTS; i++) {
+            timeline.note(EventKind.MEMBERS_CHANGED, "", List.of());
+        }
+
+        assertThat(timeline.since(0, false).size(), is(Timeline.STATE_EVENTS));
+        assertThat(timeline.dropped(), is(1L));
+    }
+
+    @Test
+    void requestsDoNotPushStateEventsOut() {
+        timeline.note(EventKind.CONFIGURATION_IN_FORCE, "", List.of());
+        for (int i = 0; i < 2 * Timeline.REQUEST_EVENTS; i++) {
+            timeline.noteRequest(EventKind.REQUEST_ANSWERED, "", List::of);
+        }
+
+        assertThat(kinds(timeline.since(0, false)), contains(EventKind.CONFIGURATION_IN_FORCE));
+    }
+
+    @Test
+    void leavesEarlierEventsOut() {
+        timeline.note(EventKind.PROCESS_STARTED, "", List.of());
+        wall.set(2_000);
+        timeline.note(EventKind.PROCESS_STOPPING, "", List.of());
+
+        assertThat(kinds(timeline.since(2_000, false)), contains(EventKind.PROCESS_STOPPING));
+    }
+
+    @Test
+    void explainsRequestByTheCallersNameForIt() {
+        listener.arrived(request(), "counter-7");
+        listener.observed(new Observation.AttemptEnded(
+                new RequestId("r1"), 1, new AttemptReport(AttemptEnd.BROKEN, -1, 5, 0, -1)));
+        listener.decided(new Action.Refuse(new RequestId("r1"), Refusal.unknown(RefusalReason.SERVER_FAILED)));
+        listener.decided(new Action.Refuse(new RequestId("r2"), Refusal.unknown(RefusalReason.SERVER_FAILED)));
+
+        List<TimelineEvent> events = timeline.about("counter-7");
+
+        assertThat(
+                kinds(events), contains(EventKind.REQUEST_ARRIVED, EventKind.ATTEMPT_ENDED, EventKind.REQUEST_REFUSED));
+        assertThat(events.get(2).reason(), is(RefusalReason.SERVER_FAILED.summary()));
+    }
+
+    @Test
+    void timesNeverGoBackAndFollowOtherProcesses() {
+        clock.merge(new HybridTime(5_000, 3));
+
+        assertThat(clock.next(), is(new HybridTime(5_000, 4)));
+        wall.set(6_000);
+        assertThat(clock.next(), is(new HybridTime(6_000, 0)));
+        assertThat(clock.last(), is(new HybridTime(6_000, 0)));
+    }
+
+    private static List<EventKind> kinds(List<TimelineEvent> events) {
+        return events.stream().map(TimelineEvent::kind).toList();
+    }
+
+    private static RequestFacts request() {
+        return new RequestFacts(
+                new RequestId("r1"),
+                new TeamId("counter"),
+                new ServiceId("board-model"),
+                new RouteId("chat"),
+                true,
+                false,
+                Priority.INTERACTIVE,
+                0,
+                10,
+                10,
+                List.of());
+    }
+}
--- a/operator/src/main/java/org/geraniumstand/operator/command/ConfigShow.java
+++ b/operator/src/main/java/org/geraniumstand/operator/command/ConfigShow.java
@@ -25,7 +25,7 @@
                 console,
                 client -> client.get("/v1/configuration", Configuration.class)
                         .map(document -> document.withWriter(""))
-                .fold(
+                        .fold(
                                 document -> {
                                     console.print(
                                             (json ? Json.write(document) : ConfigurationFile.write(document)).trim());
--- a/operator/src/main/java/org/geraniumstand/operator/command/ConfigurationFile.java
+++ b/operator/src/main/java/org/geraniumstand/operator/command/ConfigurationFile.java
@@ -3,17 +3,16 @@
 import com.fasterxml.jackson.core.JsonLocation;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.JsonMappingException;
 import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
 import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.stream.Collectors;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.operator.ExitCode;
 import org.geraniumstand.operator.client.ClientError;
+import org.geraniumstand.platform.json.Json;
 
 /** Reads and writes configurations as YAML, with the names of the JSON document. */
 public final class ConfigurationFile {
@@ -51,10 +50,8 @@
         try {
             Configuration document = MAPPER.readValue(text, Configuration.class);
             return document == null ? wrong(name + ": the file is empty") : Result.ok(document);
-        } catch (JsonMappingException e) {
-            return wrong(name + line(e) + ": " + path(e) + e.getOriginalMessage());
         } catch (JsonProcessingException e) {
-            return wrong(name + line(e) + ": " + e.getOriginalMessage());
+            return wrong(name + line(e) + ": " + Json.explain(e));
         }
     }
 
@@ -76,13 +73,6 @@
         return location == null ? "" : ":" + location.getLineNr();
     }
 
-    private static String path(JsonMappingException e) {
-        String path = e.getPath().stream()
-                .map(step -> step.getFieldName() == null ? "[" + step.getIndex() + "]" : "." + step.getFieldName())
-                .collect(Collectors.joining());
-        return path.isEmpty() ? "" : path.replaceFirst("^\\.", "") + ": ";
-    }
-
     private static <T> Result<T, ClientError> wrong(String message) {
         return Result.err(ClientError.of(ExitCode.USAGE, message));
     }
