Test the operators' commands; name each wrong entry of a configuration file with its own line

Jackson stops at the first wrong entry and gives the line where it noticed it: a test saw line 4 for an entry on line 2, and a message made for programmers. The file is now compared with the record entry by entry first, and all unknown, double and missing entries are reported with their lines.

--- a/operator/src/main/java/org/geraniumstand/operator/command/ConfigurationFile.java
+++ b/operator/src/main/java/org/geraniumstand/operator/command/ConfigurationFile.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.operator.command;
 
 import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
@@ -8,11 +9,15 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.operator.ExitCode;
 import org.geraniumstand.operator.client.ClientError;
 import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.platform.json.RecordShape;
+import org.geraniumstand.platform.json.RecordShape.Mismatch;
 
 /** Reads and writes configurations as YAML, with the names of the JSON document. */
 public final class ConfigurationFile {
@@ -32,26 +37,23 @@
      * @return the document, or what is wrong and where
      */
     public static Result<Configuration, ClientError> read(String file) {
+        String text;
         try {
-            return parse(file, Files.readString(Path.of(file)));
+            text = Files.readString(Path.of(file));
         } catch (IOException _e) {
             return wrong(file + ": the file cannot be read");
         }
-    }
-
-    /**
-     * Reads a text.
-     *
-     * @param name name of the text for messages
-     * @param text the text
-     * @return the document, or what is wrong and where
-     */
-    public static Result<Configuration, ClientError> parse(String name, String text) {
         try {
+            List<Mismatch> mismatches = mismatches(text);
+            if (!mismatches.isEmpty()) {
+                return wrong(lines(file, mismatches));
+            }
             Configuration document = MAPPER.readValue(text, Configuration.class);
-            return document == null ? wrong(name + ": the file is empty") : Result.ok(document);
+            return document == null ? wrong(file + ": the file is empty") : Result.ok(document);
         } catch (JsonProcessingException e) {
-            return wrong(name + line(e) + ": " + Json.explain(e));
+            return wrong(file + line(e) + ": " + Json.explain(e));
+        } catch (IOException _e) {
+            return wrong(file + ": the file is not YAML");
         }
     }
 
@@ -68,6 +70,18 @@
         }
     }
 
+    private static List<Mismatch> mismatches(String text) throws IOException {
+        try (JsonParser parser = MAPPER.createParser(text)) {
+            return RecordShape.mismatches(parser, Configuration.class);
+        }
+    }
+
+    private static String lines(String file, List<Mismatch> mismatches) {
+        return mismatches.stream()
+                .map(m -> file + ":" + m.line() + ": " + m.path() + ": " + m.message())
+                .collect(Collectors.joining("\n"));
+    }
+
     private static String line(JsonProcessingException e) {
         JsonLocation location = e.getLocation();
         return location == null ? "" : ":" + location.getLineNr();
--- /dev/null
+++ b/operator/src/test/java/org/geraniumstand/operator/CommandLineTest.java
@@ -0,0 +1,254 @@
+package org.geraniumstand.operator;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+import static org.hamcrest.Matchers.startsWith;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.geraniumstand.model.config.ConfigurationFinding;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.operation.ChangeAnswer;
+import org.geraniumstand.model.operation.Problem;
+import org.geraniumstand.model.operation.TimelinePage;
+import org.geraniumstand.model.time.HybridTime;
+import org.geraniumstand.model.timeline.EventKind;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.model.timeline.TimelineEvent;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+final class CommandLineTest {
+    private static final ChangeAnswer ACCEPTED = new ChangeAnswer(5, true, List.of());
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+    private final FakeEntry entry = FakeEntry.start();
+    private final FakeEntry other = FakeEntry.start();
+
+    @TempDir
+    private Path folder;
+
+    @AfterEach
+    void stop() {
+        entry.close();
+        other.close();
+    }
+
+    @Test
+    void helpShowsAnExampleOfEachCommand() {
+        assertThat(plain("--help"), is(ExitCode.DONE));
+        for (String example : List.of(
+                "geraniumctl config validate",
+                "geraniumctl config apply",
+                "geraniumctl config show",
+                "geraniumctl preset list",
+                "geraniumctl preset switch",
+                "geraniumctl move declare",
+                "geraniumctl move status",
+                "geraniumctl move withdraw",
+                "geraniumctl data-centre out",
+                "geraniumctl data-centre in",
+                "geraniumctl status",
+                "geraniumctl explain",
+                "geraniumctl timeline")) {
+            assertThat(text(out), containsString(example));
+        }
+    }
+
+    @Test
+    void helpOfACommandShowsItsOptions() {
+        assertThat(plain("move", "declare", "--help"), is(ExitCode.DONE));
+        assertThat(text(out), containsString("--deadline"));
+        assertThat(text(out), containsString("Example: geraniumctl move declare"));
+    }
+
+    @Test
+    void refusesWrongCommandLines() {
+        assertThat(plain(), is(ExitCode.USAGE));
+        assertThat(plain("preset"), is(ExitCode.USAGE));
+        assertThat(plain("preset", "stitch"), is(ExitCode.USAGE));
+        assertThat(plain("preset", "switch"), is(ExitCode.USAGE));
+        assertThat(run("preset", "list", "--entry", "localhost:1"), is(ExitCode.USAGE));
+        assertThat(run("move", "declare", "--service", "s", "--to", "v2", "--deadline", "soon"), is(ExitCode.USAGE));
+        assertThat(text(err), containsString("preset stitch"));
+    }
+
+    @Test
+    void followsChangeUntilItIsInForceEverywhere() {
+        entry.answer("PUT /v1/presets/in-force", 202, ACCEPTED)
+                .answer("GET /v1/status", 200, Reports.report("p1", entry.port(), 5));
+
+        assertThat(run("preset", "switch", "peak"), is(ExitCode.DONE));
+        assertThat(text(out), containsString("Accepted as generation 5."));
+        assertThat(text(out), containsString("in force at all 1 members"));
+        assertThat(entry.asked(), hasItem("PUT /v1/presets/in-force {\"preset\":\"peak\"}"));
+    }
+
+    @Test
+    void namesMembersThatDoNotConfirmInTime() {
+        entry.answer("POST /v1/data-centres/west-1/out", 202, ACCEPTED)
+                .answer("GET /v1/status", 200, Reports.report("p1", entry.port(), 5));
+        other.answer("POST /v1/data-centres/west-1/out", 202, ACCEPTED)
+                .answer("GET /v1/status", 200, Reports.report("p2", other.port(), 4));
+
+        ExitCode code = run("data-centre", "out", "west-1", "--wait", "0.2", "--entry", "127.0.0.1:" + other.port());
+
+        assertThat(code, is(ExitCode.NOT_CONFIRMED));
+        assertThat(text(err), containsString("not confirmed by: p2"));
+    }
+
+    @Test
+    void printsRefusalWithFindings() {
+        ConfigurationFinding finding = ConfigurationFinding.error("presetInForce", "no preset is named night");
+        entry.answer(
+                "PUT /v1/presets/in-force",
+                422,
+                new Problem("about:blank", "The configuration breaks rules.", 422, "invalid", List.of(finding)));
+
+        assertThat(run("preset", "switch", "night"), is(ExitCode.REFUSED));
+        assertThat(text(err), containsString("ERROR presetInForce: no preset is named night"));
+    }
+
+    @Test
+    void asksNextEntryProcessWhenOneDoesNotAnswer() throws IOException {
+        entry.answer("GET /v1/status", 200, Reports.report("p1", entry.port(), 5));
+
+        assertThat(run("status", "--entry", "127.0.0.1:" + closedPort()), is(ExitCode.DONE));
+        assertThat(text(out), containsString("generation 5, preset peak"));
+        assertThat(text(err), containsString("does not take the connection"));
+    }
+
+    @Test
+    void saysWhenNoEntryProcessAnswers() throws IOException {
+        int closed = closedPort();
+        String address = "127.0.0.1:" + closed;
+
+        assertThat(plain("preset", "list", "--entry", address, "--token", "x"), is(ExitCode.UNREACHABLE));
+        assertThat(plain("status", "--entry", address, "--token", "x"), is(ExitCode.UNREACHABLE));
+        assertThat(text(err), containsString(address));
+    }
+
+    @Test
+    void sumsStatusOverAllProcesses() {
+        entry.answer("GET /v1/status", 200, Reports.report("p1", entry.port(), 5));
+        other.answer("GET /v1/status", 200, Reports.report("p2", other.port(), 5));
+
+        assertThat(run("status", "--entry", "127.0.0.1:" + other.port()), is(ExitCode.DONE));
+        assertThat(text(out), containsString("OUT  3 servers, 8 requests in flight"));
+        assertThat(text(out), containsString("weight 3  in flight 8  answered 100  refused 12"));
+    }
+
+    @Test
+    void declaresMoveWithDeadline() {
+        entry.answer("POST /v1/moves", 202, ACCEPTED);
+
+        assertThat(
+                run(
+                        "move",
+                        "declare",
+                        "--service",
+                        "s",
+                        "--to",
+                        "v2",
+                        "--deadline",
+                        "2030-01-01T00:00:00Z",
+                        "--wait",
+                        "0"),
+                is(ExitCode.DONE));
+        assertThat(entry.asked(), hasItem(containsString("\"deadlineEpochMillis\":1893456000000")));
+    }
+
+    @Test
+    void mergesTimeLinesInOrder() throws IOException {
+        entry.answer("GET /v1/status", 200, Reports.report("p1", entry.port(), 5))
+                .answer("GET /v1/timeline", 200, page("p1", 30));
+        other.answer("GET /v1/status", 200, Reports.report("p2", other.port(), 5))
+                .answer("GET /v1/timeline", 200, page("p2", 20));
+        Path html = folder.resolve("page.html");
+
+        assertThat(run("timeline", "--entry", "127.0.0.1:" + other.port()), is(ExitCode.DONE));
+        assertThat(run("timeline", "--html", html.toString()), is(ExitCode.DONE));
+        assertThat(text(out).indexOf("p2"), not(-1));
+        assertThat(text(out).indexOf("p2") < text(out).indexOf("p1"), is(true));
+        assertThat(Files.readString(html), startsWith("<!DOCTYPE html>"));
+    }
+
+    @Test
+    void explainsRequestOrSaysThatNobodyKnowsIt() {
+        entry.answer("GET /v1/status", 200, Reports.report("p1", entry.port(), 5))
+                .answer("GET /v1/requests/r1", 200, page("p1", 30))
+                .answer("GET /v1/requests/r2", 200, new TimelinePage(new ProcessId("p1"), List.of(), 0));
+
+        assertThat(run("explain", "r1"), is(ExitCode.DONE));
+        assertThat(run("explain", "r2"), is(ExitCode.REFUSED));
+        assertThat(text(out), containsString("# It was time."));
+    }
+
+    @Test
+    void validatesFileOffline() throws IOException {
+        Path file = Files.writeString(folder.resolve("c.yaml"), """
+                generation: 0
+                requiredLevel: 1
+                presetInForce: night
+                presets:
+                  - {id: ordinary, firstTokenMillis: 490, betweenTokensMillis: 57, onDemandFloor: 1, spareServers: 1, retryPercent: 10}
+                """);
+
+        assertThat(plain("config", "validate", file.toString()), is(ExitCode.REFUSED));
+        assertThat(text(err), containsString("presetInForce: no preset is named night; allowed: ordinary"));
+    }
+
+    @Test
+    void namesLineOfUnknownEntryInFile() throws IOException {
+        Path file = Files.writeString(folder.resolve("c.yaml"), "generation: 0\npreset: night\n");
+
+        assertThat(plain("config", "validate", file.toString()), is(ExitCode.USAGE));
+        assertThat(text(err), containsString("c.yaml:2: preset: there is no such entry; allowed here: generation,"));
+        assertThat(text(err), containsString("c.yaml:1: requiredLevel: is missing"));
+    }
+
+    private static TimelinePage page(String process, long millis) {
+        TimelineEvent event = new TimelineEvent(
+                new HybridTime(millis, 0),
+                new ProcessId(process),
+                EventKind.CONFIGURATION_IN_FORCE,
+                "It was time.",
+                List.of(Field.of("generation", 5)));
+        return new TimelinePage(new ProcessId(process), List.of(event), 0);
+    }
+
+    private static int closedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private ExitCode run(String... args) {
+        List<String> all = new ArrayList<>(List.of(args));
+        all.addAll(List.of("--entry", "127.0.0.1:" + entry.port(), "--token", FakeEntry.TOKEN));
+        return plain(all.toArray(new String[0]));
+    }
+
+    private ExitCode plain(String... args) {
+        Console console = new Console(
+                new PrintStream(out, true, StandardCharsets.UTF_8), new PrintStream(err, true, StandardCharsets.UTF_8));
+        return new CommandLine().run(List.of(args), console);
+    }
+
+    private static String text(ByteArrayOutputStream stream) {
+        return stream.toString(StandardCharsets.UTF_8);
+    }
+}
