--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/operator/MemoryChanges.java
@@ -0,0 +1,42 @@
+package org.geraniumstand.entry.operator;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.result.Result;
+
+/** Keeps the configuration in memory, or says that the store is out. */
+final class MemoryChanges implements ConfigurationChanges {
+    private Optional<Configuration> document = Optional.empty();
+    private boolean down;
+
+    void put(Configuration configuration) {
+        document = Optional.of(configuration);
+    }
+
+    void takeDown() {
+        down = true;
+    }
+
+    Optional<Configuration> document() {
+        return document;
+    }
+
+    @Override
+    public void change(ConfigurationEdit edit, Consumer<Result<Accepted, ChangeError>> callback) {
+        if (down) {
+            callback.accept(Result.err(ChangeError.of(ChangeError.Kind.STORE_UNAVAILABLE, "The store is out.")));
+            return;
+        }
+        callback.accept(edit.apply(document).map(this::accept));
+    }
+
+    private Accepted accept(Configuration edited) {
+        if (document.filter(edited::equals).isPresent()) {
+            return new Accepted(edited, false);
+        }
+        long generation = document.map(Configuration::generation).orElse(0L) + 1;
+        document = Optional.of(edited.withGeneration(generation));
+        return new Accepted(document.get(), true);
+    }
+}
--- a/entry/src/test/java/org/geraniumstand/entry/operator/OperatorListenerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/operator/OperatorListenerTest.java
@@ -13,7 +13,6 @@
 import java.util.logging.Handler;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
-import org.geraniumstand.entry.metrics.ObservedStore;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.id.PresetId;
 import org.geraniumstand.model.id.ProcessId;
@@ -40,11 +39,9 @@
     private static final ProcessId SELF = new ProcessId("p1");
     private static final long NOW = 1_000_000;
 
-    private final FakeStore store = new FakeStore();
+    private final MemoryChanges store = new MemoryChanges();
     private final Observability observability = Observability.of(SELF);
-    private final ObservedStore observed = observability.observe(store);
-    private final CheckedChanges changes =
-            new CheckedChanges(new StoreChanges(observed, "configuration"), () -> NOW, () -> 1, _next -> {});
+    private final CheckedChanges changes = new CheckedChanges(store, () -> NOW, () -> 1, _next -> {});
     private final OperatorApi api = new OperatorApi(
             SELF,
             this::configuration,
@@ -93,7 +90,7 @@
     void answersHealthAndReadinessWithoutToken() {
         assertThat(send("GET", "/healthz", "", "").status(), is(200));
         assertThat(send("GET", "/readyz", "", "").status(), is(503));
-        store.put(Json.write(Documents.at(1)));
+        store.put(Documents.at(1));
         assertThat(send("GET", "/readyz", "", "").status(), is(200));
     }
 
@@ -115,7 +112,7 @@
         assertThat(answer.status(), is(422));
         assertThat(answer.header().apply("Content-Type").orElse(""), is("application/problem+json"));
         assertThat(read(answer, Problem.class).findings().get(0).path(), is("presetInForce"));
-        assertThat(store.text(), is(""));
+        assertThat(store.document(), is(Optional.empty()));
     }
 
     @Test
@@ -143,7 +140,7 @@
 
     @Test
     void switchesPresetAndTakesDataCentreOut() {
-        store.put(Json.write(Documents.at(4)));
+        store.put(Documents.at(4));
 
         assertThat(
                 send("PUT", "/v1/presets/in-force", Json.write(new PresetSwitch(Documents.PEAK)))
@@ -158,7 +155,7 @@
 
     @Test
     void declaresAndWithdrawsMove() {
-        store.put(Json.write(Documents.at(4)));
+        store.put(Documents.at(4));
         MoveDeclaration declaration =
                 new MoveDeclaration(null, Documents.MODEL, new VersionId("v2"), 0, NOW + 60_000, 1);
 
@@ -172,7 +169,13 @@
         store.takeDown();
 
         assertThat(send("POST", "/v1/data-centres/west-1/out", "").status(), is(503));
-        assertThat(send("GET", "/metrics", "").text(), containsString("geraniumstand_store_failures_total 1\n"));
+    }
+
+    @Test
+    void answersMetricsAndTimeLine() {
+        observability.note(EventKind.STORE_STATE);
+
+        assertThat(send("GET", "/metrics", "").text(), containsString("geraniumstand_retries_total 0\n"));
         assertThat(
                 read(send("GET", "/v1/timeline", ""), TimelinePage.class)
                         .events()
@@ -182,7 +185,7 @@
     }
 
     private Optional<Configuration> configuration() {
-        return Json.read(store.text(), Configuration.class).value();
+        return store.document();
     }
 
     private HttpAnswer send(String method, String path, String body) {
