--- a/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
@@ -127,11 +127,17 @@
         }
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (_exchange, bytes) -> admit(exchange, id, admission.withBody(HttpBody.of(bytes))),
+                        (_exchange, bytes) ->
+                                later(exchange, () -> admit(exchange, id, admission.withBody(HttpBody.of(bytes)))),
                         (_exchange, _e) ->
                                 refuse(exchange, admission.request(), Refusal.notRun(RefusalReason.BODY_TOO_LARGE, 0)));
     }
 
+    // A body that arrives late is handed over as a handler's call, after which the exchange would end on its own.
+    private static void later(HttpServerExchange exchange, Runnable task) {
+        exchange.dispatch(SameThreadExecutor.INSTANCE, task);
+    }
+
     private void admit(HttpServerExchange exchange, RequestId id, Admission read) {
         BODY_FILTERS
                 .apply(read)
--- a/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
@@ -29,7 +29,11 @@
             new StreamTakenCodec(),
             new MemberShareCodec(),
             new ConfirmationShareCodec(),
-            new RelayedCodec());
+            new RelayedCodec(),
+            new ClaimForwardCodec(),
+            new ClaimReplyCodec(),
+            new StreamAskCodec(),
+            new StreamHeldCodec());
     private static final Map<Integer, MessageCodec<?>> BY_NUMBER =
             ALL.stream().collect(Collectors.toMap(MessageCodec::number, Function.identity()));
     private static final Map<Class<?>, MessageCodec<?>> BY_TYPE =
--- a/peer/src/main/java/org/geraniumstand/peer/codec/StreamHandoverCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/StreamHandoverCodec.java
@@ -18,7 +18,7 @@
     @Override
     public void write(FieldWriter out, PeerMessage.StreamHandover message) {
         StreamState state = message.state();
-        out.fields(8)
+        out.fields(9)
                 .text(state.team())
                 .text(state.callerRequestId())
                 .text(state.path())
@@ -26,7 +26,8 @@
                 .text(state.generated())
                 .number(state.tokens())
                 .number(state.lastEventId())
-                .number(state.remainingMillis());
+                .number(state.remainingMillis())
+                .list(state.recentEvents(), (event, data) -> event.fields(1).text(data));
     }
 
     @Override
@@ -39,6 +40,7 @@
                 in.text(),
                 in.smallNumber(),
                 in.smallNumber(),
-                in.number()));
+                in.number(),
+                in.list(FieldReader::text)));
     }
 }
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/StreamHeldCodec.java
@@ -0,0 +1,26 @@
+package org.geraniumstand.peer.codec;
+
+import org.geraniumstand.peer.PeerMessage;
+
+/** Codec of {@link PeerMessage.StreamHeld}. */
+final class StreamHeldCodec implements MessageCodec<PeerMessage.StreamHeld> {
+    @Override
+    public int number() {
+        return 16;
+    }
+
+    @Override
+    public Class<PeerMessage.StreamHeld> type() {
+        return PeerMessage.StreamHeld.class;
+    }
+
+    @Override
+    public void write(FieldWriter out, PeerMessage.StreamHeld message) {
+        out.fields(2).text(message.team()).text(message.callerRequestId());
+    }
+
+    @Override
+    public PeerMessage.StreamHeld read(FieldReader in) {
+        return new PeerMessage.StreamHeld(in.text(), in.text());
+    }
+}
