--- a/operator/src/main/java/org/geraniumstand/operator/command/ConfigShow.java
+++ b/operator/src/main/java/org/geraniumstand/operator/command/ConfigShow.java
@@ -24,6 +24,7 @@
         return connection.with(
                 console,
                 client -> client.get("/v1/configuration", Configuration.class)
+                        .map(document -> document.withWriter(""))
                         .fold(
                                 document -> {
                                     console.print(
