--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -114,6 +114,8 @@
                 demands().list().ofMaxSize(4).map(PeerMessage.DemandShare::new),
                 streams().map(PeerMessage.StreamHandover::new),
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamTaken::new),
+                Combinators.combine(texts(), texts()).as(PeerMessage.StreamAsk::new),
+                Combinators.combine(texts(), texts()).as(PeerMessage.StreamHeld::new),
                 Combinators.combine(processes(), numbers(), contents()).as(PeerMessage.Relayed::new));
     }
 
@@ -153,8 +155,14 @@
     }
 
     private static Arbitrary<StreamState> streams() {
-        return Combinators.combine(texts(), texts(), texts(), texts(), texts(), small(), small(), numbers())
-                .as(StreamState::new);
+        return Combinators.combine(
+                        texts().list().ofSize(5),
+                        small(),
+                        small(),
+                        numbers(),
+                        texts().list().ofMaxSize(3))
+                .as((t, tokens, last, remaining, events) -> new StreamState(
+                        t.get(0), t.get(1), t.get(2), t.get(3), t.get(4), tokens, last, remaining, events));
     }
 
     private static Arbitrary<EncodedMessage> contents() {
