Keep the events of a stopping process, and note operators' orders and changes of the members

Hosts keep nothing, so the demo's time line had no lane of the entry process that it had stopped. A stopping process now hands its newest events to a live member's operators' listener. Orders of operators and changes of the members are on the time line too, so that one sees why a generation came into force.

--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -17,6 +17,7 @@
 import org.geraniumstand.entry.operator.OperatorApi;
 import org.geraniumstand.entry.operator.OperatorListener;
 import org.geraniumstand.entry.operator.StatusSource;
+import org.geraniumstand.entry.operator.TimelineHandover;
 import org.geraniumstand.entry.operator.WriterChanges;
 import org.geraniumstand.entry.settings.Settings;
 import org.geraniumstand.entry.task.FactTasks;
@@ -45,6 +46,7 @@
     private final Core core;
     private final AtomicReference<FactTasks> facts = new AtomicReference<>();
     private final CheckedChanges changes;
+    private final TimelineHandover legacy;
 
     private EntryProcess(Settings settings) {
         this.settings = settings;
@@ -54,6 +56,8 @@
         HttpCalls calls = closer.add(HttpCalls.start("platform"));
         ObservedStore store = observability.observe(
                 new HttpConfigurationStore(calls, settings.store().url()));
+        this.legacy = new TimelineHandover(
+                self, observability.timeline(), calls, settings.operators().token());
         FactTasks tasks = closer.add(FactTasks.start(settings, self, store, calls, core));
         facts.set(tasks);
         // The writer itself tells the shared facts of accepted documents, which bring them into force.
@@ -100,6 +104,7 @@
         try {
             boolean clean = stopped.await(timeoutMillis, TimeUnit.MILLISECONDS);
             observability.note(EventKind.PROCESS_STOPPED, Field.of("process", self), Field.of("clean", clean));
+            legacy.send(members());
         } catch (InterruptedException _e) {
             Thread.currentThread().interrupt();
         }
@@ -121,13 +126,7 @@
                 stopping::get,
                 store);
         OperatorApi api = new OperatorApi(
-                self,
-                core::configuration,
-                changes,
-                status::read,
-                observability.timeline(),
-                observability.metrics()::text,
-                System::currentTimeMillis);
+                self, core::configuration, changes, status::read, observability, System::currentTimeMillis);
         return OperatorListener.start(
                 settings.operators().host(),
                 settings.operators().port(),
--- a/entry/src/main/java/org/geraniumstand/entry/operator/OperatorApi.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/OperatorApi.java
@@ -10,17 +10,19 @@
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.geraniumstand.entry.metrics.Exposition;
-import org.geraniumstand.entry.timeline.Timeline;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.MoveId;
 import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.operation.ChangeAnswer;
 import org.geraniumstand.model.operation.MoveDeclaration;
 import org.geraniumstand.model.operation.PresetList;
 import org.geraniumstand.model.operation.PresetSwitch;
 import org.geraniumstand.model.operation.TimelinePage;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.status.StatusReport;
+import org.geraniumstand.model.timeline.EventKind;
+import org.geraniumstand.model.timeline.Field;
 
 /** The operators' HTTP interface: a table of methods and paths, each with what answers it. */
 public final class OperatorApi {
@@ -35,8 +37,7 @@
     private final Supplier<Optional<Configuration>> configuration;
     private final CheckedChanges changes;
     private final Supplier<CompletableFuture<StatusReport>> status;
-    private final Timeline timeline;
-    private final Supplier<String> metrics;
+    private final Observability observability;
     private final LongSupplier wallMillis;
 
     /**
@@ -55,8 +56,7 @@
      * @param configuration reads the configuration in force
      * @param changes changes the configuration
      * @param status gathers the status
-     * @param timeline the time line of this process
-     * @param metrics writes the metrics in the text exposition format
+     * @param observability the time line and the metrics of this process
      * @param wallMillis reads the wall clock, in milliseconds since 1970
      */
     public OperatorApi(
@@ -64,15 +64,13 @@
             Supplier<Optional<Configuration>> configuration,
             CheckedChanges changes,
             Supplier<CompletableFuture<StatusReport>> status,
-            Timeline timeline,
-            Supplier<String> metrics,
+            Observability observability,
             LongSupplier wallMillis) {
         this.self = self;
         this.configuration = configuration;
         this.changes = changes;
         this.status = status;
-        this.timeline = timeline;
-        this.metrics = metrics;
+        this.observability = observability;
         this.wallMillis = wallMillis;
     }
 
@@ -92,10 +90,12 @@
         bound.add(new Bound(Methods.GET, "/v1/status", (_request, reply) -> withStatus(reply, report -> report)));
         bound.add(new Bound(Methods.GET, "/v1/requests/{id}", this::explain));
         bound.add(new Bound(Methods.GET, "/v1/timeline", this::events));
+        bound.add(new Bound(Methods.POST, TimelineHandover.PATH, this::adopt));
         bound.add(new Bound(
                 Methods.GET,
                 "/metrics",
-                (_request, reply) -> reply.accept(Reply.text(Exposition.CONTENT_TYPE, metrics.get()))));
+                (_request, reply) -> reply.accept(Reply.text(
+                        Exposition.CONTENT_TYPE, observability.metrics().text()))));
         return List.copyOf(bound);
     }
 
@@ -106,7 +106,7 @@
     private void applyConfiguration(OperatorRequest request, Consumer<Reply> reply) {
         Result<Configuration, Reply> document = request.document(Configuration.class)
                 .fold(read -> request.number("expected", read.generation()).map(read::withGeneration), Result::err);
-        settle(document, reply, read -> change(ConfigurationEdits.replace(read), request, reply));
+        settle(document, reply, read -> change("config apply", ConfigurationEdits.replace(read), request, reply));
     }
 
     private void validate(OperatorRequest request, Consumer<Reply> reply) {
@@ -127,43 +127,80 @@
         settle(
                 request.document(PresetSwitch.class),
                 reply,
-                order -> change(ConfigurationEdits.switchPreset(order.preset()), request, reply));
+                order -> change(
+                        "preset switch " + order.preset(),
+                        ConfigurationEdits.switchPreset(order.preset()),
+                        request,
+                        reply));
     }
 
     private void declareMove(OperatorRequest request, Consumer<Reply> reply) {
         settle(
                 request.document(MoveDeclaration.class),
                 reply,
-                order -> change(ConfigurationEdits.declareMove(order, wallMillis.getAsLong()), request, reply));
+                order -> change(
+                        "move declare " + order.service() + " " + order.to(),
+                        ConfigurationEdits.declareMove(order, wallMillis.getAsLong()),
+                        request,
+                        reply));
     }
 
     private void withdrawMove(OperatorRequest request, Consumer<Reply> reply) {
-        change(ConfigurationEdits.withdrawMove(new MoveId(request.parameter(ID).orElse(""))), request, reply);
+        MoveId move = new MoveId(request.parameter(ID).orElse(""));
+        change("move withdraw " + move, ConfigurationEdits.withdrawMove(move), request, reply);
     }
 
     private void takeOut(OperatorRequest request, Consumer<Reply> reply) {
-        change(ConfigurationEdits.takeOut(dataCentre(request)), request, reply);
+        DataCentreId dataCentre = dataCentre(request);
+        change("data-centre out " + dataCentre, ConfigurationEdits.takeOut(dataCentre), request, reply);
     }
 
     private void bringBack(OperatorRequest request, Consumer<Reply> reply) {
-        change(ConfigurationEdits.bringBack(dataCentre(request)), request, reply);
+        DataCentreId dataCentre = dataCentre(request);
+        change("data-centre in " + dataCentre, ConfigurationEdits.bringBack(dataCentre), request, reply);
     }
 
     private void explain(OperatorRequest request, Consumer<Reply> reply) {
         String id = request.parameter(ID).orElse("");
-        reply.accept(Reply.json(new TimelinePage(self, timeline.about(id), timeline.dropped())));
+        reply.accept(Reply.json(new TimelinePage(
+                self,
+                observability.timeline().about(id),
+                observability.timeline().dropped())));
     }
 
     private void events(OperatorRequest request, Consumer<Reply> reply) {
         settle(
                 request.number("since", 0),
                 reply,
-                since -> reply.accept(Reply.json(
-                        new TimelinePage(self, timeline.since(since, request.flag("requests")), timeline.dropped()))));
-    }
-
-    private void change(ConfigurationEdit edit, OperatorRequest request, Consumer<Reply> reply) {
-        changes.change(edit, request.flag(FORCE), result -> reply.accept(result.fold(Reply::accepted, Reply::of)));
+                since -> reply.accept(Reply.json(new TimelinePage(
+                        self,
+                        observability.timeline().since(since, request.flag("requests")),
+                        observability.timeline().dropped()))));
+    }
+
+    private void adopt(OperatorRequest request, Consumer<Reply> reply) {
+        settle(request.document(TimelinePage.class), reply, page -> {
+            observability.timeline().adopt(page.events());
+            reply.accept(Reply.accepted(new TimelinePage(self, List.of(), 0)));
+        });
+    }
+
+    private void change(String order, ConfigurationEdit edit, OperatorRequest request, Consumer<Reply> reply) {
+        changes.change(edit, request.flag(FORCE), result -> {
+            note(order, result);
+            reply.accept(result.fold(Reply::accepted, Reply::of));
+        });
+    }
+
+    private void note(String order, Result<ChangeAnswer, ChangeError> result) {
+        String outcome = result.fold(
+                answer -> answer.changed() ? "accepted" : "nothing to change",
+                error -> error.kind().text());
+        List<Field> fields = new ArrayList<>();
+        fields.add(Field.of("order", order));
+        fields.add(Field.of("outcome", outcome));
+        result.value().ifPresent(answer -> fields.add(Field.of("generation", answer.generation())));
+        observability.note(EventKind.CONFIGURATION_CHANGED, fields.toArray(new Field[0]));
     }
 
     // Both ends of the future are answered; what it returns has no further use.
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/TimelineHandover.java
@@ -0,0 +1,79 @@
+package org.geraniumstand.entry.operator;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.geraniumstand.entry.timeline.Timeline;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.operation.TimelinePage;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.model.status.MemberStatus;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.platform.net.HttpAnswer;
+import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.platform.net.HttpCalls;
+import org.geraniumstand.platform.net.HttpFailure;
+import org.geraniumstand.platform.net.HttpRequest;
+
+/**
+ * Hands the newest events of a stopping process to another one.
+ *
+ * <p>Hosts keep nothing, so the time line of a process would end with it. A loss of these events costs an explanation,
+ * never a request; one try is enough.
+ */
+public final class TimelineHandover {
+    /** Path at the operators' listener that takes events. */
+    static final String PATH = "/v1/timeline/legacy";
+
+    private static final Log LOG = Log.of(TimelineHandover.class);
+    private static final long CALL_MILLIS = 1_000;
+    private static final int FIRST_ERROR = 400;
+
+    private final ProcessId self;
+    private final Timeline timeline;
+    private final HttpCalls calls;
+    private final String token;
+
+    /**
+     * Creates a handover.
+     *
+     * @param self this process
+     * @param timeline its events
+     * @param calls makes the call
+     * @param token the operators' bearer token, which all entry processes share
+     */
+    public TimelineHandover(ProcessId self, Timeline timeline, HttpCalls calls, String token) {
+        this.self = self;
+        this.timeline = timeline;
+        this.calls = calls;
+        this.token = token;
+    }
+
+    /**
+     * Sends the events to a member that does not stop, and waits for its answer.
+     *
+     * @param members the live members
+     */
+    public void send(List<MemberStatus> members) {
+        Optional<Member> heir = members.stream()
+                .map(MemberStatus::member)
+                .filter(member -> !member.id().equals(self) && !member.stopping())
+                .findFirst();
+        heir.ifPresent(this::send);
+    }
+
+    private void send(Member heir) {
+        URI origin = URI.create("http://" + heir.address() + ":" + heir.operatorPort());
+        HttpBody body = HttpBody.of(Json.write(new TimelinePage(self, timeline.legacy(), timeline.dropped())));
+        HttpRequest request = new HttpRequest("POST", origin, PATH, List.of(), body, CALL_MILLIS, false)
+                .withHeader("Authorization", "Bearer " + token);
+        CompletableFuture<Result<HttpAnswer, HttpFailure>> answer = new CompletableFuture<>();
+        calls.send(request, answer::complete);
+        boolean taken = answer.join().value().map(a -> a.status() < FIRST_ERROR).orElse(false);
+        LOG.info("timeline-handed-over", Field.of("to", heir.id()), Field.of("taken", taken));
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/timeline/Timeline.java
+++ b/entry/src/main/java/org/geraniumstand/entry/timeline/Timeline.java
@@ -26,11 +26,18 @@
     /** Events kept about single requests. */
     public static final int REQUEST_EVENTS = 8_192;
 
+    /** Events that a process hands to another one when it stops. */
+    public static final int LEGACY_EVENTS = 512;
+
+    /** Events kept of other processes that have stopped. */
+    public static final int ADOPTED_EVENTS = 4_096;
+
     private static final Comparator<TimelineEvent> ORDER = Comparator.comparing(TimelineEvent::time);
 
     private final ProcessId self;
     private final HybridClock clock;
     private final Ring<TimelineEvent> states = new Ring<>(STATE_EVENTS);
+    private final Ring<TimelineEvent> adopted = new Ring<>(ADOPTED_EVENTS);
     private final Ring<RequestEvent> exceptions = new Ring<>(EXCEPTION_EVENTS);
     private final Ring<RequestEvent> requests = new Ring<>(REQUEST_EVENTS);
 
@@ -68,6 +75,26 @@
         (exception ? exceptions : requests).add(new RequestEvent(clock.next(), kind, reason, fields));
     }
 
+    /**
+     * Takes in the events of a process that stops, so that they can be read after its end.
+     *
+     * @param events its events
+     */
+    public void adopt(List<TimelineEvent> events) {
+        for (TimelineEvent event : events) {
+            clock.merge(event.time());
+            adopted.add(event);
+        }
+    }
+
+    /** Returns this process's own events that another one shall keep, the oldest first. */
+    public List<TimelineEvent> legacy() {
+        Stream<TimelineEvent> refused = exceptions.entries().stream().map(event -> event.written(self));
+        List<TimelineEvent> events =
+                Stream.concat(states.entries().stream(), refused).sorted(ORDER).toList();
+        return events.subList(Math.max(0, events.size() - LEGACY_EVENTS), events.size());
+    }
+
     /**
      * Returns events since a time, the oldest first.
      *
@@ -108,7 +135,8 @@
     private Stream<TimelineEvent> all(boolean withRequests) {
         List<RequestEvent> ordinary = withRequests ? requests.entries() : List.of();
         Stream<RequestEvent> ofRequests = Stream.concat(exceptions.entries().stream(), ordinary.stream());
-        return Stream.concat(states.entries().stream(), ofRequests.map(event -> event.written(self)));
+        Stream<TimelineEvent> own = Stream.concat(states.entries().stream(), ofRequests.map(e -> e.written(self)));
+        return Stream.concat(adopted.entries().stream(), own);
     }
 
     private static boolean names(TimelineEvent event, String request) {
--- a/entry/src/main/java/org/geraniumstand/entry/timeline/TimelineListener.java
+++ b/entry/src/main/java/org/geraniumstand/entry/timeline/TimelineListener.java
@@ -1,6 +1,9 @@
 package org.geraniumstand.entry.timeline;
 
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.entry.core.CoreListener;
@@ -29,6 +32,7 @@
             "The attempt before did not bring the whole answer, so the request was sent again.";
 
     private final Timeline timeline;
+    private Set<String> members = Set.of();
 
     /**
      * Creates a listener.
@@ -59,6 +63,9 @@
 
     @Override
     public void observed(Observation observation) {
+        if (observation instanceof Observation.MembersSeen seen) {
+            noteMembers(seen);
+        }
         if (observation instanceof Observation.AttemptEnded ended) {
             AttemptReport report = ended.report();
             EventKind kind = report.end() == AttemptEnd.ANSWERED ? EventKind.REQUEST_ANSWERED : EventKind.ATTEMPT_ENDED;
@@ -93,6 +100,23 @@
         }
     }
 
+    private void noteMembers(Observation.MembersSeen seen) {
+        Set<String> next =
+                seen.members().stream().map(m -> m.id().value()).collect(Collectors.toCollection(TreeSet::new));
+        if (next.equals(members)) {
+            return;
+        }
+        Set<String> joined = new TreeSet<>(next);
+        joined.removeAll(members);
+        Set<String> left = new TreeSet<>(members);
+        left.removeAll(next);
+        members = next;
+        timeline.note(
+                EventKind.MEMBERS_CHANGED,
+                "",
+                List.of(Field.of("live", next.size()), Field.of("joined", joined), Field.of("left", left)));
+    }
+
     private void noteDispatch(Action.Dispatch dispatch) {
         boolean first = dispatch.attempt() == 1;
         BackendServer server = dispatch.server();
--- a/entry/src/test/java/org/geraniumstand/entry/operator/OperatorListenerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/operator/OperatorListenerTest.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.entry.operator;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
@@ -17,12 +18,14 @@
 import org.geraniumstand.model.id.PresetId;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.operation.ChangeAnswer;
 import org.geraniumstand.model.operation.MoveDeclaration;
 import org.geraniumstand.model.operation.PresetSwitch;
 import org.geraniumstand.model.operation.Problem;
 import org.geraniumstand.model.operation.TimelinePage;
 import org.geraniumstand.model.result.Result;
+import org.geraniumstand.model.status.MemberStatus;
 import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.platform.json.Json;
 import org.geraniumstand.platform.net.HttpAnswer;
@@ -42,14 +45,8 @@
     private final MemoryChanges store = new MemoryChanges();
     private final Observability observability = Observability.of(SELF);
     private final CheckedChanges changes = new CheckedChanges(store, () -> NOW, () -> 1, _next -> {});
-    private final OperatorApi api = new OperatorApi(
-            SELF,
-            this::configuration,
-            changes,
-            CompletableFuture::new,
-            observability.timeline(),
-            observability.metrics()::text,
-            () -> NOW);
+    private final OperatorApi api =
+            new OperatorApi(SELF, this::configuration, changes, CompletableFuture::new, observability, () -> NOW);
     private final HttpCalls calls = HttpCalls.start("test");
     private final List<String> logged = new CopyOnWriteArrayList<>();
     private final Handler handler = new RecordingHandler();
@@ -171,6 +168,33 @@
         assertThat(send("POST", "/v1/data-centres/west-1/out", "").status(), is(503));
     }
 
+    @Test
+    void takesEventsOfAStoppingProcess() {
+        Observability stopping = Observability.of(new ProcessId("p2"));
+        stopping.note(EventKind.PROCESS_STOPPED);
+        Member heir = new Member(SELF, Documents.WEST, "127.0.0.1", 1, 2, listener.port(), 1, false);
+
+        new TimelineHandover(new ProcessId("p2"), stopping.timeline(), calls, TOKEN)
+                .send(List.of(new MemberStatus(heir, 1, 0)));
+
+        assertThat(
+                observability.timeline().since(0, false), is(stopping.timeline().since(0, false)));
+    }
+
+    @Test
+    void notesEachOrderWithItsOutcome() {
+        store.put(Documents.at(4));
+        send("POST", "/v1/data-centres/west-1/out", "");
+        send("POST", "/v1/data-centres/west-2/out", "");
+
+        assertThat(
+                observability.timeline().since(0, false).stream()
+                        .map(event -> event.fields().get(0).value() + ": "
+                                + event.fields().get(1).value())
+                        .toList(),
+                contains("data-centre out west-1: accepted", "data-centre out west-2: invalid"));
+    }
+
     @Test
     void answersMetricsAndTimeLine() {
         observability.note(EventKind.STORE_STATE);
--- a/entry/src/test/java/org/geraniumstand/entry/timeline/TimelineTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/timeline/TimelineTest.java
@@ -9,11 +9,13 @@
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.model.config.Priority;
+import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.RequestId;
 import org.geraniumstand.model.id.RouteId;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.AttemptReport;
 import org.geraniumstand.model.request.Refusal;
@@ -21,6 +23,7 @@
 import org.geraniumstand.model.request.RequestFacts;
 import org.geraniumstand.model.time.HybridTime;
 import org.geraniumstand.model.timeline.EventKind;
+import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.model.timeline.TimelineEvent;
 import org.junit.jupiter.api.Test;
 
@@ -74,6 +77,27 @@
         assertThat(events.get(2).reason(), is(RefusalReason.SERVER_FAILED.summary()));
     }
 
+    @Test
+    void keepsEventsOfStoppedProcess() {
+        Timeline stopped = new Timeline(new ProcessId("p2"), new HybridClock(() -> 500));
+        stopped.note(EventKind.PROCESS_STOPPED, "", List.of());
+        timeline.adopt(stopped.legacy());
+
+        assertThat(timeline.since(0, false), is(stopped.since(0, false)));
+    }
+
+    @Test
+    void notesMembersOnlyWhenTheyChange() {
+        listener.observed(new Observation.MembersSeen(List.of()));
+        listener.observed(new Observation.MembersSeen(List.of(member("p2"))));
+        listener.observed(new Observation.MembersSeen(List.of(member("p2"))));
+        listener.observed(new Observation.MembersSeen(List.of()));
+
+        List<TimelineEvent> events = timeline.since(0, false);
+        assertThat(events.size(), is(2));
+        assertThat(events.get(1).fields().get(2), is(Field.of("left", "[p2]")));
+    }
+
     @Test
     void timesNeverGoBackAndFollowOtherProcesses() {
         clock.merge(new HybridTime(5_000, 3));
@@ -88,6 +112,10 @@
         return events.stream().map(TimelineEvent::kind).toList();
     }
 
+    private static Member member(String id) {
+        return new Member(new ProcessId(id), new DataCentreId("west-1"), "127.0.0.1", 1, 2, 3, 1, false);
+    }
+
     private static RequestFacts request() {
         return new RequestFacts(
                 new RequestId("r1"),
