Show operators the share and the evidence of a move, and the budget of a backend server

The status said that they were unknown. Also counts the bytes exchanged with peers, and makes the codec's test cover the events that a stream's state holds, which it did not compile with.

--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/TrafficReport.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/TrafficReport.java
@@ -13,8 +13,6 @@
 
 /** Writes down the decisions' state for operators. */
 public final class TrafficReport {
-    private static final double UNKNOWN_SHARE = -1;
-    private static final int UNKNOWN_BUDGET = -1;
 
     private TrafficReport() {}
 
@@ -33,14 +31,15 @@
                 parts.fleet().all().stream().map(state -> of(parts, state)).toList();
         List<MoveStatus> moves = parts.configuration().stream()
                 .flatMap(c -> c.moves().stream())
-                .map(move -> new MoveStatus(move, UNKNOWN_SHARE, 0, 0, 0, 0))
+                .map(parts.moves()::status)
                 .toList();
         return new TrafficStatus(parts.flights().size(), streams, teams, servers, moves);
     }
 
     private static ServerStatus of(Parts parts, ServerState state) {
         String warmth = parts.limits().warm(state) ? "warm" : "cold";
-        return new ServerStatus(state.server(), work(parts, state), warmth, UNKNOWN_BUDGET, state.inFlight());
+        int budget = parts.limits().spare(state) + state.inFlight();
+        return new ServerStatus(state.server(), work(parts, state), warmth, budget, state.inFlight());
     }
 
     private static String work(Parts parts, ServerState state) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/moves/MoveBoard.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/moves/MoveBoard.java
@@ -27,6 +27,7 @@
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.request.AttemptReport;
 import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.status.MoveStatus;
 import org.geraniumstand.model.time.Moment;
 
 /**
@@ -37,6 +38,7 @@
  */
 public final class MoveBoard {
     private static final long DEFAULT_TARGET_MILLIS = 500;
+    private static final double WHOLE_PERCENT = 100.0;
     private static final int MIN_TOKENS_FOR_PACE = 4;
 
     private final MoveContext context;
@@ -107,6 +109,18 @@
         return follower.versionsFor(facts);
     }
 
+    /**
+     * Returns what operators see of a move.
+     *
+     * @param move the move as it stands in the configuration
+     */
+    public MoveStatus status(VersionMove move) {
+        return Optional.ofNullable(followers.get(move.service()))
+                .filter(follower -> follower.move().equals(move))
+                .map(MoveFollower::status)
+                .orElseGet(() -> new MoveStatus(move, move.state() == MoveState.DONE ? WHOLE_PERCENT : 0, 0, 0, 0, 0));
+    }
+
     /**
      * Counts an attempt.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/moves/MoveFollower.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/moves/MoveFollower.java
@@ -15,6 +15,7 @@
 import org.geraniumstand.model.id.RouteId;
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.status.MoveStatus;
 import org.geraniumstand.model.time.Moment;
 import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.model.timeline.Field;
@@ -33,6 +34,7 @@
     private static final long STEP_MILLIS = 500;
     private static final double SHARE_TOLERANCE = 1e-6;
     private static final int ROUNDING = 10_000;
+    private static final double WHOLE_PERCENT = 100.0;
     private static final double PERCENT_ROUNDING = 100.0;
 
     private final MoveContext context;
@@ -81,6 +83,28 @@
         return oldGone ? List.of(move.from(), move.to()) : List.of(move.from());
     }
 
+    /** Returns what operators see of the move. */
+    MoveStatus status() {
+        long[] counts = new long[4];
+        for (RouteId route : attemptRoutes()) {
+            Tally old = total(move.from(), route);
+            Tally next = total(move.to(), route);
+            counts[0] += old.requests();
+            counts[1] += old.failures();
+            counts[2] += next.requests();
+            counts[3] += next.failures();
+        }
+        return new MoveStatus(move, sharePercent(), counts[0], counts[1], counts[2], counts[3]);
+    }
+
+    private double sharePercent() {
+        if (end.isPresent()) {
+            return end.get().state() == MoveState.DONE ? WHOLE_PERCENT : 0;
+        }
+        double mean = shares.values().stream().mapToDouble(s -> s).average().orElse(0);
+        return mark.isPresent() ? 0 : mean * WHOLE_PERCENT;
+    }
+
     void ended(RequestFacts facts, BackendServer server, boolean failed, long totalMillis) {
         assignments.ended(facts.id(), failed && server.version().equals(move.to()));
         activity.busy(totalMillis);
--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -74,6 +74,21 @@
                 settings.callers().ioThreads(),
                 core));
         observability.metrics().gauge("geraniumstand_core_messages_waiting", core::depth);
+        observability
+                .metrics()
+                .gauge(
+                        "geraniumstand_peer_sent_bytes",
+                        () -> tasks.peers().traffic().sentBytes());
+        observability
+                .metrics()
+                .gauge(
+                        "geraniumstand_peer_received_bytes",
+                        () -> tasks.peers().traffic().receivedBytes());
+        observability
+                .metrics()
+                .gauge(
+                        "geraniumstand_peer_connections",
+                        () -> tasks.peers().traffic().connections());
         closer.add(startOperators(store));
     }
 
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -153,8 +153,10 @@
     }
 
     private static Arbitrary<StreamState> streams() {
+        Arbitrary<List<String>> events = texts().list().ofMaxSize(3);
         return Combinators.combine(texts(), texts(), texts(), texts(), texts(), small(), small(), numbers())
-                .as(StreamState::new);
+                .flatAs((team, id, path, body, generated, tokens, last, millis) -> events.map(
+                        list -> new StreamState(team, id, path, body, generated, tokens, last, millis, list)));
     }
 
     private static Arbitrary<EncodedMessage> contents() {
