Relay answers and streams whole: flow control, own errors, resumes, identity, leaving callers

Streams resume after breaks, silence and moves; a failed head is an attempt's end. A watch on the caller's connection sees it leave: without it the server does not read, and an abandoned stream ran on (test failed with 20 s without cancel).

--- a/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
@@ -4,80 +4,126 @@
 import io.undertow.UndertowOptions;
 import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.util.HeaderMap;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumstand.http.CoreInbox;
 import org.geraniumstand.http.filter.Admission;
 import org.geraniumstand.http.filter.CallerRequest;
-import org.geraniumstand.http.filter.Completion;
+import org.geraniumstand.http.filter.CheckHeaders;
+import org.geraniumstand.http.filter.CheckIdempotencyKey;
+import org.geraniumstand.http.filter.CheckPath;
 import org.geraniumstand.http.filter.Filter;
 import org.geraniumstand.http.filter.IdentifyTeam;
 import org.geraniumstand.http.filter.MatchRoute;
 import org.geraniumstand.http.filter.ParseCompletion;
+import org.geraniumstand.http.filter.ReadLastEventId;
 import org.geraniumstand.http.filter.ReadTimeout;
+import org.geraniumstand.http.filter.Rejection;
+import org.geraniumstand.http.order.Orders;
 import org.geraniumstand.http.upstream.UpstreamClient;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.config.Route;
+import org.geraniumstand.model.config.ServiceKind;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.RequestId;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
-import org.geraniumstand.model.request.RequestFacts;
-import org.geraniumstand.model.time.Moment;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.platform.log.Log;
 import org.geraniumstand.platform.net.HttpBody;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
 
 /** Listens for callers and sends their requests through the filters. */
 public final class CallerListener implements AutoCloseable {
-    private static final int READ_TIMEOUT_MILLIS = 60_000;
-    private static final Filter HEAD_FILTERS =
-            Filter.chain(List.of(new IdentifyTeam(), new MatchRoute(), new ReadTimeout()));
-    private static final Filter BODY_FILTERS = Filter.chain(List.of(new ParseCompletion()));
-    private static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
-    private static final HttpString REQUEST_TIMEOUT = new HttpString("Request-Timeout");
-    private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
-    private static final HttpString LAST_EVENT_ID = new HttpString("Last-Event-ID");
-    private static final String BEARER = "Bearer ";
+    private static final Log LOG = Log.of(CallerListener.class);
+    private static final int IDLE_MILLIS = 60_000;
+    private static final int HEAD_MILLIS = 10_000;
+    private static final int MAX_HEADER_BYTES = 32 * 1024;
+    private static final int MAX_HEADERS = 100;
+    private static final int BUFFER_BYTES = 16 * 1024;
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final ProcessId self;
     private final CoreInbox core;
+    private final long bodyMillis;
     private final AtomicLong sequence = new AtomicLong();
-    private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, 16 * 1024);
-    private final UpstreamClient upstream = new UpstreamClient(buffers);
+    private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final Undertow server;
+    private final Filter headFilters = Filter.chain(List.of(
+            new CheckHeaders(),
+            new CheckPath(),
+            new IdentifyTeam(),
+            new MatchRoute(),
+            new ReadTimeout(),
+            new CheckIdempotencyKey(),
+            new ReadLastEventId()));
+    private final Filter bodyFilter = new ParseCompletion();
+    private final RequestTools tools;
+    private final LiveStreams streams = new LiveStreams();
+    private final HeldStreams held;
+    private final Reconnects reconnects;
 
-    private CallerListener(ProcessId self, String host, int port, int ioThreads, CoreInbox core) {
-        this.self = self;
-        this.core = core;
+    /**
+     * What the listener needs to know and to call.
+     *
+     * @param self the process
+     * @param host IP number to listen on
+     * @param port port to listen on, zero for any
+     * @param ioThreads number of I/O threads
+     * @param bodyMillis time in which a body must have arrived, in milliseconds
+     * @param core where requests go
+     * @param orders records claims of keyed orders
+     * @param lookup finds streams that other processes hold
+     */
+    public record Setup(
+            ProcessId self,
+            String host,
+            int port,
+            int ioThreads,
+            long bodyMillis,
+            CoreInbox core,
+            Orders orders,
+            HolderLookup lookup) {}
+
+    private CallerListener(Setup setup) {
+        this.self = setup.self();
+        this.core = setup.core();
+        this.bodyMillis = setup.bodyMillis();
+        UpstreamClient upstream = new UpstreamClient(buffers);
+        this.tools = new RequestTools(self, core, upstream, setup.orders());
         this.server = Undertow.builder()
-                .addHttpListener(port, host)
+                .addHttpListener(setup.port(), setup.host())
                 .setByteBufferPool(buffers)
-                .setIoThreads(ioThreads)
+                .setIoThreads(setup.ioThreads())
                 .setWorkerThreads(1)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, READ_TIMEOUT_MILLIS)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MILLIS)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setHandler(this::handle)
                 .build();
+        server.start();
+        List<XnioIoThread> threads = new ArrayList<>();
+        for (int i = 0; i < setup.ioThreads(); i++) {
+            threads.add(server.getWorker().getIoThread(i));
+        }
+        this.held = new HeldStreams(tools, threads);
+        this.reconnects = new Reconnects(self, held, setup.lookup(), upstream);
     }
 
     /**
      * Starts to listen.
      *
-     * @param self the process
-     * @param host IP number to listen on
-     * @param port port to listen on, zero for any
-     * @param ioThreads number of I/O threads
-     * @param core where requests go
+     * @param setup what the listener needs
      */
-    public static CallerListener start(ProcessId self, String host, int port, int ioThreads, CoreInbox core) {
-        CallerListener listener = new CallerListener(self, host, port, ioThreads, core);
-        listener.server.start();
-        return listener;
+    public static CallerListener start(Setup setup) {
+        return new CallerListener(setup);
     }
 
     /** Returns the port that it listens on. */
@@ -87,6 +133,16 @@
         return address.getPort();
     }
 
+    /** Returns the streams that are relayed now. */
+    public LiveStreams streams() {
+        return streams;
+    }
+
+    /** Returns the streams that other processes handed to this one. */
+    public HeldStreams held() {
+        return held;
+    }
+
     @Override
     public void close() {
         server.stop();
@@ -99,89 +155,103 @@
 
     private void start(HttpServerExchange exchange) {
         RequestId id = new RequestId(self + "-" + sequence.incrementAndGet());
-        CallerRequest request = read(exchange, id);
-        Optional<Configuration> configuration = core.configuration();
-        if (configuration.isEmpty()) {
-            refuse(exchange, request, Refusal.notRun(RefusalReason.STOPPING, RETRY_AFTER_MILLIS));
+        CallerRequest request = RequestReader.read(exchange, id);
+        Configuration configuration = core.configuration().orElse(null);
+        if (configuration == null) {
+            Refusal refusal = Refusal.notRun(RefusalReason.STOPPING, RETRY_AFTER_MILLIS);
+            reject(exchange, request, new Rejection(refusal, "there is no configuration yet"));
             return;
         }
-        HEAD_FILTERS
-                .apply(Admission.of(request, configuration.get()))
-                .fold(
-                        admission -> {
-                            readBody(exchange, id, admission);
-                            return admission;
-                        },
-                        refusal -> {
-                            refuse(exchange, request, refusal);
-                            return refusal;
-                        });
+        Result<Admission, Rejection> result =
+                headFilters.apply(Admission.of(request, configuration, System.nanoTime()));
+        if (result instanceof Result.Ok<Admission, Rejection> ok) {
+            readBody(exchange, id, ok.held());
+        } else {
+            result.error().ifPresent(rejection -> reject(exchange, request, rejection));
+        }
     }
 
     private void readBody(HttpServerExchange exchange, RequestId id, Admission admission) {
+        if (exchange.isRequestComplete()) {
+            admit(exchange, id, admission);
+            return;
+        }
         long limit = admission.route().map(Route::maxBodyBytes).orElse(0L);
-        exchange.setMaxEntitySize(limit);
         if (exchange.getRequestContentLength() > limit) {
-            refuse(exchange, admission.request(), Refusal.notRun(RefusalReason.BODY_TOO_LARGE, 0));
+            reject(exchange, admission.request(), tooLarge(limit));
             return;
         }
+        exchange.setMaxEntitySize(limit);
+        XnioExecutor.Key timer = exchange.getIoThread()
+                .executeAfter(
+                        () -> reject(
+                                exchange,
+                                admission.request(),
+                                Rejection.of(RefusalReason.SLOW_SENDER, "the body did not arrive in time")),
+                        bodyMillis,
+                        TimeUnit.MILLISECONDS);
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (_exchange, bytes) -> admit(exchange, id, admission.withBody(HttpBody.of(bytes))),
-                        (_exchange, _e) ->
-                                refuse(exchange, admission.request(), Refusal.notRun(RefusalReason.BODY_TOO_LARGE, 0)));
+                        (_exchange, bytes) -> {
+                            timer.remove();
+                            admit(exchange, id, admission.withBody(HttpBody.of(bytes)));
+                        },
+                        (_exchange, _e) -> {
+                            timer.remove();
+                            reject(exchange, admission.request(), tooLarge(limit));
+                        });
     }
 
     private void admit(HttpServerExchange exchange, RequestId id, Admission read) {
-        BODY_FILTERS
-                .apply(read)
-                .fold(
-                        admission -> {
-                            RequestTask task = new RequestTask(exchange, id, admission, upstream, core);
-                            core.arrive(facts(id, admission), task);
-                            return admission;
-                        },
-                        refusal -> {
-                            refuse(exchange, read.request(), refusal);
-                            return refusal;
-                        });
+        boolean model = read.service().map(s -> s.kind() == ServiceKind.MODEL).orElse(false);
+        if (model && read.lastEventId().isPresent()) {
+            reconnects.serve(exchange, read);
+            return;
+        }
+        Result<Admission, Rejection> result = bodyFilter.apply(read);
+        if (result instanceof Result.Ok<Admission, Rejection> ok) {
+            serve(exchange, id, ok.held());
+        } else {
+            result.error().ifPresent(rejection -> reject(exchange, read.request(), rejection));
+        }
     }
 
-    private static RequestFacts facts(RequestId id, Admission admission) {
-        long deadline = System.nanoTime() + admission.timeoutMillis() * Moment.NANOS_PER_MILLI;
-        return new RequestFacts(
-                id,
-                admission.team().orElseThrow().id(),
-                admission.service().orElseThrow().id(),
-                admission.route().orElseThrow().id(),
-                admission.idempotent(),
-                admission.streaming(),
-                admission.team().orElseThrow().priority(),
-                deadline,
-                admission.completion().map(Completion::promptTokens).orElse(0),
-                admission.completion().map(Completion::maxTokens).orElse(0),
-                admission.completion().map(Completion::prefixBlocks).orElseGet(List::of));
+    private void serve(HttpServerExchange exchange, RequestId id, Admission admission) {
+        RequestTask task = CallerTasks.create(exchange, id, admission, tools);
+        if (admission.streaming()) {
+            streams.add(task);
+        }
+        exchange.addExchangeCompleteListener((_exchange, next) -> {
+            streams.remove(task);
+            task.onCallerLeft();
+            next.proceed();
+        });
+        CallerWatch.start(exchange, task::onCallerLeft);
+        core.arrive(admission.facts(id), task);
+    }
+
+    private static Rejection tooLarge(long limit) {
+        return Rejection.of(RefusalReason.BODY_TOO_LARGE, "the body is larger than " + limit + " bytes");
     }
 
-    private static CallerRequest read(HttpServerExchange exchange, RequestId id) {
-        HeaderMap headers = exchange.getRequestHeaders();
-        Optional<String> token = Optional.ofNullable(headers.getFirst(Headers.AUTHORIZATION))
-                .filter(text -> text.startsWith(BEARER))
-                .map(text -> text.substring(BEARER.length()));
-        return new CallerRequest(
-                Optional.ofNullable(headers.getFirst(REQUEST_ID)).orElseGet(id::value),
-                exchange.getRequestMethod().toString(),
-                exchange.getRequestPath(),
-                exchange.getQueryString(),
-                token,
-                Optional.ofNullable(headers.getFirst(Headers.CONTENT_TYPE)),
-                Optional.ofNullable(headers.getFirst(IDEMPOTENCY_KEY)),
-                Optional.ofNullable(headers.getFirst(REQUEST_TIMEOUT)),
-                Optional.ofNullable(headers.getFirst(LAST_EVENT_ID)),
-                HttpBody.EMPTY);
+    private static void reject(HttpServerExchange exchange, CallerRequest request, Rejection rejection) {
+        LOG.info(
+                "request-rejected",
+                Field.of("reason", rejection.refusal().reason().text()),
+                Field.of("detail", rejection.detail()),
+                Field.of("method", request.method()),
+                Field.of("peer", exchange.getSourceAddress()));
+        if (!exchange.isRequestComplete()) {
+            // What is left of the request is not read, so the connection cannot carry another one.
+            exchange.setPersistent(false);
+        }
+        Problems.send(exchange, safeId(request), rejection.refusal(), rejection.detail());
     }
 
-    private static void refuse(HttpServerExchange exchange, CallerRequest request, Refusal refusal) {
-        Problems.send(exchange, request.callerRequestId(), refusal);
+    private static String safeId(CallerRequest request) {
+        String id = request.callerRequestId();
+        boolean safe =
+                id.length() <= CheckHeaders.MAX_ID_CHARACTERS && id.chars().allMatch(c -> c >= ' ' && c < 0x7f);
+        return safe ? id : "";
     }
 }
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerTasks.java
@@ -0,0 +1,38 @@
+package org.geraniumstand.http.caller;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import java.nio.ByteBuffer;
+import java.util.Base64;
+import java.util.Optional;
+import org.geraniumstand.decisions.orders.RecordedAnswer;
+import org.geraniumstand.http.filter.Admission;
+import org.geraniumstand.model.id.RequestId;
+
+/** Creates the task of a caller's request with the relay that fits it. */
+final class CallerTasks {
+    private CallerTasks() {}
+
+    static RequestTask create(HttpServerExchange exchange, RequestId id, Admission admission, RequestTools tools) {
+        String callerRequestId = admission.request().callerRequestId();
+        AnswerRelay answer = new AnswerRelay(exchange, callerRequestId, admission.idempotent());
+        Relay relay = admission.streaming()
+                ? new StreamRelay(
+                        admission.completion().orElseThrow(),
+                        new CallerEvents(exchange, callerRequestId),
+                        Optional.of(answer))
+                : answer;
+        RequestTask task = new RequestTask(id, admission, relay, exchange.getIoThread(), tools);
+        task.replayWith(recorded -> replay(exchange, callerRequestId, recorded));
+        return task;
+    }
+
+    private static void replay(HttpServerExchange exchange, String callerRequestId, RecordedAnswer answer) {
+        exchange.setStatusCode(answer.status());
+        exchange.getResponseHeaders().put(RelayedHeaders.REQUEST_ID, callerRequestId);
+        if (!answer.contentType().isEmpty()) {
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, answer.contentType());
+        }
+        exchange.getResponseSender().send(ByteBuffer.wrap(Base64.getDecoder().decode(answer.body())));
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/caller/Reconnects.java
@@ -0,0 +1,110 @@
+package org.geraniumstand.http.caller;
+
+import io.undertow.server.HttpServerExchange;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumstand.decisions.Action.AttemptLimits;
+import org.geraniumstand.http.filter.Admission;
+import org.geraniumstand.http.filter.CallerRequest;
+import org.geraniumstand.http.upstream.AnswerHead;
+import org.geraniumstand.http.upstream.Attempt;
+import org.geraniumstand.http.upstream.AttemptListener;
+import org.geraniumstand.http.upstream.AttemptSpec;
+import org.geraniumstand.http.upstream.UpstreamClient;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.model.request.RefusalReason;
+import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.platform.net.HttpRequest.Header;
+
+/** Gives callers that come back the rest of a stream that was handed over. */
+final class Reconnects {
+    private static final long SILENCE_MILLIS = 30_000;
+    private static final AttemptLimits LIMITS = new AttemptLimits(SILENCE_MILLIS, SILENCE_MILLIS, true);
+
+    private final ProcessId self;
+    private final HeldStreams held;
+    private final HolderLookup lookup;
+    private final UpstreamClient upstream;
+
+    Reconnects(ProcessId self, HeldStreams held, HolderLookup lookup, UpstreamClient upstream) {
+        this.self = self;
+        this.held = held;
+        this.lookup = lookup;
+        this.upstream = upstream;
+    }
+
+    void serve(HttpServerExchange exchange, Admission admission) {
+        String team = admission.team().orElseThrow().id().value();
+        String name = admission.request().callerRequestId();
+        Optional<HeldStream> local = held.find(team, name);
+        if (local.isPresent()) {
+            int last = admission.lastEventId().orElseThrow();
+            local.get().attach(exchange, name, last, () -> refuse(exchange, name));
+        } else if (exchange.getRequestHeaders().contains(RequestReader.RELAYED_BY)) {
+            refuse(exchange, name);
+        } else {
+            lookup.find(
+                    team,
+                    name,
+                    holder -> exchange.getIoThread()
+                            .execute(() -> holder.ifPresentOrElse(
+                                    found -> relay(exchange, admission, found), () -> refuse(exchange, name))));
+        }
+    }
+
+    private void relay(HttpServerExchange exchange, Admission admission, HolderLookup.Holder holder) {
+        CallerRequest request = admission.request();
+        AttemptSpec spec = new AttemptSpec(
+                holder.address(),
+                holder.port(),
+                "GET",
+                request.target(),
+                List.of(
+                        new Header(
+                                "Authorization",
+                                "Bearer " + request.bearerToken().orElseThrow()),
+                        new Header("Last-Event-ID", request.lastEventId().orElseThrow()),
+                        new Header(RequestReader.RELAYED_BY.toString(), self.value())),
+                request.callerRequestId(),
+                HttpBody.EMPTY,
+                LIMITS);
+        AnswerRelay relay = new AnswerRelay(exchange, request.callerRequestId(), false);
+        Attempt attempt = upstream.prepare(spec, exchange.getIoThread(), new Progress(relay));
+        relay.hold(attempt);
+        CallerWatch.start(exchange, () -> {
+            relay.onCallerLeft();
+            attempt.cancel();
+        });
+        attempt.start();
+    }
+
+    private static void refuse(HttpServerExchange exchange, String name) {
+        Problems.send(exchange, name, Refusal.unknown(RefusalReason.STREAM_UNKNOWN), "");
+    }
+
+    /** Passes on what the holder sends. */
+    private record Progress(AnswerRelay relay) implements AttemptListener {
+        @Override
+        public void onHead(AnswerHead head) {
+            relay.onHead(head);
+        }
+
+        @Override
+        public void onBytes(ByteBuffer bytes) {
+            relay.onBytes(bytes);
+        }
+
+        @Override
+        public void onEnd(AttemptEnd end) {
+            relay.judge(end);
+            if (end == AttemptEnd.ANSWERED || relay.committed()) {
+                relay.finish();
+            } else {
+                relay.refuse(Refusal.unknown(RefusalReason.STREAM_UNKNOWN));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestTools.java
@@ -0,0 +1,17 @@
+package org.geraniumstand.http.caller;
+
+import org.geraniumstand.http.CoreInbox;
+import org.geraniumstand.http.filter.Admission;
+import org.geraniumstand.http.order.OrderGate;
+import org.geraniumstand.http.order.Orders;
+import org.geraniumstand.http.upstream.UpstreamClient;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.RequestId;
+import org.xnio.XnioIoThread;
+
+/** What all request tasks of a process share. */
+record RequestTools(ProcessId self, CoreInbox core, UpstreamClient upstream, Orders orders) {
+    OrderGate gate(RequestId id, Admission admission, XnioIoThread thread, OrderGate.Exit exit) {
+        return new OrderGate(self, id, admission, orders, upstream, thread, exit);
+    }
+}
--- a/http/src/main/java/org/geraniumstand/http/filter/Filter.java
+++ b/http/src/main/java/org/geraniumstand/http/filter/Filter.java
@@ -1,7 +1,6 @@
 package org.geraniumstand.http.filter;
 
 import java.util.List;
-import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.result.Result;
 
 /** A step of a request's way that passes it on or ends it. */
@@ -12,7 +11,7 @@
      *
      * @param admission what is known so far
      */
-    Result<Admission, Refusal> apply(Admission admission);
+    Result<Admission, Rejection> apply(Admission admission);
 
     /**
      * Returns a filter that runs some filters in order until one ends the request.
@@ -21,7 +20,7 @@
      */
     static Filter chain(List<Filter> filters) {
         return admission -> {
-            Result<Admission, Refusal> result = Result.ok(admission);
+            Result<Admission, Rejection> result = Result.ok(admission);
             for (Filter filter : filters) {
                 result = result.fold(filter::apply, Result::err);
             }
--- a/http/src/main/java/org/geraniumstand/http/filter/MatchRoute.java
+++ b/http/src/main/java/org/geraniumstand/http/filter/MatchRoute.java
@@ -1,7 +1,6 @@
 package org.geraniumstand.http.filter;
 
 import org.geraniumstand.decisions.Decision;
-import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.result.Result;
 
@@ -9,7 +8,7 @@
 @Decision(name = "match-route", summary = "A request whose path matches no route is refused.")
 public final class MatchRoute implements Filter {
     @Override
-    public Result<Admission, Refusal> apply(Admission admission) {
+    public Result<Admission, Rejection> apply(Admission admission) {
         return admission
                 .configuration()
                 .routeFor(admission.request().path())
@@ -17,7 +16,8 @@
                         .configuration()
                         .service(route.service())
                         .map(service -> admission.withRoute(route, service)))
-                .<Result<Admission, Refusal>>map(Result::ok)
-                .orElseGet(() -> Result.err(Refusal.notRun(RefusalReason.UNKNOWN_ROUTE, 0)));
+                .<Result<Admission, Rejection>>map(Result::ok)
+                .orElseGet(() ->
+                        Result.err(Rejection.of(RefusalReason.UNKNOWN_ROUTE, "no route has a prefix of the path")));
     }
 }
--- a/http/src/main/java/org/geraniumstand/http/filter/ParseCompletion.java
+++ b/http/src/main/java/org/geraniumstand/http/filter/ParseCompletion.java
@@ -1,34 +1,47 @@
 package org.geraniumstand.http.filter;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.IOException;
-import java.util.Optional;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.config.ServiceKind;
-import org.geraniumstand.model.request.Refusal;
-import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.json.Json;
 
 /** Parses the body of a completion request. */
 @Decision(name = "parse-completion", summary = "A completion whose body is not valid JSON with messages is refused.")
 public final class ParseCompletion implements Filter {
+    /** Deepest nesting of JSON that is accepted. */
+    public static final int MAX_DEPTH = 64;
+
+    private static final JsonMapper MAPPER = JsonMapper.builder(JsonFactory.builder()
+                    .streamReadConstraints(StreamReadConstraints.builder()
+                            .maxNestingDepth(MAX_DEPTH)
+                            .build())
+                    .build())
+            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+            .enable(DeserializationFeature.FAIL_ON_READING_DUP_TREE_KEY)
+            .build();
+
     @Override
-    public Result<Admission, Refusal> apply(Admission admission) {
+    public Result<Admission, Rejection> apply(Admission admission) {
         boolean model =
                 admission.service().map(s -> s.kind() == ServiceKind.MODEL).orElse(false);
-        if (!model) {
+        boolean hasBody = admission.request().body().size() > 0
+                || admission.request().method().equals("POST");
+        if (!model || !hasBody) {
             return Result.ok(admission);
         }
-        return parse(admission)
-                .<Result<Admission, Refusal>>map(c -> Result.ok(admission.withCompletion(c)))
-                .orElseGet(() -> Result.err(Refusal.notRun(RefusalReason.BAD_REQUEST, 0)));
-    }
-
-    private static Optional<Completion> parse(Admission admission) {
         try {
-            return Completion.read(Json.MAPPER.readTree(admission.request().body().stream()));
+            return Completion.read(MAPPER.readTree(admission.request().body().stream()))
+                    .map(admission::withCompletion)
+                    .mapError(Rejection::malformed);
+        } catch (JsonProcessingException _e) {
+            return Result.err(Rejection.malformed("the body is not JSON, or nested too deep"));
         } catch (IOException _e) {
-            return Optional.empty();
+            return Result.err(Rejection.malformed("the body cannot be read"));
         }
     }
 }
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -10,10 +10,9 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import io.undertow.util.Methods;
 import java.io.IOException;
-import java.net.URI;
 import java.nio.ByteBuffer;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.platform.net.BodyWriter;
@@ -27,61 +26,92 @@
 import org.xnio.channels.StreamSourceChannel;
 
 /** One attempt at a backend server; it belongs to one I/O thread. */
-public final class Attempt {
+public final class Attempt implements Flow {
     private static final long PROVEN_MILLIS = 300;
     private static final long REUSE_MILLIS = 5_000;
-    private static final int SERVER_ERROR = 500;
+    private static final int REUSE_BODY_BYTES = 16 * 1024;
     private static final HttpString IDENTITY = new HttpString("X-Request-Id");
-    private static final HttpString IDEMPOTENCY_KEY = new HttpString("Idempotency-Key");
-    private static final HttpString OUTCOME = new HttpString("X-Outcome");
-    private static final String NOT_RUN = "not-run";
 
     private final AttemptSpec spec;
+    private final Origin origin;
     private final XnioIoThread thread;
     private final ByteBufferPool buffers;
     private final ConnectionShelf shelf;
     private final AttemptListener listener;
     private ClientConnection connection;
+    private StreamSourceChannel answer;
+    private AnswerHead head;
     private XnioExecutor.Key silence;
+    private long lastByteNanos;
+    private boolean paused;
     private boolean done;
-    private int status;
-    private boolean declined;
 
     Attempt(
             AttemptSpec spec,
+            Origin origin,
             XnioIoThread thread,
             ByteBufferPool buffers,
             ConnectionShelf shelf,
             AttemptListener listener) {
         this.spec = spec;
+        this.origin = origin;
         this.thread = thread;
         this.buffers = buffers;
         this.shelf = shelf;
         this.listener = listener;
     }
 
-    void start() {
-        expectWithin(spec.limits().firstByteMillis());
+    /** Connects and sends the request. */
+    public void start() {
+        lastByteNanos = System.nanoTime();
+        watchSilence(spec.limits().firstByteMillis());
         long reuse = spec.limits().provenConnection() ? PROVEN_MILLIS : REUSE_MILLIS;
-        shelf.take(origin(), reuse).ifPresentOrElse(this::sendOn, this::connect);
+        shelf.take(origin.uri(), reuse).ifPresentOrElse(this::sendOn, this::connect);
+    }
+
+    /** Returns whether bytes of the request may have left this process. */
+    public boolean sent() {
+        return connection != null;
+    }
+
+    /** Returns whether the attempt has not ended. */
+    public boolean running() {
+        return !done;
     }
 
     /** Ends the attempt and closes its connection; the listener is told nothing more. */
     public void cancel() {
-        finish();
-        IoUtils.safeClose(connection);
+        if (!done) {
+            finish();
+            IoUtils.safeClose(connection);
+        }
+    }
+
+    @Override
+    public void pause() {
+        paused = true;
+        if (answer != null) {
+            answer.suspendReads();
+        }
     }
 
-    private URI origin() {
-        return URI.create(
-                "http://" + spec.server().address() + ":" + spec.server().port());
+    @Override
+    public void resume() {
+        if (!paused || done) {
+            return;
+        }
+        paused = false;
+        lastByteNanos = System.nanoTime();
+        if (answer != null) {
+            answer.wakeupReads();
+        }
     }
 
     private void connect() {
         UndertowClient.getInstance()
                 .connect(
                         Callbacks.of(this::sendOn, _e -> fail(AttemptEnd.NOT_CONNECTED)),
-                        origin(),
+                        origin.uri(),
                         thread,
                         buffers,
                         OptionMap.EMPTY);
@@ -93,15 +123,14 @@
             return;
         }
         connection = open;
-        ClientRequest head =
-                new ClientRequest().setMethod(new HttpString(spec.method())).setPath(spec.path());
-        HeaderMap headers = head.getRequestHeaders();
-        headers.put(Headers.HOST, origin().getAuthority());
+        ClientRequest request =
+                new ClientRequest().setMethod(Methods.fromString(spec.method())).setPath(spec.path());
+        HeaderMap headers = request.getRequestHeaders();
+        headers.put(Headers.HOST, origin.authority());
         headers.put(Headers.CONTENT_LENGTH, spec.body().size());
         headers.put(IDENTITY, spec.identity());
-        spec.contentType().ifPresent(type -> headers.put(Headers.CONTENT_TYPE, type));
-        spec.idempotencyKey().ifPresent(key -> headers.put(IDEMPOTENCY_KEY, key));
-        open.sendRequest(head, Callbacks.of(this::writeBody, _e -> fail(AttemptEnd.BROKEN)));
+        spec.headers().forEach(h -> headers.put(HttpString.tryFromString(h.name()), h.value()));
+        open.sendRequest(request, Callbacks.of(this::writeBody, _e -> fail(AttemptEnd.BROKEN)));
     }
 
     private void writeBody(ClientExchange exchange) {
@@ -120,20 +149,19 @@
             fail(AttemptEnd.BROKEN);
             return;
         }
-        status = response.getResponseCode();
-        declined = NOT_RUN.equals(response.getResponseHeaders().getFirst(OUTCOME));
-        expectWithin(spec.limits().betweenBytesMillis());
-        listener.onHead(new AttemptListener.AnswerHead(
-                status, Optional.ofNullable(response.getResponseHeaders().getFirst(Headers.CONTENT_TYPE)), declined));
-        StreamSourceChannel channel = exchange.getResponseChannel();
-        channel.getReadSetter().set((ChannelListener<StreamSourceChannel>) this::drain);
-        drain(channel);
+        lastByteNanos = System.nanoTime();
+        head = new AnswerHead(response.getResponseCode(), response.getResponseHeaders());
+        answer = exchange.getResponseChannel();
+        answer.getReadSetter().set((ChannelListener<StreamSourceChannel>) this::drain);
+        watchSilence(spec.limits().betweenBytesMillis());
+        listener.onHead(head);
+        drain(answer);
     }
 
     private void drain(StreamSourceChannel channel) {
         try (PooledByteBuffer pooled = buffers.allocate()) {
             ByteBuffer buffer = pooled.getBuffer();
-            while (!done) {
+            while (!done && !paused) {
                 buffer.clear();
                 int count = channel.read(buffer);
                 if (count == 0) {
@@ -144,7 +172,7 @@
                     complete();
                     return;
                 }
-                expectWithin(spec.limits().betweenBytesMillis());
+                lastByteNanos = System.nanoTime();
                 buffer.flip();
                 listener.onBytes(buffer);
             }
@@ -154,15 +182,17 @@
     }
 
     private void complete() {
-        if (done) {
-            return;
-        }
         finish();
-        shelf.put(origin(), connection);
-        if (declined) {
+        if (spec.body().size() <= REUSE_BODY_BYTES) {
+            shelf.put(origin.uri(), connection);
+        } else {
+            // A large body may not be read whole by a server that answered early.
+            IoUtils.safeClose(connection);
+        }
+        if (head.vouchesNotRun()) {
             listener.onEnd(AttemptEnd.DECLINED);
         } else {
-            listener.onEnd(status >= SERVER_ERROR ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED);
+            listener.onEnd(head.serverError() ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED);
         }
     }
 
@@ -175,15 +205,29 @@
         listener.onEnd(end);
     }
 
-    private void expectWithin(long millis) {
+    // One timer watches all bytes of a phase; setting it anew for each part of the answer would cost more.
+    private void watchSilence(long limitMillis) {
         if (silence != null) {
             silence.remove();
         }
-        silence = thread.executeAfter(() -> fail(silenceEnd()), millis, TimeUnit.MILLISECONDS);
+        long quietMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastByteNanos);
+        silence = thread.executeAfter(
+                () -> checkSilence(limitMillis), Math.max(1, limitMillis - quietMillis), TimeUnit.MILLISECONDS);
     }
 
-    private AttemptEnd silenceEnd() {
-        return connection == null ? AttemptEnd.NOT_CONNECTED : AttemptEnd.SILENT;
+    private void checkSilence(long limitMillis) {
+        silence = null;
+        if (done) {
+            return;
+        }
+        if (paused) {
+            lastByteNanos = System.nanoTime();
+        }
+        if (System.nanoTime() - lastByteNanos >= TimeUnit.MILLISECONDS.toNanos(limitMillis)) {
+            fail(connection == null ? AttemptEnd.NOT_CONNECTED : AttemptEnd.SILENT);
+        } else {
+            watchSilence(limitMillis);
+        }
     }
 
     private void finish() {
--- a/http/src/main/java/org/geraniumstand/http/upstream/AttemptListener.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/AttemptListener.java
@@ -1,7 +1,6 @@
 package org.geraniumstand.http.upstream;
 
 import java.nio.ByteBuffer;
-import java.util.Optional;
 import org.geraniumstand.model.request.AttemptEnd;
 
 /** Told what an attempt brings, on the thread that owns it. */
@@ -26,13 +25,4 @@
      * @param end how it ended
      */
     void onEnd(AttemptEnd end);
-
-    /**
-     * The head of an answer.
-     *
-     * @param status the HTTP status code
-     * @param contentType type of the body, if any
-     * @param vouchesNotRun whether the server says that it did not run the request
-     */
-    record AnswerHead(int status, Optional<String> contentType, boolean vouchesNotRun) {}
 }
--- a/http/src/main/java/org/geraniumstand/http/upstream/AttemptSpec.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/AttemptSpec.java
@@ -1,28 +1,33 @@
 package org.geraniumstand.http.upstream;
 
-import java.util.Optional;
+import java.util.List;
 import org.geraniumstand.decisions.Action.AttemptLimits;
-import org.geraniumstand.model.fleet.BackendServer;
 import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.platform.net.HttpRequest.Header;
 
 /**
  * What to send to a backend server.
  *
- * @param server the backend server
+ * @param address IP number that it listens on
+ * @param port port that it listens on
  * @param method the HTTP method
  * @param path path and query
- * @param contentType type of the body, if any
- * @param idempotencyKey the caller's idempotency key, if any
+ * @param headers headers beside host, content length and identity
  * @param identity names this attempt; the answer must carry it or no identity at all
  * @param body the body
  * @param limits its time limits
  */
 public record AttemptSpec(
-        BackendServer server,
+        String address,
+        int port,
         String method,
         String path,
-        Optional<String> contentType,
-        Optional<String> idempotencyKey,
+        List<Header> headers,
         String identity,
         HttpBody body,
-        AttemptLimits limits) {}
+        AttemptLimits limits) {
+    /** Copies the list. */
+    public AttemptSpec {
+        headers = List.copyOf(headers);
+    }
+}
--- a/http/src/main/java/org/geraniumstand/http/upstream/UpstreamClient.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/UpstreamClient.java
@@ -9,6 +9,7 @@
 /** Opens attempts at backend servers. */
 public final class UpstreamClient {
     private final ByteBufferPool buffers;
+    private final Origins origins = new Origins();
     private final Map<XnioIoThread, ConnectionShelf> shelves = new ConcurrentHashMap<>();
 
     /**
@@ -21,16 +22,14 @@
     }
 
     /**
-     * Starts an attempt; must be called on the thread that is to own it.
+     * Prepares an attempt; must be called on the thread that is to own it.
      *
      * @param spec what to send
      * @param thread the calling I/O thread
      * @param listener told what the attempt brings
      */
-    public Attempt start(AttemptSpec spec, XnioIoThread thread, AttemptListener listener) {
+    public Attempt prepare(AttemptSpec spec, XnioIoThread thread, AttemptListener listener) {
         ConnectionShelf shelf = shelves.computeIfAbsent(thread, _t -> new ConnectionShelf());
-        Attempt attempt = new Attempt(spec, thread, buffers, shelf, listener);
-        attempt.start();
-        return attempt;
+        return new Attempt(spec, origins.of(spec.address(), spec.port()), thread, buffers, shelf, listener);
     }
 }
--- /dev/null
+++ b/http/src/test/java/org/geraniumstand/http/fake/FakeOrders.java
@@ -0,0 +1,51 @@
+package org.geraniumstand.http.fake;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.geraniumstand.decisions.orders.ChangedSlot;
+import org.geraniumstand.decisions.orders.ClaimChange;
+import org.geraniumstand.decisions.orders.ClaimSlot;
+import org.geraniumstand.decisions.orders.ClaimVerdict;
+import org.geraniumstand.decisions.orders.OpenClaim;
+import org.geraniumstand.decisions.orders.SettleClaim;
+import org.geraniumstand.http.order.Orders;
+
+/** Keeps claims in memory. */
+public final class FakeOrders implements Orders {
+    private ClaimSlot slot = ClaimSlot.EMPTY;
+    private final List<ClaimChange.Kind> settled = new ArrayList<>();
+    private boolean out;
+
+    /** Makes the store fail from now on. */
+    public synchronized void fail() {
+        out = true;
+    }
+
+    /** Returns the settlements, in order. */
+    public synchronized List<ClaimChange.Kind> settled() {
+        return List.copyOf(settled);
+    }
+
+    /** Returns the claims. */
+    public synchronized ClaimSlot slot() {
+        return slot;
+    }
+
+    @Override
+    public synchronized void open(ClaimChange wish, long _deadlineNanos, Consumer<ClaimVerdict> callback) {
+        if (out) {
+            callback.accept(ClaimVerdict.of(ClaimVerdict.Kind.UNAVAILABLE));
+            return;
+        }
+        ChangedSlot changed = OpenClaim.apply(slot, wish, System.currentTimeMillis());
+        slot = changed.slot();
+        callback.accept(changed.verdict());
+    }
+
+    @Override
+    public synchronized void settle(ClaimChange change) {
+        slot = SettleClaim.apply(slot, change, System.currentTimeMillis()).slot();
+        settled.add(change.kind());
+    }
+}
--- /dev/null
+++ b/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
@@ -0,0 +1,233 @@
+package org.geraniumstand.http.fake;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A backend server whose every byte is scripted by the test. */
+public final class FakeServer implements AutoCloseable {
+    private final ServerSocket listener;
+    private final Script script;
+    private final List<Request> requests = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final AtomicInteger gone = new AtomicInteger();
+
+    /** What the server does with a request. */
+    @FunctionalInterface
+    public interface Script {
+        /**
+         * Answers.
+         *
+         * @param request the request
+         * @param connection where to write
+         */
+        void answer(Request request, Connection connection) throws IOException, InterruptedException;
+    }
+
+    /**
+     * A request as it came.
+     *
+     * @param method the method
+     * @param target path and query
+     * @param headers headers by lower-case name
+     * @param body the body
+     */
+    public record Request(String method, String target, Map<String, String> headers, String body) {
+        /** Returns the name of the attempt. */
+        public String identity() {
+            return headers.get("x-request-id");
+        }
+    }
+
+    private FakeServer(Script script) {
+        this.script = script;
+        try {
+            this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /**
+     * Starts a server.
+     *
+     * @param script what it does
+     */
+    public static FakeServer start(Script script) {
+        FakeServer server = new FakeServer(script);
+        thread(server::accept);
+        return server;
+    }
+
+    /** Returns the port that it listens on. */
+    public int port() {
+        return listener.getLocalPort();
+    }
+
+    /** Returns the requests that arrived. */
+    public List<Request> requests() {
+        return List.copyOf(requests);
+    }
+
+    /** Returns how many connections were closed by the other end. */
+    public int gone() {
+        return gone.get();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                sockets.add(socket);
+                thread(() -> serve(socket));
+            } catch (IOException _e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            Connection connection = new Connection(socket);
+            Optional<Request> request = read(in);
+            while (request.isPresent()) {
+                requests.add(request.get());
+                script.answer(request.get(), connection);
+                request = read(in);
+            }
+            gone.incrementAndGet();
+        } catch (IOException _e) {
+            gone.incrementAndGet();
+        } catch (InterruptedException _e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Optional<Request> read(InputStream in) throws IOException {
+        String start = line(in);
+        if (start.isEmpty()) {
+            return Optional.empty();
+        }
+        Map<String, String> headers = new HashMap<>();
+        for (String line = line(in); !line.isEmpty(); line = line(in)) {
+            int colon = line.indexOf(':');
+            headers.put(
+                    line.substring(0, colon).toLowerCase(Locale.ROOT),
+                    line.substring(colon + 1).trim());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        String body = new String(in.readNBytes(length), StandardCharsets.UTF_8);
+        String[] parts = start.split(" ", 3);
+        return Optional.of(new Request(parts[0], parts[1], headers, body));
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int next = in.read(); next >= 0 && next != '\n'; next = in.read()) {
+            if (next != '\r') {
+                line.write(next);
+            }
+        }
+        return line.toString(StandardCharsets.UTF_8);
+    }
+
+    private static void thread(Runnable task) {
+        Thread thread = new Thread(task, "fake-server");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A connection of the server. */
+    public static final class Connection {
+        private final Socket socket;
+
+        private Connection(Socket socket) {
+            this.socket = socket;
+        }
+
+        /**
+         * Writes text as it is.
+         *
+         * @param text the text
+         */
+        public void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+            socket.getOutputStream().flush();
+        }
+
+        /**
+         * Writes a whole answer.
+         *
+         * @param status status code
+         * @param headers further headers, each ended by a line break
+         * @param body the body
+         */
+        public void answer(int status, String headers, String body) throws IOException {
+            write("HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        /** Starts a stream that ends with the connection's chunked encoding. */
+        public void startStream() throws IOException {
+            write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        }
+
+        /**
+         * Writes an event of a stream.
+         *
+         * @param data its data
+         */
+        public void event(String data) throws IOException {
+            String text = "data: " + data + "\n\n";
+            write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        }
+
+        /**
+         * Writes a token of a stream.
+         *
+         * @param content its text
+         */
+        public void token(String content) throws IOException {
+            event("{\"choices\":[{\"delta\":{\"content\":\"" + content + "\"}}]}");
+        }
+
+        /** Ends a stream. */
+        public void endStream() throws IOException {
+            event("[DONE]");
+            write("0\r\n\r\n");
+        }
+
+        /** Says nothing more until the other end closes the connection. */
+        public void stayMute() throws IOException {
+            while (socket.getInputStream().read() >= 0) {
+                // What comes is not of interest.
+            }
+        }
+
+        /** Cuts the connection. */
+        public void cut() throws IOException {
+            socket.close();
+        }
+    }
+}
--- a/model/src/main/java/org/geraniumstand/model/request/Outcome.java
+++ b/model/src/main/java/org/geraniumstand/model/request/Outcome.java
@@ -4,6 +4,8 @@
 public enum Outcome {
     /** No byte of the request can have reached a backend server, or the server vouches that it did not run. */
     NOT_RUN("not-run"),
+    /** The request ran, but its answer cannot be given. */
+    RAN("ran"),
     /** The request may have run. */
     UNKNOWN("unknown");
 
--- a/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
+++ b/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
@@ -12,6 +12,12 @@
     KEY_REUSED("key-reused", 422, "The idempotency key was used for another request."),
     /** An earlier request with the same key has an unknown outcome. */
     KEY_UNSETTLED("key-unsettled", 409, "An earlier request with this key may have run; it is not run again."),
+    /** The order with this key ran, and its answer was too large to be kept. */
+    ALREADY_RUN("already-run", 409, "The order with this key ran; its answer was too large to be kept."),
+    /** No process holds the stream that the caller wants to go on with. */
+    STREAM_UNKNOWN("stream-unknown", 409, "No process holds the stream any more."),
+    /** The request did not arrive in time. */
+    SLOW_SENDER("slow-sender", 408, "The request did not arrive in time."),
     /** The body is larger than the route accepts. */
     BODY_TOO_LARGE("body-too-large", 413, "The body is larger than the route accepts."),
     /** The team has more work waiting than its share. */
