--- a/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
@@ -70,6 +70,11 @@
         thread.execute(() -> act(action));
     }
 
+    @Override
+    public String callerRequestId() {
+        return admission.request().callerRequestId();
+    }
+
     /** Takes note that the caller left; work that may not be repeated goes on. */
     void onCallerLeft() {
         if (callerDone) {
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/ClaimReplyCodec.java
@@ -0,0 +1,26 @@
+package org.geraniumstand.peer.codec;
+
+import org.geraniumstand.peer.PeerMessage;
+
+/** Codec of {@link PeerMessage.ClaimReply}. */
+final class ClaimReplyCodec implements MessageCodec<PeerMessage.ClaimReply> {
+    @Override
+    public int number() {
+        return 14;
+    }
+
+    @Override
+    public Class<PeerMessage.ClaimReply> type() {
+        return PeerMessage.ClaimReply.class;
+    }
+
+    @Override
+    public void write(FieldWriter out, PeerMessage.ClaimReply message) {
+        out.fields(3).number(message.correlation()).text(message.verdict().kind().name()).list(message.verdict().claim().stream().toList(), Claims::writeClaim);
+    }
+
+    @Override
+    public PeerMessage.ClaimReply read(FieldReader in) {
+        return new PeerMessage.ClaimReply(in.number(), Claims.verdict(in.text(), in.list(Claims::readClaim)));
+    }
+}
