--- a/decisions/src/main/java/org/geraniumstand/decisions/orders/SettleClaim.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/orders/SettleClaim.java
@@ -24,7 +24,8 @@
         }
         Claim claim = found.get();
         if (!claim.token().equals(change.token())) {
-            return unchanged(slot);
+            boolean bothNotRun = claim.state() == ClaimState.NOT_RUN && change.kind() == ClaimChange.Kind.NOT_RUN;
+            return bothNotRun ? tombstone(slot, change, epochMillis) : unchanged(slot);
         }
         ClaimState next = stateOf(change.kind());
         boolean open = claim.state() == ClaimState.CLAIMED || claim.state() == ClaimState.UNKNOWN;
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/orders/OpenClaimTest.java
@@ -0,0 +1,51 @@
+package org.geraniumstand.decisions.orders;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.sameInstance;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class OpenClaimTest {
+    @Test
+    void grantsFirstRequest() {
+        ChangedSlot changed = OpenClaim.apply(ClaimSlot.EMPTY, Wishes.open("t1"), 7);
+
+        assertThat(changed.verdict().kind(), is(ClaimVerdict.Kind.GRANTED));
+        Claim claim = changed.slot().find(Wishes.KEY).orElseThrow();
+        assertThat(claim.state(), is(ClaimState.CLAIMED));
+        assertThat(claim.atEpochMillis(), is(7L));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"CLAIMED,GRANTED", "ANSWERED,REPLAY", "NOT_RUN,GIVEN_UP", "UNKNOWN,UNKNOWN"})
+    void recognizesOwnClaimByToken(ClaimState state, ClaimVerdict.Kind expected) {
+        ClaimSlot slot = Wishes.slotIn(state);
+        ChangedSlot changed = OpenClaim.apply(slot, Wishes.open("t1"), 7);
+
+        assertThat(changed.verdict().kind(), is(expected));
+        assertThat(changed.slot(), sameInstance(slot));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"CLAIMED,IN_FLIGHT", "ANSWERED,REPLAY", "NOT_RUN,GRANTED", "UNKNOWN,UNKNOWN"})
+    void judgesSecondRequestByState(ClaimState state, ClaimVerdict.Kind expected) {
+        assertThat(
+                OpenClaim.apply(Wishes.slotIn(state), Wishes.open("t2"), 7)
+                        .verdict()
+                        .kind(),
+                is(expected));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"CLAIMED,KEY_REUSED", "ANSWERED,KEY_REUSED", "UNKNOWN,KEY_REUSED", "NOT_RUN,GRANTED"})
+    void refusesKeyOfAnotherRequest(ClaimState state, ClaimVerdict.Kind expected) {
+        assertThat(
+                OpenClaim.apply(Wishes.slotIn(state), Wishes.open("t2", "print-2"), 7)
+                        .verdict()
+                        .kind(),
+                is(expected));
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/orders/SettleClaimTest.java
@@ -0,0 +1,65 @@
+package org.geraniumstand.decisions.orders;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.sameInstance;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class SettleClaimTest {
+    @ParameterizedTest
+    @CsvSource({
+        "CLAIMED,ANSWERED,ANSWERED",
+        "CLAIMED,NOT_RUN,NOT_RUN",
+        "CLAIMED,UNKNOWN,UNKNOWN",
+        "UNKNOWN,ANSWERED,ANSWERED",
+        "UNKNOWN,NOT_RUN,NOT_RUN",
+        "ANSWERED,NOT_RUN,ANSWERED",
+        "ANSWERED,UNKNOWN,ANSWERED",
+        "NOT_RUN,ANSWERED,NOT_RUN"
+    })
+    void changesStateByOwnToken(ClaimState before, ClaimChange.Kind kind, ClaimState after) {
+        ChangedSlot changed = SettleClaim.apply(Wishes.slotIn(before), Wishes.settle("t1", kind), 7);
+
+        assertThat(changed.slot().find(Wishes.KEY).orElseThrow().state(), is(after));
+        assertThat(changed.verdict().kind(), is(ClaimVerdict.Kind.SETTLED));
+    }
+
+    @Test
+    void ignoresOtherToken() {
+        ClaimSlot slot = Wishes.slotIn(ClaimState.CLAIMED);
+
+        assertThat(
+                SettleClaim.apply(slot, Wishes.settle("t2", ClaimChange.Kind.NOT_RUN), 7)
+                        .slot(),
+                sameInstance(slot));
+    }
+
+    @Test
+    void leavesTombstoneForClaimThatMayStillArrive() {
+        ChangedSlot changed = SettleClaim.apply(ClaimSlot.EMPTY, Wishes.settle("t1", ClaimChange.Kind.NOT_RUN), 7);
+
+        assertThat(
+                OpenClaim.apply(changed.slot(), Wishes.open("t1"), 8).verdict().kind(), is(ClaimVerdict.Kind.GIVEN_UP));
+        assertThat(
+                OpenClaim.apply(changed.slot(), Wishes.open("t2"), 8).verdict().kind(), is(ClaimVerdict.Kind.GRANTED));
+    }
+
+    @Test
+    void replacesTombstoneOfAnotherRequest() {
+        ClaimSlot slot = Wishes.slotIn(ClaimState.NOT_RUN);
+        ChangedSlot changed = SettleClaim.apply(slot, Wishes.settle("t2", ClaimChange.Kind.NOT_RUN), 7);
+
+        assertThat(changed.slot().find(Wishes.KEY).orElseThrow().token(), is("t2"));
+    }
+
+    @Test
+    void neverChangesRecordedAnswer() {
+        ClaimSlot slot = Wishes.slotIn(ClaimState.ANSWERED);
+        ClaimChange other = Wishes.open("t1").settle(ClaimChange.Kind.ANSWERED, Wishes.answer("another"));
+
+        assertThat(SettleClaim.apply(slot, other, 7).slot(), sameInstance(slot));
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.Action;
@@ -21,7 +20,6 @@
 import org.geraniumstand.entry.settings.Settings;
 import org.geraniumstand.entry.task.FactTasks;
 import org.geraniumstand.entry.task.HostListPoll;
-import org.geraniumstand.http.caller.CallerListener;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.status.MemberStatus;
 import org.geraniumstand.model.timeline.EventKind;
@@ -45,6 +43,7 @@
     private final Core core;
     private final AtomicReference<FactTasks> facts = new AtomicReference<>();
     private final CheckedChanges changes;
+    private final RequestPath requests;
 
     private EntryProcess(Settings settings) {
         this.settings = settings;
@@ -63,12 +62,7 @@
                 () -> tasks.peers().view().lowestLevel(),
                 _accepted -> {});
         new HostListPoll(new HttpHostList(calls, settings.cloud().url()), calls, core).start();
-        closer.add(CallerListener.start(
-                self,
-                settings.callers().host(),
-                settings.callers().port(),
-                settings.callers().ioThreads(),
-                core));
+        this.requests = closer.add(RequestPath.start(settings, self, core, tasks.peers(), store, calls, stopping::get));
         observability.metrics().gauge("geraniumstand_core_messages_waiting", core::depth);
         closer.add(startOperators(store));
     }
@@ -98,7 +92,7 @@
         facts.get().announceStop();
         core.tell(new Observation.StopRequested());
         try {
-            boolean clean = stopped.await(timeoutMillis, TimeUnit.MILLISECONDS);
+            boolean clean = requests.drain(stopped, timeoutMillis);
             observability.note(EventKind.PROCESS_STOPPED, Field.of("process", self), Field.of("clean", clean));
         } catch (InterruptedException _e) {
             Thread.currentThread().interrupt();
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/order/ClaimForwarding.java
@@ -0,0 +1,102 @@
+package org.geraniumstand.entry.order;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.geraniumstand.decisions.orders.ClaimChange;
+import org.geraniumstand.decisions.orders.ClaimKeys;
+import org.geraniumstand.decisions.orders.ClaimVerdict;
+import org.geraniumstand.entry.task.Timer;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.peer.PeerMessage;
+import org.geraniumstand.peer.PeerNetwork;
+import org.geraniumstand.platform.store.ConfigurationStore;
+
+/**
+ * Brings changes of claims to the usual writer of their slot, so that concurrent ones go out in one write.
+ *
+ * <p>A writer that does not answer in time is passed over: safety is the compare-and-swap alone. It belongs to the
+ * timer's thread.
+ */
+final class ClaimForwarding {
+    /** Milliseconds after which a writer that has not answered is passed over. */
+    static final long ANSWER_MILLIS = 150;
+
+    private final ProcessId self;
+    private final PeerNetwork peers;
+    private final SlotOwner owner;
+    private final Timer timer;
+    private final ConfigurationStore store;
+    private final String prefix;
+    private final LongSupplier epochMillis;
+    private final Map<Integer, SlotTask> slots = new HashMap<>();
+    private final Map<Long, Consumer<ClaimVerdict>> forwarded = new HashMap<>();
+    private long count;
+
+    ClaimForwarding(
+            ProcessId self,
+            PeerNetwork peers,
+            SlotOwner owner,
+            Timer timer,
+            ConfigurationStore store,
+            String prefix,
+            LongSupplier epochMillis) {
+        this.self = self;
+        this.peers = peers;
+        this.owner = owner;
+        this.timer = timer;
+        this.store = store;
+        this.prefix = prefix;
+        this.epochMillis = epochMillis;
+        peers.subscribe(PeerMessage.ClaimForward.class, (from, message) -> timer.after(() -> serve(from, message), 0));
+        peers.subscribe(PeerMessage.ClaimReply.class, (_from, message) -> timer.after(() -> accept(message), 0));
+    }
+
+    void submit(ClaimChange change, Consumer<ClaimVerdict> callback) {
+        Optional<ProcessId> writer = owner.of(ClaimKeys.slot(change.key()));
+        if (writer.isEmpty() || writer.get().equals(self)) {
+            write(change, callback);
+            return;
+        }
+        count++;
+        long number = count;
+        if (!peers.send(writer.get(), new PeerMessage.ClaimForward(number, change))) {
+            write(change, callback);
+            return;
+        }
+        forwarded.put(number, callback);
+        timer.after(
+                () -> {
+                    if (forwarded.remove(number) != null) {
+                        write(change, callback);
+                    }
+                },
+                ANSWER_MILLIS);
+    }
+
+    private void serve(ProcessId from, PeerMessage.ClaimForward message) {
+        write(
+                message.change(),
+                verdict -> peers.send(from, new PeerMessage.ClaimReply(message.correlation(), verdict)));
+    }
+
+    private void accept(PeerMessage.ClaimReply reply) {
+        Consumer<ClaimVerdict> callback = forwarded.remove(reply.correlation());
+        if (callback != null) {
+            callback.accept(reply.verdict());
+        }
+    }
+
+    private void write(ClaimChange change, Consumer<ClaimVerdict> callback) {
+        int slot = ClaimKeys.slot(change.key());
+        SlotTask task = slots.computeIfAbsent(slot, s -> new SlotTask(store, prefix + s, epochMillis));
+        task.submit(change, verdict -> {
+            if (task.idle()) {
+                slots.remove(slot, task);
+            }
+            callback.accept(verdict);
+        });
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/order/SlotTask.java
@@ -0,0 +1,79 @@
+package org.geraniumstand.entry.order;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.geraniumstand.decisions.orders.ClaimChange;
+import org.geraniumstand.decisions.orders.ClaimSlot;
+import org.geraniumstand.decisions.orders.ClaimVerdict;
+import org.geraniumstand.decisions.orders.SlotWriter;
+import org.geraniumstand.decisions.orders.WriterStep;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.platform.store.StoreError;
+import org.geraniumstand.platform.store.Stored;
+
+/** Carries out what the writer of a slot wants; belongs to the thread on which the store answers. */
+final class SlotTask {
+    private final ConfigurationStore store;
+    private final String key;
+    private final LongSupplier epochMillis;
+    private final SlotWriter writer = new SlotWriter();
+    private final Map<Long, Consumer<ClaimVerdict>> callbacks = new HashMap<>();
+    private long count;
+
+    SlotTask(ConfigurationStore store, String key, LongSupplier epochMillis) {
+        this.store = store;
+        this.key = key;
+        this.epochMillis = epochMillis;
+    }
+
+    boolean idle() {
+        return writer.idle();
+    }
+
+    void submit(ClaimChange change, Consumer<ClaimVerdict> callback) {
+        count++;
+        callbacks.put(count, callback);
+        run(writer.submit(count, change));
+    }
+
+    private void run(List<WriterStep> steps) {
+        for (WriterStep step : steps) {
+            if (step instanceof WriterStep.Read) {
+                store.read(key, this::onRead);
+            } else if (step instanceof WriterStep.Write write) {
+                store.compareAndSwap(key, Json.write(write.slot()), write.index(), this::onWritten);
+            } else if (step instanceof WriterStep.Tell tell) {
+                callbacks.remove(tell.change()).accept(tell.verdict());
+            }
+        }
+    }
+
+    private void onRead(Result<Optional<Stored>, StoreError> result) {
+        Optional<Stored> stored = result.value().flatMap(found -> found);
+        Optional<ClaimSlot> slot = stored.isEmpty() ? Optional.of(ClaimSlot.EMPTY) : parse(stored.get());
+        if (result.error().isPresent() || slot.isEmpty()) {
+            run(writer.onFailure());
+            return;
+        }
+        run(writer.onRead(slot.get(), stored.map(Stored::index).orElse(0L), epochMillis.getAsLong()));
+    }
+
+    private void onWritten(Result<Boolean, StoreError> result) {
+        run(result.fold(writer::onWritten, _error -> writer.onFailure()));
+    }
+
+    private static Optional<ClaimSlot> parse(Stored stored) {
+        try {
+            return Optional.ofNullable(Json.LENIENT.readValue(stored.value(), ClaimSlot.class));
+        } catch (JsonProcessingException _e) {
+            return Optional.empty();
+        }
+    }
+}
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
@@ -8,7 +8,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumstand.http.CoreInbox;
 import org.geraniumstand.http.filter.Admission;
@@ -36,7 +35,6 @@
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.platform.log.Log;
 import org.geraniumstand.platform.net.HttpBody;
-import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 
 /** Listens for callers and sends their requests through the filters. */
@@ -177,29 +175,14 @@
             return;
         }
         long limit = admission.route().map(Route::maxBodyBytes).orElse(0L);
-        if (exchange.getRequestContentLength() > limit) {
-            reject(exchange, admission.request(), tooLarge(limit));
-            return;
-        }
-        exchange.setMaxEntitySize(limit);
-        XnioExecutor.Key timer = exchange.getIoThread()
-                .executeAfter(
-                        () -> reject(
-                                exchange,
-                                admission.request(),
-                                Rejection.of(RefusalReason.SLOW_SENDER, "the body did not arrive in time")),
-                        bodyMillis,
-                        TimeUnit.MILLISECONDS);
-        exchange.getRequestReceiver()
-                .receiveFullBytes(
-                        (_exchange, bytes) -> {
-                            timer.remove();
-                            admit(exchange, id, admission.withBody(HttpBody.of(bytes)));
-                        },
-                        (_exchange, _e) -> {
-                            timer.remove();
-                            reject(exchange, admission.request(), tooLarge(limit));
-                        });
+        BodyReader reader = new BodyReader(exchange, limit, result -> {
+            if (result instanceof Result.Ok<HttpBody, Rejection> ok) {
+                admit(exchange, id, admission.withBody(ok.held()));
+            } else {
+                result.error().ifPresent(rejection -> reject(exchange, admission.request(), rejection));
+            }
+        });
+        reader.start(bodyMillis);
     }
 
     private void admit(HttpServerExchange exchange, RequestId id, Admission read) {
@@ -230,10 +213,6 @@
         core.arrive(admission.facts(id), task);
     }
 
-    private static Rejection tooLarge(long limit) {
-        return Rejection.of(RefusalReason.BODY_TOO_LARGE, "the body is larger than " + limit + " bytes");
-    }
-
     private static void reject(HttpServerExchange exchange, CallerRequest request, Rejection rejection) {
         LOG.info(
                 "request-rejected",
--- a/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
@@ -207,18 +207,17 @@
     private void end(Refusal refusal) {
         boolean sentOnce = !admission.idempotent() && attempt != null && attempt.running() && attempt.sent();
         Refusal truthful = TruthfulRefusal.of(refusal, mayHaveRun || sentOnce);
+        if (!sentOnce) {
+            done = true;
+            cancelAttempt();
+            gate.ifPresent(g ->
+                    g.settle(mayHaveRun ? ClaimChange.Kind.UNKNOWN : ClaimChange.Kind.NOT_RUN, RecordedAnswer.NONE));
+        }
         if (!callerDone) {
             callerDone = true;
             relay.refuse(truthful);
             relay.onCallerLeft();
         }
-        if (sentOnce) {
-            return;
-        }
-        done = true;
-        cancelAttempt();
-        gate.ifPresent(
-                g -> g.settle(mayHaveRun ? ClaimChange.Kind.UNKNOWN : ClaimChange.Kind.NOT_RUN, RecordedAnswer.NONE));
     }
 
     private void abandon() {
--- a/peer/src/main/java/org/geraniumstand/peer/codec/ClaimReplyCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/ClaimReplyCodec.java
@@ -16,7 +16,10 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.ClaimReply message) {
-        out.fields(3).number(message.correlation()).text(message.verdict().kind().name()).list(message.verdict().claim().stream().toList(), Claims::writeClaim);
+        out.fields(3)
+                .number(message.correlation())
+                .text(message.verdict().kind().name())
+                .list(message.verdict().claim().stream().toList(), Claims::writeClaim);
     }
 
     @Override
--- a/peer/src/main/java/org/geraniumstand/peer/codec/Claims.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/Claims.java
@@ -55,8 +55,7 @@
     }
 
     static ClaimVerdict verdict(String kind, List<Claim> claim) {
-        return new ClaimVerdict(
-                ClaimVerdict.Kind.valueOf(kind), claim.stream().findFirst());
+        return new ClaimVerdict(ClaimVerdict.Kind.valueOf(kind), claim.stream().findFirst());
     }
 
     /** Returns the one element of a list. */
