Answer requests whose bodies come in parts

Cause: Undertow runs a receiver's late callback as a handler's call and ends the exchange after it, so a body that arrived after its head got an empty 200. Ruled out: the relay and the backend server, which was never reached. The new case of AnswerTest failed before (200 in place of 201) and passes after the dispatch.

--- a/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
@@ -2,6 +2,7 @@
 
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -78,6 +79,7 @@
         if (timer != null) {
             timer.remove();
         }
-        callback.accept(result);
+        // A body that arrives late is handed over as a handler's call, after which the exchange would end on its own.
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> callback.accept(result));
     }
 }
--- a/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.geraniumstand.http.fake.Caller;
+import org.geraniumstand.http.fake.Configurations;
 import org.geraniumstand.http.fake.Eventually;
 import org.geraniumstand.http.fake.FakeServer;
 import org.geraniumstand.http.fake.Stand;
@@ -32,6 +33,7 @@
         connection.cut();
     };
     private static final FakeServer.Script FAILS = (_request, connection) -> connection.answer(500, "", "broke");
+    private static final long PART_PAUSE_MILLIS = 100;
     private static final FakeServer.Script SILENT = (_request, connection) -> connection.stayMute();
 
     @Test
@@ -48,6 +50,24 @@
         }
     }
 
+    @Test
+    void answersRequestWhoseBodyComesInParts() throws IOException, InterruptedException {
+        try (Stand stand = new Stand(WHOLE);
+                Caller caller = new Caller(stand.listener().port())) {
+            caller.write("POST /orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Configurations.TOKEN
+                    + "\r\nContent-Length: 8\r\n\r\n");
+            Thread.sleep(PART_PAUSE_MILLIS);
+            caller.write("half");
+            Thread.sleep(PART_PAUSE_MILLIS);
+            caller.write("rest");
+            Caller.Answer answer = caller.read("POST");
+
+            assertThat(answer.status(), is(201));
+            assertThat(answer.body(), is("made"));
+            assertThat(stand.server(0).requests().get(0).body(), is("halfrest"));
+        }
+    }
+
     @Test
     void answersHeadWithoutBody() throws IOException {
         try (Stand stand = new Stand(
