--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/StatusReport.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/TrafficReport.java
@@ -12,11 +12,9 @@
 import org.geraniumstand.model.status.ServerStatus;
 
 /** Writes down the decisions' state for operators. */
-public final class StatusReport {
-    private static final double UNKNOWN_SHARE = -1;
-    private static final int UNKNOWN_BUDGET = -1;
+public final class TrafficReport {
 
-    private StatusReport() {}
+    private TrafficReport() {}
 
     /**
      * Returns what operators see of the state.
@@ -33,14 +31,15 @@
                 parts.fleet().all().stream().map(state -> of(parts, state)).toList();
         List<MoveStatus> moves = parts.configuration().stream()
                 .flatMap(c -> c.moves().stream())
-                .map(move -> new MoveStatus(move, UNKNOWN_SHARE, 0, 0, 0, 0))
+                .map(parts.moves()::status)
                 .toList();
         return new TrafficStatus(parts.flights().size(), streams, teams, servers, moves);
     }
 
     private static ServerStatus of(Parts parts, ServerState state) {
         String warmth = parts.limits().warm(state) ? "warm" : "cold";
-        return new ServerStatus(state.server(), work(parts, state), warmth, UNKNOWN_BUDGET, state.inFlight());
+        int budget = parts.limits().spare(state) + state.inFlight();
+        return new ServerStatus(state.server(), work(parts, state), warmth, budget, state.inFlight());
     }
 
     private static String work(Parts parts, ServerState state) {
--- a/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.geraniumstand.http.fake.Caller;
+import org.geraniumstand.http.fake.Configurations;
 import org.geraniumstand.http.fake.Eventually;
 import org.geraniumstand.http.fake.FakeServer;
 import org.geraniumstand.http.fake.Stand;
@@ -232,6 +233,21 @@
         }
     }
 
+    @Test
+    void servesBodyThatArrivesInPieces() throws IOException, InterruptedException {
+        try (Stand stand = new Stand(WHOLE);
+                Caller caller = new Caller(stand.listener().port())) {
+            caller.write("POST /orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Configurations.TOKEN
+                    + "\r\nContent-Length: 6\r\n\r\n");
+            for (String piece : new String[] {"ab", "cd", "ef"}) {
+                Thread.sleep(100);
+                caller.write(piece);
+            }
+            assertThat(caller.read("POST").body(), is("made"));
+            assertThat(stand.server(0).requests().get(0).body(), is("abcdef"));
+        }
+    }
+
     @Test
     void servesRequestsOneAfterAnotherOnOneConnection() throws IOException {
         try (Stand stand = new Stand(WHOLE);
--- a/peer/src/main/java/org/geraniumstand/peer/codec/ClaimForwardCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/ClaimForwardCodec.java
@@ -1,6 +1,5 @@
 package org.geraniumstand.peer.codec;
 
-import java.util.List;
 import org.geraniumstand.peer.PeerMessage;
 
 /** Codec of {@link PeerMessage.ClaimForward}. */
@@ -17,11 +16,12 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.ClaimForward message) {
-        out.fields(2).number(message.correlation()).list(List.of(message.change()), Claims::writeChange);
+        out.fields(2).number(message.correlation());
+        OrderRecords.writeChange(out, message.change());
     }
 
     @Override
     public PeerMessage.ClaimForward read(FieldReader in) {
-        return new PeerMessage.ClaimForward(in.number(), Claims.only(in.list(Claims::readChange)));
+        return new PeerMessage.ClaimForward(in.number(), in.record(OrderRecords::readChange));
     }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/codec/ClaimReplyCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/ClaimReplyCodec.java
@@ -16,14 +16,12 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.ClaimReply message) {
-        out.fields(3)
-                .number(message.correlation())
-                .text(message.verdict().kind().name())
-                .list(message.verdict().claim().stream().toList(), Claims::writeClaim);
+        out.fields(2).number(message.correlation());
+        OrderRecords.writeVerdict(out, message.verdict());
     }
 
     @Override
     public PeerMessage.ClaimReply read(FieldReader in) {
-        return new PeerMessage.ClaimReply(in.number(), Claims.verdict(in.text(), in.list(Claims::readClaim)));
+        return new PeerMessage.ClaimReply(in.number(), in.record(OrderRecords::readVerdict));
     }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/codec/StreamHandoverCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/StreamHandoverCodec.java
@@ -27,7 +27,7 @@
                 .number(state.tokens())
                 .number(state.lastEventId())
                 .number(state.remainingMillis())
-                .list(state.recentEvents(), (event, text) -> event.fields(1).text(text));
+                .list(state.recentEvents(), (event, data) -> event.fields(1).text(data));
     }
 
     @Override
--- a/proofs/src/test/java/org/geraniumstand/proofs/trial/Deployments.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/trial/Deployments.java
@@ -141,7 +141,8 @@
                 teams,
                 List.of(),
                 Set.of(),
-                List.of());
+                List.of(),
+                "");
     }
 
     /**
