--- a/entry/src/test/java/org/geraniumstand/entry/task/FakeStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/task/FakeStore.java
@@ -16,7 +16,7 @@
 import org.geraniumstand.platform.store.Stored;
 
 /** A store in memory that loses calls, loses answers, and carries writes out after their answers were given up. */
-final class FakeStore implements ConfigurationStore {
+public final class FakeStore implements ConfigurationStore {
     private static final long TIMEOUT_MILLIS = 2_000;
     private static final long LATE_MILLIS = 4_000;
     private static final double EACH = 1.0 / 3;
@@ -32,22 +32,22 @@
     private long index = 1;
     private int calls;
 
-    FakeStore(VirtualTimer timer, Random random) {
+    public FakeStore(VirtualTimer timer, Random random) {
         this.timer = timer;
         this.random = random;
     }
 
     /** Sets the share of calls that go wrong. */
-    void faults(double share) {
+    public void faults(double share) {
         faults = share;
     }
 
     /** Takes the store out or brings it back. */
-    void out(boolean isOut) {
+    public void out(boolean isOut) {
         out = isOut;
     }
 
-    int calls() {
+    public int calls() {
         return calls;
     }
 
--- a/entry/src/test/java/org/geraniumstand/entry/task/VirtualTimer.java
+++ b/entry/src/test/java/org/geraniumstand/entry/task/VirtualTimer.java
@@ -4,7 +4,7 @@
 import java.util.PriorityQueue;
 
 /** Runs tasks in the order of their times, without waiting. */
-final class VirtualTimer implements Timer {
+public final class VirtualTimer implements Timer {
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::atMillis).thenComparingLong(Task::number));
     private long nowMillis;
@@ -18,7 +18,7 @@
         tasks.add(new Task(nowMillis + Math.max(0, delayMillis), count, task));
     }
 
-    void runUntil(long endMillis) {
+    public void runUntil(long endMillis) {
         while (!tasks.isEmpty() && tasks.peek().atMillis() <= endMillis) {
             Task next = tasks.poll();
             nowMillis = next.atMillis();
