--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -44,8 +44,8 @@
     private final Core core;
     private final AtomicReference<FactTasks> facts = new AtomicReference<>();
     private final CheckedChanges changes;
+    private final TimelineHandover timelineHandover;
     private final RequestPath requests;
-    private final TimelineHandover legacy;
 
     private EntryProcess(Settings settings) {
         this.settings = settings;
@@ -55,7 +55,7 @@
         HttpCalls calls = closer.add(HttpCalls.start("platform"));
         ObservedStore store = observability.observe(
                 new HttpConfigurationStore(calls, settings.store().url()));
-        this.legacy = new TimelineHandover(
+        this.timelineHandover = new TimelineHandover(
                 self, observability.timeline(), calls, settings.operators().token());
         FactTasks tasks = closer.add(FactTasks.start(settings, self, store, calls, core));
         facts.set(tasks);
@@ -113,7 +113,7 @@
         try {
             boolean clean = requests.drain(stopped, timeoutMillis);
             observability.note(EventKind.PROCESS_STOPPED, Field.of("process", self), Field.of("clean", clean));
-            legacy.send(members());
+            timelineHandover.send(members());
         } catch (InterruptedException _e) {
             Thread.currentThread().interrupt();
         }
