--- a/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
@@ -252,6 +252,21 @@
         }
     }
 
+    @Test
+    void servesBodyThatArrivesInPieces() throws IOException, InterruptedException {
+        try (Stand stand = new Stand(WHOLE);
+                Caller caller = new Caller(stand.listener().port())) {
+            caller.write("POST /orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Configurations.TOKEN
+                    + "\r\nContent-Length: 6\r\n\r\n");
+            for (String piece : new String[] {"ab", "cd", "ef"}) {
+                Thread.sleep(100);
+                caller.write(piece);
+            }
+            assertThat(caller.read("POST").body(), is("made"));
+            assertThat(stand.server(0).requests().get(0).body(), is("abcdef"));
+        }
+    }
+
     @Test
     void servesRequestsOneAfterAnotherOnOneConnection() throws IOException {
         try (Stand stand = new Stand(WHOLE);
