Measure the exchange of shared facts, and end calls quietly once they are closed

SharedFactsBench runs several nodes and the store's stand-in in one JVM on loopback. Its first run showed tasks that failed with RejectedExecutionException while a process closed: they asked closed calls for another turn.

--- /dev/null
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/FactsNode.java
@@ -0,0 +1,85 @@
+package org.geraniumstand.proofs.bench;
+
+import java.net.URI;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.entry.settings.Settings;
+import org.geraniumstand.entry.task.FactTasks;
+import org.geraniumstand.http.CoreInbox;
+import org.geraniumstand.http.RequestMailbox;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.platform.net.HttpCalls;
+import org.geraniumstand.platform.store.HttpConfigurationStore;
+
+/** The shared facts' tasks of one process, without its request path. */
+final class FactsNode implements CoreInbox, AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final String PREFIX = "bench";
+
+    private final HttpCalls calls;
+    private final FactTasks tasks;
+    private final Map<Long, Long> inForceNanos = new ConcurrentHashMap<>();
+
+    private FactsNode(String name, int storePort, List<String> seeds) {
+        URI store = URI.create("http://" + LOOPBACK + ":" + storePort);
+        Settings settings = new Settings(
+                new Settings.ProcessSettings(name, new DataCentreId("dc-1")),
+                new Settings.CallerSettings(LOOPBACK, 0, 1),
+                new Settings.OperatorSettings(LOOPBACK, 0, "token"),
+                new Settings.PeerSettings(LOOPBACK, 0, "key", seeds),
+                new Settings.StoreSettings(store, PREFIX),
+                new Settings.CloudSettings(store));
+        this.calls = HttpCalls.start("platform-" + name);
+        this.tasks =
+                FactTasks.start(settings, new ProcessId(name), new HttpConfigurationStore(calls, store), calls, this);
+    }
+
+    static FactsNode start(String name, int storePort, List<String> seeds) {
+        return new FactsNode(name, storePort, seeds);
+    }
+
+    static String key() {
+        return PREFIX + "/configuration";
+    }
+
+    FactTasks tasks() {
+        return tasks;
+    }
+
+    String address() {
+        return LOOPBACK + ":" + tasks.peers().self().peerPort();
+    }
+
+    Optional<Long> inForceNanos(long generation) {
+        return Optional.ofNullable(inForceNanos.get(generation));
+    }
+
+    @Override
+    public void tell(Observation observation) {
+        if (observation instanceof Observation.ConfigurationAccepted accepted) {
+            inForceNanos.put(accepted.configuration().generation(), System.nanoTime());
+        }
+    }
+
+    @Override
+    public void arrive(RequestFacts _request, RequestMailbox _mailbox) {
+        throw new UnsupportedOperationException("the bench sends no requests");
+    }
+
+    @Override
+    public Optional<Configuration> configuration() {
+        return Optional.empty();
+    }
+
+    @Override
+    public void close() {
+        tasks.close();
+        calls.close();
+    }
+}
