Read the host list less often the longer it is, and pass its changes on between processes

Each process read the whole list twice a second: 660 reads a second of some 190 KB at 330 nodes. Now a process reads so often that the list costs at most about 6 KB a second, all at different times, and tells the others what is new. Reads by a few watchers alone were ruled out: at that size the few would exceed their bytes, or the list would be seen late.

--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -62,7 +63,13 @@
                 System::currentTimeMillis,
                 () -> tasks.peers().view().lowestLevel(),
                 _accepted -> {});
-        new HostListPoll(new HttpHostList(calls, settings.cloud().url()), calls, core).start();
+        new HostListPoll(
+                        new HttpHostList(calls, settings.cloud().url()),
+                        calls::schedule,
+                        tasks.peers(),
+                        core::tell,
+                        new Random(self.hashCode()))
+                .start();
         closer.add(CallerListener.start(
                 self,
                 settings.callers().host(),
--- a/entry/src/main/java/org/geraniumstand/entry/task/HostListPoll.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/HostListPoll.java
@@ -1,41 +1,90 @@
 package org.geraniumstand.entry.task;
 
+import java.util.Random;
+import java.util.function.Consumer;
 import org.geraniumstand.decisions.Observation;
-import org.geraniumstand.http.CoreInbox;
+import org.geraniumstand.decisions.membership.FleetView;
+import org.geraniumstand.model.fleet.FleetChange;
+import org.geraniumstand.peer.PeerMessage;
+import org.geraniumstand.peer.PeerNetwork;
 import org.geraniumstand.platform.cloud.HostList;
-import org.geraniumstand.platform.net.HttpCalls;
 
-/** Reads the platform's list of hosts again and again and tells the core what it says. */
+/**
+ * Reads the platform's list of hosts again and again, tells the core what it says and the peers what is new in it.
+ *
+ * <p>The longer the list, the less often each process reads it, so that the bytes stay within bounds; as all read at
+ * different times and pass changes on, the fleet as a whole still sees them soon.
+ */
 public final class HostListPoll {
-    private static final long PERIOD_MILLIS = 500;
+    private static final long SHORTEST_PERIOD_MILLIS = 500;
+    private static final long LONGEST_PERIOD_MILLIS = 30_000;
+    private static final int BYTES_PER_SERVER = 250;
+    private static final int BYTES_PER_SECOND = 6_000;
+    private static final int MILLIS_PER_SECOND = 1_000;
 
     private final HostList hosts;
-    private final HttpCalls calls;
-    private final CoreInbox core;
+    private final Timer timer;
+    private final PeerNetwork peers;
+    private final Consumer<Observation> core;
+    private final Random random;
+    private final FleetView view = new FleetView();
 
     /**
      * Creates a poll.
      *
      * @param hosts the platform's list
-     * @param calls waits between reads
+     * @param timer waits between reads; its thread owns the state
+     * @param peers told of changes
      * @param core told what the list says
+     * @param random spreads the reads over time
      */
-    public HostListPoll(HostList hosts, HttpCalls calls, CoreInbox core) {
+    public HostListPoll(HostList hosts, Timer timer, PeerNetwork peers, Consumer<Observation> core, Random random) {
         this.hosts = hosts;
-        this.calls = calls;
+        this.timer = timer;
+        this.peers = peers;
         this.core = core;
+        this.random = random;
     }
 
-    /** Starts to read; it goes on until the calls are closed. */
+    /** Starts to read; it goes on until the timer stops. */
     public void start() {
+        peers.subscribe(PeerMessage.FleetNews.class, (_from, news) -> timer.after(() -> onNews(news.change()), 0));
+        read();
+    }
+
+    private void read() {
         hosts.read(result -> {
             result.value().ifPresent(this::accept);
-            calls.schedule(this::start, PERIOD_MILLIS);
+            timer.after(this::read, spread(periodMillis(view.servers().size())));
         });
     }
 
     private void accept(HostList.Listing listing) {
-        core.tell(new Observation.FleetListed(listing.servers()));
-        core.tell(new Observation.ReclaimsNoticed(listing.notices()));
+        FleetChange change = view.onRead(listing.servers(), listing.notices(), System.nanoTime());
+        tell();
+        if (!change.isEmpty()) {
+            peers.broadcast(new PeerMessage.FleetNews(change));
+        }
+    }
+
+    private void onNews(FleetChange change) {
+        view.onChange(change, System.nanoTime());
+        if (view.isRead()) {
+            tell();
+        }
+    }
+
+    private void tell() {
+        core.accept(new Observation.FleetListed(view.servers()));
+        core.accept(new Observation.ReclaimsNoticed(view.notices()));
+    }
+
+    static long periodMillis(int servers) {
+        long period = (long) MILLIS_PER_SECOND * BYTES_PER_SERVER * servers / BYTES_PER_SECOND;
+        return Math.max(SHORTEST_PERIOD_MILLIS, Math.min(LONGEST_PERIOD_MILLIS, period));
+    }
+
+    private long spread(long millis) {
+        return millis * 3 / 4 + (long) (random.nextDouble() * millis / 2);
     }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import org.geraniumstand.decisions.orders.ClaimVerdict;
 import org.geraniumstand.model.evidence.BadMark;
 import org.geraniumstand.model.evidence.EvidenceRow;
+import org.geraniumstand.model.fleet.FleetChange;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.limits.Demand;
 import org.geraniumstand.model.limits.Grant;
@@ -169,4 +170,11 @@
      * @param callerRequestId the caller's name for the request
      */
     record StreamHeld(String team, String callerRequestId) implements PeerMessage {}
+
+    /**
+     * Changes of the platform's list of backend servers that the sender saw first.
+     *
+     * @param change the changes
+     */
+    record FleetNews(FleetChange change) implements PeerMessage {}
 }
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/FleetNewsCodec.java
@@ -0,0 +1,75 @@
+package org.geraniumstand.peer.codec;
+
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.fleet.FleetChange;
+import org.geraniumstand.model.fleet.ReclaimNotice;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.HostId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.peer.PeerMessage;
+
+/** Codec of {@link PeerMessage.FleetNews}. */
+final class FleetNewsCodec implements MessageCodec<PeerMessage.FleetNews> {
+    @Override
+    public int number() {
+        return 17;
+    }
+
+    @Override
+    public Class<PeerMessage.FleetNews> type() {
+        return PeerMessage.FleetNews.class;
+    }
+
+    @Override
+    public void write(FieldWriter out, PeerMessage.FleetNews message) {
+        FleetChange change = message.change();
+        out.fields(3)
+                .list(change.servers(), FleetNewsCodec::writeServer)
+                .list(change.removed(), (item, id) -> item.fields(1).text(id.value()))
+                .list(change.notices(), FleetNewsCodec::writeNotice);
+    }
+
+    @Override
+    public PeerMessage.FleetNews read(FieldReader in) {
+        return new PeerMessage.FleetNews(new FleetChange(
+                in.list(FleetNewsCodec::readServer),
+                in.list(item -> new ServerId(item.text())),
+                in.list(item -> new ReclaimNotice(new HostId(item.text()), item.number()))));
+    }
+
+    private static void writeNotice(FieldWriter out, ReclaimNotice notice) {
+        out.fields(2).text(notice.host().value()).number(notice.dueEpochMillis());
+    }
+
+    private static void writeServer(FieldWriter out, BackendServer server) {
+        out.fields(11)
+                .text(server.id().value())
+                .text(server.service().value())
+                .text(server.version().value())
+                .text(server.dataCentre().value())
+                .text(server.host().value())
+                .text(server.hostClass())
+                .flag(server.reclaimable())
+                .number(server.centsPerHour())
+                .text(server.address())
+                .number(server.port())
+                .flag(server.leaving());
+    }
+
+    private static BackendServer readServer(FieldReader in) {
+        return new BackendServer(
+                new ServerId(in.text()),
+                new ServiceId(in.text()),
+                new VersionId(in.text()),
+                new DataCentreId(in.text()),
+                new HostId(in.text()),
+                in.text(),
+                in.flag(),
+                in.smallNumber(),
+                in.text(),
+                in.smallNumber(),
+                in.flag());
+    }
+}
--- a/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
@@ -33,7 +33,8 @@
             new ClaimForwardCodec(),
             new ClaimReplyCodec(),
             new StreamAskCodec(),
-            new StreamHeldCodec());
+            new StreamHeldCodec(),
+            new FleetNewsCodec());
     private static final Map<Integer, MessageCodec<?>> BY_NUMBER =
             ALL.stream().collect(Collectors.toMap(MessageCodec::number, Function.identity()));
     private static final Map<Class<?>, MessageCodec<?>> BY_TYPE =
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -16,7 +16,11 @@
 import org.geraniumstand.model.evidence.BadMark;
 import org.geraniumstand.model.evidence.EvidenceKey;
 import org.geraniumstand.model.evidence.EvidenceRow;
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.fleet.FleetChange;
+import org.geraniumstand.model.fleet.ReclaimNotice;
 import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.HostId;
 import org.geraniumstand.model.id.MoveId;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.RouteId;
@@ -115,6 +119,7 @@
                 streams().map(PeerMessage.StreamHandover::new),
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamTaken::new),
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamAsk::new),
+                fleet().map(PeerMessage.FleetNews::new),
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamHeld::new),
                 Combinators.combine(processes(), numbers(), contents()).as(PeerMessage.Relayed::new));
     }
@@ -165,6 +170,30 @@
                         t.get(0), t.get(1), t.get(2), t.get(3), t.get(4), tokens, last, remaining, events));
     }
 
+    private static Arbitrary<FleetChange> fleet() {
+        Arbitrary<BackendServer> servers = Combinators.combine(
+                        names().list().ofSize(5), texts(), small(), small(), Arbitraries.of(true, false))
+                .as((n, text, cents, port, leaving) -> new BackendServer(
+                        new ServerId(n.get(0)),
+                        new ServiceId(n.get(1)),
+                        new VersionId(n.get(2)),
+                        new DataCentreId(n.get(3)),
+                        new HostId(n.get(4)),
+                        text,
+                        !leaving,
+                        cents,
+                        text,
+                        port,
+                        leaving));
+        Arbitrary<ReclaimNotice> notices =
+                Combinators.combine(names().map(HostId::new), numbers()).as(ReclaimNotice::new);
+        return Combinators.combine(
+                        servers.list().ofMaxSize(3),
+                        names().map(ServerId::new).list().ofMaxSize(3),
+                        notices.list().ofMaxSize(3))
+                .as(FleetChange::new);
+    }
+
     private static Arbitrary<EncodedMessage> contents() {
         return Arbitraries.bytes().array(byte[].class).ofMaxSize(50).map(EncodedMessage::of);
     }
