Take the care of connections out of the exchange, and spread the reads of the member list

At 64 nodes that started together a measured window held 2.85 reads a second of the store, about one list a node: all of them came due in the same few seconds. The next list now comes after 30 to 90 s. The digest of the members is computed when they change, not for each heartbeat.

--- a/decisions/src/main/java/org/geraniumstand/decisions/membership/Membership.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/membership/Membership.java
@@ -45,6 +45,7 @@
     private final Map<ProcessId, Entry> entries = new TreeMap<>();
     private final Map<ProcessId, Long> expected = new HashMap<>();
     private List<Member> alive;
+    private long digest;
     private Optional<Long> lastTick = Optional.empty();
 
     private record Entry(MemberNews news, long suspectSince, boolean dropped, long changedAt) {
@@ -63,6 +64,7 @@
         this.self = self.id();
         entries.put(this.self, new Entry(new MemberNews(self, 0, MemberState.ALIVE), 0, false, nowNanos));
         this.alive = List.of(self);
+        this.digest = digestOf(alive);
     }
 
     /** Returns the live members ordered by name, this process included. */
@@ -90,9 +92,7 @@
 
     /** Returns a number that is equal where the same members are alive. */
     public long digest() {
-        return alive.stream()
-                .mapToLong(m -> Rendezvous.weight("digest", m.id().value()))
-                .reduce(0, (a, b) -> a ^ b);
+        return digest;
     }
 
     /**
@@ -251,11 +251,21 @@
     }
 
     private void refresh() {
-        alive = entries.values().stream()
+        List<Member> now = entries.values().stream()
                 .filter(e -> !e.dropped())
                 .map(Entry::member)
                 .sorted(Comparator.comparing(Member::id))
                 .toList();
+        if (!now.equals(alive)) {
+            alive = now;
+            digest = digestOf(now);
+        }
+    }
+
+    private static long digestOf(List<Member> members) {
+        return members.stream()
+                .mapToLong(m -> Rendezvous.weight("digest", m.id().value()))
+                .reduce(0, (a, b) -> a ^ b);
     }
 
     /**
--- a/entry/src/main/java/org/geraniumstand/entry/task/MemberRegistration.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/MemberRegistration.java
@@ -19,7 +19,7 @@
     private static final Log LOG = Log.of(MemberRegistration.class);
     private static final long LEASE_MILLIS = 15_000;
     private static final long RENEW_MILLIS = 4_000;
-    private static final long LIST_NANOS = TimeUnit.SECONDS.toNanos(60);
+    private static final long LIST_MILLIS = 60_000;
     private static final long LIST_ALONE_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final ConfigurationStore store;
@@ -30,6 +30,7 @@
     private final StoreContact contact;
     private Optional<Lease> lease = Optional.empty();
     private long listedNanos;
+    private long listPauseNanos;
 
     /**
      * Creates a registration.
@@ -127,13 +128,15 @@
 
     private void listIfDue() {
         boolean alone = facts.view().members().size() <= 1;
-        if (System.nanoTime() - listedNanos > (alone ? LIST_ALONE_NANOS : LIST_NANOS)) {
+        if (System.nanoTime() - listedNanos > (alone ? LIST_ALONE_NANOS : listPauseNanos)) {
             list();
         }
     }
 
     private void list() {
         listedNanos = System.nanoTime();
+        // Processes that started together must not all list together ever after.
+        listPauseNanos = TimeUnit.MILLISECONDS.toNanos(contact.spread(LIST_MILLIS));
         store.list(
                 prefix,
                 result -> result.value().ifPresent(entries -> {
--- a/peer/src/main/java/org/geraniumstand/peer/exchange/Exchange.java
+++ b/peer/src/main/java/org/geraniumstand/peer/exchange/Exchange.java
@@ -1,8 +1,6 @@
 package org.geraniumstand.peer.exchange;
 
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -31,8 +29,6 @@
  */
 public final class Exchange {
     private static final int NEWS_PER_MESSAGE = 200;
-    private static final long IDLE_NANOS = TimeUnit.SECONDS.toNanos(30);
-    private static final long RECONNECT_NANOS = TimeUnit.SECONDS.toNanos(1);
 
     private final ProcessId self;
     private final Links links;
@@ -43,12 +39,9 @@
     private final ConfirmationTable confirmations = new ConfirmationTable();
     private final Findings findings = new Findings();
     private final Heartbeats heartbeats = new Heartbeats();
-    private final Contacts contacts;
+    private final Neighbours neighbours;
     private final Relay relay;
-    private final Map<ProcessId, Long> lastUse = new HashMap<>();
-    private final Map<ProcessId, Long> disconnected = new HashMap<>();
     private List<Member> told = List.of();
-    private List<Member> neighbours = List.of();
     private boolean othersKnown;
     private long lastHeardNanos;
 
@@ -70,11 +63,12 @@
         this.membership = new Membership(own, nowNanos);
         this.configuration = new ConfigurationInForce(own.level());
         this.pull = new ConfigurationPull(links);
-        this.contacts = new Contacts(
+        Contacts contacts = new Contacts(
                 seeds.stream()
                         .map(s -> new Contacts.Address(s.host(), s.port()))
                         .toList(),
                 random);
+        this.neighbours = new Neighbours(self, links, contacts);
         this.relay = new Relay(self);
         this.lastHeardNanos = nowNanos;
     }
@@ -95,8 +89,7 @@
      */
     public void onConnected(ProcessId peer, long nowNanos) {
         othersKnown = true;
-        disconnected.remove(peer);
-        lastUse.put(peer, nowNanos);
+        neighbours.onConnected(peer, nowNanos);
         hear(peer, nowNanos);
         beat(peer, nowNanos);
         shareTable(peer);
@@ -111,10 +104,9 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void onDisconnected(ProcessId peer, long nowNanos) {
-        disconnected.put(peer, nowNanos);
+        neighbours.onDisconnected(peer, nowNanos);
         pull.onDisconnected(peer);
         heartbeats.forget(peer);
-        lastUse.remove(peer);
     }
 
     /**
@@ -141,7 +133,7 @@
         } else if (message instanceof PeerMessage.Relayed relayed) {
             onRelayed(from, relayed);
         } else {
-            lastUse.put(from, nowNanos);
+            neighbours.onUse(from, nowNanos);
             deliver(from, message);
         }
     }
@@ -154,7 +146,7 @@
     public void onTick(long nowNanos) {
         spread(membership.onTick(nowNanos), self);
         refreshMembers(nowNanos);
-        connect(nowNanos);
+        neighbours.connect(told, membership.dropped(), nowNanos);
         for (ProcessId peer : Set.copyOf(links.connected())) {
             if (heartbeats.isDue(peer, told.size(), nowNanos)) {
                 beat(peer, nowNanos);
@@ -179,7 +171,7 @@
     public void onListed(List<Member> members) {
         List<Member> others = members.stream().filter(m -> !m.id().equals(self)).toList();
         othersKnown |= !others.isEmpty();
-        contacts.onListed(others);
+        neighbours.onListed(others);
     }
 
     /**
@@ -232,7 +224,7 @@
      * @return whether it was queued on a connection
      */
     public boolean send(ProcessId to, PeerMessage message, long nowNanos) {
-        lastUse.put(to, nowNanos);
+        neighbours.onUse(to, nowNanos);
         if (links.send(to, message)) {
             return true;
         }
@@ -391,37 +383,10 @@
         told = membership.alive();
         othersKnown |= told.size() > 1;
         confirmations.retain(told);
-        disconnected.keySet().retainAll(told.stream().map(Member::id).toList());
-        neighbours = NeighbourChoice.choose(self, told);
-        membership.expect(neighbours.stream().map(Member::id).collect(Collectors.toSet()), nowNanos);
+        membership.expect(neighbours.onMembers(told), nowNanos);
         listener.membersChanged(told);
     }
 
-    private void connect(long nowNanos) {
-        Set<ProcessId> connected = Set.copyOf(links.connected());
-        Set<ProcessId> wanted = new HashSet<>();
-        for (Member neighbour : neighbours) {
-            wanted.add(neighbour.id());
-            if (!connected.contains(neighbour.id()) && mayOpen(neighbour.id(), nowNanos)) {
-                links.open(neighbour.address(), neighbour.peerPort());
-            }
-        }
-        contacts.due(told, membership.dropped(), connected.isEmpty(), nowNanos)
-                .forEach(address -> links.open(address.host(), address.port()));
-        for (ProcessId peer : connected) {
-            boolean idle = nowNanos - lastUse.getOrDefault(peer, nowNanos) > IDLE_NANOS;
-            if (idle && !wanted.contains(peer) && links.opened(peer)) {
-                links.close(peer);
-            }
-        }
-    }
-
-    // After a loss the process with the lower name connects first, so that the two do not connect twice.
-    private boolean mayOpen(ProcessId peer, long nowNanos) {
-        Long since = disconnected.get(peer);
-        return since == null || self.compareTo(peer) < 0 || nowNanos - since > RECONNECT_NANOS;
-    }
-
     private Optional<Member> member(ProcessId id) {
         return told.stream().filter(m -> m.id().equals(id)).findFirst();
     }
