--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -65,7 +66,13 @@
                 System::currentTimeMillis,
                 () -> tasks.peers().view().lowestLevel(),
                 _accepted -> {});
-        new HostListPoll(new HttpHostList(calls, settings.cloud().url()), calls, core).start();
+        new HostListPoll(
+                        new HttpHostList(calls, settings.cloud().url()),
+                        calls::schedule,
+                        tasks.peers(),
+                        core::tell,
+                        new Random(self.hashCode()))
+                .start();
         this.requests = closer.add(RequestPath.start(settings, self, core, tasks.peers(), store, calls, stopping::get));
         observability.metrics().gauge("geraniumstand_core_messages_waiting", core::depth);
         observability
