Believe a load report before slowness, and ask more than one keeper for requests that wait

Displaced conversations filled one server with long prompts; it was taken for cold although its reports said warm, and all processes kept on asking the one server that was cheapest, while another had eight free places. The budget of a failing server sank to one and the note of a reclaim was repeated with each poll.

Now a fresh report that says warm refutes suspicion three times, requests that waited 8 ms ask the other keepers in turn, and a warm server's budget stops at 30 in 100 of what it bears.

The trial counts overloads of a server that turned cold without warning from two seconds on, as no one can know before; both figures are printed.

--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.decisions.Reasons;
 import org.geraniumstand.decisions.admission.FairQueue;
 import org.geraniumstand.decisions.admission.Feasibility;
@@ -26,6 +27,8 @@
     private static final long LEAST_RETRY_AFTER_MILLIS = 1_000;
     private static final long MOST_RETRY_AFTER_MILLIS = 30_000;
     private static final int MOST_WISHES = 64;
+    private static final long ASK_OTHERS_MILLIS = 8;
+    private static final long ASK_NEXT_MILLIS = 50;
 
     private final Parts parts;
     private final Attempts attempts;
@@ -146,13 +149,27 @@
         Map<ServerId, Integer> wishes = new HashMap<>();
         for (ServiceWork work : parts.allWork().values()) {
             for (Flight flight : work.queue().some(MOST_WISHES)) {
-                attempts.wished(flight, now)
-                        .ifPresent(wished -> wishes.merge(wished.server().id(), 1, Integer::sum));
+                attempts.wished(flight, now).ifPresent(wished -> wish(wished, wishes));
+                boolean waits = now.millisSince(flight.arrived()) >= ASK_OTHERS_MILLIS;
+                if (waits && !attempts.usable(flight.facts(), now).isEmpty()) {
+                    wish(another(flight.facts(), now), wishes);
+                }
             }
         }
         return state -> wishes.getOrDefault(state.server().id(), 0);
     }
 
+    private static void wish(ServerState wished, Map<ServerId, Integer> wishes) {
+        wishes.merge(wished.server().id(), 1, Integer::sum);
+    }
+
+    /** The best server may be full, so one that waits asks the others in turn as well. */
+    private ServerState another(RequestFacts facts, Moment now) {
+        List<ServerState> servers = attempts.usable(facts, now);
+        long turn = now.nanos() / Moment.NANOS_PER_MILLI / ASK_NEXT_MILLIS;
+        return servers.get(Hash.below(Hash.of(facts.id().value()) + turn, servers.size()));
+    }
+
     /**
      * Refuses waiting requests that can no longer be served in time.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/Budget.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/Budget.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.decisions.limits;
 
+import java.time.Duration;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.config.Service;
 import org.geraniumstand.model.fleet.LoadReport;
@@ -18,10 +19,13 @@
                 + " until a cold server has completed work.")
 public final class Budget {
     private static final double SHRINK = 0.7;
+    private static final double LEAST_WARM_SHARE = 0.3;
     private static final long SHRINK_EVERY_MILLIS = 500;
     private static final int WARM_AFTER_COMPLETED = 2;
     private static final int WARM_AFTER_COMPLETED_UNREPORTED = 8;
     private static final double KNOWN_WARM_SHARE = 0.75;
+    private static final long REPORT_SPEAKS_MILLIS = 1_200;
+    private static final int BELIEVED_TIMES = 3;
     private static final long REPORT_FRESH_MILLIS = 5_000;
 
     private Service service;
@@ -31,6 +35,8 @@
     private int completed;
     private boolean reportedWarm;
     private Moment reportedAt;
+    private Moment takenAt;
+    private int refuted;
     private Moment shrunkAt;
     private Moment coldAt;
 
@@ -81,6 +87,7 @@
         }
         reportedWarm = report.warm();
         reportedAt = now;
+        takenAt = now.plus(Duration.ofMillis(-report.ageMillis()));
         if (!report.warm() && warm) {
             onCold(now);
         }
@@ -101,6 +108,7 @@
      */
     public void onGood(boolean ended, Moment now) {
         if (warm) {
+            refuted = 0;
             limit = Math.min(service.maxConcurrency(), limit + 1 / Math.max(1, limit) + 0.25);
             return;
         }
@@ -128,10 +136,29 @@
             return;
         }
         shrunkAt = now;
-        limit = Math.max(1, limit * SHRINK);
+        double least = warm ? LEAST_WARM_SHARE * service.maxConcurrency() : 1;
+        limit = Math.max(Math.max(1, least), limit * SHRINK);
         completed = 0;
     }
 
+    /**
+     * Takes in that a process found the server to be cold again by its latency.
+     *
+     * <p>A server that says that it is warm, in a report taken while it was slow, is rather overloaded; it is believed
+     * a few times.
+     *
+     * @param now the time
+     */
+    public void onSuspicion(Moment now) {
+        boolean saysWarm = warm && reportedWarm && takenAt != null && now.millisSince(takenAt) < REPORT_SPEAKS_MILLIS;
+        if (saysWarm && refuted < BELIEVED_TIMES) {
+            refuted++;
+            onBad(now);
+            return;
+        }
+        onCold(now);
+    }
+
     /**
      * Takes in that the server is cold again.
      *
@@ -142,6 +169,7 @@
         everCold = true;
         reportedWarm = false;
         coldAt = now;
+        refuted = 0;
         completed = 0;
         limit = Math.max(1, service.coldConcurrency());
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/KeptServer.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/KeptServer.java
@@ -37,7 +37,7 @@
     void onDemand(Demand demand, Moment now) {
         int ended = ledger.onDemand(demand, now);
         if (demand.suspectsCold()) {
-            budget.onCold(now);
+            budget.onSuspicion(now);
             return;
         }
         for (int i = 0; i < ended; i++) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
@@ -148,10 +148,7 @@
         }
         boolean before = server.budget().warm();
         server.budget().onReport(report, now);
-        if (before && !server.budget().warm()) {
-            return cold(state);
-        }
-        return List.of();
+        return before && !server.budget().warm() ? cold(state) : List.of();
     }
 
     /**
@@ -199,7 +196,7 @@
         double past = state.slowness();
         state.onRatio(ratio);
         if (warm(state) && suspicion.onRatio(state.server().id(), ratio, past, now)) {
-            return cold(state);
+            return suspect(state);
         }
         if (server == null) {
             return List.of();
@@ -221,7 +218,7 @@
      */
     public List<Action> onMissing(ServerState state, double ratio) {
         if (warm(state) && suspicion.onRatio(state.server().id(), ratio, state.slowness(), now)) {
-            return cold(state);
+            return suspect(state);
         }
         return List.of();
     }
@@ -244,24 +241,34 @@
         }
     }
 
-    private List<Action> cold(ServerState state) {
+    /** Drops this process's own share at once and tells the keeper. */
+    private List<Action> suspect(ServerState state) {
         ServerId id = state.server().id();
-        book.drop(id, now);
-        List<Action> actions = new ArrayList<>();
         KeptServer server = kept.get(id);
         if (server != null) {
-            server.budget().onCold(now);
-            actions.addAll(sendGrants());
-        } else {
-            keepers.keeperOf(id)
-                    .ifPresent(keeper -> actions.add(new Action.SendDemands(
-                            keeper, List.of(new Demand(id, self, state.inFlight(), Demand.SUSPECTS_COLD)))));
+            server.budget().onSuspicion(now);
+            return server.budget().warm() ? List.of() : cold(state);
         }
-        actions.add(new Action.Note(
+        book.drop(id, now);
+        List<Action> actions = new ArrayList<>();
+        Demand demand = new Demand(id, self, state.inFlight(), Demand.SUSPECTS_COLD);
+        keepers.keeperOf(id).ifPresent(k -> actions.add(new Action.SendDemands(k, List.of(demand))));
+        actions.add(note(id));
+        return actions;
+    }
+
+    private List<Action> cold(ServerState state) {
+        book.drop(state.server().id(), now);
+        List<Action> actions = new ArrayList<>(sendGrants());
+        actions.add(note(state.server().id()));
+        return actions;
+    }
+
+    private static Action note(ServerId server) {
+        return new Action.Note(
                 EventKind.SERVER_WARMTH,
                 Reasons.of(ColdSuspicion.class),
-                List.of(Field.of("server", id), Field.of("warm", false))));
-        return actions;
+                List.of(Field.of("server", server), Field.of("warm", false)));
     }
 
     /**
--- a/decisions/src/main/java/org/geraniumstand/decisions/retry/RetryBudget.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/retry/RetryBudget.java
@@ -10,8 +10,8 @@
                 + " multiply the load.")
 public final class RetryBudget {
     private static final double MOST = 50;
-    private static final double MINIMUM_EACH_SECOND = 0.5;
-    private static final double MINIMUM_SAVED = 3;
+    private static final double MINIMUM_EACH_SECOND = 0.1;
+    private static final double MINIMUM_SAVED = 5;
     private static final double NANOS_PER_SECOND = 1e9;
 
     private double saved = MINIMUM_SAVED;
--- a/decisions/src/main/java/org/geraniumstand/decisions/routing/FleetView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/routing/FleetView.java
@@ -69,9 +69,9 @@
      * @return hosts that were not reclaimed before
      */
     public List<HostId> onReclaims(List<ReclaimNotice> notices, Moment now) {
+        Set<HostId> before = Set.copyOf(dueMillis.keySet());
         dueMillis.values().removeIf(due -> due > now.epochMillis());
         List<HostId> fresh = new ArrayList<>();
-        Set<HostId> before = Set.copyOf(dueMillis.keySet());
         for (ReclaimNotice notice : notices) {
             dueMillis.put(notice.host(), notice.dueEpochMillis());
             if (!before.contains(notice.host())) {
--- a/proofs/src/test/java/org/geraniumstand/proofs/trial/FakeServer.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/trial/FakeServer.java
@@ -30,6 +30,7 @@
     private static final double PLAIN_PER_REQUEST_MILLIS = 4;
     private static final double COLD_SLOWNESS = 5;
     private static final int WARM_AFTER_COMPLETED = 4;
+    private static final double NOTICED_MILLIS = 2_000;
     private static final int BATCH = 24;
     private static final int CACHE_BLOCKS = 400;
 
@@ -50,6 +51,8 @@
     private int completedCold;
     private int carriedIntoCold;
     private int overloads;
+    private int lateOverloads;
+    private double coldSince;
     private long cacheSequence;
     private double busyMillis;
     private double computedTokens;
@@ -97,6 +100,7 @@
     /** Makes the server cold, without warning; work that it has goes on slowly. */
     public void turnCold() {
         cold = true;
+        coldSince = clock.millis();
         completedCold = 0;
         carriedIntoCold = running();
         batch.forEach(w -> w.inCold = false);
@@ -119,6 +123,11 @@
         return overloads;
     }
 
+    /** Returns how many of the overloads came when the server had been cold for two seconds. */
+    public int lateOverloads() {
+        return lateOverloads;
+    }
+
     /** Returns the time that the engine was at work, in milliseconds. */
     public double busyMillis() {
         return busyMillis;
@@ -172,6 +181,7 @@
         }
         if (cold && overloadedBy()) {
             overloads++;
+            lateOverloads += clock.millis() - coldSince > NOTICED_MILLIS ? 1 : 0;
             queue.add(work);
             cache.clear();
             breakAll();
--- a/proofs/src/test/java/org/geraniumstand/proofs/trial/Measures.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/trial/Measures.java
@@ -19,6 +19,7 @@
  * @param ranTwice at-most-once requests that more than one server began
  * @param attemptsPerCall attempts a request
  * @param overloads times a cold server got more than it bears
+ * @param lateOverloads those of them that came when the server had been cold for two seconds
  * @param warmServers servers that are warm at the end
  * @param lateWork new work to servers and data centres that had been leaving for three seconds
  */
@@ -35,6 +36,7 @@
         int ranTwice,
         double attemptsPerCall,
         int overloads,
+        int lateOverloads,
         int warmServers,
         int lateWork) {
     private static final double MILLIS_PER_HOUR = 3_600_000;
@@ -74,12 +76,14 @@
         double rent = 0;
         double recomputed = 0;
         int overloads = 0;
+        int lateOverloads = 0;
         int warm = 0;
         for (FakeServer server : world.servers()) {
             cost += server.busyMillis() / MILLIS_PER_HOUR * server.listed().centsPerHour();
             rent += world.clock().millis() / MILLIS_PER_HOUR * server.listed().centsPerHour();
             recomputed += server.recomputedTokens();
             overloads += server.overloads();
+            lateOverloads += server.lateOverloads();
             warm += server.cold() || server.dead() ? 0 : 1;
         }
         double thousands = Math.max(1, inTarget) / 1_000.0;
@@ -96,6 +100,7 @@
                 ranTwice,
                 (double) attempts / Math.max(1, calls),
                 overloads,
+                lateOverloads,
                 warm,
                 world.newWorkToLeaving());
     }
