--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -1,25 +1,36 @@
 package org.geraniumstand.entry;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.decisions.TrafficController;
+import org.geraniumstand.decisions.membership.Incarnation;
 import org.geraniumstand.entry.core.Core;
+import org.geraniumstand.entry.metrics.ObservedStore;
+import org.geraniumstand.entry.operator.CheckedChanges;
+import org.geraniumstand.entry.operator.Observability;
+import org.geraniumstand.entry.operator.OperatorApi;
 import org.geraniumstand.entry.operator.OperatorListener;
+import org.geraniumstand.entry.operator.StatusSource;
+import org.geraniumstand.entry.operator.TimelineHandover;
+import org.geraniumstand.entry.operator.WriterChanges;
 import org.geraniumstand.entry.settings.Settings;
-import org.geraniumstand.entry.task.ConfigurationWatch;
+import org.geraniumstand.entry.task.FactTasks;
 import org.geraniumstand.entry.task.HostListPoll;
 import org.geraniumstand.http.caller.CallerListener;
 import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.status.MemberStatus;
+import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.platform.cloud.HttpHostList;
 import org.geraniumstand.platform.io.Closer;
 import org.geraniumstand.platform.log.Log;
 import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.store.ConfigurationStore;
 import org.geraniumstand.platform.store.HttpConfigurationStore;
 
 /** Wires the tasks of an entry process and gathers what must be closed. */
@@ -29,18 +40,32 @@
     private final Closer closer = new Closer();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final AtomicBoolean stopping = new AtomicBoolean();
+    private final Settings settings;
     private final ProcessId self;
+    private final Observability observability;
     private final Core core;
+    private final AtomicReference<FactTasks> facts = new AtomicReference<>();
+    private final CheckedChanges changes;
+    private final TimelineHandover legacy;
 
     private EntryProcess(Settings settings) {
-        this.self = new ProcessId(
-                settings.process().name() + "-" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX));
-        this.core = closer.add(Core.start(new TrafficController(self), this::carryOut));
+        this.settings = settings;
+        this.self = Incarnation.name(settings.process().name(), System.currentTimeMillis());
+        this.observability = Observability.of(self);
+        this.core = closer.add(Core.start(new TrafficController(self), this::carryOut, observability.listeners()));
         HttpCalls calls = closer.add(HttpCalls.start("platform"));
-        ConfigurationStore store =
-                new HttpConfigurationStore(calls, settings.store().url());
-        String key = settings.store().prefix() + "/configuration";
-        new ConfigurationWatch(store, calls, key, core).start();
+        ObservedStore store = observability.observe(
+                new HttpConfigurationStore(calls, settings.store().url()));
+        this.legacy = new TimelineHandover(
+                self, observability.timeline(), calls, settings.operators().token());
+        FactTasks tasks = closer.add(FactTasks.start(settings, self, store, calls, core));
+        facts.set(tasks);
+        // The writer itself tells the shared facts of accepted documents, which bring them into force.
+        this.changes = new CheckedChanges(
+                new WriterChanges(tasks.writer()),
+                System::currentTimeMillis,
+                () -> tasks.peers().view().lowestLevel(),
+                _accepted -> {});
         new HostListPoll(new HttpHostList(calls, settings.cloud().url()), calls, core).start();
         closer.add(CallerListener.start(
                 self,
@@ -48,8 +73,23 @@
                 settings.callers().port(),
                 settings.callers().ioThreads(),
                 core));
-        closer.add(OperatorListener.start(
-                settings.operators().host(), settings.operators().port(), this::ready));
+        observability.metrics().gauge("geraniumstand_core_messages_waiting", core::depth);
+        observability
+                .metrics()
+                .gauge(
+                        "geraniumstand_peer_sent_bytes",
+                        () -> tasks.peers().traffic().sentBytes());
+        observability
+                .metrics()
+                .gauge(
+                        "geraniumstand_peer_received_bytes",
+                        () -> tasks.peers().traffic().receivedBytes());
+        observability
+                .metrics()
+                .gauge(
+                        "geraniumstand_peer_connections",
+                        () -> tasks.peers().traffic().connections());
+        closer.add(startOperators(store));
     }
 
     /**
@@ -59,8 +99,8 @@
      */
     public static EntryProcess start(Settings settings) {
         EntryProcess process = new EntryProcess(settings);
-        LOG.info(
-                "process-started",
+        process.observability.note(
+                EventKind.PROCESS_STARTED,
                 Field.of("process", process.self),
                 Field.of("dataCentre", settings.process().dataCentre()));
         return process;
@@ -73,11 +113,13 @@
      */
     public void stopGracefully(long timeoutMillis) {
         stopping.set(true);
-        LOG.info("process-stopping", Field.of("process", self));
+        observability.note(EventKind.PROCESS_STOPPING, Field.of("process", self));
+        facts.get().announceStop();
         core.tell(new Observation.StopRequested());
         try {
             boolean clean = stopped.await(timeoutMillis, TimeUnit.MILLISECONDS);
-            LOG.info("process-stopped", Field.of("process", self), Field.of("clean", clean));
+            observability.note(EventKind.PROCESS_STOPPED, Field.of("process", self), Field.of("clean", clean));
+            legacy.send(members());
         } catch (InterruptedException _e) {
             Thread.currentThread().interrupt();
         }
@@ -88,8 +130,34 @@
         closer.close();
     }
 
+    private OperatorListener startOperators(ObservedStore store) {
+        StatusSource status = new StatusSource(
+                self,
+                settings.process().dataCentre(),
+                core,
+                observability.traffic(),
+                this::members,
+                this::ready,
+                stopping::get,
+                store);
+        OperatorApi api = new OperatorApi(
+                self, core::configuration, changes, status::read, observability, System::currentTimeMillis);
+        return OperatorListener.start(
+                settings.operators().host(),
+                settings.operators().port(),
+                settings.operators().token(),
+                this::ready,
+                api);
+    }
+
+    private List<MemberStatus> members() {
+        return facts.get().members();
+    }
+
     private boolean ready() {
-        return core.configuration().isPresent() && !stopping.get();
+        return core.configuration().isPresent()
+                && !stopping.get()
+                && facts.get().readiness().refusal().isEmpty();
     }
 
     private void carryOut(Action action) {
@@ -99,6 +167,16 @@
             LOG.info(
                     note.kind().name().toLowerCase(Locale.ROOT).replace('_', '-'),
                     note.fields().toArray(new Field[0]));
+        } else {
+            carryOutFact(action);
+        }
+    }
+
+    // The core runs a moment before the tasks that share facts do; nothing that it says then concerns them.
+    private void carryOutFact(Action action) {
+        FactTasks tasks = facts.get();
+        if (tasks != null) {
+            tasks.carryOut(action);
         }
     }
 }
--- a/entry/src/main/java/org/geraniumstand/entry/core/Core.java
+++ b/entry/src/main/java/org/geraniumstand/entry/core/Core.java
@@ -4,10 +4,13 @@
 import com.lmax.disruptor.dsl.Disruptor;
 import com.lmax.disruptor.dsl.ProducerType;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.decisions.TrafficController;
@@ -15,9 +18,12 @@
 import org.geraniumstand.http.RequestMailbox;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.id.RequestId;
-import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.request.RequestFacts;
 import org.geraniumstand.model.time.Moment;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.platform.log.Log;
 
 /**
  * The task that owns all decision state: one thread behind a ring of messages.
@@ -26,17 +32,21 @@
  * threads down instead of growing memory.
  */
 public final class Core implements CoreInbox, AutoCloseable {
+    private static final Log LOG = Log.of(Core.class);
+    private static final long RETRY_AFTER_MILLIS = 1_000;
     private static final int RING_SIZE = 16 * 1024;
 
     private final TrafficController controller;
     private final Consumer<Action> effects;
+    private final List<CoreListener> listeners;
     private final Map<RequestId, RequestMailbox> mailboxes = new HashMap<>();
     private final Disruptor<Message> disruptor;
     private final AtomicReference<Configuration> configuration = new AtomicReference<>();
 
-    private Core(TrafficController controller, Consumer<Action> effects) {
+    private Core(TrafficController controller, Consumer<Action> effects, List<CoreListener> listeners) {
         this.controller = controller;
         this.effects = effects;
+        this.listeners = List.copyOf(listeners);
         this.disruptor =
                 new Disruptor<>(Message::new, RING_SIZE, Core::thread, ProducerType.MULTI, new BlockingWaitStrategy());
         this.disruptor.handleEventsWith((message, _sequence, _endOfBatch) -> handle(message));
@@ -47,9 +57,10 @@
      *
      * @param controller takes the decisions
      * @param effects carries out actions that concern no single request; called on the task's thread, must not block
+     * @param listeners follow what is seen and decided
      */
-    public static Core start(TrafficController controller, Consumer<Action> effects) {
-        Core core = new Core(controller, effects);
+    public static Core start(TrafficController controller, Consumer<Action> effects, List<CoreListener> listeners) {
+        Core core = new Core(controller, effects, listeners);
         core.disruptor.start();
         return core;
     }
@@ -65,6 +76,31 @@
         disruptor.publishEvent((message, _sequence) -> message.set(observation, mailbox));
     }
 
+    /**
+     * Asks the decisions' state on the thread that owns it.
+     *
+     * @param question reads the state; must not block
+     * @param <T> type of the answer
+     * @return the answer, completed on the core's thread
+     */
+    public <T> CompletableFuture<T> query(Function<TrafficController, T> question) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        Consumer<TrafficController> task = state -> {
+            try {
+                answer.complete(question.apply(state));
+            } catch (RuntimeException e) {
+                answer.completeExceptionally(e);
+            }
+        };
+        disruptor.publishEvent((message, _sequence) -> message.ask(task));
+        return answer;
+    }
+
+    /** Returns the number of messages that wait. */
+    public long depth() {
+        return RING_SIZE - disruptor.getRingBuffer().remainingCapacity();
+    }
+
     @Override
     public Optional<Configuration> configuration() {
         return Optional.ofNullable(configuration.get());
@@ -82,18 +118,40 @@
     }
 
     private void handle(Message message) {
+        if (message.question != null) {
+            Consumer<TrafficController> question = message.question;
+            message.ask(null);
+            question.accept(controller);
+            return;
+        }
         Observation observation = message.observation;
         if (observation instanceof Observation.RequestArrived arrived) {
             mailboxes.put(arrived.request().id(), message.mailbox);
+            listeners.forEach(l -> l.arrived(arrived.request(), message.mailbox.callerRequestId()));
         }
         message.set(null, null);
         Moment now = new Moment(System.nanoTime(), System.currentTimeMillis());
-        controller.on(observation, now).forEach(this::carryOut);
+        listeners.forEach(l -> l.observed(observation));
+        try {
+            controller.on(observation, now).forEach(this::carryOut);
+        } catch (RuntimeException e) {
+            onFault(e, observation);
+        }
         configuration.set(controller.configuration().orElse(null));
-        forgetEnded(observation);
+    }
+
+    /** A fault in one decision must not stop the decisions about all other requests. */
+    private void onFault(Throwable fault, Observation observation) {
+        LOG.warn("decision-failed", Field.of("observation", observation), Field.of("fault", fault));
+        if (observation instanceof Observation.RequestArrived arrived) {
+            RequestId request = arrived.request().id();
+            post(request, new Action.Refuse(request, Refusal.notRun(RefusalReason.NO_SERVER, RETRY_AFTER_MILLIS)));
+            mailboxes.remove(request);
+        }
     }
 
     private void carryOut(Action action) {
+        listeners.forEach(l -> l.decided(action));
         if (action instanceof Action.Dispatch dispatch) {
             post(dispatch.request(), action);
         } else if (action instanceof Action.CancelAttempt cancel) {
@@ -101,6 +159,8 @@
         } else if (action instanceof Action.Refuse refuse) {
             post(refuse.request(), action);
             mailboxes.remove(refuse.request());
+        } else if (action instanceof Action.Settle settle) {
+            mailboxes.remove(settle.request());
         } else {
             effects.accept(action);
         }
@@ -113,23 +173,19 @@
         }
     }
 
-    private void forgetEnded(Observation observation) {
-        if (observation instanceof Observation.RequestAbandoned abandoned) {
-            mailboxes.remove(abandoned.request());
-        } else if (observation instanceof Observation.AttemptEnded ended
-                && ended.report().end() == AttemptEnd.ANSWERED) {
-            mailboxes.remove(ended.request());
-        }
-    }
-
     /** A slot of the ring. */
     private static final class Message {
         private Observation observation;
         private RequestMailbox mailbox;
+        private Consumer<TrafficController> question;
 
         private void set(Observation seen, RequestMailbox box) {
             observation = seen;
             mailbox = box;
         }
+
+        private void ask(Consumer<TrafficController> asked) {
+            question = asked;
+        }
     }
 }
--- /dev/null
+++ b/operator/src/main/java/org/geraniumstand/operator/command/ConfigurationFile.java
@@ -0,0 +1,93 @@
+package org.geraniumstand.operator.command;
+
+import com.fasterxml.jackson.core.JsonLocation;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+import com.fasterxml.jackson.dataformat.yaml.YAMLMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.operator.ExitCode;
+import org.geraniumstand.operator.client.ClientError;
+import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.platform.json.RecordShape;
+import org.geraniumstand.platform.json.RecordShape.Mismatch;
+
+/** Reads and writes configurations as YAML, with the names of the JSON document. */
+public final class ConfigurationFile {
+    private static final YAMLMapper MAPPER = YAMLMapper.builder()
+            .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+            .disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
+            .enable(YAMLGenerator.Feature.MINIMIZE_QUOTES)
+            .build();
+
+    private ConfigurationFile() {}
+
+    /**
+     * Reads a file.
+     *
+     * @param file the file
+     * @return the document, or what is wrong and where
+     */
+    public static Result<Configuration, ClientError> read(String file) {
+        String text;
+        try {
+            text = Files.readString(Path.of(file));
+        } catch (IOException _e) {
+            return wrong(file + ": the file cannot be read");
+        }
+        try {
+            List<Mismatch> mismatches = mismatches(text);
+            if (!mismatches.isEmpty()) {
+                return wrong(lines(file, mismatches));
+            }
+            Configuration document = MAPPER.readValue(text, Configuration.class);
+            return document == null ? wrong(file + ": the file is empty") : Result.ok(document);
+        } catch (JsonProcessingException e) {
+            return wrong(file + line(e) + ": " + Json.explain(e));
+        } catch (IOException _e) {
+            return wrong(file + ": the file is not YAML");
+        }
+    }
+
+    /**
+     * Writes a document.
+     *
+     * @param document the document
+     */
+    public static String write(Configuration document) {
+        try {
+            return MAPPER.writeValueAsString(document);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("the configuration cannot be written as YAML", e);
+        }
+    }
+
+    private static List<Mismatch> mismatches(String text) throws IOException {
+        try (JsonParser parser = MAPPER.createParser(text)) {
+            return RecordShape.mismatches(parser, Configuration.class);
+        }
+    }
+
+    private static String lines(String file, List<Mismatch> mismatches) {
+        return mismatches.stream()
+                .map(m -> file + ":" + m.line() + ": " + m.path() + ": " + m.message())
+                .collect(Collectors.joining("\n"));
+    }
+
+    private static String line(JsonProcessingException e) {
+        JsonLocation location = e.getLocation();
+        return location == null ? "" : ":" + location.getLineNr();
+    }
+
+    private static <T> Result<T, ClientError> wrong(String message) {
+        return Result.err(ClientError.of(ExitCode.USAGE, message));
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/StreamAskCodec.java
@@ -0,0 +1,26 @@
+package org.geraniumstand.peer.codec;
+
+import org.geraniumstand.peer.PeerMessage;
+
+/** Codec of {@link PeerMessage.StreamAsk}. */
+final class StreamAskCodec implements MessageCodec<PeerMessage.StreamAsk> {
+    @Override
+    public int number() {
+        return 15;
+    }
+
+    @Override
+    public Class<PeerMessage.StreamAsk> type() {
+        return PeerMessage.StreamAsk.class;
+    }
+
+    @Override
+    public void write(FieldWriter out, PeerMessage.StreamAsk message) {
+        out.fields(2).text(message.team()).text(message.callerRequestId());
+    }
+
+    @Override
+    public PeerMessage.StreamAsk read(FieldReader in) {
+        return new PeerMessage.StreamAsk(in.text(), in.text());
+    }
+}
