--- a/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
@@ -90,6 +90,7 @@
             intake.arrive(arrived.request(), gate.open(now), now, actions);
         } else if (observation instanceof Observation.AnswerStarted started) {
             progress.onStarted(started, now, actions);
+            drainAll(now, actions);
         } else if (observation instanceof Observation.StreamAdvanced advanced) {
             progress.onAdvanced(advanced, now, actions);
         } else if (observation instanceof Observation.AttemptEnded ended) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
@@ -9,6 +9,7 @@
 import org.geraniumstand.decisions.Reasons;
 import org.geraniumstand.decisions.admission.FairQueue;
 import org.geraniumstand.decisions.admission.Feasibility;
+import org.geraniumstand.decisions.admission.SharePacing;
 import org.geraniumstand.decisions.flight.Flight;
 import org.geraniumstand.decisions.limits.Limits;
 import org.geraniumstand.decisions.routing.Pace;
@@ -129,7 +130,7 @@
             return;
         }
         queue.drain(parts::weight, flight -> {
-            if (!attempts.place(flight, now, actions)) {
+            if (paced(flight) || !attempts.place(flight, now, actions)) {
                 return false;
             }
             work.waits().onTurn(now.nanos() > flight.arrived().nanos(), now);
@@ -140,6 +141,11 @@
         }
     }
 
+    private boolean paced(Flight flight) {
+        return flight.attempt() == 0
+                && SharePacing.holds(flight.facts(), parts.flights().values(), parts::weight);
+    }
+
     /**
      * Spreads the waiting requests over the servers that they could go to, for what this process asks of keepers.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/Progress.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/Progress.java
@@ -55,7 +55,7 @@
         }
         flight.start(now);
         boolean late = millis > parts.targets().firstMillis();
-        actions.addAll(parts.limits().onRatio(state, ratio, late));
+        actions.addAll(parts.limits().onRatio(state, ratio, late, true));
     }
 
     private static void learn(boolean plain, Pace pace, ServerState state, double tokens, double millis) {
@@ -93,7 +93,7 @@
         }
         parts.work(flight.facts().service()).silence().onBetween(Math.round(millis));
         boolean late = millis > parts.targets().betweenMillis();
-        actions.addAll(parts.limits().onRatio(state, ratio, late));
+        actions.addAll(parts.limits().onRatio(state, ratio, late, false));
     }
 
     private int maxConcurrency(Flight flight) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/Budget.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/Budget.java
@@ -20,6 +20,7 @@
 public final class Budget {
     private static final double SHRINK = 0.7;
     private static final double LEAST_WARM_SHARE = 0.3;
+    private static final double LEAST_LATE_SHARE = 0.75;
     private static final long SHRINK_EVERY_MILLIS = 500;
     private static final int WARM_AFTER_COMPLETED = 2;
     private static final int WARM_AFTER_COMPLETED_UNREPORTED = 8;
@@ -127,16 +128,31 @@
     }
 
     /**
-     * Takes in an answer that was late or failed.
+     * Takes in an answer that failed or whose tokens came too slowly.
      *
      * @param now the time
      */
     public void onBad(Moment now) {
+        shrink(LEAST_WARM_SHARE, now);
+    }
+
+    /**
+     * Takes in a first token that was late.
+     *
+     * <p>Long prompts that come together make it late, few requests or many, so the budget shrinks a little only.
+     *
+     * @param now the time
+     */
+    public void onLate(Moment now) {
+        shrink(LEAST_LATE_SHARE, now);
+    }
+
+    private void shrink(double leastWarm, Moment now) {
         if (shrunkAt != null && now.millisSince(shrunkAt) < SHRINK_EVERY_MILLIS) {
             return;
         }
         shrunkAt = now;
-        double least = warm ? LEAST_WARM_SHARE * service.maxConcurrency() : 1;
+        double least = warm ? leastWarm * service.maxConcurrency() : 1;
         limit = Math.max(Math.max(1, least), limit * SHRINK);
         completed = 0;
     }
@@ -153,7 +169,7 @@
         boolean saysWarm = warm && reportedWarm && takenAt != null && now.millisSince(takenAt) < REPORT_SPEAKS_MILLIS;
         if (saysWarm && refuted < BELIEVED_TIMES) {
             refuted++;
-            onBad(now);
+            onLate(now);
             return;
         }
         onCold(now);
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
@@ -29,6 +29,7 @@
 /** How many requests this process may have at each backend server, as keeper of some and as user of the others. */
 public final class Limits implements Room {
     private static final double SLOWER = 1.3;
+    private static final double LASTINGLY_SLOWER = 2.5;
 
     private final ProcessId self;
     private final FleetView fleet;
@@ -93,6 +94,7 @@
         processes = staying.isEmpty() ? List.of(self) : staying;
         hadPeers |= processes.size() > 1;
         keepers = new RendezvousKeepers(processes);
+        fleet.onMembers(self, processes.size());
         return rekeep();
     }
 
@@ -190,8 +192,9 @@
      * @param state the server
      * @param ratio time seen against time expected of the server's class
      * @param late whether it missed the latency target
+     * @param first whether it is about the first token
      */
-    public List<Action> onRatio(ServerState state, double ratio, boolean late) {
+    public List<Action> onRatio(ServerState state, double ratio, boolean late, boolean first) {
         KeptServer server = kept.get(state.server().id());
         double past = state.slowness();
         state.onRatio(ratio);
@@ -201,8 +204,12 @@
         if (server == null) {
             return List.of();
         }
-        if (late && ratio > SLOWER) {
+        // One slow stretch may be somebody's long prompt; a server that stays slow has too much to do.
+        boolean lasting = !first && state.slowness() > LASTINGLY_SLOWER;
+        if (late && lasting) {
             server.budget().onBad(now);
+        } else if (late && ratio > SLOWER) {
+            server.budget().onLate(now);
         } else if (!late) {
             server.budget().onGood(false, now);
         }
@@ -296,12 +303,12 @@
     private Map<ProcessId, List<Demand>> others(Waiting waiting) {
         Map<ProcessId, List<Demand>> wishes = new TreeMap<>();
         for (ServerState state : fleet.all()) {
-            if (!fleet.takesNewWork(state) && state.inFlight() == 0) {
+            if (!fleet.uses(state) && state.inFlight() == 0) {
                 continue;
             }
             ServerId id = state.server().id();
             int wanted = state.inFlight();
-            if (fleet.takesNewWork(state)) {
+            if (fleet.uses(state)) {
                 wanted += waiting.at(state);
             }
             KeptServer own = kept.get(id);
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/RendezvousKeepers.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/RendezvousKeepers.java
@@ -3,14 +3,12 @@
 import java.util.List;
 import java.util.Optional;
 import org.geraniumstand.decisions.Decision;
-import org.geraniumstand.decisions.Hash;
+import org.geraniumstand.decisions.membership.Rendezvous;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 
 /**
- * Names keepers by rendezvous hashing over the live processes.
- *
- * <p>Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+ * Names keepers by rendezvous hashing over the live processes, see {@link Rendezvous}.
  */
 @Decision(
         name = "keeper",
@@ -29,16 +27,6 @@
 
     @Override
     public Optional<ProcessId> keeperOf(ServerId server) {
-        long seed = Hash.of(server.value());
-        ProcessId best = null;
-        long most = 0;
-        for (ProcessId process : processes) {
-            long hash = Hash.mix(seed ^ Hash.of(process.value()));
-            if (best == null || hash > most) {
-                best = process;
-                most = hash;
-            }
-        }
-        return Optional.ofNullable(best);
+        return Rendezvous.first(server.value(), processes, ProcessId::value);
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/retry/RetryBudget.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/retry/RetryBudget.java
@@ -9,12 +9,14 @@
         summary = "Retries are paid from a part of the successes, with a small minimum, so that failures cannot"
                 + " multiply the load.")
 public final class RetryBudget {
-    private static final double MOST = 50;
-    private static final double MINIMUM_EACH_SECOND = 0.1;
-    private static final double MINIMUM_SAVED = 5;
-    private static final double NANOS_PER_SECOND = 1e9;
+    private static final long RETRY = 100;
+    private static final long MOST = 50 * RETRY;
+    private static final long MINIMUM_SAVED = 5 * RETRY;
+    private static final long REFILL_EVERY_MILLIS = 10_000;
+
+    /** Saved retries in hundredths. */
+    private long saved = MINIMUM_SAVED;
 
-    private double saved = MINIMUM_SAVED;
     private Moment filled;
 
     /**
@@ -23,7 +25,7 @@
      * @param percent retries allowed in a hundred successes
      */
     public void onSuccess(int percent) {
-        saved = Math.min(MOST, saved + percent / 100.0);
+        saved = Math.min(MOST, saved + percent);
     }
 
     /**
@@ -33,18 +35,21 @@
      */
     public boolean spend(Moment now) {
         refill(now);
-        if (saved < 1) {
+        if (saved < RETRY) {
             return false;
         }
-        saved--;
+        saved -= RETRY;
         return true;
     }
 
     private void refill(Moment now) {
-        if (filled != null && saved < MINIMUM_SAVED) {
-            double seconds = (now.nanos() - filled.nanos()) / NANOS_PER_SECOND;
-            saved = Math.min(MINIMUM_SAVED, saved + seconds * MINIMUM_EACH_SECOND);
+        if (filled == null) {
+            filled = now;
+        }
+        long retries = now.millisSince(filled) / REFILL_EVERY_MILLIS;
+        if (retries > 0) {
+            filled = now;
+            saved = Math.max(saved, Math.min(MINIMUM_SAVED, saved + retries * RETRY));
         }
-        filled = now;
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/routing/FleetView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/routing/FleetView.java
@@ -8,10 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.geraniumstand.decisions.membership.SubsetChoice;
 import org.geraniumstand.model.fleet.BackendServer;
 import org.geraniumstand.model.fleet.ReclaimNotice;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.HostId;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.VersionId;
@@ -28,7 +30,10 @@
     private final Map<HostId, Long> dueMillis = new HashMap<>();
     private final Set<ServerId> vanished = new HashSet<>();
     private Map<Group, List<ServerState>> usable = Map.of();
+    private final Set<ServerId> used = new HashSet<>();
     private Set<DataCentreId> out = Set.of();
+    private ProcessId self;
+    private int processes = 1;
     private final List<ServerState> bySlot = new ArrayList<>();
 
     /**
@@ -92,18 +97,45 @@
         regroup();
     }
 
+    /**
+     * Takes in who shares the servers; past some processes each uses a part of the servers only.
+     *
+     * @param process this process
+     * @param live number of live processes
+     */
+    public void onMembers(ProcessId process, int live) {
+        self = process;
+        processes = live;
+        regroup();
+    }
+
     private void regroup() {
-        Map<Group, List<ServerState>> next = new HashMap<>();
+        List<BackendServer> open = new ArrayList<>();
         for (ServerState state : states.values()) {
-            BackendServer server = state.server();
             if (takesNewWork(state)) {
-                next.computeIfAbsent(new Group(server.service(), server.version()), _key -> new ArrayList<>())
-                        .add(state);
+                open.add(state.server());
             }
         }
+        List<BackendServer> part = self == null ? open : SubsetChoice.choose(self, processes, open);
+        Map<Group, List<ServerState>> next = new HashMap<>();
+        used.clear();
+        for (BackendServer server : part) {
+            used.add(server.id());
+            next.computeIfAbsent(new Group(server.service(), server.version()), _key -> new ArrayList<>())
+                    .add(states.get(server.id()));
+        }
         usable = next;
     }
 
+    /**
+     * Returns whether this process sends new work to a backend server.
+     *
+     * @param state the backend server
+     */
+    public boolean uses(ServerState state) {
+        return used.contains(state.server().id());
+    }
+
     /**
      * Returns whether a backend server may take new work.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/routing/ServerChoice.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/routing/ServerChoice.java
@@ -155,7 +155,7 @@
             ServerState state = fleet.bySlot(found.slot(i));
             boolean fits = state.server().service().equals(query.service().id())
                     && servers.get(0).server().version().equals(state.server().version());
-            if (fits && fleet.takesNewWork(state)) {
+            if (fits && fleet.uses(state)) {
                 consider(query, state, room, probe, now);
             }
         }
--- /dev/null
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/ChoiceBench.java
@@ -0,0 +1,131 @@
+package org.geraniumstand.proofs.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.geraniumstand.decisions.routing.FleetView;
+import org.geraniumstand.decisions.routing.PrefixIndex;
+import org.geraniumstand.decisions.routing.Room;
+import org.geraniumstand.decisions.routing.ServerChoice;
+import org.geraniumstand.decisions.routing.ServerState;
+import org.geraniumstand.decisions.routing.Targets;
+import org.geraniumstand.model.config.Priority;
+import org.geraniumstand.model.config.Service;
+import org.geraniumstand.model.config.ServiceKind;
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.HostId;
+import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.id.RouteId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.time.Moment;
+
+/** Measures choices of a server each second on one core, with 750 servers of one service and warm prefix caches. */
+public final class ChoiceBench {
+    private static final int SERVERS = 750;
+    private static final int CENTRES = 4;
+    private static final int REQUESTS = 20_000;
+    private static final int BLOCKS = 8;
+    private static final int ROUNDS = 8;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final ServiceId MODEL = new ServiceId("model");
+    private static final VersionId VERSION = new VersionId("v1");
+    private static final Service SERVICE = new Service(MODEL, ServiceKind.MODEL, VERSION, 1, 16, 10_000);
+
+    private ChoiceBench() {}
+
+    /**
+     * Runs the bench and prints each round.
+     *
+     * @param _args none
+     */
+    public static void main(String[] _args) {
+        FleetView fleet = new FleetView();
+        fleet.onFleet(servers());
+        PrefixIndex prefixes = new PrefixIndex();
+        ServerChoice choice = new ServerChoice(fleet, prefixes);
+        choice.onMembers(Optional.of(new DataCentreId("c0")), 16);
+        List<ServerChoice.Query> queries = queries(prefixes);
+        Room room = new Room() {
+            @Override
+            public int spare(ServerState state) {
+                return 1 + (state.slot() & 3);
+            }
+
+            @Override
+            public boolean warm(ServerState _state) {
+                return true;
+            }
+        };
+        Moment now = new Moment(1_000_000_000L, 0);
+        for (int round = 1; round <= ROUNDS; round++) {
+            long sum = 0;
+            long start = System.nanoTime();
+            for (ServerChoice.Query query : queries) {
+                sum += choice.choose(query, room, now).orElseThrow().slot();
+            }
+            double seconds = (System.nanoTime() - start) / NANOS_PER_SECOND;
+            System.out.printf(
+                    Locale.ROOT,
+                    "bench=server-choice servers=%d round=%d choices-per-second=%.0f checksum=%d%n",
+                    SERVERS,
+                    round,
+                    REQUESTS / seconds,
+                    sum);
+        }
+    }
+
+    private static List<BackendServer> servers() {
+        List<BackendServer> servers = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            servers.add(new BackendServer(
+                    new ServerId("s" + i),
+                    MODEL,
+                    VERSION,
+                    new DataCentreId("c" + i % CENTRES),
+                    new HostId("h" + i),
+                    "class-" + i % 3,
+                    true,
+                    100 + 50 * (i % 3),
+                    "127.0.0.1",
+                    1,
+                    false));
+        }
+        return servers;
+    }
+
+    private static List<ServerChoice.Query> queries(PrefixIndex prefixes) {
+        Random random = new Random(1);
+        List<ServerChoice.Query> queries = new ArrayList<>();
+        for (int i = 0; i < REQUESTS; i++) {
+            List<Long> blocks = new ArrayList<>();
+            for (int b = 0; b < BLOCKS; b++) {
+                blocks.add(b < 3 ? b : (long) (i % 5_000) * BLOCKS + b);
+            }
+            if (i % 2 == 0) {
+                prefixes.stored(random.nextInt(SERVERS), blocks, 900);
+            }
+            RequestFacts facts = new RequestFacts(
+                    new RequestId("r" + i),
+                    new TeamId("t"),
+                    MODEL,
+                    new RouteId("chat"),
+                    true,
+                    true,
+                    Priority.INTERACTIVE,
+                    Long.MAX_VALUE,
+                    2_048,
+                    100,
+                    blocks);
+            queries.add(new ServerChoice.Query(facts, SERVICE, List.of(VERSION), Set.of(), new Targets(490, 57)));
+        }
+        return queries;
+    }
+}
