Plan capacity under a lease with a fencing number

Ruled out: ordering from every process (views differ, starts and stops fight); relying on fencing (some ignore it).

--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -10,6 +10,7 @@
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.decisions.TrafficController;
 import org.geraniumstand.decisions.membership.Incarnation;
+import org.geraniumstand.entry.capacity.Capacity;
 import org.geraniumstand.entry.core.Core;
 import org.geraniumstand.entry.metrics.ObservedStore;
 import org.geraniumstand.entry.operator.CheckedChanges;
@@ -63,6 +64,7 @@
                 () -> tasks.peers().view().lowestLevel(),
                 _accepted -> {});
         new HostListPoll(new HttpHostList(calls, settings.cloud().url()), calls, core).start();
+        Capacity.start(self, store, settings.store().prefix(), settings.cloud().url(), calls, core::configuration);
         closer.add(CallerListener.start(
                 self,
                 settings.callers().host(),
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/capacity/Capacity.java
@@ -0,0 +1,65 @@
+package org.geraniumstand.entry.capacity;
+
+import java.net.URI;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.geraniumstand.decisions.capacity.CapacityPlanner;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.time.Moment;
+import org.geraniumstand.platform.cloud.CloudApi;
+import org.geraniumstand.platform.cloud.HttpCloudApi;
+import org.geraniumstand.platform.cloud.HttpHostList;
+import org.geraniumstand.platform.engine.EngineControl;
+import org.geraniumstand.platform.engine.HttpEngineControl;
+import org.geraniumstand.platform.net.HttpCalls;
+import org.geraniumstand.platform.store.ConfigurationStore;
+
+/** Starts the task that plans capacity. */
+public final class Capacity {
+    private static final long ROUND_MILLIS = 5_000;
+    private static final int LOADS_PER_MINUTE = 12;
+
+    private Capacity() {}
+
+    /**
+     * Starts the task; it goes on until the calls are closed.
+     *
+     * @param self this process
+     * @param store the platform's store
+     * @param prefix prefix of all keys
+     * @param cloudUrl where the cloud listens
+     * @param calls makes the calls; all steps run on its thread
+     * @param configuration reads the configuration in force
+     */
+    public static void start(
+            ProcessId self,
+            ConfigurationStore store,
+            String prefix,
+            URI cloudUrl,
+            HttpCalls calls,
+            Supplier<Optional<Configuration>> configuration) {
+        FencedLease lease = new FencedLease(store, prefix + "/capacity/lease", self.value(), System::nanoTime);
+        CloudApi cloud = new HttpCloudApi(calls, cloudUrl);
+        EngineControl control = new HttpEngineControl(calls);
+        CapacityTask task = new CapacityTask(
+                configuration,
+                lease,
+                new OrderSender(lease, cloud, control),
+                cloud,
+                new HttpHostList(calls, cloudUrl),
+                new EngineViews(control),
+                new CapacityPlanner(LOADS_PER_MINUTE),
+                () -> new Moment(System.nanoTime(), System.currentTimeMillis()));
+        repeat(calls, task);
+    }
+
+    private static void repeat(HttpCalls calls, CapacityTask task) {
+        calls.schedule(
+                () -> {
+                    task.round();
+                    repeat(calls, task);
+                },
+                ROUND_MILLIS);
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/capacity/CapacityTask.java
@@ -0,0 +1,172 @@
+package org.geraniumstand.entry.capacity;
+
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.geraniumstand.decisions.capacity.CapacityOrder;
+import org.geraniumstand.decisions.capacity.CapacityPlanner;
+import org.geraniumstand.decisions.capacity.PlanInput;
+import org.geraniumstand.decisions.capacity.ServiceNeed;
+import org.geraniumstand.model.capacity.CloudHost;
+import org.geraniumstand.model.capacity.EngineOrder;
+import org.geraniumstand.model.capacity.HostOrder;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.Preset;
+import org.geraniumstand.model.config.Service;
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.fleet.ReclaimNotice;
+import org.geraniumstand.model.id.HostId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.model.time.Moment;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.platform.cloud.CloudApi;
+import org.geraniumstand.platform.cloud.CloudError;
+import org.geraniumstand.platform.cloud.HostList;
+import org.geraniumstand.platform.log.Log;
+
+/**
+ * Plans capacity and gives its orders while this process holds the lease.
+ *
+ * <p>Each round reads the world anew: what earlier orders have brought about shows in the cloud's own list, so an order
+ * whose answer was lost is given again and changes nothing. All steps run on one thread.
+ */
+final class CapacityTask {
+    private static final Log LOG = Log.of(CapacityTask.class);
+
+    private final Supplier<Optional<Configuration>> configuration;
+    private final FencedLease lease;
+    private final OrderSender sender;
+    private final CloudApi cloud;
+    private final HostList hosts;
+    private final EngineViews engines;
+    private final CapacityPlanner planner;
+    private final Supplier<Moment> clock;
+
+    /**
+     * Creates a task.
+     *
+     * @param configuration reads the configuration in force
+     * @param lease held by one process at a time
+     * @param sender sends the orders
+     * @param cloud tells what hosts there are
+     * @param hosts tells what servers run on them
+     * @param engines tells what the servers do
+     * @param planner plans
+     * @param clock tells the time
+     */
+    CapacityTask(
+            Supplier<Optional<Configuration>> configuration,
+            FencedLease lease,
+            OrderSender sender,
+            CloudApi cloud,
+            HostList hosts,
+            EngineViews engines,
+            CapacityPlanner planner,
+            Supplier<Moment> clock) {
+        this.configuration = configuration;
+        this.lease = lease;
+        this.sender = sender;
+        this.cloud = cloud;
+        this.hosts = hosts;
+        this.engines = engines;
+        this.planner = planner;
+        this.clock = clock;
+    }
+
+    /** Takes one round: keeps the lease, and plans if it is held; without pools there is nothing to order. */
+    void round() {
+        boolean pools = configuration.get().map(c -> !c.pools().isEmpty()).orElse(false);
+        if (!pools) {
+            return;
+        }
+        lease.step();
+        if (lease.fenceNow().isPresent()) {
+            configuration.get().ifPresent(this::readHosts);
+        }
+    }
+
+    private void readHosts(Configuration document) {
+        hosts.read(listing -> listing.value().ifPresent(listed -> {
+            engines.ask(listed.servers());
+            cloud.hosts(result -> result.value().ifPresent(known -> plan(document, listed, known)));
+        }));
+    }
+
+    private void plan(Configuration document, HostList.Listing listed, List<CloudHost> known) {
+        Optional<Preset> preset = document.preset();
+        if (preset.isEmpty()) {
+            return;
+        }
+        Set<HostId> reclaimed = new HashSet<>();
+        listed.notices().stream().map(ReclaimNotice::host).forEach(reclaimed::add);
+        PlanInput input = new PlanInput(
+                preset.get(),
+                document.pools(),
+                document.dataCentresOut(),
+                needs(document),
+                known,
+                engines.work(),
+                reclaimed);
+        planner.plan(input, clock.get()).forEach(this::carryOut);
+    }
+
+    /** Returns what is needed; while a version moves, both versions need hosts for the whole load. */
+    private List<ServiceNeed> needs(Configuration document) {
+        List<ServiceNeed> needs = new ArrayList<>();
+        for (Service service : document.services()) {
+            double load = engines.inFlight(service.id());
+            Set<VersionId> versions = new HashSet<>(Set.of(service.version()));
+            document.moveOf(service.id()).ifPresent(move -> {
+                versions.add(move.from());
+                versions.add(move.to());
+            });
+            versions.stream().sorted().forEach(version -> needs.add(new ServiceNeed(service, version, load)));
+        }
+        return needs;
+    }
+
+    private void carryOut(CapacityOrder order) {
+        if (order instanceof CapacityOrder.Start start) {
+            log("start", start.host().host(), sender.start(start, this::onStarted));
+        } else if (order instanceof CapacityOrder.Stop stop) {
+            log("stop", stop.host().host(), sender.stop(stop.host().host()));
+        } else if (order instanceof CapacityOrder.Drain drain) {
+            orderRole(drain.host(), EngineOrder.Role.DRAIN);
+        } else if (order instanceof CapacityOrder.Serve serve) {
+            orderRole(serve.host(), EngineOrder.Role.SERVE);
+        }
+    }
+
+    private void orderRole(CloudHost host, EngineOrder.Role role) {
+        EngineOrder order = new EngineOrder(host.service(), host.version(), role, List.of());
+        for (BackendServer server : engines.on(host.host())) {
+            URI engine = EngineViews.addressOf(server);
+            log(role.name().toLowerCase(Locale.ROOT), host.host(), sender.engine(engine, order));
+        }
+    }
+
+    private void onStarted(CapacityOrder.Start start, Result<HostOrder, CloudError> result) {
+        result.fold(
+                ok -> {
+                    planner.onStarted(start);
+                    return ok;
+                },
+                error -> {
+                    if (error == CloudError.START_REFUSED) {
+                        planner.onRefused(start, clock.get());
+                    }
+                    LOG.warn("order-refused", Field.of("host", start.host().host()), Field.of("error", error));
+                    return start.host();
+                });
+    }
+
+    private static void log(String order, HostId host, boolean sent) {
+        LOG.info("order-sent", Field.of("order", order), Field.of("host", host), Field.of("sent", sent));
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/capacity/FakeStore.java
@@ -0,0 +1,114 @@
+package org.geraniumstand.entry.capacity;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.model.time.Moment;
+import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.platform.store.StoreError;
+import org.geraniumstand.platform.store.Stored;
+
+/** A store in memory whose leases lapse by a clock that the test moves. */
+final class FakeStore implements ConfigurationStore {
+    private final LongSupplier nanoTime;
+    private final Map<String, Stored> values = new HashMap<>();
+    private final Map<String, Lease> holders = new HashMap<>();
+    private final Map<Lease, Long> lapses = new HashMap<>();
+    private boolean down;
+    private long ttlNanos;
+    private long index;
+
+    FakeStore(LongSupplier nanoTime) {
+        this.nanoTime = nanoTime;
+    }
+
+    void down(boolean out) {
+        down = out;
+    }
+
+    private boolean alive(Lease lease) {
+        return lapses.getOrDefault(lease, Long.MIN_VALUE) > nanoTime.getAsLong();
+    }
+
+    @Override
+    public void read(String key, Consumer<Result<Optional<Stored>, StoreError>> callback) {
+        callback.accept(down ? Result.err(StoreError.UNAVAILABLE) : Result.ok(Optional.ofNullable(values.get(key))));
+    }
+
+    @Override
+    public void list(String _prefix, Consumer<Result<List<Entry>, StoreError>> callback) {
+        callback.accept(Result.err(StoreError.UNAVAILABLE));
+    }
+
+    @Override
+    public void watch(String _prefix, long _known, Consumer<Result<Watched, StoreError>> callback) {
+        callback.accept(Result.err(StoreError.UNAVAILABLE));
+    }
+
+    @Override
+    public void compareAndSwap(String key, String value, long known, Consumer<Result<Boolean, StoreError>> callback) {
+        if (down) {
+            callback.accept(Result.err(StoreError.UNAVAILABLE));
+            return;
+        }
+        long held = Optional.ofNullable(values.get(key)).map(Stored::index).orElse(0L);
+        if (held == known) {
+            values.put(key, new Stored(value, ++index));
+        }
+        callback.accept(Result.ok(held == known));
+    }
+
+    @Override
+    public void acquire(String key, String value, Lease lease, Consumer<Result<Boolean, StoreError>> callback) {
+        if (down) {
+            callback.accept(Result.err(StoreError.UNAVAILABLE));
+            return;
+        }
+        Lease holder = holders.get(key);
+        boolean free = holder == null || holder.equals(lease) || !alive(holder);
+        if (free && alive(lease)) {
+            holders.put(key, lease);
+            values.put(key, new Stored(value, ++index));
+        }
+        callback.accept(Result.ok(free && alive(lease)));
+    }
+
+    @Override
+    public void openLease(long ttlMillis, Consumer<Result<Lease, StoreError>> callback) {
+        if (down) {
+            callback.accept(Result.err(StoreError.UNAVAILABLE));
+            return;
+        }
+        ttlNanos = ttlMillis * Moment.NANOS_PER_MILLI;
+        Lease lease = new Lease("lease-" + ++index);
+        lapses.put(lease, nanoTime.getAsLong() + ttlNanos);
+        callback.accept(Result.ok(lease));
+    }
+
+    @Override
+    public void renewLease(Lease lease, Consumer<Result<Lease, StoreError>> callback) {
+        if (down) {
+            callback.accept(Result.err(StoreError.UNAVAILABLE));
+        } else if (!alive(lease)) {
+            callback.accept(Result.err(StoreError.LEASE_LOST));
+        } else {
+            lapses.put(lease, nanoTime.getAsLong() + ttlNanos);
+            callback.accept(Result.ok(lease));
+        }
+    }
+
+    @Override
+    public void closeLease(Lease lease, Consumer<Result<Lease, StoreError>> callback) {
+        lapses.remove(lease);
+        callback.accept(Result.ok(lease));
+    }
+
+    @Override
+    public void close() {
+        // There is nothing to close.
+    }
+}
