--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -10,6 +10,7 @@
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.decisions.TrafficController;
 import org.geraniumstand.decisions.membership.Incarnation;
+import org.geraniumstand.entry.capacity.Capacity;
 import org.geraniumstand.entry.core.Core;
 import org.geraniumstand.entry.metrics.ObservedStore;
 import org.geraniumstand.entry.operator.CheckedChanges;
@@ -74,6 +75,7 @@
                         new Random(self.hashCode()))
                 .start();
         this.requests = closer.add(RequestPath.start(settings, self, core, tasks.peers(), store, calls, stopping::get));
+        Capacity.start(self, store, settings.store().prefix(), settings.cloud().url(), calls, core::configuration);
         observability.metrics().gauge("geraniumstand_core_messages_waiting", core::depth);
         observability
                 .metrics()
