--- a/operator/src/main/java/org/geraniumstand/operator/text/StatusText.java
+++ b/operator/src/main/java/org/geraniumstand/operator/text/StatusText.java
@@ -117,16 +117,17 @@
     }
 
     private String server(ServerStatus status) {
-        int inFlight = reports.stream()
+        List<ServerStatus> all = reports.stream()
                 .flatMap(report -> report.servers().stream())
                 .filter(other -> other.server().id().equals(status.server().id()))
-                .mapToInt(ServerStatus::inFlight)
-                .sum();
+                .toList();
+        int inFlight = all.stream().mapToInt(ServerStatus::inFlight).sum();
+        int budget = all.stream().mapToInt(s -> Math.max(0, s.budget())).sum();
         return TimelineText.pad(status.server().id().value(), 16) + "  "
                 + status.server().service() + " "
                 + status.server().version() + "  " + status.server().dataCentre() + "  " + status.state() + "  "
                 + status.warmth() + "  in flight " + inFlight
-                + (status.budget() < 0 ? "" : " of " + status.budget());
+                + (status.budget() < 0 ? "" : " of " + budget);
     }
 
     private void moves() {
