Close callers' connections while a process leaves; note each refusal once

In the demo's planned stop, 8 to 11 requests were refused as stopping: callers kept their connections through the balancer and came back to the process after it had stopped taking work. Each answer of a leaving process now closes its connection. Refusals stood twice on the time line, by the action and by the decision's note; the decision's words win.

--- a/entry/src/main/java/org/geraniumstand/entry/RequestPath.java
+++ b/entry/src/main/java/org/geraniumstand/entry/RequestPath.java
@@ -71,6 +71,7 @@
      * @return whether all work ended
      */
     boolean drain(CountDownLatch stopped, long timeoutMillis) throws InterruptedException {
+        listener.closeConnections();
         boolean clean = stopped.await(Math.min(HANDOVER_AFTER_MILLIS, timeoutMillis), TimeUnit.MILLISECONDS);
         if (!clean) {
             handover.handOver(listener.streams());
--- a/entry/src/main/java/org/geraniumstand/entry/timeline/TimelineListener.java
+++ b/entry/src/main/java/org/geraniumstand/entry/timeline/TimelineListener.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.entry.timeline;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
@@ -33,6 +34,8 @@
 
     private final Timeline timeline;
     private Set<String> members = Set.of();
+    /** A refusal that waits for the decision's own words about it, which follow at once where there are any. */
+    private Optional<Action.Refuse> refused = Optional.empty();
 
     /**
      * Creates a listener.
@@ -45,6 +48,7 @@
 
     @Override
     public void arrived(RequestFacts request, String callerRequestId) {
+        flush();
         // Only names are kept; the facts hold the prompt's prefix blocks, which may be many.
         RequestId id = request.id();
         TeamId team = request.team();
@@ -63,6 +67,7 @@
 
     @Override
     public void observed(Observation observation) {
+        flush();
         if (observation instanceof Observation.MembersSeen seen) {
             noteMembers(seen);
         }
@@ -84,22 +89,45 @@
 
     @Override
     public void decided(Action action) {
+        if (action instanceof Action.Note note && note.kind() == EventKind.REQUEST_REFUSED) {
+            refused = Optional.empty();
+            timeline.noteRequest(note.kind(), note.reason(), note::fields);
+            return;
+        }
+        flush();
         if (action instanceof Action.Note note) {
-            timeline.note(note.kind(), note.reason(), note.fields());
+            note(note);
         } else if (action instanceof Action.Dispatch dispatch) {
             noteDispatch(dispatch);
         } else if (action instanceof Action.Refuse refuse) {
-            Refusal refusal = refuse.refusal();
-            timeline.noteRequest(
-                    EventKind.REQUEST_REFUSED,
-                    refusal.reason().summary(),
-                    () -> List.of(
-                            Field.of(REQUEST, refuse.request()),
-                            Field.of("refusal", refusal.reason().text()),
-                            Field.of("outcome", refusal.outcome().text())));
+            refused = Optional.of(refuse);
         }
     }
 
+    private void note(Action.Note note) {
+        if (note.kind() == EventKind.REQUEST_RETRIED) {
+            timeline.noteRequest(note.kind(), note.reason(), note::fields);
+        } else {
+            timeline.note(note.kind(), note.reason(), note.fields());
+        }
+    }
+
+    private void flush() {
+        refused.ifPresent(this::noteRefusal);
+        refused = Optional.empty();
+    }
+
+    private void noteRefusal(Action.Refuse refuse) {
+        Refusal refusal = refuse.refusal();
+        timeline.noteRequest(
+                EventKind.REQUEST_REFUSED,
+                refusal.reason().summary(),
+                () -> List.of(
+                        Field.of(REQUEST, refuse.request()),
+                        Field.of("refusal", refusal.reason().text()),
+                        Field.of("outcome", refusal.outcome().text())));
+    }
+
     private void noteMembers(Observation.MembersSeen seen) {
         Set<String> next =
                 seen.members().stream().map(m -> m.id().value()).collect(Collectors.toCollection(TreeSet::new));
--- a/entry/src/test/java/org/geraniumstand/entry/timeline/TimelineTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/timeline/TimelineTest.java
@@ -69,6 +69,7 @@
                 new RequestId("r1"), 1, new AttemptReport(AttemptEnd.BROKEN, -1, 5, 0, -1)));
         listener.decided(new Action.Refuse(new RequestId("r1"), Refusal.unknown(RefusalReason.SERVER_FAILED)));
         listener.decided(new Action.Refuse(new RequestId("r2"), Refusal.unknown(RefusalReason.SERVER_FAILED)));
+        listener.observed(new Observation.Tick());
 
         List<TimelineEvent> events = timeline.about("counter-7");
 
@@ -77,6 +78,18 @@
         assertThat(events.get(2).reason(), is(RefusalReason.SERVER_FAILED.summary()));
     }
 
+    @Test
+    void notesRefusalOnceInTheWordsOfTheDecision() {
+        listener.decided(new Action.Refuse(new RequestId("r1"), Refusal.unknown(RefusalReason.SERVER_FAILED)));
+        listener.decided(new Action.Note(
+                EventKind.REQUEST_REFUSED, "The decision says so.", List.of(Field.of("request", "r1"))));
+        listener.observed(new Observation.Tick());
+
+        List<TimelineEvent> events = timeline.about("r1");
+        assertThat(events.size(), is(1));
+        assertThat(events.get(0).reason(), is("The decision says so."));
+    }
+
     @Test
     void keepsEventsOfStoppedProcess() {
         Timeline stopped = new Timeline(new ProcessId("p2"), new HybridClock(() -> 500));
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
@@ -51,6 +51,7 @@
     private final CoreInbox core;
     private final long bodyMillis;
     private final AtomicLong sequence = new AtomicLong();
+    private volatile boolean leaving;
     private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final Undertow server;
     private final Filter headFilters = Filter.chain(List.of(
@@ -141,6 +142,11 @@
         return held;
     }
 
+    /** Closes each connection after its next answer, so that callers come back through the balancer. */
+    public void closeConnections() {
+        leaving = true;
+    }
+
     @Override
     public void close() {
         server.stop();
@@ -152,6 +158,10 @@
     }
 
     private void start(HttpServerExchange exchange) {
+        if (leaving) {
+            // A caller that keeps its connection would come back to this process after the balancer has left it.
+            exchange.setPersistent(false);
+        }
         RequestId id = new RequestId(self + "-" + sequence.incrementAndGet());
         CallerRequest request = RequestReader.read(exchange, id);
         Configuration configuration = core.configuration().orElse(null);
--- a/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
@@ -48,6 +48,21 @@
         }
     }
 
+    @Test
+    void closesConnectionsWhileTheProcessLeaves() throws IOException {
+        try (Stand stand = new Stand(WHOLE)) {
+            assertThat(
+                    stand.call("GET", "/pages", "Connection: keep-alive\r\n", "")
+                            .header("connection"),
+                    is("keep-alive"));
+            stand.listener().closeConnections();
+            assertThat(
+                    stand.call("GET", "/pages", "Connection: keep-alive\r\n", "")
+                            .header("connection"),
+                    is("close"));
+        }
+    }
+
     @Test
     void answersHeadWithoutBody() throws IOException {
         try (Stand stand = new Stand(
