Answer requests whose body comes later than their head

Undertow reads a late part of a body in a call of its own and ends an exchange that is not dispatched when that call returns; the answer came after. Callers' and operators' listeners now dispatch before they go on.

--- a/entry/src/main/java/org/geraniumstand/entry/operator/OperatorListener.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/OperatorListener.java
@@ -112,7 +112,9 @@
         }
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (_exchange, bytes) -> answer(exchange, endpoint, bytes),
+                        // A body that came late is read in a call of its own; it must not end before the answer.
+                        (_exchange, bytes) ->
+                                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> answer(exchange, endpoint, bytes)),
                         (_exchange, _e) -> send(exchange, tooLarge()));
     }
 
--- a/entry/src/test/java/org/geraniumstand/entry/operator/OperatorListenerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/operator/OperatorListenerTest.java
@@ -6,7 +6,11 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.is;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.net.URI;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -42,6 +46,9 @@
     private static final ProcessId SELF = new ProcessId("p1");
     private static final long NOW = 1_000_000;
 
+    /** Pause after which a body arrives. */
+    private static final long PAUSE_MILLIS = 200;
+
     private final MemoryChanges store = new MemoryChanges();
     private final Observability observability = Observability.of(SELF);
     private final CheckedChanges changes = new CheckedChanges(store, () -> NOW, () -> 1, _next -> {});
@@ -195,6 +202,22 @@
                 contains("data-centre out west-1: accepted", "data-centre out west-2: invalid"));
     }
 
+    @Test
+    void answersRequestWhoseBodyComesLater() throws IOException, InterruptedException {
+        store.put(Documents.at(4));
+        String body = Json.write(new PresetSwitch(Documents.PEAK));
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), listener.port())) {
+            String head = "PUT /v1/presets/in-force HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + TOKEN
+                    + "\r\nContent-Length: " + body.length() + "\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.UTF_8));
+            Thread.sleep(PAUSE_MILLIS);
+            socket.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+
+            byte[] start = socket.getInputStream().readNBytes("HTTP/1.1 202".length());
+            assertThat(new String(start, StandardCharsets.UTF_8), is("HTTP/1.1 202"));
+        }
+    }
+
     @Test
     void answersMetricsAndTimeLine() {
         observability.note(EventKind.STORE_STATE);
--- a/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
@@ -2,6 +2,7 @@
 
 import io.undertow.io.Receiver;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.SameThreadExecutor;
 import java.io.ByteArrayOutputStream;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -78,6 +79,8 @@
         if (timer != null) {
             timer.remove();
         }
-        callback.accept(result);
+        // A part that came late is read in a call of its own, at whose end an exchange that is not dispatched would
+        // end.
+        exchange.dispatch(SameThreadExecutor.INSTANCE, () -> callback.accept(result));
     }
 }
--- a/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
@@ -12,6 +12,7 @@
 import java.io.IOException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.geraniumstand.http.fake.Caller;
+import org.geraniumstand.http.fake.Configurations;
 import org.geraniumstand.http.fake.Eventually;
 import org.geraniumstand.http.fake.FakeServer;
 import org.geraniumstand.http.fake.Stand;
@@ -21,6 +22,9 @@
 
 @Timeout(60)
 final class AnswerTest {
+    /** Pause after which the parts of a body arrive one by one. */
+    private static final long PAUSE_MILLIS = 200;
+
     private static final FakeServer.Script WHOLE = (request, connection) -> connection.answer(
             201, "X-Request-Id: " + request.identity() + "\r\nETag: \"7\"\r\nLocation: /a\r\n", "made");
     private static final FakeServer.Script CUT_FIXED = (_request, connection) -> {
@@ -63,6 +67,23 @@
         }
     }
 
+    @Test
+    void answersRequestWhoseBodyComesInParts() throws IOException, InterruptedException {
+        try (Stand stand = new Stand(WHOLE);
+                Caller caller = new Caller(stand.listener().port())) {
+            caller.write("POST /pages HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Configurations.TOKEN
+                    + "\r\nContent-Length: 4\r\n\r\n");
+            Thread.sleep(PAUSE_MILLIS);
+            caller.write("bo");
+            Thread.sleep(PAUSE_MILLIS);
+            caller.write("dy");
+
+            Caller.Answer answer = caller.read("POST");
+            assertThat(answer.status(), is(201));
+            assertThat(answer.body(), is("made"));
+        }
+    }
+
     @Test
     void answersHeadWithoutBody() throws IOException {
         try (Stand stand = new Stand(
