--- a/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
@@ -79,8 +79,7 @@
         if (timer != null) {
             timer.remove();
         }
-        // A part that came late is read in a call of its own, at whose end an exchange that is not dispatched would
-        // end.
+        // A body that arrives late is handed over as a handler's call, after which the exchange would end on its own.
         exchange.dispatch(SameThreadExecutor.INSTANCE, () -> callback.accept(result));
     }
 }
--- a/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
@@ -22,9 +22,6 @@
 
 @Timeout(60)
 final class AnswerTest {
-    /** Pause after which the parts of a body arrive one by one. */
-    private static final long PAUSE_MILLIS = 200;
-
     private static final FakeServer.Script WHOLE = (request, connection) -> connection.answer(
             201, "X-Request-Id: " + request.identity() + "\r\nETag: \"7\"\r\nLocation: /a\r\n", "made");
     private static final FakeServer.Script CUT_FIXED = (_request, connection) -> {
@@ -36,6 +33,7 @@
         connection.cut();
     };
     private static final FakeServer.Script FAILS = (_request, connection) -> connection.answer(500, "", "broke");
+    private static final long PART_PAUSE_MILLIS = 100;
     private static final FakeServer.Script SILENT = (_request, connection) -> connection.stayMute();
 
     @Test
@@ -52,38 +50,37 @@
         }
     }
 
-    @Test
-    void closesConnectionsWhileTheProcessLeaves() throws IOException {
-        try (Stand stand = new Stand(WHOLE)) {
-            assertThat(
-                    stand.call("GET", "/pages", "Connection: keep-alive\r\n", "")
-                            .header("connection"),
-                    is("keep-alive"));
-            stand.listener().closeConnections();
-            assertThat(
-                    stand.call("GET", "/pages", "Connection: keep-alive\r\n", "")
-                            .header("connection"),
-                    is("close"));
-        }
-    }
-
     @Test
     void answersRequestWhoseBodyComesInParts() throws IOException, InterruptedException {
         try (Stand stand = new Stand(WHOLE);
                 Caller caller = new Caller(stand.listener().port())) {
-            caller.write("POST /pages HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Configurations.TOKEN
-                    + "\r\nContent-Length: 4\r\n\r\n");
-            Thread.sleep(PAUSE_MILLIS);
-            caller.write("bo");
-            Thread.sleep(PAUSE_MILLIS);
-            caller.write("dy");
-
+            caller.write("POST /orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Configurations.TOKEN
+                    + "\r\nContent-Length: 8\r\n\r\n");
+            Thread.sleep(PART_PAUSE_MILLIS);
+            caller.write("half");
+            Thread.sleep(PART_PAUSE_MILLIS);
+            caller.write("rest");
             Caller.Answer answer = caller.read("POST");
+
             assertThat(answer.status(), is(201));
             assertThat(answer.body(), is("made"));
+            assertThat(stand.server(0).requests().get(0).body(), is("halfrest"));
+        }
+    }
+
+    @Test
+    void closesConnectionsWhileTheProcessLeaves() throws IOException {
+        try (Stand stand = new Stand(WHOLE)) {
+            assertThat(connectionHeader(stand), is("keep-alive"));
+            stand.listener().closeConnections();
+            assertThat(connectionHeader(stand), is("close"));
         }
     }
 
+    private static String connectionHeader(Stand stand) throws IOException {
+        return stand.call("GET", "/pages", "Connection: keep-alive\r\n", "").header("connection");
+    }
+
     @Test
     void answersHeadWithoutBody() throws IOException {
         try (Stand stand = new Stand(
@@ -268,6 +265,21 @@
         }
     }
 
+    @Test
+    void servesBodyThatArrivesInPieces() throws IOException, InterruptedException {
+        try (Stand stand = new Stand(WHOLE);
+                Caller caller = new Caller(stand.listener().port())) {
+            caller.write("POST /orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + Configurations.TOKEN
+                    + "\r\nContent-Length: 6\r\n\r\n");
+            for (String piece : new String[] {"ab", "cd", "ef"}) {
+                Thread.sleep(100);
+                caller.write(piece);
+            }
+            assertThat(caller.read("POST").body(), is("made"));
+            assertThat(stand.server(0).requests().get(0).body(), is("abcdef"));
+        }
+    }
+
     @Test
     void servesRequestsOneAfterAnotherOnOneConnection() throws IOException {
         try (Stand stand = new Stand(WHOLE);
