--- a/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
@@ -68,6 +68,19 @@
         }
     }
 
+    @Test
+    void closesConnectionsWhileTheProcessLeaves() throws IOException {
+        try (Stand stand = new Stand(WHOLE)) {
+            assertThat(connectionHeader(stand), is("keep-alive"));
+            stand.listener().closeConnections();
+            assertThat(connectionHeader(stand), is("close"));
+        }
+    }
+
+    private static String connectionHeader(Stand stand) throws IOException {
+        return stand.call("GET", "/pages", "Connection: keep-alive\r\n", "").header("connection");
+    }
+
     @Test
     void answersHeadWithoutBody() throws IOException {
         try (Stand stand = new Stand(
