--- a/proofs/src/test/java/org/geraniumstand/proofs/bench/RequestPathBench.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/RequestPathBench.java
@@ -64,6 +64,7 @@
      * @param _args not used
      */
     public static void main(String[] _args) throws IOException, InterruptedException, ExecutionException {
+        int status = 1;
         try (Closer closer = new Closer()) {
             Undertow pages = Undertow.builder()
                     .addHttpListener(0, "127.0.0.1")
@@ -82,8 +83,11 @@
             Process entry = start(port, store.port(), cloud.port());
             closer.add(entry::destroyForcibly);
             measure(direct, port, entry);
+            status = 0;
+        } finally {
+            // Threads of the libraries would keep a failed run alive.
+            System.exit(status);
         }
-        System.exit(0);
     }
 
     private static void measure(int direct, int port, Process entry) throws InterruptedException, ExecutionException {
