Compare first bytes of like requests, and let requests wait for the new version

Causes found: new servers have empty prefix caches, so first bytes are now compared by the size of the uncached prompt and pace with a tolerance of two buckets; a request fell back to the old version before a keeper heard of the wish, so it now waits 250 ms for the new one alone. Failed try: none kept; a pace limit at the preset's target was not tried, as it would hide slow versions within the target.

--- a/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/TrafficController.java
@@ -146,6 +146,7 @@
         parts.onConfiguration(next);
         parts.fleet().onDataCentresOut(next.dataCentresOut());
         actions.addAll(parts.limits().onConfiguration(next));
+        actions.addAll(parts.moves().onFleet(parts.fleet().takingNewWork(), now));
         actions.addAll(parts.moves().onConfiguration(next, now));
         actions.add(new Action.Note(
                 EventKind.CONFIGURATION_IN_FORCE, "", List.of(Field.of("generation", next.generation()))));
@@ -155,7 +156,7 @@
     private void onFleet(List<BackendServer> servers, Moment now, List<Action> actions) {
         parts.fleet().onFleet(servers);
         actions.addAll(parts.limits().onFleet());
-        actions.addAll(parts.moves().onFleet(servers, now));
+        actions.addAll(parts.moves().onFleet(parts.fleet().takingNewWork(), now));
         drainAll(now, actions);
     }
 
@@ -164,6 +165,7 @@
             actions.add(new Action.Note(
                     EventKind.RECLAIM_NOTICED, Reasons.of(Evacuation.class), List.of(Field.of("host", host))));
         }
+        actions.addAll(parts.moves().onFleet(parts.fleet().takingNewWork(), now));
         evacuation.onTick(parts.flights().values(), attempts::move, now, actions);
     }
 
@@ -173,6 +175,7 @@
                 .map(Member::dataCentre)
                 .findFirst();
         actions.addAll(parts.limits().onMembers(members));
+        parts.moves().onPeers(members.size() - 1);
         parts.choice().onMembers(home, parts.limits().processes());
     }
 
@@ -182,6 +185,10 @@
     }
 
     private void onTick(Moment now, List<Action> actions) {
+        parts.fleet().all().stream()
+                .filter(parts.limits()::knowsWarmth)
+                .forEach(state -> parts.moves()
+                        .onWarmth(state.server().id(), parts.limits().warm(state), now));
         actions.addAll(parts.moves().onTick(now));
         progress.onTick(now, actions);
         evacuation.onTick(parts.flights().values(), attempts::move, now, actions);
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/GrantBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/GrantBook.java
@@ -96,6 +96,15 @@
         return since != null && now.millisSince(since) < DROP_MILLIS;
     }
 
+    /**
+     * Returns whether the keeper has said anything about a server.
+     *
+     * @param server the server
+     */
+    public boolean knows(ServerId server) {
+        return held.containsKey(server);
+    }
+
     /**
      * Returns whether the keeper said last that a server is warm.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
@@ -344,6 +344,17 @@
         return book.warm(id);
     }
 
+    /**
+     * Returns whether a server's keeper has said whether it is warm.
+     *
+     * @param state the server
+     */
+    public boolean knowsWarmth(ServerState state) {
+        ServerId id = state.server().id();
+        KeptServer server = kept.get(id);
+        return (server != null && server.grants(now)) || book.knows(id);
+    }
+
     /** Returns the processes that share the backend servers. */
     public int processes() {
         return processes.size();
--- a/decisions/src/main/java/org/geraniumstand/decisions/moves/Assignments.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/moves/Assignments.java
@@ -18,7 +18,13 @@
     private static final long ANSWERS_PER_MORE = 16;
     private static final int MAX_REMEMBERED = 4_096;
 
-    private final Map<RequestId, Long> inFlight = new HashMap<>();
+    /** Time for which a request waits for the new version alone, so that its servers' keepers hear of the wish. */
+    private static final long ASK_MILLIS = 250;
+
+    private final Map<RequestId, Admitted> inFlight = new HashMap<>();
+
+    private record Admitted(Moment since, long deadlineNanos) {}
+
     private final Map<RequestId, Boolean> failed = new LinkedHashMap<>() {
         @Override
         protected boolean removeEldestEntry(Map.Entry<RequestId, Boolean> _eldest) {
@@ -31,8 +37,9 @@
      *
      * @param facts the request
      * @param answers good answers of the new version, over all processes
+     * @param now the time
      */
-    boolean admit(RequestFacts facts, long answers) {
+    boolean admit(RequestFacts facts, long answers, Moment now) {
         if (failed.containsKey(facts.id())) {
             return false;
         }
@@ -42,10 +49,21 @@
         if (inFlight.size() >= FIRST_IN_FLIGHT + answers / ANSWERS_PER_MORE) {
             return false;
         }
-        inFlight.put(facts.id(), facts.deadlineNanos());
+        inFlight.put(facts.id(), new Admitted(now, facts.deadlineNanos()));
         return true;
     }
 
+    /**
+     * Tells whether an admitted request waits for the new version alone.
+     *
+     * @param request the request
+     * @param now the time
+     */
+    boolean insists(RequestId request, Moment now) {
+        Admitted admitted = inFlight.get(request);
+        return admitted != null && now.millisSince(admitted.since()) < ASK_MILLIS;
+    }
+
     /**
      * Takes in that an attempt ended.
      *
@@ -65,6 +83,6 @@
      * @param now the time
      */
     void expire(Moment now) {
-        inFlight.values().removeIf(deadline -> deadline - now.nanos() < 0);
+        inFlight.values().removeIf(admitted -> admitted.deadlineNanos() - now.nanos() < 0);
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/moves/EvidenceRoutes.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/moves/EvidenceRoutes.java
@@ -11,6 +11,8 @@
 final class EvidenceRoutes {
     private static final String MARK = "~";
     private static final String PACE = MARK + "pace";
+    private static final String FIRST_BYTE = MARK + "first";
+    private static final int SMALLEST_PROMPT_TOKENS = 256;
     private static final RouteId COMPLETE = new RouteId(MARK + "complete");
 
     private EvidenceRoutes() {}
@@ -24,6 +26,29 @@
         return new RouteId(route.value() + PACE);
     }
 
+    /**
+     * Returns the row that counts times to the first byte of requests that compute about as many tokens of the prompt.
+     *
+     * <p>The new version's servers start with empty prefix caches, so only like requests can be compared.
+     *
+     * @param route the route
+     * @param uncachedTokens tokens of the prompt that the engine had to compute
+     */
+    static RouteId firstByteOf(RouteId route, int uncachedTokens) {
+        int size = Math.max(0, uncachedTokens) / SMALLEST_PROMPT_TOKENS;
+        int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(size);
+        return new RouteId(route.value() + FIRST_BYTE + doublings);
+    }
+
+    /**
+     * Tells whether a row counts milliseconds between tokens.
+     *
+     * @param route the row's route
+     */
+    static boolean countsPace(RouteId route) {
+        return route.value().endsWith(PACE);
+    }
+
     /** Returns the row that counts processes that found a move complete. */
     static RouteId complete() {
         return COMPLETE;
--- a/decisions/src/main/java/org/geraniumstand/decisions/moves/MoveBoard.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/moves/MoveBoard.java
@@ -98,13 +98,12 @@
      * @param facts the request
      * @param now the time
      */
-    @SuppressWarnings("StrictUnusedVariable") // the share follows the time with each tick
     public List<VersionId> versionsFor(RequestFacts facts, Moment now) {
         MoveFollower follower = followers.get(facts.service());
         if (follower == null) {
             return settled.getOrDefault(facts.service(), List.of());
         }
-        return follower.versionsFor(facts);
+        return follower.versionsFor(facts, now);
     }
 
     /**
@@ -130,7 +129,7 @@
             case CONNECTION_FAILURE -> context.held().add(server, facts.route(), now);
             case WAITED -> {
                 if (warm) {
-                    count(facts, server).accept(tally -> tally.withLatency(report.totalMillis()));
+                    countFirstByte(facts, server, report, report.totalMillis());
                 }
             }
             case NONE -> {}
@@ -240,8 +239,10 @@
             RequestFacts facts, BackendServer server, AttemptReport report, boolean warm, Moment now) {
         context.warmth().answered(server.id(), now);
         long first = Math.max(0, report.firstByteMillis());
-        count(facts, server)
-                .accept(tally -> warm ? tally.withAttempt(false).withLatency(first) : tally.withAttempt(false));
+        count(facts, server).accept(tally -> tally.withAttempt(false));
+        if (warm) {
+            countFirstByte(facts, server, report, first);
+        }
         if (warm && facts.streaming() && report.tokens() >= MIN_TOKENS_FOR_PACE) {
             long pace = (report.totalMillis() - first) / (report.tokens() - 1);
             RouteId row = EvidenceRoutes.paceOf(facts.route());
@@ -249,6 +250,12 @@
         }
     }
 
+    private void countFirstByte(RequestFacts facts, BackendServer server, AttemptReport report, long millis) {
+        int uncached = facts.promptTokens() - Math.max(0, report.cachedTokens());
+        RouteId row = EvidenceRoutes.firstByteOf(facts.route(), uncached);
+        context.ledger().count(server.service(), server.version(), row, tally -> tally.withLatency(millis));
+    }
+
     private RowChange count(RequestFacts facts, BackendServer server) {
         return change -> context.ledger().count(server.service(), server.version(), facts.route(), change);
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/moves/MoveFollower.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/moves/MoveFollower.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Reasons;
 import org.geraniumstand.decisions.evidence.Tally;
 import org.geraniumstand.model.config.MoveState;
 import org.geraniumstand.model.config.Service;
@@ -67,7 +68,7 @@
     }
 
     /** Returns the versions that a request may go to, the one to try first in front. */
-    List<VersionId> versionsFor(RequestFacts facts) {
+    List<VersionId> versionsFor(RequestFacts facts, Moment now) {
         if (end.isPresent()) {
             return List.of(end.get().state() == MoveState.DONE ? move.to() : move.from());
         }
@@ -75,8 +76,8 @@
             return List.of(move.from());
         }
         double share = shares.getOrDefault(facts.route(), 0.0);
-        if (RequestSplit.inShare(move.id(), facts.id(), share) && assignments.admit(facts, answers)) {
-            return List.of(move.to(), move.from());
+        if (RequestSplit.inShare(move.id(), facts.id(), share) && assignments.admit(facts, answers, now)) {
+            return assignments.insists(facts.id(), now) ? List.of(move.to()) : List.of(move.to(), move.from());
         }
         return oldGone ? List.of(move.from(), move.to()) : List.of(move.from());
     }
@@ -133,7 +134,7 @@
             return List.of();
         }
         for (RouteId route : context.ledger().routes(move.service())) {
-            RouteJudge judge = judges.computeIfAbsent(route, _r -> new RouteJudge());
+            RouteJudge judge = judges.computeIfAbsent(route, RouteJudge::new);
             Tally next = total(move.to(), route);
             Tally old = total(move.from(), route);
             Optional<RouteJudge.Finding> finding = judge.judge(next, old, now);
@@ -296,7 +297,7 @@
         all.add(Field.of("move", move.id()));
         all.add(Field.of("service", move.service()));
         all.addAll(fields);
-        return new Action.Note(kind, Summaries.of(decision), all);
+        return new Action.Note(kind, Reasons.of(decision), all);
     }
 
     /** Returns the largest share of a route; idle routes lag behind and don't hold the service back. */
--- a/decisions/src/main/java/org/geraniumstand/decisions/moves/RouteJudge.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/moves/RouteJudge.java
@@ -6,6 +6,7 @@
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.decisions.evidence.Tally;
 import org.geraniumstand.model.evidence.LatencyBuckets;
+import org.geraniumstand.model.id.RouteId;
 import org.geraniumstand.model.time.Moment;
 
 /** Decides whether a new version is worse than the old one on one route. */
@@ -19,8 +20,11 @@
     /** Failures are permitted at this rate beyond the old version's. */
     private static final double FAILURE_MARGIN = 0.005;
 
-    /** Buckets by which a latency may lie above the old version's quantile; each is a quarter. */
-    private static final int BUCKET_TOLERANCE = 1;
+    /** Buckets by which a first byte may come after the old version's quantile; each is a quarter. */
+    private static final int FIRST_BYTE_TOLERANCE = 1;
+
+    /** The same for the time between tokens, which prompts of other requests on the same engine lengthen. */
+    private static final int PACE_TOLERANCE = 2;
 
     private static final double SLOW_QUANTILE = 0.9;
     private static final double SLOW_MARGIN = 0.05;
@@ -43,6 +47,7 @@
     private final SequentialTest slow = new SequentialTest();
     private final SequentialTest tail = new SequentialTest();
     private final Deque<Sample> samples = new ArrayDeque<>();
+    private final int tolerance;
     private Tally judged = Tally.NONE;
 
     private record Sample(Moment at, Tally old) {}
@@ -68,6 +73,15 @@
         }
     }
 
+    /**
+     * Creates a judge.
+     *
+     * @param route the row of evidence that it judges
+     */
+    RouteJudge(RouteId route) {
+        this.tolerance = EvidenceRoutes.countsPace(route) ? PACE_TOLERANCE : FIRST_BYTE_TOLERANCE;
+    }
+
     /**
      * Takes in the merged counts and judges.
      *
@@ -111,11 +125,11 @@
      * Counts latencies past the old version's quantile, over all its time or lately, whichever is larger: as the share
      * grows the old version has less load than the new one and answers faster for that reason alone.
      */
-    private static void addLatencies(
+    private void addLatencies(
             SequentialTest test, Tally delta, Tally old, Tally recent, double quantile, double margin) {
         int overall = old.quantileBucket(quantile);
         int latest = recent.latencies() >= MIN_REFERENCE ? recent.quantileBucket(quantile) : overall;
-        int limit = Math.max(overall, latest) + BUCKET_TOLERANCE;
+        int limit = Math.max(overall, latest) + tolerance;
         if (limit >= LatencyBuckets.COUNT - 1) {
             return;
         }
--- a/decisions/src/main/java/org/geraniumstand/decisions/routing/FleetView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/routing/FleetView.java
@@ -124,6 +124,14 @@
         return usable.getOrDefault(new Group(service, version), List.of());
     }
 
+    /** Returns all backend servers that may take new work. */
+    public List<BackendServer> takingNewWork() {
+        return usable.values().stream()
+                .flatMap(List::stream)
+                .map(ServerState::server)
+                .toList();
+    }
+
     /**
      * Finds a backend server.
      *
--- a/proofs/src/test/java/org/geraniumstand/proofs/trial/TrialWorld.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/trial/TrialWorld.java
@@ -12,9 +12,9 @@
 import java.util.function.Consumer;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.decisions.moves.MoveEnds;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.config.Service;
-import org.geraniumstand.model.config.VersionMove;
 import org.geraniumstand.model.fleet.BackendServer;
 import org.geraniumstand.model.fleet.CacheEvent;
 import org.geraniumstand.model.fleet.LoadReport;
@@ -357,11 +357,9 @@
     }
 
     private void endMove(Action.EndMove end) {
-        List<VersionMove> moves = configuration.moves().stream()
-                .map(m -> m.id().equals(end.move()) ? m.ended(end.end(), end.reason()) : m)
-                .toList();
-        if (!moves.equals(configuration.moves())) {
-            configure(configuration.withMoves(moves));
+        Configuration next = MoveEnds.apply(configuration, end.move(), end.end(), end.reason());
+        if (!next.equals(configuration)) {
+            configure(next);
         }
     }
 
