--- a/proofs/src/test/java/org/geraniumstand/proofs/trial/FairnessTrialTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/trial/FairnessTrialTest.java
@@ -5,10 +5,8 @@
 
 import org.geraniumstand.model.id.TeamId;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.extension.ExtendWith;
 
 /** Measures what a team that sends three times its share does to a small one. */
-@ExtendWith(KnownRed.class)
 final class FairnessTrialTest {
     private static final double LAST_MILLIS = 60_000;
     private static final double SURGE_MILLIS = 20_000;
