--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -4,7 +4,6 @@
 import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.Action;
@@ -23,7 +22,6 @@
 import org.geraniumstand.entry.settings.Settings;
 import org.geraniumstand.entry.task.FactTasks;
 import org.geraniumstand.entry.task.HostListPoll;
-import org.geraniumstand.http.caller.CallerListener;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.status.MemberStatus;
 import org.geraniumstand.model.timeline.EventKind;
@@ -47,7 +45,8 @@
     private final Core core;
     private final AtomicReference<FactTasks> facts = new AtomicReference<>();
     private final CheckedChanges changes;
-    private final TimelineHandover legacy;
+    private final TimelineHandover timelineHandover;
+    private final RequestPath requests;
 
     private EntryProcess(Settings settings) {
         this.settings = settings;
@@ -57,7 +56,7 @@
         HttpCalls calls = closer.add(HttpCalls.start("platform"));
         ObservedStore store = observability.observe(
                 new HttpConfigurationStore(calls, settings.store().url()));
-        this.legacy = new TimelineHandover(
+        this.timelineHandover = new TimelineHandover(
                 self, observability.timeline(), calls, settings.operators().token());
         FactTasks tasks = closer.add(FactTasks.start(settings, self, store, calls, core));
         facts.set(tasks);
@@ -74,12 +73,7 @@
                         core::tell,
                         new Random(self.hashCode()))
                 .start();
-        closer.add(CallerListener.start(
-                self,
-                settings.callers().host(),
-                settings.callers().port(),
-                settings.callers().ioThreads(),
-                core));
+        this.requests = closer.add(RequestPath.start(settings, self, core, tasks.peers(), store, calls, stopping::get));
         observability.metrics().gauge("geraniumstand_core_messages_waiting", core::depth);
         observability
                 .metrics()
@@ -124,9 +118,9 @@
         facts.get().announceStop();
         core.tell(new Observation.StopRequested());
         try {
-            boolean clean = stopped.await(timeoutMillis, TimeUnit.MILLISECONDS);
+            boolean clean = requests.drain(stopped, timeoutMillis);
             observability.note(EventKind.PROCESS_STOPPED, Field.of("process", self), Field.of("clean", clean));
-            legacy.send(members());
+            timelineHandover.send(members());
         } catch (InterruptedException _e) {
             Thread.currentThread().interrupt();
         }
