--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
@@ -5,9 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.decisions.Reasons;
 import org.geraniumstand.decisions.admission.FairQueue;
 import org.geraniumstand.decisions.admission.Feasibility;
+import org.geraniumstand.decisions.admission.SharePacing;
 import org.geraniumstand.decisions.flight.Flight;
 import org.geraniumstand.decisions.limits.Limits;
 import org.geraniumstand.decisions.routing.Pace;
@@ -26,6 +28,8 @@
     private static final long LEAST_RETRY_AFTER_MILLIS = 1_000;
     private static final long MOST_RETRY_AFTER_MILLIS = 30_000;
     private static final int MOST_WISHES = 64;
+    private static final long ASK_OTHERS_MILLIS = 8;
+    private static final long ASK_NEXT_MILLIS = 50;
 
     private final Parts parts;
     private final Attempts attempts;
@@ -126,7 +130,7 @@
             return;
         }
         queue.drain(parts::weight, flight -> {
-            if (!attempts.place(flight, now, actions)) {
+            if (paced(flight) || !attempts.place(flight, now, actions)) {
                 return false;
             }
             work.waits().onTurn(now.nanos() > flight.arrived().nanos(), now);
@@ -137,6 +141,11 @@
         }
     }
 
+    private boolean paced(Flight flight) {
+        return flight.attempt() == 0
+                && SharePacing.holds(flight.facts(), parts.flights().values(), parts::weight);
+    }
+
     /**
      * Spreads the waiting requests over the servers that they could go to, for what this process asks of keepers.
      *
@@ -146,13 +155,27 @@
         Map<ServerId, Integer> wishes = new HashMap<>();
         for (ServiceWork work : parts.allWork().values()) {
             for (Flight flight : work.queue().some(MOST_WISHES)) {
-                attempts.wished(flight, now)
-                        .ifPresent(wished -> wishes.merge(wished.server().id(), 1, Integer::sum));
+                attempts.wished(flight, now).ifPresent(wished -> wish(wished, wishes));
+                boolean waits = now.millisSince(flight.arrived()) >= ASK_OTHERS_MILLIS;
+                if (waits && !attempts.usable(flight.facts(), now).isEmpty()) {
+                    wish(another(flight.facts(), now), wishes);
+                }
             }
         }
         return state -> wishes.getOrDefault(state.server().id(), 0);
     }
 
+    private static void wish(ServerState wished, Map<ServerId, Integer> wishes) {
+        wishes.merge(wished.server().id(), 1, Integer::sum);
+    }
+
+    /** The best server may be full, so one that waits asks the others in turn as well. */
+    private ServerState another(RequestFacts facts, Moment now) {
+        List<ServerState> servers = attempts.usable(facts, now);
+        long turn = now.nanos() / Moment.NANOS_PER_MILLI / ASK_NEXT_MILLIS;
+        return servers.get(Hash.below(Hash.of(facts.id().value()) + turn, servers.size()));
+    }
+
     /**
      * Refuses waiting requests that can no longer be served in time.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/Limits.java
@@ -29,6 +29,7 @@
 /** How many requests this process may have at each backend server, as keeper of some and as user of the others. */
 public final class Limits implements Room {
     private static final double SLOWER = 1.3;
+    private static final double LASTINGLY_SLOWER = 2.5;
 
     private final ProcessId self;
     private final FleetView fleet;
@@ -93,6 +94,7 @@
         processes = staying.isEmpty() ? List.of(self) : staying;
         hadPeers |= processes.size() > 1;
         keepers = new RendezvousKeepers(processes);
+        fleet.onMembers(self, processes.size());
         return rekeep();
     }
 
@@ -148,10 +150,7 @@
         }
         boolean before = server.budget().warm();
         server.budget().onReport(report, now);
-        if (before && !server.budget().warm()) {
-            return cold(state);
-        }
-        return List.of();
+        return before && !server.budget().warm() ? cold(state) : List.of();
     }
 
     /**
@@ -193,19 +192,24 @@
      * @param state the server
      * @param ratio time seen against time expected of the server's class
      * @param late whether it missed the latency target
+     * @param first whether it is about the first token
      */
-    public List<Action> onRatio(ServerState state, double ratio, boolean late) {
+    public List<Action> onRatio(ServerState state, double ratio, boolean late, boolean first) {
         KeptServer server = kept.get(state.server().id());
         double past = state.slowness();
         state.onRatio(ratio);
         if (warm(state) && suspicion.onRatio(state.server().id(), ratio, past, now)) {
-            return cold(state);
+            return suspect(state);
         }
         if (server == null) {
             return List.of();
         }
-        if (late && ratio > SLOWER) {
+        // One slow stretch may be somebody's long prompt; a server that stays slow has too much to do.
+        boolean lasting = !first && state.slowness() > LASTINGLY_SLOWER;
+        if (late && lasting) {
             server.budget().onBad(now);
+        } else if (late && ratio > SLOWER) {
+            server.budget().onLate(now);
         } else if (!late) {
             server.budget().onGood(false, now);
         }
@@ -221,7 +225,7 @@
      */
     public List<Action> onMissing(ServerState state, double ratio) {
         if (warm(state) && suspicion.onRatio(state.server().id(), ratio, state.slowness(), now)) {
-            return cold(state);
+            return suspect(state);
         }
         return List.of();
     }
@@ -244,24 +248,34 @@
         }
     }
 
-    private List<Action> cold(ServerState state) {
+    /** Drops this process's own share at once and tells the keeper. */
+    private List<Action> suspect(ServerState state) {
         ServerId id = state.server().id();
-        book.drop(id, now);
-        List<Action> actions = new ArrayList<>();
         KeptServer server = kept.get(id);
         if (server != null) {
-            server.budget().onCold(now);
-            actions.addAll(sendGrants());
-        } else {
-            keepers.keeperOf(id)
-                    .ifPresent(keeper -> actions.add(new Action.SendDemands(
-                            keeper, List.of(new Demand(id, self, state.inFlight(), Demand.SUSPECTS_COLD)))));
+            server.budget().onSuspicion(now);
+            return server.budget().warm() ? List.of() : cold(state);
         }
-        actions.add(new Action.Note(
+        book.drop(id, now);
+        List<Action> actions = new ArrayList<>();
+        Demand demand = new Demand(id, self, state.inFlight(), Demand.SUSPECTS_COLD);
+        keepers.keeperOf(id).ifPresent(k -> actions.add(new Action.SendDemands(k, List.of(demand))));
+        actions.add(note(id));
+        return actions;
+    }
+
+    private List<Action> cold(ServerState state) {
+        book.drop(state.server().id(), now);
+        List<Action> actions = new ArrayList<>(sendGrants());
+        actions.add(note(state.server().id()));
+        return actions;
+    }
+
+    private static Action note(ServerId server) {
+        return new Action.Note(
                 EventKind.SERVER_WARMTH,
                 Reasons.of(ColdSuspicion.class),
-                List.of(Field.of("server", id), Field.of("warm", false))));
-        return actions;
+                List.of(Field.of("server", server), Field.of("warm", false)));
     }
 
     /**
@@ -289,12 +303,12 @@
     private Map<ProcessId, List<Demand>> others(Waiting waiting) {
         Map<ProcessId, List<Demand>> wishes = new TreeMap<>();
         for (ServerState state : fleet.all()) {
-            if (!fleet.takesNewWork(state) && state.inFlight() == 0) {
+            if (!fleet.uses(state) && state.inFlight() == 0) {
                 continue;
             }
             ServerId id = state.server().id();
             int wanted = state.inFlight();
-            if (fleet.takesNewWork(state)) {
+            if (fleet.uses(state)) {
                 wanted += waiting.at(state);
             }
             KeptServer own = kept.get(id);
--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.Action;
@@ -18,11 +18,11 @@
 import org.geraniumstand.entry.operator.OperatorApi;
 import org.geraniumstand.entry.operator.OperatorListener;
 import org.geraniumstand.entry.operator.StatusSource;
+import org.geraniumstand.entry.operator.TimelineHandover;
 import org.geraniumstand.entry.operator.WriterChanges;
 import org.geraniumstand.entry.settings.Settings;
 import org.geraniumstand.entry.task.FactTasks;
 import org.geraniumstand.entry.task.HostListPoll;
-import org.geraniumstand.http.caller.CallerListener;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.status.MemberStatus;
 import org.geraniumstand.model.timeline.EventKind;
@@ -46,6 +46,8 @@
     private final Core core;
     private final AtomicReference<FactTasks> facts = new AtomicReference<>();
     private final CheckedChanges changes;
+    private final TimelineHandover timelineHandover;
+    private final RequestPath requests;
 
     private EntryProcess(Settings settings) {
         this.settings = settings;
@@ -55,6 +57,8 @@
         HttpCalls calls = closer.add(HttpCalls.start("platform"));
         ObservedStore store = observability.observe(
                 new HttpConfigurationStore(calls, settings.store().url()));
+        this.timelineHandover = new TimelineHandover(
+                self, observability.timeline(), calls, settings.operators().token());
         FactTasks tasks = closer.add(FactTasks.start(settings, self, store, calls, core));
         facts.set(tasks);
         // The writer itself tells the shared facts of accepted documents, which bring them into force.
@@ -63,15 +67,31 @@
                 System::currentTimeMillis,
                 () -> tasks.peers().view().lowestLevel(),
                 _accepted -> {});
-        new HostListPoll(new HttpHostList(calls, settings.cloud().url()), calls, core).start();
+        new HostListPoll(
+                        new HttpHostList(calls, settings.cloud().url()),
+                        calls::schedule,
+                        tasks.peers(),
+                        core::tell,
+                        new Random(self.hashCode()))
+                .start();
+        this.requests = closer.add(RequestPath.start(settings, self, core, tasks.peers(), store, calls, stopping::get));
         Capacity.start(self, store, settings.store().prefix(), settings.cloud().url(), calls, core::configuration);
-        closer.add(CallerListener.start(
-                self,
-                settings.callers().host(),
-                settings.callers().port(),
-                settings.callers().ioThreads(),
-                core));
         observability.metrics().gauge("geraniumstand_core_messages_waiting", core::depth);
+        observability
+                .metrics()
+                .gauge(
+                        "geraniumstand_peer_sent_bytes",
+                        () -> tasks.peers().traffic().sentBytes());
+        observability
+                .metrics()
+                .gauge(
+                        "geraniumstand_peer_received_bytes",
+                        () -> tasks.peers().traffic().receivedBytes());
+        observability
+                .metrics()
+                .gauge(
+                        "geraniumstand_peer_connections",
+                        () -> tasks.peers().traffic().connections());
         closer.add(startOperators(store));
     }
 
@@ -100,8 +120,9 @@
         facts.get().announceStop();
         core.tell(new Observation.StopRequested());
         try {
-            boolean clean = stopped.await(timeoutMillis, TimeUnit.MILLISECONDS);
+            boolean clean = requests.drain(stopped, timeoutMillis);
             observability.note(EventKind.PROCESS_STOPPED, Field.of("process", self), Field.of("clean", clean));
+            timelineHandover.send(members());
         } catch (InterruptedException _e) {
             Thread.currentThread().interrupt();
         }
@@ -123,13 +144,7 @@
                 stopping::get,
                 store);
         OperatorApi api = new OperatorApi(
-                self,
-                core::configuration,
-                changes,
-                status::read,
-                observability.timeline(),
-                observability.metrics()::text,
-                System::currentTimeMillis);
+                self, core::configuration, changes, status::read, observability, System::currentTimeMillis);
         return OperatorListener.start(
                 settings.operators().host(),
                 settings.operators().port(),
