--- a/entry/src/main/java/org/geraniumstand/entry/operator/OperatorListener.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/OperatorListener.java
@@ -112,7 +112,8 @@
         }
         exchange.getRequestReceiver()
                 .receiveFullBytes(
-                        (_exchange, bytes) -> answer(exchange, endpoint, bytes),
+                        (_exchange, bytes) ->
+                                exchange.dispatch(SameThreadExecutor.INSTANCE, () -> answer(exchange, endpoint, bytes)),
                         (_exchange, _e) -> send(exchange, tooLarge()));
     }
 
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/Cluster.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/Cluster.java
@@ -72,6 +72,22 @@
         return cluster;
     }
 
+    /** Starts a cluster of one entry host that knows another cluster's hosts, but not their key. */
+    static Cluster startStranger(Cluster other) {
+        Cluster cluster = new Cluster(1);
+        cluster.configure(Documents.first());
+        List<Integer> seeds =
+                other.addresses.stream().map(EntryHost.Address::peerPort).toList();
+        EntryHost.Shared shared = new EntryHost.Shared(
+                cluster.directory,
+                cluster.storeRelay.port(),
+                cluster.backends.cloud().port(),
+                seeds,
+                "a-key-that-is-not-the-other-cluster's-key");
+        cluster.hosts.add(EntryHost.start(cluster.addresses.get(0), shared));
+        return cluster;
+    }
+
     StoreStandin store() {
         return store;
     }
@@ -99,6 +115,13 @@
         store.put(CONFIGURATION, Json.write(configuration));
     }
 
+    /** Returns the configuration that the store holds. */
+    Configuration configuration() {
+        return Json.read(store.value(CONFIGURATION).orElseThrow(), Configuration.class)
+                .value()
+                .orElseThrow();
+    }
+
     /** A caller that reaches the system through the balancer. */
     Caller caller() {
         return caller(balancer.port());
--- a/standins/src/main/java/org/geraniumstand/standins/OrderDeskStandin.java
+++ b/standins/src/main/java/org/geraniumstand/standins/OrderDeskStandin.java
@@ -134,7 +134,8 @@
             exchange.setStatusCode(SERVER_ERROR);
         } else {
             exchange.setStatusCode(CREATED);
-            send(exchange, switches.take(OrderDeskSwitch.CROSS) ? earlier : own);
+            boolean crossed = !earlier.identity().isEmpty() && switches.take(OrderDeskSwitch.CROSS);
+            send(exchange, crossed ? earlier : own);
         }
     }
 
--- a/standins/src/main/java/org/geraniumstand/standins/load/Caller.java
+++ b/standins/src/main/java/org/geraniumstand/standins/load/Caller.java
@@ -25,6 +25,7 @@
     private static final long PAUSE_MILLIS = 100;
     private static final int OK = 200;
     private static final int MULTIPLE_CHOICES = 300;
+    private static final int SERVER_ERROR = 500;
     private static final int BROKEN = 0;
 
     private final HttpClient client = HttpClient.newBuilder()
@@ -218,7 +219,8 @@
         return switch (outcome) {
             case "not-run" -> Verdict.NOT_RUN;
             case "unknown" -> Verdict.UNKNOWN;
-            default -> Verdict.WRONG;
+            // An error of the backend server itself says nothing about the outcome; any other answer must.
+            default -> reply.status() >= SERVER_ERROR ? Verdict.UNKNOWN : Verdict.WRONG;
         };
     }
 
