--- a/decisions/src/main/java/org/geraniumstand/decisions/routing/FleetView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/routing/FleetView.java
@@ -8,10 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.geraniumstand.decisions.membership.SubsetChoice;
 import org.geraniumstand.model.fleet.BackendServer;
 import org.geraniumstand.model.fleet.ReclaimNotice;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.HostId;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.VersionId;
@@ -29,6 +31,8 @@
     private final Set<ServerId> vanished = new HashSet<>();
     private Map<Group, List<ServerState>> usable = Map.of();
     private Set<DataCentreId> out = Set.of();
+    private ProcessId self;
+    private int processes = 1;
     private final List<ServerState> bySlot = new ArrayList<>();
 
     /**
@@ -69,9 +73,9 @@
      * @return hosts that were not reclaimed before
      */
     public List<HostId> onReclaims(List<ReclaimNotice> notices, Moment now) {
+        Set<HostId> before = Set.copyOf(dueMillis.keySet());
         dueMillis.values().removeIf(due -> due > now.epochMillis());
         List<HostId> fresh = new ArrayList<>();
-        Set<HostId> before = Set.copyOf(dueMillis.keySet());
         for (ReclaimNotice notice : notices) {
             dueMillis.put(notice.host(), notice.dueEpochMillis());
             if (!before.contains(notice.host())) {
@@ -92,18 +96,46 @@
         regroup();
     }
 
+    /**
+     * Takes in who shares the servers; past some processes each uses a part of the servers only.
+     *
+     * @param process this process
+     * @param live number of live processes
+     */
+    public void onMembers(ProcessId process, int live) {
+        self = process;
+        processes = live;
+        regroup();
+    }
+
     private void regroup() {
-        Map<Group, List<ServerState>> next = new HashMap<>();
+        List<BackendServer> open = new ArrayList<>();
         for (ServerState state : states.values()) {
-            BackendServer server = state.server();
             if (takesNewWork(state)) {
-                next.computeIfAbsent(new Group(server.service(), server.version()), _key -> new ArrayList<>())
-                        .add(state);
+                open.add(state.server());
             }
         }
+        List<BackendServer> part = self == null ? open : SubsetChoice.choose(self, processes, open);
+        Map<Group, List<ServerState>> next = new HashMap<>();
+        bySlot.forEach(state -> state.use(false));
+        for (BackendServer server : part) {
+            ServerState state = states.get(server.id());
+            state.use(true);
+            next.computeIfAbsent(new Group(server.service(), server.version()), _key -> new ArrayList<>())
+                    .add(state);
+        }
         usable = next;
     }
 
+    /**
+     * Returns whether this process sends new work to a backend server.
+     *
+     * @param state the backend server
+     */
+    public boolean uses(ServerState state) {
+        return state.used();
+    }
+
     /**
      * Returns whether a backend server may take new work.
      *
@@ -124,6 +156,14 @@
         return usable.getOrDefault(new Group(service, version), List.of());
     }
 
+    /** Returns all backend servers that may take new work. */
+    public List<BackendServer> takingNewWork() {
+        return usable.values().stream()
+                .flatMap(List::stream)
+                .map(ServerState::server)
+                .toList();
+    }
+
     /**
      * Finds a backend server.
      *
--- a/proofs/src/test/java/org/geraniumstand/proofs/trial/TrialWorld.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/trial/TrialWorld.java
@@ -12,9 +12,9 @@
 import java.util.function.Consumer;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.decisions.moves.MoveEnds;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.config.Service;
-import org.geraniumstand.model.config.VersionMove;
 import org.geraniumstand.model.fleet.BackendServer;
 import org.geraniumstand.model.fleet.CacheEvent;
 import org.geraniumstand.model.fleet.LoadReport;
@@ -45,6 +45,7 @@
     private static final double CACHE_LOST = 0.1;
     private static final double SERVER_DELAY_MILLIS = 0.5;
     private static final double CONFIGURATION_SPREAD_MILLIS = 1_000;
+    private static final double LEAST_WAIT_MILLIS = 0.01;
     private static final double LATE_WORK_MILLIS = 3_000;
 
     private final VirtualClock clock = new VirtualClock();
@@ -357,11 +358,9 @@
     }
 
     private void endMove(Action.EndMove end) {
-        List<VersionMove> moves = configuration.moves().stream()
-                .map(m -> m.id().equals(end.move()) ? m.ended(end.end(), end.reason()) : m)
-                .toList();
-        if (!moves.equals(configuration.moves())) {
-            configure(configuration.withMoves(moves));
+        Configuration next = MoveEnds.apply(configuration, end.move(), end.end(), end.reason());
+        if (!next.equals(configuration)) {
+            configure(next);
         }
     }
 
@@ -404,7 +403,7 @@
                 ? dispatch.limits().betweenBytesMillis()
                 : dispatch.limits().firstByteMillis();
         double left = call.lastByteMillis + limit - clock.millis();
-        if (left <= 0) {
+        if (left < LEAST_WAIT_MILLIS) {
             stopWork(call);
             relay.silent();
             return;
