Keep an accepted request until its deadline

Cause: a waiting request was refused once it had missed three times the first-token target, though its caller would have waited 20 s, and time in which nothing waited counted as waiting. Both cost callers requests while a data centre left. Ruled out: lost attempts; all unanswered requests had none. The target now counts on arrival only, together with a quarter of the caller's own patience, and the wait is counted from the first request that waits.

--- a/decisions/src/main/java/org/geraniumstand/decisions/admission/WaitEstimate.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/admission/WaitEstimate.java
@@ -8,6 +8,16 @@
 
     private double meanMillis;
     private Moment lastTurn;
+    private Moment waitingSince;
+
+    /**
+     * Takes in that a request waits where none did before.
+     *
+     * @param now the time
+     */
+    public void onFirst(Moment now) {
+        waitingSince = now;
+    }
 
     /**
      * Takes in that a request found a server.
@@ -20,6 +30,7 @@
             meanMillis += GAIN * (now.millisSince(lastTurn) - meanMillis);
         }
         lastTurn = now;
+        waitingSince = now;
     }
 
     /**
@@ -33,7 +44,7 @@
             return 0;
         }
         // While no turn comes, the turns to come are believed to take at least as long as this one does.
-        double since = lastTurn == null ? 0 : now.millisSince(lastTurn);
+        double since = waitingSince == null ? 0 : now.millisSince(waitingSince);
         return Math.max(ahead * meanMillis, since / 2);
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/Intake.java
@@ -64,11 +64,15 @@
         }
         ServiceWork work = parts.work(facts.service());
         double wait = work.waits().millis(work.queue().ahead(facts, parts::weight), now);
-        if (!feasible(facts, 0, wait, now)) {
+        if (!feasible(facts, wait, now)
+                || !Feasibility.nearTarget(facts, wait, parts.targets().firstMillis(), now)) {
             refuse(facts, RefusalReason.DEADLINE, wait, actions);
             return;
         }
         Flight flight = new Flight(facts, now);
+        if (work.queue().isEmpty()) {
+            work.waits().onFirst(now);
+        }
         if (!work.queue().add(flight)) {
             refuse(facts, RefusalReason.OVER_SHARE, wait, actions);
             return;
@@ -77,7 +81,7 @@
         drain(facts.service(), now, actions);
     }
 
-    private boolean feasible(RequestFacts facts, double waited, double wait, Moment now) {
+    private boolean feasible(RequestFacts facts, double wait, Moment now) {
         List<ServerState> servers = attempts.usable(facts, now);
         if (servers.isEmpty()) {
             return facts.deadlineNanos() > now.nanos();
@@ -86,8 +90,7 @@
         boolean plain = facts.promptTokens() == 0;
         double first = plain ? pace.betweenMillis(1) : pace.firstMillis(0);
         double between = plain ? 0 : pace.betweenMillis(1);
-        return Feasibility.test(
-                facts, waited, wait, first, between, parts.targets().firstMillis(), now);
+        return Feasibility.meetsDeadline(facts, wait, first, between, now);
     }
 
     private static void refuse(RequestFacts facts, RefusalReason reason, double waitMillis, List<Action> actions) {
@@ -200,7 +203,7 @@
         if (flight.attempt() > 0) {
             return now.nanos() >= facts.deadlineNanos();
         }
-        return !feasible(facts, (double) now.millisSince(flight.arrived()), wait, now);
+        return !feasible(facts, wait, now);
     }
 
     private void giveUp(Flight flight, double wait, List<Action> actions) {
