Allow for empty prefix caches when the pace of versions is compared

The pace of one answer in ten may now be past the old version's in one case of five more, very slow paces count no more, and a very slow first byte must lie two buckets further out.

--- a/decisions/src/main/java/org/geraniumstand/decisions/moves/RouteJudge.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/moves/RouteJudge.java
@@ -28,8 +28,15 @@
 
     private static final double SLOW_QUANTILE = 0.9;
     private static final double SLOW_MARGIN = 0.05;
+
+    /** Streams beside long prompts are slow on any version, and a new one has empty prefix caches at first. */
+    private static final double SLOW_PACE_MARGIN = 0.2;
+
     private static final double TAIL_QUANTILE = 0.99;
-    private static final double TAIL_MARGIN = 0.02;
+    private static final double TAIL_MARGIN = 0.04;
+
+    /** Buckets that a very slow answer lies beyond a slow one. */
+    private static final int TAIL_TOLERANCE = 2;
 
     /** Latencies of the old version below which its quantiles are not trusted. */
     private static final long MIN_REFERENCE = 40;
@@ -47,11 +54,15 @@
     private final SequentialTest slow = new SequentialTest();
     private final SequentialTest tail = new SequentialTest();
     private final Deque<Sample> samples = new ArrayDeque<>();
+    private final boolean pace;
     private final int tolerance;
     private Tally judged = Tally.NONE;
 
     private record Sample(Moment at, Tally old) {}
 
+    /** What is slow: past a quantile of the old version by some buckets, at a rate beyond its own. */
+    private record Bound(double quantile, int tolerance, double margin) {}
+
     /** What the judge makes of a version. */
     enum Finding {
         /** It fails more often. */
@@ -79,7 +90,8 @@
      * @param route the row of evidence that it judges
      */
     RouteJudge(RouteId route) {
-        this.tolerance = EvidenceRoutes.countsPace(route) ? PACE_TOLERANCE : FIRST_BYTE_TOLERANCE;
+        this.pace = EvidenceRoutes.countsPace(route);
+        this.tolerance = pace ? PACE_TOLERANCE : FIRST_BYTE_TOLERANCE;
     }
 
     /**
@@ -100,8 +112,15 @@
         judged = next;
         failing.add(delta.requests(), Math.min(delta.failures(), delta.requests()), permittedFailures(old, recent));
         if (old.latencies() >= MIN_REFERENCE) {
-            addLatencies(slow, delta, old, recent, SLOW_QUANTILE, SLOW_MARGIN);
-            addLatencies(tail, delta, old, recent, TAIL_QUANTILE, TAIL_MARGIN);
+            addLatencies(
+                    slow,
+                    delta,
+                    old,
+                    recent,
+                    new Bound(SLOW_QUANTILE, tolerance, pace ? SLOW_PACE_MARGIN : SLOW_MARGIN));
+        }
+        if (!pace && old.latencies() >= MIN_REFERENCE) {
+            addLatencies(tail, delta, old, recent, new Bound(TAIL_QUANTILE, tolerance + TAIL_TOLERANCE, TAIL_MARGIN));
         }
         return finding();
     }
@@ -125,16 +144,15 @@
      * Counts latencies past the old version's quantile, over all its time or lately, whichever is larger: as the share
      * grows the old version has less load than the new one and answers faster for that reason alone.
      */
-    private void addLatencies(
-            SequentialTest test, Tally delta, Tally old, Tally recent, double quantile, double margin) {
-        int overall = old.quantileBucket(quantile);
-        int latest = recent.latencies() >= MIN_REFERENCE ? recent.quantileBucket(quantile) : overall;
-        int limit = Math.max(overall, latest) + tolerance;
+    private static void addLatencies(SequentialTest test, Tally delta, Tally old, Tally recent, Bound bound) {
+        int overall = old.quantileBucket(bound.quantile());
+        int latest = recent.latencies() >= MIN_REFERENCE ? recent.quantileBucket(bound.quantile()) : overall;
+        int limit = Math.max(overall, latest) + bound.tolerance();
         if (limit >= LatencyBuckets.COUNT - 1) {
             return;
         }
         double rate = blend(old.above(limit), old.latencies(), recent.above(limit), recent.latencies());
-        test.add(delta.latencies(), delta.above(limit), rate * RATE_TOLERANCE + margin);
+        test.add(delta.latencies(), delta.above(limit), rate * RATE_TOLERANCE + bound.margin());
     }
 
     private static double permittedFailures(Tally old, Tally recent) {
