End moves by one function, and measure the decisions' cost by size

What the end of a move does to the configuration stood three times, in the recorder of ends, in the operators' edits and in MoveEnds; now in MoveEnds alone. Behaviour stays; the tests of edits and of the writer pass unchanged. CapacityBench and ChoiceBench share their servers.

--- a/entry/src/main/java/org/geraniumstand/entry/operator/ConfigurationEdits.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/ConfigurationEdits.java
@@ -1,11 +1,10 @@
 package org.geraniumstand.entry.operator;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Stream;
+import org.geraniumstand.decisions.moves.MoveEnds;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.config.MoveState;
 import org.geraniumstand.model.config.Service;
@@ -144,10 +143,7 @@
                 return Result.err(ChangeError.of(
                         ChangeError.Kind.CONFLICT, "The move " + id + " has ended as " + move.state() + "."));
             }
-            List<VersionMove> moves = new ArrayList<>(current.moves());
-            moves.replaceAll(m -> m.id().equals(id) ? m.ended(end, reason) : m);
-            Configuration ended = current.withMoves(moves);
-            return Result.ok(end == MoveState.DONE ? withVersion(ended, move) : ended);
+            return Result.ok(MoveEnds.apply(current, id, end, reason));
         });
     }
 
@@ -156,12 +152,6 @@
         return document.withGeneration(current.generation()).withWriter(current.writer());
     }
 
-    private static Configuration withVersion(Configuration configuration, VersionMove move) {
-        return configuration.withServices(configuration.services().stream()
-                .map(s -> s.id().equals(move.service()) ? s.withVersion(move.to()) : s)
-                .toList());
-    }
-
     private static boolean same(VersionMove known, VersionMove declared) {
         return known.to().equals(declared.to())
                 && known.deadlineEpochMillis() == declared.deadlineEpochMillis()
--- a/entry/src/main/java/org/geraniumstand/entry/task/MoveEnding.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/MoveEnding.java
@@ -1,15 +1,12 @@
 package org.geraniumstand.entry.task;
 
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.membership.Rendezvous;
+import org.geraniumstand.decisions.moves.MoveEnds;
 import org.geraniumstand.model.config.Configuration;
-import org.geraniumstand.model.config.MoveState;
-import org.geraniumstand.model.config.Service;
-import org.geraniumstand.model.config.VersionMove;
 import org.geraniumstand.model.id.MoveId;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.member.Member;
@@ -72,26 +69,11 @@
      * @return the changed document, the same one if the move had ended before, or an error for an unknown move
      */
     public static Result<Configuration, String> apply(Configuration current, Action.EndMove end) {
-        List<VersionMove> moves = new ArrayList<>(current.moves());
-        for (int i = 0; i < moves.size(); i++) {
-            VersionMove move = moves.get(i);
-            if (move.id().equals(end.move())) {
-                if (move.state() != MoveState.UNDER_WAY) {
-                    return Result.ok(current);
-                }
-                moves.set(i, move.ended(end.end(), end.reason()));
-                return Result.ok(current.withMoves(moves).withServices(services(current, move, end.end())));
-            }
+        boolean known = current.moves().stream().anyMatch(move -> move.id().equals(end.move()));
+        if (!known) {
+            return Result.err("the configuration has no move " + end.move());
         }
-        return Result.err("the configuration has no move " + end.move());
-    }
-
-    private static List<Service> services(Configuration current, VersionMove move, MoveState end) {
-        return current.services().stream()
-                .map(s -> s.id().equals(move.service())
-                        ? s.withVersion(end == MoveState.DONE ? move.to() : move.from())
-                        : s)
-                .toList();
+        return Result.ok(MoveEnds.apply(current, end.move(), end.end(), end.reason()));
     }
 
     private void write(Action.EndMove end) {
--- /dev/null
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/CapacityBench.java
@@ -0,0 +1,263 @@
+package org.geraniumstand.proofs.bench;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.Observation;
+import org.geraniumstand.decisions.TrafficController;
+import org.geraniumstand.decisions.limits.RendezvousKeepers;
+import org.geraniumstand.model.config.Configuration;
+import org.geraniumstand.model.config.HostPool;
+import org.geraniumstand.model.config.Preset;
+import org.geraniumstand.model.config.Priority;
+import org.geraniumstand.model.config.Repeatability;
+import org.geraniumstand.model.config.Route;
+import org.geraniumstand.model.config.Service;
+import org.geraniumstand.model.config.ServiceKind;
+import org.geraniumstand.model.config.Team;
+import org.geraniumstand.model.fleet.BackendServer;
+import org.geraniumstand.model.fleet.LoadReport;
+import org.geraniumstand.model.id.PresetId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.id.RouteId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.limits.Demand;
+import org.geraniumstand.model.limits.Grant;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.AttemptReport;
+import org.geraniumstand.model.request.RequestFacts;
+import org.geraniumstand.model.time.Moment;
+import org.geraniumstand.peer.PeerMessage;
+import org.geraniumstand.peer.codec.MessageCodecs;
+
+/**
+ * Measures what the decisions of one process cost by the number of members and of backend servers.
+ *
+ * <p>Each line gives a size, processor microseconds a tick and a request, bytes of wishes and grants sent a second, and
+ * bytes of heap that the controller holds.
+ */
+public final class CapacityBench {
+    private static final int[][] SIZES = {{8, 100}, {8, 300}, {8, 750}, {40, 750}, {120, 750}, {330, 750}};
+    private static final int WARM_UP_TICKS = 600;
+    private static final int TICKS = 1_200;
+    private static final int REQUESTS_A_TICK = 3;
+    private static final int CENTRES = 4;
+    private static final double NANOS_IN_MICRO = 1_000;
+    private static final int SETTLE_PASSES = 4;
+    private static final ProcessId SELF = new ProcessId("p0");
+    private static final ServiceId MODEL = new ServiceId("model");
+    private static final VersionId VERSION = new VersionId("v1");
+    private static final RouteId CHAT = new RouteId("chat");
+    private static final TeamId TEAM = new TeamId("team");
+
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private final TrafficController controller = new TrafficController(SELF);
+    private final List<BackendServer> servers;
+    private final int members;
+    private final Map<ProcessId, List<Grant>> keepers;
+    private Moment now = new Moment(1_000_000_000L, 1_700_000_000_000L);
+    private long tickNanos;
+    private long requestNanos;
+    private long requests;
+    private long sentBytes;
+    private long sentMessages;
+    private int kept;
+    private int refused;
+
+    private CapacityBench(int members, int servers) {
+        this.members = members;
+        this.servers = BenchFleet.servers(servers, CENTRES, MODEL, VERSION);
+        this.keepers = keepers(this.servers, members);
+    }
+
+    /**
+     * Runs the bench and prints a line a size.
+     *
+     * @param _args none
+     */
+    public static void main(String[] _args) {
+        for (int[] size : SIZES) {
+            long before = heap();
+            CapacityBench bench = new CapacityBench(size[0], size[1]);
+            bench.start();
+            bench.run(WARM_UP_TICKS);
+            bench.reset();
+            bench.run(TICKS);
+            bench.print(heap() - before);
+        }
+    }
+
+    private void start() {
+        observe(new Observation.ConfigurationAccepted(configuration()));
+        List<Member> all = new ArrayList<>();
+        for (int i = 0; i < members; i++) {
+            all.add(new Member(new ProcessId("p" + i), BenchFleet.centre(i, CENTRES), "127.0.0.1", 1, 2, 3, 1, false));
+        }
+        observe(new Observation.MembersSeen(all));
+        observe(new Observation.FleetListed(servers));
+    }
+
+    private void run(int ticks) {
+        for (int tick = 0; tick < ticks; tick++) {
+            now = new Moment(
+                    now.nanos() + Observation.TICK_MILLIS * Moment.NANOS_PER_MILLI,
+                    now.epochMillis() + Observation.TICK_MILLIS);
+            if (tick % 5 == 0) {
+                answerKeepers();
+            }
+            long start = threads.getCurrentThreadCpuTime();
+            List<Action> actions = controller.on(new Observation.Tick(), now);
+            tickNanos += threads.getCurrentThreadCpuTime() - start;
+            actions.forEach(this::count);
+            for (int i = 0; i < REQUESTS_A_TICK; i++) {
+                request();
+            }
+        }
+    }
+
+    /** Stands in for the keepers of servers and for those that wish for shares of the servers kept here. */
+    private void answerKeepers() {
+        keepers.forEach((keeper, grants) -> controller.on(new Observation.GrantsReceived(keeper, grants), now));
+        for (BackendServer server : servers) {
+            controller.on(new Observation.LoadReported(server.id(), new LoadReport(1, 0, true, 10_000, 100)), now);
+        }
+        int wishing = Math.min(members - 1, 16);
+        for (int i = 1; i <= wishing; i++) {
+            List<Demand> demands = new ArrayList<>();
+            for (BackendServer server : servers.subList(0, Math.min(servers.size(), 6))) {
+                demands.add(new Demand(server.id(), new ProcessId("p" + i), 1, 1));
+            }
+            controller.on(new Observation.DemandsReceived(demands), now);
+        }
+    }
+
+    private void request() {
+        requests++;
+        RequestId id = new RequestId("r" + requests);
+        List<Long> blocks = new ArrayList<>();
+        for (int b = 0; b < 8; b++) {
+            blocks.add(b < 3 ? b : requests % 5_000 * 8 + b);
+        }
+        RequestFacts facts = new RequestFacts(
+                id,
+                TEAM,
+                MODEL,
+                CHAT,
+                true,
+                true,
+                Priority.INTERACTIVE,
+                now.nanos() + 20_000 * Moment.NANOS_PER_MILLI,
+                512,
+                100,
+                blocks);
+        long start = threads.getCurrentThreadCpuTime();
+        List<Action> actions = controller.on(new Observation.RequestArrived(facts), now);
+        boolean sent = actions.stream().anyMatch(Action.Dispatch.class::isInstance);
+        if (sent) {
+            controller.on(new Observation.AnswerStarted(id, 1, 80), now);
+            controller.on(new Observation.StreamAdvanced(id, 1, 50), now);
+            controller.on(
+                    new Observation.AttemptEnded(id, 1, new AttemptReport(AttemptEnd.ANSWERED, 80, 1_000, 100, 300)),
+                    now);
+        } else {
+            refused++;
+            controller.on(new Observation.RequestAbandoned(id), now);
+        }
+        requestNanos += threads.getCurrentThreadCpuTime() - start;
+        actions.forEach(this::count);
+    }
+
+    private void observe(Observation observation) {
+        controller.on(observation, now).forEach(this::count);
+    }
+
+    private void count(Action action) {
+        if (action instanceof Action.SendGrants grants) {
+            count(new PeerMessage.GrantShare(grants.grants()));
+        } else if (action instanceof Action.SendDemands demands) {
+            count(new PeerMessage.DemandShare(demands.demands()));
+        } else if (action instanceof Action.ShareEvidence evidence) {
+            count(new PeerMessage.EvidenceShare(evidence.rows()));
+        } else if (action instanceof Action.KeepServers keep) {
+            kept = keep.servers().size();
+        }
+    }
+
+    private void count(PeerMessage message) {
+        sentMessages++;
+        sentBytes += MessageCodecs.encode(message).length + Integer.BYTES;
+    }
+
+    private void reset() {
+        tickNanos = 0;
+        requestNanos = 0;
+        requests = 0;
+        sentBytes = 0;
+        sentMessages = 0;
+        refused = 0;
+    }
+
+    private void print(long heapBytes) {
+        double seconds = TICKS * Observation.TICK_MILLIS / 1_000.0;
+        System.out.printf(
+                Locale.ROOT,
+                "bench=capacity members=%d servers=%d kept=%d tick-micros=%.1f request-micros=%.1f sent-bytes-per-second=%.0f"
+                        + " sent-messages-per-second=%.1f heap-kilobytes=%d undispatched=%d%n",
+                members,
+                servers.size(),
+                kept,
+                tickNanos / NANOS_IN_MICRO / TICKS,
+                requestNanos / NANOS_IN_MICRO / requests,
+                sentBytes / seconds,
+                sentMessages / seconds,
+                heapBytes / 1_024,
+                refused);
+    }
+
+    private static long heap() {
+        for (int i = 0; i < SETTLE_PASSES; i++) {
+            System.gc();
+        }
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
+    private static Map<ProcessId, List<Grant>> keepers(List<BackendServer> servers, int members) {
+        List<ProcessId> processes = new ArrayList<>();
+        for (int i = 0; i < members; i++) {
+            processes.add(new ProcessId("p" + i));
+        }
+        RendezvousKeepers chosen = new RendezvousKeepers(processes);
+        Map<ProcessId, List<Grant>> keepers = new TreeMap<>();
+        for (BackendServer server : servers) {
+            ProcessId keeper = chosen.keeperOf(server.id()).orElseThrow();
+            keepers.computeIfAbsent(keeper, _key -> new ArrayList<>()).add(new Grant(server.id(), SELF, 2, 900, true));
+        }
+        return keepers;
+    }
+
+    private static Configuration configuration() {
+        PresetId preset = new PresetId("peak");
+        return new Configuration(
+                1,
+                1,
+                preset,
+                List.of(new Preset(preset, 490, 57, 1, 1, 10)),
+                List.of(new Service(MODEL, ServiceKind.MODEL, VERSION, 1, 16, 10_000)),
+                List.of(new Route(CHAT, "/v1/chat/completions", MODEL, Repeatability.IDEMPOTENT, 1 << 20, "")),
+                List.of(new Team(TEAM, "00", 1, Priority.INTERACTIVE)),
+                List.of(new HostPool(BenchFleet.centre(0, CENTRES), "class-0", true, 100)),
+                Set.of(),
+                List.of(),
+                "");
+    }
+}
--- a/proofs/src/test/java/org/geraniumstand/proofs/bench/ChoiceBench.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/ChoiceBench.java
@@ -17,12 +17,9 @@
 import org.geraniumstand.model.config.Priority;
 import org.geraniumstand.model.config.Service;
 import org.geraniumstand.model.config.ServiceKind;
-import org.geraniumstand.model.fleet.BackendServer;
 import org.geraniumstand.model.id.DataCentreId;
-import org.geraniumstand.model.id.HostId;
 import org.geraniumstand.model.id.RequestId;
 import org.geraniumstand.model.id.RouteId;
-import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.TeamId;
 import org.geraniumstand.model.id.VersionId;
@@ -50,7 +47,7 @@
      */
     public static void main(String[] _args) {
         FleetView fleet = new FleetView();
-        fleet.onFleet(servers());
+        fleet.onFleet(BenchFleet.servers(SERVERS, CENTRES, MODEL, VERSION));
         PrefixIndex prefixes = new PrefixIndex();
         ServerChoice choice = new ServerChoice(fleet, prefixes);
         choice.onMembers(Optional.of(new DataCentreId("c0")), 16);
@@ -88,25 +85,6 @@
         }
     }
 
-    private static List<BackendServer> servers() {
-        List<BackendServer> servers = new ArrayList<>();
-        for (int i = 0; i < SERVERS; i++) {
-            servers.add(new BackendServer(
-                    new ServerId("s" + i),
-                    MODEL,
-                    VERSION,
-                    new DataCentreId("c" + i % CENTRES),
-                    new HostId("h" + i),
-                    "class-" + i % 3,
-                    true,
-                    100 + 50 * (i % 3),
-                    "127.0.0.1",
-                    1,
-                    false));
-        }
-        return servers;
-    }
-
     private static List<ServerChoice.Query> queries(PrefixIndex prefixes) {
         Random random = new Random(1);
         List<ServerChoice.Query> queries = new ArrayList<>();
