Keep the keeper of a server for as long as the members stand

The keeper was hashed anew over all members for each wish and each grant, though it changes with the members alone.

--- a/decisions/src/main/java/org/geraniumstand/decisions/limits/RendezvousKeepers.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/limits/RendezvousKeepers.java
@@ -1,6 +1,8 @@
 package org.geraniumstand.decisions.limits;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.decisions.membership.Rendezvous;
@@ -9,12 +11,15 @@
 
 /**
  * Names keepers by rendezvous hashing over the live processes, see {@link Rendezvous}.
+ *
+ * <p>Keepers are asked for with each wish and each grant, so that the answer for a server is kept; not thread-safe.
  */
 @Decision(
         name = "keeper",
         summary = "The live process with the highest hash together with the server's name keeps the server.")
 public final class RendezvousKeepers implements Keepers {
     private final List<ProcessId> processes;
+    private final Map<ServerId, Optional<ProcessId>> known = new HashMap<>();
 
     /**
      * Creates the keepers of a set of processes.
@@ -27,6 +32,6 @@
 
     @Override
     public Optional<ProcessId> keeperOf(ServerId server) {
-        return Rendezvous.first(server.value(), processes, ProcessId::value);
+        return known.computeIfAbsent(server, key -> Rendezvous.first(key.value(), processes, ProcessId::value));
     }
 }
