--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -27,11 +27,11 @@
 import org.geraniumstand.model.status.MemberStatus;
 import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.cloud.HttpHostList;
-import org.geraniumstand.platform.io.Closer;
-import org.geraniumstand.platform.log.Log;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.store.HttpConfigurationStore;
+import org.geraniumstand.outside.cloud.HttpHostList;
+import org.geraniumstand.outside.store.HttpConfigurationStore;
+import org.geraniumstand.support.io.Closer;
+import org.geraniumstand.support.log.Log;
+import org.geraniumstand.support.net.HttpCalls;
 
 /** Wires the tasks of an entry process and gathers what must be closed. */
 public final class EntryProcess implements AutoCloseable {
--- a/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
+++ b/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
@@ -7,7 +7,7 @@
 import org.geraniumstand.entry.settings.Settings;
 import org.geraniumstand.entry.settings.SettingsError;
 import org.geraniumstand.entry.settings.SettingsFile;
-import org.geraniumstand.platform.log.LogSetup;
+import org.geraniumstand.support.log.LogSetup;
 
 /** Binary {@code geraniumstand}: the entry process. */
 public final class Geraniumstand {
--- a/entry/src/main/java/org/geraniumstand/entry/RequestPath.java
+++ b/entry/src/main/java/org/geraniumstand/entry/RequestPath.java
@@ -9,9 +9,9 @@
 import org.geraniumstand.http.CoreInbox;
 import org.geraniumstand.http.caller.CallerListener;
 import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.outside.store.ConfigurationStore;
 import org.geraniumstand.peer.PeerNetwork;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.support.net.HttpCalls;
 
 /** Wires the tasks that callers' requests go through. */
 final class RequestPath implements AutoCloseable {
--- a/entry/src/main/java/org/geraniumstand/entry/capacity/Capacity.java
+++ b/entry/src/main/java/org/geraniumstand/entry/capacity/Capacity.java
@@ -7,13 +7,13 @@
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.time.Moment;
-import org.geraniumstand.platform.cloud.CloudApi;
-import org.geraniumstand.platform.cloud.HttpCloudApi;
-import org.geraniumstand.platform.cloud.HttpHostList;
-import org.geraniumstand.platform.engine.EngineControl;
-import org.geraniumstand.platform.engine.HttpEngineControl;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.outside.cloud.CloudApi;
+import org.geraniumstand.outside.cloud.HttpCloudApi;
+import org.geraniumstand.outside.cloud.HttpHostList;
+import org.geraniumstand.outside.engine.EngineControl;
+import org.geraniumstand.outside.engine.HttpEngineControl;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.support.net.HttpCalls;
 
 /** Starts the task that plans capacity. */
 public final class Capacity {
--- a/entry/src/main/java/org/geraniumstand/entry/capacity/CapacityTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/capacity/CapacityTask.java
@@ -25,10 +25,10 @@
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.time.Moment;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.cloud.CloudApi;
-import org.geraniumstand.platform.cloud.CloudError;
-import org.geraniumstand.platform.cloud.HostList;
-import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.outside.cloud.CloudApi;
+import org.geraniumstand.outside.cloud.CloudError;
+import org.geraniumstand.outside.cloud.HostList;
+import org.geraniumstand.support.log.Log;
 
 /**
  * Plans capacity and gives its orders while this process holds the lease.
--- a/entry/src/main/java/org/geraniumstand/entry/capacity/EngineViews.java
+++ b/entry/src/main/java/org/geraniumstand/entry/capacity/EngineViews.java
@@ -13,7 +13,7 @@
 import org.geraniumstand.model.id.HostId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
-import org.geraniumstand.platform.engine.EngineControl;
+import org.geraniumstand.outside.engine.EngineControl;
 
 /** Asks backend servers what they run, a bounded number a round, and remembers what they said last. */
 final class EngineViews {
--- a/entry/src/main/java/org/geraniumstand/entry/capacity/FencedLease.java
+++ b/entry/src/main/java/org/geraniumstand/entry/capacity/FencedLease.java
@@ -4,9 +4,9 @@
 import java.util.OptionalLong;
 import java.util.function.LongSupplier;
 import org.geraniumstand.model.time.Moment;
-import org.geraniumstand.platform.store.ConfigurationStore;
-import org.geraniumstand.platform.store.ConfigurationStore.Lease;
-import org.geraniumstand.platform.store.Stored;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.outside.store.ConfigurationStore.Lease;
+import org.geraniumstand.outside.store.Stored;
 
 /**
  * Holds the lease of whoever gives orders to the cloud and to engines, with a fencing number.
--- a/entry/src/main/java/org/geraniumstand/entry/capacity/OrderSender.java
+++ b/entry/src/main/java/org/geraniumstand/entry/capacity/OrderSender.java
@@ -8,9 +8,9 @@
 import org.geraniumstand.model.capacity.HostOrder;
 import org.geraniumstand.model.id.HostId;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.cloud.CloudApi;
-import org.geraniumstand.platform.cloud.CloudError;
-import org.geraniumstand.platform.engine.EngineControl;
+import org.geraniumstand.outside.cloud.CloudApi;
+import org.geraniumstand.outside.cloud.CloudError;
+import org.geraniumstand.outside.engine.EngineControl;
 
 /** Sends orders, each only if the lease is held right before it is sent. */
 final class OrderSender {
--- a/entry/src/main/java/org/geraniumstand/entry/core/Core.java
+++ b/entry/src/main/java/org/geraniumstand/entry/core/Core.java
@@ -23,7 +23,7 @@
 import org.geraniumstand.model.request.RequestFacts;
 import org.geraniumstand.model.time.Moment;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.support.log.Log;
 
 /**
  * The task that owns all decision state: one thread behind a ring of messages.
--- a/entry/src/main/java/org/geraniumstand/entry/handover/HandoverTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/handover/HandoverTask.java
@@ -21,7 +21,7 @@
 import org.geraniumstand.peer.PeerMessage;
 import org.geraniumstand.peer.PeerNetwork;
 import org.geraniumstand.peer.StreamState;
-import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.support.log.Log;
 
 /**
  * Hands streams to other processes when this one stops, takes theirs, and finds who holds a stream.
--- a/entry/src/main/java/org/geraniumstand/entry/metrics/ObservedStore.java
+++ b/entry/src/main/java/org/geraniumstand/entry/metrics/ObservedStore.java
@@ -6,9 +6,9 @@
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.store.ConfigurationStore;
-import org.geraniumstand.platform.store.StoreError;
-import org.geraniumstand.platform.store.Stored;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.outside.store.StoreError;
+import org.geraniumstand.outside.store.Stored;
 
 /** Counts the calls of a store and tells when it becomes reachable or unreachable. */
 public final class ObservedStore implements ConfigurationStore {
--- a/entry/src/main/java/org/geraniumstand/entry/operator/Observability.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/Observability.java
@@ -12,8 +12,8 @@
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.log.Log;
-import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.support.log.Log;
 
 /**
  * What a process shows of itself: its time line and its metrics.
--- a/entry/src/main/java/org/geraniumstand/entry/operator/OperatorListener.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/OperatorListener.java
@@ -15,7 +15,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.support.log.Log;
 
 /** Listens for operators and for the balancer's checks. */
 public final class OperatorListener implements AutoCloseable {
--- a/entry/src/main/java/org/geraniumstand/entry/operator/OperatorRequest.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/OperatorRequest.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /**
  * A request of operators with its body.
--- a/entry/src/main/java/org/geraniumstand/entry/operator/Reply.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/Reply.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.geraniumstand.model.operation.Problem;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /**
  * An answer to operators.
--- a/entry/src/main/java/org/geraniumstand/entry/operator/TimelineHandover.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/TimelineHandover.java
@@ -11,13 +11,13 @@
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.status.MemberStatus;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.log.Log;
-import org.geraniumstand.platform.net.HttpAnswer;
-import org.geraniumstand.platform.net.HttpBody;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.net.HttpFailure;
-import org.geraniumstand.platform.net.HttpRequest;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.log.Log;
+import org.geraniumstand.support.net.HttpAnswer;
+import org.geraniumstand.support.net.HttpBody;
+import org.geraniumstand.support.net.HttpCalls;
+import org.geraniumstand.support.net.HttpFailure;
+import org.geraniumstand.support.net.HttpRequest;
 
 /**
  * Hands the newest events of a stopping process to another one.
--- a/entry/src/main/java/org/geraniumstand/entry/order/ClaimForwarding.java
+++ b/entry/src/main/java/org/geraniumstand/entry/order/ClaimForwarding.java
@@ -10,9 +10,9 @@
 import org.geraniumstand.decisions.orders.ClaimVerdict;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.outside.store.ConfigurationStore;
 import org.geraniumstand.peer.PeerMessage;
 import org.geraniumstand.peer.PeerNetwork;
-import org.geraniumstand.platform.store.ConfigurationStore;
 
 /**
  * Brings changes of claims to the usual writer of their slot, so that concurrent ones go out in one write.
--- a/entry/src/main/java/org/geraniumstand/entry/order/ClaimTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/order/ClaimTask.java
@@ -18,8 +18,8 @@
 import org.geraniumstand.http.order.Orders;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.member.Member;
+import org.geraniumstand.outside.store.ConfigurationStore;
 import org.geraniumstand.peer.PeerNetwork;
-import org.geraniumstand.platform.store.ConfigurationStore;
 
 /** Records the claims of this process's orders; its state belongs to the timer's thread. */
 public final class ClaimTask implements Orders {
--- a/entry/src/main/java/org/geraniumstand/entry/order/SlotTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/order/SlotTask.java
@@ -13,10 +13,10 @@
 import org.geraniumstand.decisions.orders.SlotWriter;
 import org.geraniumstand.decisions.orders.WriterStep;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.store.ConfigurationStore;
-import org.geraniumstand.platform.store.StoreError;
-import org.geraniumstand.platform.store.Stored;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.outside.store.StoreError;
+import org.geraniumstand.outside.store.Stored;
+import org.geraniumstand.support.json.Json;
 
 /** Carries out what the writer of a slot wants; belongs to the thread on which the store answers. */
 final class SlotTask {
--- a/entry/src/main/java/org/geraniumstand/entry/task/BadMarkStore.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/BadMarkStore.java
@@ -6,9 +6,9 @@
 import java.util.stream.Stream;
 import org.geraniumstand.model.evidence.BadMark;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.log.Log;
-import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.log.Log;
 
 /** Keeps marks of bad versions in the store, one key a move, as soon as it answers. */
 public final class BadMarkStore {
--- a/entry/src/main/java/org/geraniumstand/entry/task/ConfigurationWatch.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/ConfigurationWatch.java
@@ -4,10 +4,10 @@
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.decisions.membership.WatcherChoice;
 import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.outside.store.StoreError;
 import org.geraniumstand.peer.SharedFacts;
 import org.geraniumstand.peer.exchange.ExchangeView;
-import org.geraniumstand.platform.store.ConfigurationStore;
-import org.geraniumstand.platform.store.StoreError;
 
 /**
  * Brings the operators' configuration from the store.
--- a/entry/src/main/java/org/geraniumstand/entry/task/ConfigurationWriter.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/ConfigurationWriter.java
@@ -9,11 +9,11 @@
 import org.geraniumstand.entry.task.WriteError.Kind;
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.result.Result;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.outside.store.Stored;
 import org.geraniumstand.peer.SharedFacts;
 import org.geraniumstand.peer.exchange.ExchangeView;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.store.ConfigurationStore;
-import org.geraniumstand.platform.store.Stored;
+import org.geraniumstand.support.json.Json;
 
 /**
  * Changes the operators' configuration by compare-and-swap.
--- a/entry/src/main/java/org/geraniumstand/entry/task/FactTasks.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/FactTasks.java
@@ -14,13 +14,13 @@
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.member.ProtocolLevel;
 import org.geraniumstand.model.status.MemberStatus;
+import org.geraniumstand.outside.store.ConfigurationStore;
 import org.geraniumstand.peer.PeerMessage;
 import org.geraniumstand.peer.PeerSettings;
 import org.geraniumstand.peer.exchange.Exchange;
 import org.geraniumstand.peer.exchange.ExchangeView;
 import org.geraniumstand.peer.net.TcpPeerNetwork;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.store.ConfigurationStore;
+import org.geraniumstand.support.net.HttpCalls;
 
 /** Wires the tasks that share facts with the store and with other entry processes. */
 public final class FactTasks implements AutoCloseable {
--- a/entry/src/main/java/org/geraniumstand/entry/task/HostListPoll.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/HostListPoll.java
@@ -5,9 +5,9 @@
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.decisions.membership.FleetView;
 import org.geraniumstand.model.fleet.FleetChange;
+import org.geraniumstand.outside.cloud.HostList;
 import org.geraniumstand.peer.PeerMessage;
 import org.geraniumstand.peer.PeerNetwork;
-import org.geraniumstand.platform.cloud.HostList;
 
 /**
  * Reads the platform's list of hosts again and again, tells the core what it says and the peers what is new in it.
--- a/entry/src/main/java/org/geraniumstand/entry/task/LoadPoll.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/LoadPoll.java
@@ -13,10 +13,10 @@
 import org.geraniumstand.model.fleet.CacheEvent;
 import org.geraniumstand.model.fleet.LoadReport;
 import org.geraniumstand.model.id.ServerId;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.net.HttpAnswer;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.net.HttpRequest;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.net.HttpAnswer;
+import org.geraniumstand.support.net.HttpCalls;
+import org.geraniumstand.support.net.HttpRequest;
 
 /** Polls the load and the cache events of the backend servers that this process keeps; runs on the calls' thread. */
 public final class LoadPoll {
--- a/entry/src/main/java/org/geraniumstand/entry/task/MemberRegistration.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/MemberRegistration.java
@@ -7,12 +7,12 @@
 import java.util.stream.Stream;
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.outside.store.ConfigurationStore.Lease;
+import org.geraniumstand.outside.store.StoreError;
 import org.geraniumstand.peer.SharedFacts;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.log.Log;
-import org.geraniumstand.platform.store.ConfigurationStore;
-import org.geraniumstand.platform.store.ConfigurationStore.Lease;
-import org.geraniumstand.platform.store.StoreError;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.log.Log;
 
 /** Keeps this process registered in the store by a lease, and reads now and then who else is. */
 public final class MemberRegistration {
--- a/entry/src/main/java/org/geraniumstand/entry/task/MoveEnding.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/MoveEnding.java
@@ -13,7 +13,7 @@
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.peer.SharedFacts;
-import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.support.log.Log;
 
 /**
  * Records the end of version moves in the configuration.
--- a/entry/src/main/java/org/geraniumstand/entry/task/StoreContact.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/StoreContact.java
@@ -3,7 +3,7 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.support.log.Log;
 
 /**
  * Knows when the store last answered and how long to wait after it did not.
--- a/entry/src/test/java/org/geraniumstand/entry/capacity/FakeStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/capacity/FakeStore.java
@@ -8,9 +8,9 @@
 import java.util.function.LongSupplier;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.time.Moment;
-import org.geraniumstand.platform.store.ConfigurationStore;
-import org.geraniumstand.platform.store.StoreError;
-import org.geraniumstand.platform.store.Stored;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.outside.store.StoreError;
+import org.geraniumstand.outside.store.Stored;
 
 /** A store in memory whose leases lapse by a clock that the test moves. */
 final class FakeStore implements ConfigurationStore {
--- a/entry/src/test/java/org/geraniumstand/entry/capacity/FencedLeaseTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/capacity/FencedLeaseTest.java
@@ -19,9 +19,9 @@
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.time.Moment;
-import org.geraniumstand.platform.cloud.CloudApi;
-import org.geraniumstand.platform.cloud.CloudError;
-import org.geraniumstand.platform.engine.HttpEngineControl;
+import org.geraniumstand.outside.cloud.CloudApi;
+import org.geraniumstand.outside.cloud.CloudError;
+import org.geraniumstand.outside.engine.HttpEngineControl;
 import org.junit.jupiter.api.Test;
 
 final class FencedLeaseTest {
--- a/entry/src/test/java/org/geraniumstand/entry/metrics/FakeStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/metrics/FakeStore.java
@@ -4,9 +4,9 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.store.ConfigurationStore;
-import org.geraniumstand.platform.store.StoreError;
-import org.geraniumstand.platform.store.Stored;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.outside.store.StoreError;
+import org.geraniumstand.outside.store.Stored;
 
 /** An empty store that answers at once, or not at all while it is down. */
 final class FakeStore implements ConfigurationStore {
--- a/entry/src/test/java/org/geraniumstand/entry/task/ConfigurationWriterTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/task/ConfigurationWriterTest.java
@@ -29,7 +29,7 @@
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 import org.junit.jupiter.api.Test;
 
 final class ConfigurationWriterTest {
--- a/entry/src/test/java/org/geraniumstand/entry/task/FakeStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/task/FakeStore.java
@@ -11,9 +11,9 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.store.ConfigurationStore;
-import org.geraniumstand.platform.store.StoreError;
-import org.geraniumstand.platform.store.Stored;
+import org.geraniumstand.outside.store.ConfigurationStore;
+import org.geraniumstand.outside.store.StoreError;
+import org.geraniumstand.outside.store.Stored;
 
 /** A store in memory that loses calls, loses answers, and carries writes out after their answers were given up. */
 public final class FakeStore implements ConfigurationStore {
--- a/entry/src/test/java/org/geraniumstand/entry/task/HostListPollTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/task/HostListPollTest.java
@@ -16,10 +16,10 @@
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.result.Result;
+import org.geraniumstand.outside.cloud.CloudError;
+import org.geraniumstand.outside.cloud.HostList;
 import org.geraniumstand.peer.PeerMessage;
 import org.geraniumstand.peer.PeerNetwork;
-import org.geraniumstand.platform.cloud.CloudError;
-import org.geraniumstand.platform.cloud.HostList;
 import org.junit.jupiter.api.Test;
 
 final class HostListPollTest {
--- a/entry/src/test/java/org/geraniumstand/entry/task/MemberRegistrationTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/task/MemberRegistrationTest.java
@@ -9,7 +9,7 @@
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.member.Member;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 import org.junit.jupiter.api.Test;
 
 final class MemberRegistrationTest {
--- a/http/src/main/java/org/geraniumstand/http/caller/AnswerRelay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/AnswerRelay.java
@@ -10,7 +10,7 @@
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.Outcome;
 import org.geraniumstand.model.request.Refusal;
-import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.support.net.HttpBody;
 
 /**
  * Relays an answer that is no stream.
--- a/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
@@ -9,7 +9,7 @@
 import org.geraniumstand.http.filter.Rejection;
 import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.support.net.HttpBody;
 import org.xnio.XnioExecutor;
 
 /**
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
@@ -33,8 +33,8 @@
 import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.log.Log;
-import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.support.log.Log;
+import org.geraniumstand.support.net.HttpBody;
 import org.xnio.XnioIoThread;
 
 /** Listens for callers and sends their requests through the filters. */
--- a/http/src/main/java/org/geraniumstand/http/caller/HeldStreams.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/HeldStreams.java
@@ -14,8 +14,8 @@
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.config.Team;
 import org.geraniumstand.model.id.RequestId;
-import org.geraniumstand.platform.net.HttpBody;
-import org.geraniumstand.platform.net.HttpRequest.Header;
+import org.geraniumstand.support.net.HttpBody;
+import org.geraniumstand.support.net.HttpRequest.Header;
 import org.xnio.XnioIoThread;
 
 /** The streams that other processes handed to this one; safe for many threads. */
--- a/http/src/main/java/org/geraniumstand/http/caller/Problems.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/Problems.java
@@ -5,7 +5,7 @@
 import io.undertow.util.Headers;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 import org.xnio.IoUtils;
 
 /** Writes refusals as {@code application/problem+json} (RFC 9457). */
--- a/http/src/main/java/org/geraniumstand/http/caller/Reconnects.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/Reconnects.java
@@ -16,8 +16,8 @@
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
-import org.geraniumstand.platform.net.HttpBody;
-import org.geraniumstand.platform.net.HttpRequest.Header;
+import org.geraniumstand.support.net.HttpBody;
+import org.geraniumstand.support.net.HttpRequest.Header;
 
 /** Gives callers that come back the rest of a stream that was handed over. */
 final class Reconnects {
--- a/http/src/main/java/org/geraniumstand/http/caller/Relay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/Relay.java
@@ -5,7 +5,7 @@
 import org.geraniumstand.http.upstream.Flow;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.Refusal;
-import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.support.net.HttpBody;
 
 /** Passes the answer of one or more attempts on to the caller as one; belongs to one I/O thread. */
 interface Relay {
--- a/http/src/main/java/org/geraniumstand/http/caller/RequestReader.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestReader.java
@@ -10,8 +10,8 @@
 import java.util.Optional;
 import org.geraniumstand.http.filter.CallerRequest;
 import org.geraniumstand.model.id.RequestId;
-import org.geraniumstand.platform.net.HttpBody;
-import org.geraniumstand.platform.net.HttpRequest.Header;
+import org.geraniumstand.support.net.HttpBody;
+import org.geraniumstand.support.net.HttpRequest.Header;
 
 /** Reads the head of a caller's request. */
 final class RequestReader {
--- a/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
@@ -13,8 +13,8 @@
 import org.geraniumstand.http.upstream.Flow;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.Refusal;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.net.HttpBody;
 
 /** Relays a stream of completion events; after a break the next attempt goes on from the last relayed token. */
 final class StreamRelay implements Relay {
--- a/http/src/main/java/org/geraniumstand/http/filter/Admission.java
+++ b/http/src/main/java/org/geraniumstand/http/filter/Admission.java
@@ -10,7 +10,7 @@
 import org.geraniumstand.model.id.RequestId;
 import org.geraniumstand.model.request.RequestFacts;
 import org.geraniumstand.model.time.Moment;
-import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.support.net.HttpBody;
 
 /**
  * What the filters have found out about a request.
--- a/http/src/main/java/org/geraniumstand/http/filter/CallerRequest.java
+++ b/http/src/main/java/org/geraniumstand/http/filter/CallerRequest.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
-import org.geraniumstand.platform.net.HttpBody;
-import org.geraniumstand.platform.net.HttpRequest.Header;
+import org.geraniumstand.support.net.HttpBody;
+import org.geraniumstand.support.net.HttpRequest.Header;
 
 /**
  * A caller's request on its way through the filters.
--- a/http/src/main/java/org/geraniumstand/http/filter/CheckHeaders.java
+++ b/http/src/main/java/org/geraniumstand/http/filter/CheckHeaders.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.net.HttpRequest.Header;
+import org.geraniumstand.support.net.HttpRequest.Header;
 
 /** Refuses headers that could be read in two ways. */
 @Decision(
--- a/http/src/main/java/org/geraniumstand/http/order/OrderGate.java
+++ b/http/src/main/java/org/geraniumstand/http/order/OrderGate.java
@@ -22,7 +22,7 @@
 import org.geraniumstand.model.request.Outcome;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
-import org.geraniumstand.platform.net.HttpBody;
+import org.geraniumstand.support.net.HttpBody;
 import org.xnio.XnioIoThread;
 
 /** Lets one keyed order through to its backend server at most once; belongs to the I/O thread of its request. */
--- a/http/src/main/java/org/geraniumstand/http/upstream/AttemptSpec.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/AttemptSpec.java
@@ -2,8 +2,8 @@
 
 import java.util.List;
 import org.geraniumstand.decisions.Action.AttemptLimits;
-import org.geraniumstand.platform.net.HttpBody;
-import org.geraniumstand.platform.net.HttpRequest.Header;
+import org.geraniumstand.support.net.HttpBody;
+import org.geraniumstand.support.net.HttpRequest.Header;
 
 /**
  * What to send to a backend server.
--- a/http/src/main/java/org/geraniumstand/http/upstream/UpstreamClient.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/UpstreamClient.java
@@ -3,7 +3,7 @@
 import io.undertow.connector.ByteBufferPool;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import org.geraniumstand.platform.net.ConnectionShelf;
+import org.geraniumstand.support.net.ConnectionShelf;
 import org.xnio.XnioIoThread;
 
 /** Opens attempts at backend servers. */
--- a/http/src/test/java/org/geraniumstand/http/caller/StreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/StreamTest.java
@@ -21,7 +21,7 @@
 import org.geraniumstand.http.fake.FakeServer;
 import org.geraniumstand.http.fake.Stand;
 import org.geraniumstand.model.request.AttemptEnd;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
--- a/http/src/test/java/org/geraniumstand/http/fake/Stand.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/Stand.java
@@ -7,7 +7,7 @@
 import org.geraniumstand.http.caller.CallerListener;
 import org.geraniumstand.http.caller.HolderLookup;
 import org.geraniumstand.model.id.ProcessId;
-import org.geraniumstand.platform.io.Closer;
+import org.geraniumstand.support.io.Closer;
 
 /** A listener in front of scripted backend servers. */
 public final class Stand implements AutoCloseable {
--- a/operator/src/main/java/org/geraniumstand/operator/Geraniumctl.java
+++ b/operator/src/main/java/org/geraniumstand/operator/Geraniumctl.java
@@ -1,7 +1,7 @@
 package org.geraniumstand.operator;
 
 import java.util.List;
-import org.geraniumstand.platform.log.LogSetup;
+import org.geraniumstand.support.log.LogSetup;
 
 /** Binary {@code geraniumctl}: the operators' commands. */
 public final class Geraniumctl {
--- a/operator/src/main/java/org/geraniumstand/operator/client/OperatorClient.java
+++ b/operator/src/main/java/org/geraniumstand/operator/client/OperatorClient.java
@@ -8,12 +8,12 @@
 import org.geraniumstand.model.operation.Problem;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.operator.ExitCode;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.net.HttpAnswer;
-import org.geraniumstand.platform.net.HttpBody;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.net.HttpFailure;
-import org.geraniumstand.platform.net.HttpRequest;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.net.HttpAnswer;
+import org.geraniumstand.support.net.HttpBody;
+import org.geraniumstand.support.net.HttpCalls;
+import org.geraniumstand.support.net.HttpFailure;
+import org.geraniumstand.support.net.HttpRequest;
 
 /**
  * Calls the operators' listeners of entry processes.
--- a/operator/src/main/java/org/geraniumstand/operator/command/ConfigShow.java
+++ b/operator/src/main/java/org/geraniumstand/operator/command/ConfigShow.java
@@ -8,7 +8,7 @@
 import org.geraniumstand.operator.Console;
 import org.geraniumstand.operator.ExitCode;
 import org.geraniumstand.operator.client.ConnectionOptions;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /** Prints the configuration in force. */
 @Parameters(commandDescription = "Print the configuration in force, as YAML for editing")
--- a/operator/src/main/java/org/geraniumstand/operator/command/ConfigurationFile.java
+++ b/operator/src/main/java/org/geraniumstand/operator/command/ConfigurationFile.java
@@ -15,9 +15,9 @@
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.operator.ExitCode;
 import org.geraniumstand.operator.client.ClientError;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.json.RecordShape;
-import org.geraniumstand.platform.json.RecordShape.Mismatch;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.json.RecordShape;
+import org.geraniumstand.support.json.RecordShape.Mismatch;
 
 /** Reads and writes configurations as YAML, with the names of the JSON document. */
 public final class ConfigurationFile {
--- a/operator/src/main/java/org/geraniumstand/operator/command/StatusCommand.java
+++ b/operator/src/main/java/org/geraniumstand/operator/command/StatusCommand.java
@@ -10,7 +10,7 @@
 import org.geraniumstand.operator.client.Fleet;
 import org.geraniumstand.operator.client.OperatorClient;
 import org.geraniumstand.operator.text.StatusText;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /** Shows members, backend servers, moves, data centres and teams. */
 @Parameters(commandDescription = "Show members, backend servers, moves, data centres and teams")
--- a/operator/src/test/java/org/geraniumstand/operator/FakeEntry.java
+++ b/operator/src/test/java/org/geraniumstand/operator/FakeEntry.java
@@ -8,7 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /** An operators' listener that gives prepared answers and remembers what it was asked. */
 final class FakeEntry implements AutoCloseable {
--- a/platform/src/main/java/org/geraniumstand/platform/cloud/CloudApi.java
+++ b/outside/src/main/java/org/geraniumstand/outside/cloud/CloudApi.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.cloud;
+package org.geraniumstand.outside.cloud;
 
 import java.util.List;
 import java.util.function.Consumer;
--- a/platform/src/main/java/org/geraniumstand/platform/cloud/CloudError.java
+++ b/outside/src/main/java/org/geraniumstand/outside/cloud/CloudError.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.cloud;
+package org.geraniumstand.outside.cloud;
 
 /** Why a call of the cloud or the host list did not work. */
 public enum CloudError {
--- a/platform/src/main/java/org/geraniumstand/platform/cloud/HttpCloudApi.java
+++ b/outside/src/main/java/org/geraniumstand/outside/cloud/HttpCloudApi.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.cloud;
+package org.geraniumstand.outside.cloud;
 
 import java.net.URI;
 import java.util.List;
@@ -10,12 +10,12 @@
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.net.HttpAnswer;
-import org.geraniumstand.platform.net.HttpBody;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.net.HttpFailure;
-import org.geraniumstand.platform.net.HttpRequest;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.net.HttpAnswer;
+import org.geraniumstand.support.net.HttpBody;
+import org.geraniumstand.support.net.HttpCalls;
+import org.geraniumstand.support.net.HttpFailure;
+import org.geraniumstand.support.net.HttpRequest;
 
 /** Speaks the cloud's interface over HTTP; docs/INTERFACES-platform.md gives paths and JSON. */
 public final class HttpCloudApi implements CloudApi {
--- a/platform/src/main/java/org/geraniumstand/platform/cloud/HttpHostList.java
+++ b/outside/src/main/java/org/geraniumstand/outside/cloud/HttpHostList.java
@@ -1,12 +1,12 @@
-package org.geraniumstand.platform.cloud;
+package org.geraniumstand.outside.cloud;
 
 import java.net.URI;
 import java.util.function.Consumer;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.net.HttpAnswer;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.net.HttpRequest;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.net.HttpAnswer;
+import org.geraniumstand.support.net.HttpCalls;
+import org.geraniumstand.support.net.HttpRequest;
 
 /** Reads the platform's list of hosts over HTTP. */
 public final class HttpHostList implements HostList {
--- a/platform/src/main/java/org/geraniumstand/platform/engine/EngineControl.java
+++ b/outside/src/main/java/org/geraniumstand/outside/engine/EngineControl.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.engine;
+package org.geraniumstand.outside.engine;
 
 import java.net.URI;
 import java.util.function.Consumer;
--- a/platform/src/main/java/org/geraniumstand/platform/engine/EngineError.java
+++ b/outside/src/main/java/org/geraniumstand/outside/engine/EngineError.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.engine;
+package org.geraniumstand.outside.engine;
 
 /** Why a call of a model engine's control interface did not work. */
 public enum EngineError {
--- a/platform/src/main/java/org/geraniumstand/platform/engine/HttpEngineControl.java
+++ b/outside/src/main/java/org/geraniumstand/outside/engine/HttpEngineControl.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.engine;
+package org.geraniumstand.outside.engine;
 
 import java.net.URI;
 import java.util.List;
@@ -8,11 +8,11 @@
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.net.HttpAnswer;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.net.HttpFailure;
-import org.geraniumstand.platform.net.HttpRequest;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.net.HttpAnswer;
+import org.geraniumstand.support.net.HttpCalls;
+import org.geraniumstand.support.net.HttpFailure;
+import org.geraniumstand.support.net.HttpRequest;
 
 /** Speaks the engines' control interface over HTTP; docs/INTERFACES-platform.md gives paths and JSON. */
 public final class HttpEngineControl implements EngineControl {
--- a/platform/src/main/java/org/geraniumstand/platform/store/ConfigurationStore.java
+++ b/outside/src/main/java/org/geraniumstand/outside/store/ConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.store;
+package org.geraniumstand.outside.store;
 
 import java.util.List;
 import java.util.Optional;
--- a/platform/src/main/java/org/geraniumstand/platform/store/HttpConfigurationStore.java
+++ b/outside/src/main/java/org/geraniumstand/outside/store/HttpConfigurationStore.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.store;
+package org.geraniumstand.outside.store;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.io.IOException;
@@ -10,11 +10,11 @@
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.geraniumstand.model.result.Result;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.net.HttpAnswer;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.net.HttpFailure;
-import org.geraniumstand.platform.net.HttpRequest;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.net.HttpAnswer;
+import org.geraniumstand.support.net.HttpCalls;
+import org.geraniumstand.support.net.HttpFailure;
+import org.geraniumstand.support.net.HttpRequest;
 
 /**
  * Speaks the published HTTP interface of Consul's key-value service and sessions.
--- a/platform/src/main/java/org/geraniumstand/platform/store/StoreError.java
+++ b/outside/src/main/java/org/geraniumstand/outside/store/StoreError.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.store;
+package org.geraniumstand.outside.store;
 
 /** Why a call of the store did not work. */
 public enum StoreError {
@@ -8,6 +8,10 @@
     CONFLICT,
     /** The lease is not held. */
     LEASE_LOST,
+    /** The store no longer knows the changes that were asked for. */
+    HISTORY_GONE,
+    /** The store did nothing: it has too much to do or turns this process away. */
+    REFUSED,
     /** The answer could not be understood. */
     MALFORMED
 }
--- a/platform/src/main/java/org/geraniumstand/platform/store/Stored.java
+++ b/outside/src/main/java/org/geraniumstand/outside/store/Stored.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.store;
+package org.geraniumstand.outside.store;
 
 /**
  * A value of the store with the index that compare-and-swap needs.
--- a/peer/src/main/java/org/geraniumstand/peer/exchange/ConfigurationInForce.java
+++ b/peer/src/main/java/org/geraniumstand/peer/exchange/ConfigurationInForce.java
@@ -10,8 +10,8 @@
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.json.Json;
-import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.log.Log;
 
 /** Holds the configuration in force and refuses to go back; belongs to one thread. */
 final class ConfigurationInForce {
--- a/peer/src/main/java/org/geraniumstand/peer/net/RefusalLog.java
+++ b/peer/src/main/java/org/geraniumstand/peer/net/RefusalLog.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.support.log.Log;
 
 /** Logs why connections are refused, once for each host and reason in a while. */
 final class RefusalLog {
--- a/peer/src/main/java/org/geraniumstand/peer/net/TcpPeerNetwork.java
+++ b/peer/src/main/java/org/geraniumstand/peer/net/TcpPeerNetwork.java
@@ -28,7 +28,7 @@
 import org.geraniumstand.peer.exchange.Exchange;
 import org.geraniumstand.peer.exchange.ExchangeListener;
 import org.geraniumstand.peer.exchange.ExchangeView;
-import org.geraniumstand.platform.log.Log;
+import org.geraniumstand.support.log.Log;
 
 /** The task that owns all sockets to peers and the exchange of facts: one thread, told by messages. */
 public final class TcpPeerNetwork implements PeerNetwork, SharedFacts {
--- a/peer/src/test/java/org/geraniumstand/peer/exchange/ExchangeTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/exchange/ExchangeTest.java
@@ -16,7 +16,7 @@
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.peer.PeerMessage;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 import org.junit.jupiter.api.Test;
 
 final class ExchangeTest {
--- a/peer/src/test/java/org/geraniumstand/peer/net/Nodes.java
+++ b/peer/src/test/java/org/geraniumstand/peer/net/Nodes.java
@@ -8,7 +8,7 @@
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.peer.PeerSettings;
 import org.geraniumstand.peer.exchange.Exchange;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /** Starts networks on loopback and closes them. */
 final class Nodes implements AutoCloseable {
--- a/proofs/src/test/java/org/geraniumstand/proofs/bench/FactsNode.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/FactsNode.java
@@ -14,8 +14,8 @@
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.request.RequestFacts;
-import org.geraniumstand.platform.net.HttpCalls;
-import org.geraniumstand.platform.store.HttpConfigurationStore;
+import org.geraniumstand.outside.store.HttpConfigurationStore;
+import org.geraniumstand.support.net.HttpCalls;
 
 /** The shared facts' tasks of one process, without its request path. */
 final class FactsNode implements CoreInbox, AutoCloseable {
--- a/proofs/src/test/java/org/geraniumstand/proofs/bench/RequestPathBench.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/RequestPathBench.java
@@ -32,11 +32,11 @@
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.TeamId;
 import org.geraniumstand.model.id.VersionId;
-import org.geraniumstand.platform.cloud.HostList;
-import org.geraniumstand.platform.io.Closer;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.outside.cloud.HostList;
 import org.geraniumstand.standins.CloudStandin;
 import org.geraniumstand.standins.StoreStandin;
+import org.geraniumstand.support.io.Closer;
+import org.geraniumstand.support.json.Json;
 
 /**
  * Measures plain requests straight to a backend server and through one entry process, in one run.
--- a/proofs/src/test/java/org/geraniumstand/proofs/bench/SharedFactsBench.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/SharedFactsBench.java
@@ -13,9 +13,9 @@
 import org.geraniumstand.model.id.PresetId;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.peer.net.PeerTraffic;
-import org.geraniumstand.platform.json.Json;
 import org.geraniumstand.standins.StoreStandin;
 import org.geraniumstand.standins.StoreSwitch;
+import org.geraniumstand.support.json.Json;
 
 /**
  * Measures the exchange of shared facts with several nodes in this one process, on loopback, beside a stand-in of the
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/Backends.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/Backends.java
@@ -8,12 +8,12 @@
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.VersionId;
-import org.geraniumstand.platform.cloud.HostList.Listing;
-import org.geraniumstand.platform.io.Closer;
+import org.geraniumstand.outside.cloud.HostList.Listing;
 import org.geraniumstand.standins.CloudStandin;
 import org.geraniumstand.standins.EngineStandin;
 import org.geraniumstand.standins.OrderDeskStandin;
 import org.geraniumstand.standins.TcpRelay;
+import org.geraniumstand.support.io.Closer;
 
 /** Backend servers on loopback, each behind a relay of its own, and the cloud that lists them. */
 final class Backends implements AutoCloseable {
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/Cluster.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/Cluster.java
@@ -11,12 +11,12 @@
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.geraniumstand.model.config.Configuration;
-import org.geraniumstand.platform.io.Closer;
-import org.geraniumstand.platform.json.Json;
 import org.geraniumstand.standins.BalancerStandin;
 import org.geraniumstand.standins.StoreStandin;
 import org.geraniumstand.standins.TcpRelay;
 import org.geraniumstand.standins.load.Caller;
+import org.geraniumstand.support.io.Closer;
+import org.geraniumstand.support.json.Json;
 
 /** Entry processes, backend servers and the platform on loopback; ends all that it started. */
 final class Cluster implements AutoCloseable {
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/ConfigurationProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/ConfigurationProofTest.java
@@ -15,8 +15,8 @@
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.id.PresetId;
 import org.geraniumstand.model.operation.ChangeAnswer;
-import org.geraniumstand.platform.json.Json;
 import org.geraniumstand.standins.StoreSwitch;
+import org.geraniumstand.support.json.Json;
 import org.junit.jupiter.api.Test;
 
 /** An accepted configuration is in force everywhere within seconds and never reverts. */
--- a/standins/src/main/java/org/geraniumstand/standins/CloudHosts.java
+++ b/standins/src/main/java/org/geraniumstand/standins/CloudHosts.java
@@ -11,10 +11,10 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.geraniumstand.model.fleet.BackendServer;
-import org.geraniumstand.platform.io.Closer;
-import org.geraniumstand.platform.json.Json;
 import org.geraniumstand.standins.HostLauncher.HostOrder;
 import org.geraniumstand.standins.HostLauncher.Launched;
+import org.geraniumstand.support.io.Closer;
+import org.geraniumstand.support.json.Json;
 
 /** Hosts that were ordered from the cloud. */
 final class CloudHosts implements AutoCloseable {
--- a/standins/src/main/java/org/geraniumstand/standins/CloudStandin.java
+++ b/standins/src/main/java/org/geraniumstand/standins/CloudStandin.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.model.fleet.BackendServer;
 import org.geraniumstand.model.fleet.ReclaimNotice;
-import org.geraniumstand.platform.cloud.HostList.Listing;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.outside.cloud.HostList.Listing;
+import org.geraniumstand.support.json.Json;
 
 /** Stands in for the platform's host list and cloud API; docs/INTERFACES-platform.md gives their shape. */
 public final class CloudStandin implements AutoCloseable {
--- a/standins/src/main/java/org/geraniumstand/standins/EngineAnswer.java
+++ b/standins/src/main/java/org/geraniumstand/standins/EngineAnswer.java
@@ -8,7 +8,7 @@
 import java.io.OutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /** Sends one completion, as a stream or whole. */
 final class EngineAnswer {
--- a/standins/src/main/java/org/geraniumstand/standins/EngineControlPath.java
+++ b/standins/src/main/java/org/geraniumstand/standins/EngineControlPath.java
@@ -4,7 +4,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /** Takes control orders of an engine; docs/INTERFACES-platform.md gives their shape. */
 final class EngineControlPath {
--- a/standins/src/main/java/org/geraniumstand/standins/EngineStandin.java
+++ b/standins/src/main/java/org/geraniumstand/standins/EngineStandin.java
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /**
  * Stands in for a model engine.
--- a/standins/src/main/java/org/geraniumstand/standins/OrderDeskStandin.java
+++ b/standins/src/main/java/org/geraniumstand/standins/OrderDeskStandin.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /**
  * Stands in for a plain service such as an order desk.
--- a/standins/src/main/java/org/geraniumstand/standins/Standins.java
+++ b/standins/src/main/java/org/geraniumstand/standins/Standins.java
@@ -4,7 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
-import org.geraniumstand.platform.log.LogSetup;
+import org.geraniumstand.support.log.LogSetup;
 
 /** Runs one stand-in, or a load tool, as a process. */
 public final class Standins {
--- a/standins/src/main/java/org/geraniumstand/standins/StoreStandin.java
+++ b/standins/src/main/java/org/geraniumstand/standins/StoreStandin.java
@@ -10,7 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /**
  * Stands in for the platform's key-value service; speaks the part of Consul's HTTP interface that the system uses.
--- a/standins/src/main/java/org/geraniumstand/standins/Switches.java
+++ b/standins/src/main/java/org/geraniumstand/standins/Switches.java
@@ -7,7 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /**
  * Faults and settings of a stand-in that can be changed while it runs.
--- a/standins/src/main/java/org/geraniumstand/standins/load/Caller.java
+++ b/standins/src/main/java/org/geraniumstand/standins/load/Caller.java
@@ -13,10 +13,10 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.geraniumstand.platform.json.Json;
 import org.geraniumstand.standins.CompletionText;
 import org.geraniumstand.standins.load.Told.Kind;
 import org.geraniumstand.standins.load.Told.Verdict;
+import org.geraniumstand.support.json.Json;
 
 /** A caller of the system that checks each answer; its calls block. */
 public final class Caller {
--- a/standins/src/main/java/org/geraniumstand/standins/load/Report.java
+++ b/standins/src/main/java/org/geraniumstand/standins/load/Report.java
@@ -8,9 +8,9 @@
 import java.util.Locale;
 import java.util.function.ToLongFunction;
 import org.HdrHistogram.Histogram;
-import org.geraniumstand.platform.json.Json;
 import org.geraniumstand.standins.load.Told.Kind;
 import org.geraniumstand.standins.load.Told.Verdict;
+import org.geraniumstand.support.json.Json;
 
 /** Sums up what callers were told. */
 public final class Report {
--- a/standins/src/main/java/org/geraniumstand/standins/load/StreamText.java
+++ b/standins/src/main/java/org/geraniumstand/standins/load/StreamText.java
@@ -1,7 +1,7 @@
 package org.geraniumstand.standins.load;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 
 /** Puts the events of a stream together, over all connections that carried them. */
 final class StreamText {
--- a/standins/src/test/java/org/geraniumstand/standins/CompletionTextTest.java
+++ b/standins/src/test/java/org/geraniumstand/standins/CompletionTextTest.java
@@ -5,7 +5,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import org.geraniumstand.platform.json.Json;
+import org.geraniumstand.support.json.Json;
 import org.junit.jupiter.api.Test;
 
 final class CompletionTextTest {
--- a/platform/src/main/java/org/geraniumstand/platform/io/Closer.java
+++ b/support/src/main/java/org/geraniumstand/support/io/Closer.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.io;
+package org.geraniumstand.support.io;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- a/platform/src/main/java/org/geraniumstand/platform/json/Json.java
+++ b/support/src/main/java/org/geraniumstand/support/json/Json.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.json;
+package org.geraniumstand.support.json;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.DeserializationFeature;
--- a/platform/src/main/java/org/geraniumstand/platform/json/RecordShape.java
+++ b/support/src/main/java/org/geraniumstand/support/json/RecordShape.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.json;
+package org.geraniumstand.support.json;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
--- a/platform/src/main/java/org/geraniumstand/platform/log/KeepingLogManager.java
+++ b/support/src/main/java/org/geraniumstand/support/log/KeepingLogManager.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.log;
+package org.geraniumstand.support.log;
 
 import java.util.logging.LogManager;
 
--- a/platform/src/main/java/org/geraniumstand/platform/log/Log.java
+++ b/support/src/main/java/org/geraniumstand/support/log/Log.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.log;
+package org.geraniumstand.support.log;
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
--- a/platform/src/main/java/org/geraniumstand/platform/net/BodyWriter.java
+++ b/support/src/main/java/org/geraniumstand/support/net/BodyWriter.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.net;
+package org.geraniumstand.support.net;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/platform/src/main/java/org/geraniumstand/platform/net/Callbacks.java
+++ b/support/src/main/java/org/geraniumstand/support/net/Callbacks.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.net;
+package org.geraniumstand.support.net;
 
 import io.undertow.client.ClientCallback;
 import java.io.IOException;
--- a/platform/src/main/java/org/geraniumstand/platform/net/HttpAnswer.java
+++ b/support/src/main/java/org/geraniumstand/support/net/HttpAnswer.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.net;
+package org.geraniumstand.support.net;
 
 import java.util.Optional;
 import java.util.function.Function;
--- a/platform/src/main/java/org/geraniumstand/platform/net/HttpFailure.java
+++ b/support/src/main/java/org/geraniumstand/support/net/HttpFailure.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.net;
+package org.geraniumstand.support.net;
 
 /** Why a call brought no answer. */
 public enum HttpFailure {
--- a/platform/src/test/java/org/geraniumstand/platform/log/LogTest.java
+++ b/support/src/test/java/org/geraniumstand/support/log/LogTest.java
@@ -1,4 +1,4 @@
-package org.geraniumstand.platform.log;
+package org.geraniumstand.support.log;
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
