--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdPace.java
@@ -0,0 +1,51 @@
+package org.geraniumstand.decisions.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.time.Moment;
+
+/** Paces what this process sends to cold servers. */
+@Decision(
+        name = "cold-pace",
+        summary = "A cold server gets no more requests a second than it bears, split evenly over all processes.")
+public final class ColdPace {
+    /** Part of what a cold server bears that is used, as requests bunch up on their way. */
+    private static final double USED_SHARE = 0.8;
+
+    private static final double NANOS_IN_SECOND = 1e9;
+    private static final int KEPT_AT_MOST = 1_000;
+
+    private final Map<ServerId, Long> nextNanos = new HashMap<>();
+
+    /** Creates a pace at which nothing was sent yet. */
+    public ColdPace() {}
+
+    /**
+     * Returns whether a request may go to a cold server now.
+     *
+     * @param server the server
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public boolean allows(ServerId server, long nowNanos) {
+        Long next = nextNanos.get(server);
+        return next == null || nowNanos - next >= 0;
+    }
+
+    /**
+     * Counts a request that goes to a cold server.
+     *
+     * @param server the server
+     * @param perSecond requests a second that it bears from all processes
+     * @param processes processes that may send to it
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onSent(ServerId server, double perSecond, int processes, long nowNanos) {
+        if (nextNanos.size() > KEPT_AT_MOST) {
+            nextNanos.values().removeIf(next -> nowNanos - next > Moment.NANOS_PER_MILLI);
+        }
+        double share = perSecond * USED_SHARE / Math.max(1, processes);
+        nextNanos.put(server, nowNanos + Math.round(NANOS_IN_SECOND / Math.max(share, 1e-3)));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
@@ -0,0 +1,149 @@
+package org.geraniumstand.decisions.relay;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.decisions.Hash;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.relay.PromptPart;
+import org.geraniumstand.model.relay.RelayService;
+import org.geraniumstand.model.time.Moment;
+
+/** Chooses the backend server of a call. */
+@Decision(
+        name = "relay-choice",
+        summary = "Of the servers with room, the one at which the call is expected to start first is chosen, with a"
+                + " price for tokens that are read again and for bytes between data centres.")
+public final class RelayChoice {
+    /** Milliseconds that a model engine takes to read a token; the sheets give 93.6 tokens a millisecond. */
+    private static final double READ_MILLIS = 1 / 93.6;
+
+    /** Milliseconds that each running request adds until the next token; the sheets give 0.11 a step, of a few. */
+    private static final double RUNNING_MILLIS = 0.5;
+
+    /** Milliseconds that each call ahead adds at a plain service; its work takes about 20, on several slots. */
+    private static final double PLAIN_MILLIS = 20;
+
+    /** Milliseconds that another data centre costs: the round trip, and the price of its bytes. */
+    private static final double FAR_MILLIS = 4;
+
+    /** Milliseconds that a cold server costs against a warm one. */
+    private static final double COLD_MILLIS = 150;
+
+    /** Requests in a plain server's queue beyond its slots that still start in time. */
+    private static final int PLAIN_QUEUE = 6;
+
+    /** Part of a model engine's slots that is used; memory is short before the last slots are. */
+    private static final double SLOTS_USED = 1.0;
+
+    private final DataCentreId home;
+    private final RelayFleet fleet;
+    private final PromptHomes prompts;
+    private final ColdPace pace;
+
+    /**
+     * Creates a choice.
+     *
+     * @param home the data centre of this process
+     * @param fleet the servers
+     * @param prompts estimates what they hold in their caches
+     * @param pace paces what goes to cold ones
+     */
+    public RelayChoice(DataCentreId home, RelayFleet fleet, PromptHomes prompts, ColdPace pace) {
+        this.home = home;
+        this.fleet = fleet;
+        this.prompts = prompts;
+        this.pace = pace;
+    }
+
+    /**
+     * A chosen server.
+     *
+     * @param server the server
+     * @param unreadTokens prompt tokens that it has to read
+     */
+    public record Chosen(ServerView server, double unreadTokens) {}
+
+    /**
+     * Returns whether any server may take new work of a call.
+     *
+     * @param call the call
+     */
+    public boolean any(RelayCall call) {
+        return !fleet.takingWork(call.service()).isEmpty();
+    }
+
+    /**
+     * Chooses a server with room, or nothing.
+     *
+     * @param call the call
+     * @param service its service
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public Optional<Chosen> choose(RelayCall call, RelayService service, long nowNanos) {
+        List<ServerView> servers = fleet.takingWork(call.service());
+        boolean othersAwake = servers.stream()
+                .anyMatch(s -> !s.paused(nowNanos) && !call.tried(s.server().id()));
+        List<PromptPart> prompt = call.head().prompt();
+        long key = PromptHomes.homeKey(prompt);
+        List<ServerId> homes = prompt.isEmpty()
+                ? List.of()
+                : servers.stream()
+                        .filter(s -> !s.paused(nowNanos))
+                        .map(s -> s.server().id())
+                        .max(Comparator.comparingLong(id -> PromptHomes.weight(key, id)))
+                        .map(List::of)
+                        .orElseGet(List::of);
+        Chosen best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        for (ServerView view : servers) {
+            ServerId id = view.server().id();
+            boolean passedOver = othersAwake && (view.paused(nowNanos) || call.tried(id));
+            if (passedOver || !hasRoom(view, service, nowNanos)) {
+                continue;
+            }
+            double unread = service.engine().isPresent()
+                    ? prompts.unread(prompt, call.head().promptTokens(), id, homes, nowNanos)
+                    : 0;
+            double cost = cost(view, service, unread, nowNanos) + tie(call, id);
+            if (cost < bestCost) {
+                bestCost = cost;
+                best = new Chosen(view, unread);
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    private boolean hasRoom(ServerView view, RelayService service, long nowNanos) {
+        boolean paced = view.cold(nowNanos) && service.coldPerSecond() > 0;
+        if (paced && !pace.allows(view.server().id(), nowNanos)) {
+            return false;
+        }
+        int slots = view.server().slots();
+        double most = service.engine().isPresent() ? slots * SLOTS_USED : slots + PLAIN_QUEUE;
+        return view.load(nowNanos) < most;
+    }
+
+    private double cost(ServerView view, RelayService service, double unread, long nowNanos) {
+        double cost = view.server().dataCentre().equals(home) ? 0 : FAR_MILLIS;
+        if (view.cold(nowNanos)) {
+            cost += COLD_MILLIS;
+        }
+        if (service.engine().isPresent()) {
+            // Tokens read again cost twice: this call waits for them, and so do those that run there.
+            return cost + (view.pendingTokens() + 2 * unread) * READ_MILLIS + view.load(nowNanos) * RUNNING_MILLIS;
+        }
+        int ahead = Math.max(0, view.load(nowNanos) + 1 - view.server().slots());
+        return cost + (ahead + (double) view.load(nowNanos) / view.server().slots()) * PLAIN_MILLIS;
+    }
+
+    // Spreads calls over servers that are otherwise equal.
+    private static double tie(RelayCall call, ServerId server) {
+        return Hash.below(Hash.mix(call.arrivedNanos() ^ Hash.of(server.value())), 1000) / 1000.0;
+    }
+
+    /** Nanoseconds after which a choice that found no room is worth repeating. */
+    static final long AGAIN_NANOS = 20 * Moment.NANOS_PER_MILLI;
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -0,0 +1,276 @@
+package org.geraniumstand.decisions.relay;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumstand.decisions.Hash;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.relay.RelayPlan;
+import org.geraniumstand.model.relay.RelayRoute;
+import org.geraniumstand.model.relay.RelayService;
+import org.geraniumstand.model.relay.ServerLoad;
+import org.geraniumstand.model.relay.ServiceShare;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.model.request.RefusalReason;
+import org.geraniumstand.model.time.Moment;
+
+/**
+ * Decides where relayed calls go, which wait and which are refused.
+ *
+ * <p>It has no clock, thread or socket of its own and belongs to one thread: what was seen goes in, steps come out.
+ */
+public final class RelayDesk {
+    private static final int MOST_URGENCY = 9;
+
+    /** Urgency of the highest rank; the ranks below follow. */
+    private static final int FIRST_URGENCY = 3;
+
+    /** When a caller is told to come back if no server takes its call, in milliseconds; a server boots for seconds. */
+    private static final long COME_BACK_MILLIS = 400;
+
+    /** Times its target that a repeatable call may be without a first byte before another server gets it. */
+    private static final double SILENCE_TARGETS = 2.0;
+
+    private static final long LEAST_SILENCE_MILLIS = 600;
+
+    private final RelayBounds bounds;
+    private final RelayFleet fleet = new RelayFleet();
+    private final PromptHomes prompts = new PromptHomes();
+    private final ColdPace pace = new ColdPace();
+    private final RelayChoice choice;
+    private final Map<ServiceId, WaitingCalls> waiting = new HashMap<>();
+    private final Map<ServiceId, RepeatAllowance> allowances = new HashMap<>();
+    private Optional<RelayPlan> plan = Optional.empty();
+    private int processes;
+
+    /**
+     * Creates a desk without a plan.
+     *
+     * @param home the data centre of this process
+     * @param bounds the bounds that must hold
+     */
+    public RelayDesk(DataCentreId home, RelayBounds bounds) {
+        this.bounds = bounds;
+        this.processes = bounds.processesAssumed();
+        this.choice = new RelayChoice(home, fleet, prompts, pace);
+    }
+
+    /** Returns the plan in force, if any. */
+    public Optional<RelayPlan> plan() {
+        return plan;
+    }
+
+    /** Returns the servers. */
+    public RelayFleet fleet() {
+        return fleet;
+    }
+
+    /** Returns the number of calls of a service that wait. */
+    public int waiting(ServiceId service) {
+        return line(service).size();
+    }
+
+    /** Returns whether any call waits. */
+    public boolean anyWaiting() {
+        return waiting.values().stream().anyMatch(line -> line.size() > 0);
+    }
+
+    /**
+     * Takes in a plan; one that is not newer than the one in force is ignored.
+     *
+     * @param next the plan
+     * @return whether it came into force
+     */
+    public boolean onPlan(RelayPlan next) {
+        if (plan.isPresent() && plan.get().version() >= next.version()) {
+            return false;
+        }
+        plan = Optional.of(next);
+        return true;
+    }
+
+    /**
+     * Takes in how many processes share limits.
+     *
+     * @param count the number, this process included
+     */
+    public void onProcesses(int count) {
+        processes = Math.max(1, count);
+    }
+
+    /**
+     * Takes in a call that passed the filters.
+     *
+     * @param call the call
+     * @param nowNanos the monotonic time in nanoseconds
+     * @param steps filled with what is to be done
+     */
+    public void arrive(RelayCall call, long nowNanos, List<RelayStep> steps) {
+        ServiceId service = service(call);
+        call.toService(service);
+        allowance(service).onRequest(nowNanos);
+        if (plan.flatMap(p -> p.service(service)).isEmpty() || !choice.any(call)) {
+            steps.add(new RelayStep.Refuse(call, Refusal.notRun(RefusalReason.NO_SERVER, COME_BACK_MILLIS)));
+            return;
+        }
+        line(service).add(call);
+        drain(service, nowNanos, steps);
+    }
+
+    /** A route with several services deals its calls out by the hash of the attempt. */
+    private static ServiceId service(RelayCall call) {
+        RelayRoute route = call.route();
+        int total = route.shares().stream().mapToInt(ServiceShare::weight).sum();
+        int point = total <= 0 ? 0 : Hash.below(Hash.of(call.head().attempt()), total);
+        for (ServiceShare share : route.shares()) {
+            point -= share.weight();
+            if (point < 0) {
+                return share.service();
+            }
+        }
+        return route.shares().get(0).service();
+    }
+
+    /**
+     * Takes in the first byte of an answer.
+     *
+     * @param call the call
+     * @param load the server's load, if it told
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onStarted(RelayCall call, Optional<ServerLoad> load, long nowNanos) {
+        ServerView server = call.server();
+        call.start(nowNanos);
+        if (server != null) {
+            load.ifPresent(told -> server.onLoad(told, nowNanos));
+        }
+    }
+
+    /**
+     * Takes in the end of an attempt.
+     *
+     * @param call the call
+     * @param end how it ended
+     * @param nowNanos the monotonic time in nanoseconds
+     * @param steps filled with what is to be done; nothing for the call if it is answered
+     */
+    public void onEnded(RelayCall call, AttemptEnd end, long nowNanos, List<RelayStep> steps) {
+        ServerView server = call.server();
+        call.release(end != AttemptEnd.CANCELLED && RepeatRule.mayHaveRun(end));
+        boolean unwell = end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.SILENT;
+        if (unwell && server != null) {
+            server.pause(nowNanos);
+        }
+        if (end != AttemptEnd.ANSWERED && end != AttemptEnd.CANCELLED) {
+            afterFailure(call, end, nowNanos, steps);
+        }
+        drain(call.service(), nowNanos, steps);
+    }
+
+    private void afterFailure(RelayCall call, AttemptEnd end, long nowNanos, List<RelayStep> steps) {
+        boolean again = RepeatRule.test(call, end, nowNanos)
+                && choice.any(call)
+                && allowance(call.service()).spend(processes, nowNanos);
+        if (again) {
+            line(call.service()).add(call);
+            return;
+        }
+        steps.add(new RelayStep.Refuse(call, refusal(call, end)));
+    }
+
+    private static Refusal refusal(RelayCall call, AttemptEnd end) {
+        if (!call.mayHaveRun()) {
+            return Refusal.notRun(RefusalReason.NO_SERVER, COME_BACK_MILLIS);
+        }
+        return Refusal.unknown(end == AttemptEnd.SILENT ? RefusalReason.SERVER_SILENT : RefusalReason.SERVER_FAILED);
+    }
+
+    /**
+     * Takes in that a call needs no answer any more.
+     *
+     * @param call the call
+     * @param nowNanos the monotonic time in nanoseconds
+     * @param steps filled with what is to be done for others
+     */
+    public void onAbandoned(RelayCall call, long nowNanos, List<RelayStep> steps) {
+        if (call.service() == null) {
+            return;
+        }
+        line(call.service()).remove(call);
+        call.release(true);
+        drain(call.service(), nowNanos, steps);
+    }
+
+    /**
+     * Lets time pass.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @param steps filled with what is to be done
+     */
+    public void onTick(long nowNanos, List<RelayStep> steps) {
+        for (Map.Entry<ServiceId, WaitingCalls> entry : Map.copyOf(waiting).entrySet()) {
+            for (RelayCall late : entry.getValue().removeIf(call -> hopeless(call, nowNanos))) {
+                Refusal refusal = late.mayHaveRun()
+                        ? Refusal.unknown(RefusalReason.DEADLINE)
+                        : Refusal.notRun(RefusalReason.DEADLINE, COME_BACK_MILLIS);
+                steps.add(new RelayStep.Refuse(late, refusal));
+            }
+            drain(entry.getKey(), nowNanos, steps);
+        }
+    }
+
+    private boolean hopeless(RelayCall call, long nowNanos) {
+        return !choice.any(call) || nowNanos - call.deadlineNanos() >= 0;
+    }
+
+    private void drain(ServiceId id, long nowNanos, List<RelayStep> steps) {
+        Optional<RelayService> service = plan.flatMap(p -> p.service(id));
+        if (service.isEmpty() || line(id).size() == 0) {
+            return;
+        }
+        line(id).offer(call -> place(call, service.get(), nowNanos, steps));
+    }
+
+    private boolean place(RelayCall call, RelayService service, long nowNanos, List<RelayStep> steps) {
+        Optional<RelayChoice.Chosen> chosen = choice.choose(call, service, nowNanos);
+        if (chosen.isEmpty()) {
+            return false;
+        }
+        ServerView server = chosen.get().server();
+        if (server.cold(nowNanos) && service.coldPerSecond() > 0) {
+            pace.onSent(server.server().id(), service.coldPerSecond(), processes, nowNanos);
+        }
+        call.send(server, chosen.get().unreadTokens(), nowNanos);
+        if (service.engine().isPresent()) {
+            prompts.onSent(call.head().prompt(), server.server().id(), nowNanos);
+        }
+        int urgency = Math.min(MOST_URGENCY, FIRST_URGENCY + Math.max(0, call.priority()));
+        steps.add(new RelayStep.Send(call, server.server(), urgency, firstByteMillis(call, nowNanos)));
+        return true;
+    }
+
+    private static long firstByteMillis(RelayCall call, long nowNanos) {
+        long left = Math.max(1, (call.deadlineNanos() - nowNanos) / Moment.NANOS_PER_MILLI);
+        boolean mayGoOn =
+                call.route().repeatable() && call.attempts() < call.route().maxAttempts();
+        if (!mayGoOn) {
+            return left;
+        }
+        long patience = Math.max(
+                LEAST_SILENCE_MILLIS, Math.round(SILENCE_TARGETS * call.route().targetMillis()));
+        return Math.min(left, patience);
+    }
+
+    private WaitingCalls line(ServiceId service) {
+        return waiting.computeIfAbsent(service, _key -> new WaitingCalls());
+    }
+
+    private RepeatAllowance allowance(ServiceId service) {
+        return allowances.computeIfAbsent(
+                service,
+                _key -> new RepeatAllowance(bounds.repeatRatio(), bounds.repeatSlack(), bounds.repeatWindowMillis()));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RepeatAllowance.java
@@ -0,0 +1,84 @@
+package org.geraniumstand.decisions.relay;
+
+import java.util.Arrays;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.time.Moment;
+
+/** Bounds how often a service's requests are sent to a further server. */
+@Decision(
+        name = "repeat-allowance",
+        summary = "Requests go to a further server only within a part of the requests of the last seconds and this"
+                + " process's share of a fixed slack.")
+public final class RepeatAllowance {
+    private static final int SLOTS = 20;
+
+    /** Part of the allowance that is used; requests are counted when they arrive here, a moment after they were sent. */
+    private static final double USED_SHARE = 0.8;
+
+    private final double ratio;
+    private final double slack;
+    private final long slotNanos;
+    private final int[] requests = new int[SLOTS];
+    private final int[] repeats = new int[SLOTS];
+    private long slot = Long.MIN_VALUE;
+
+    /**
+     * Creates an allowance.
+     *
+     * @param ratio repeats allowed for each request in the window
+     * @param slack repeats allowed in the window beside that, over all processes
+     * @param windowMillis length of the window in milliseconds
+     */
+    public RepeatAllowance(double ratio, double slack, long windowMillis) {
+        this.ratio = ratio;
+        this.slack = slack;
+        this.slotNanos = windowMillis * Moment.NANOS_PER_MILLI / SLOTS;
+    }
+
+    /**
+     * Counts a request that arrived.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onRequest(long nowNanos) {
+        requests[index(nowNanos)]++;
+    }
+
+    /**
+     * Spends a repeat if there is one.
+     *
+     * @param processes processes that share the slack
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public boolean spend(int processes, long nowNanos) {
+        int index = index(nowNanos);
+        int seen = 0;
+        int spent = 0;
+        for (int i = 0; i < SLOTS; i++) {
+            seen += requests[i];
+            spent += repeats[i];
+        }
+        double allowed = USED_SHARE * (ratio * seen + slack / Math.max(1, processes));
+        if (spent + 1 > allowed) {
+            return false;
+        }
+        repeats[index]++;
+        return true;
+    }
+
+    private int index(long nowNanos) {
+        long current = Math.floorDiv(nowNanos, slotNanos);
+        if (slot == Long.MIN_VALUE || current - slot >= SLOTS) {
+            Arrays.fill(requests, 0);
+            Arrays.fill(repeats, 0);
+        } else {
+            for (long next = slot + 1; next <= current; next++) {
+                int index = (int) Math.floorMod(next, (long) SLOTS);
+                requests[index] = 0;
+                repeats[index] = 0;
+            }
+        }
+        slot = Math.max(slot, current);
+        return (int) Math.floorMod(current, (long) SLOTS);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -0,0 +1,131 @@
+package org.geraniumstand.decisions.relay;
+
+import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.ServerLoad;
+import org.geraniumstand.model.time.Moment;
+
+/** What this process knows about a backend server; it belongs to one thread. */
+public final class ServerView {
+    /** Milliseconds for which a told load counts; it is as of some hundred milliseconds ago when it arrives. */
+    private static final long LOAD_MILLIS = 1_500;
+
+    /** First pause after a failed connection, in milliseconds; about ten round trips to another data centre. */
+    private static final long FIRST_PAUSE_MILLIS = 250;
+
+    /** Longest pause, in milliseconds; a server that came back is found again within this time. */
+    private static final long LONGEST_PAUSE_MILLIS = 4_000;
+
+    /** Milliseconds without any byte from a server that owes some after which it counts as silent. */
+    private static final long SILENT_MILLIS = 900;
+
+    private RelayServer server;
+    private long coldUntilNanos;
+    private int inFlight;
+    private int unanswered;
+    private double pendingTokens;
+    private long lastByteNanos;
+    private long oweSinceNanos;
+    private int othersInFlight;
+    private long loadNanos;
+    private boolean loadKnown;
+    private long pauseMillis;
+    private long pausedUntilNanos;
+    private int refusals;
+
+    ServerView(RelayServer server, long nowNanos) {
+        list(server, nowNanos);
+        this.lastByteNanos = nowNanos;
+        this.pausedUntilNanos = nowNanos;
+        this.loadNanos = nowNanos;
+    }
+
+    void list(RelayServer next, long nowNanos) {
+        server = next;
+        coldUntilNanos = nowNanos + next.coldMillis() * Moment.NANOS_PER_MILLI;
+    }
+
+    /** Returns the server as listed last. */
+    public RelayServer server() {
+        return server;
+    }
+
+    /** Returns whether the server is cold. */
+    public boolean cold(long nowNanos) {
+        return nowNanos - coldUntilNanos < 0;
+    }
+
+    /** Returns the calls of this process at the server. */
+    public int inFlight() {
+        return inFlight;
+    }
+
+    /** Returns the calls at the server, those of other processes as far as they are known. */
+    public int load(long nowNanos) {
+        return inFlight + (loadFresh(nowNanos) ? othersInFlight : 0);
+    }
+
+    private boolean loadFresh(long nowNanos) {
+        return loadKnown && nowNanos - loadNanos < LOAD_MILLIS * Moment.NANOS_PER_MILLI;
+    }
+
+    /** Returns the prompt tokens of this process that the server has yet to read. */
+    public double pendingTokens() {
+        return pendingTokens;
+    }
+
+    /** Returns whether the server should be left alone for now. */
+    public boolean paused(long nowNanos) {
+        return nowNanos - pausedUntilNanos < 0 || silent(nowNanos);
+    }
+
+    private boolean silent(long nowNanos) {
+        return unanswered > 0
+                && lastByteNanos - oweSinceNanos < 0
+                && nowNanos - oweSinceNanos > SILENT_MILLIS * Moment.NANOS_PER_MILLI;
+    }
+
+    void onSent(double tokens, long nowNanos) {
+        if (unanswered == 0 || lastByteNanos - oweSinceNanos > 0) {
+            oweSinceNanos = nowNanos;
+        }
+        inFlight++;
+        unanswered++;
+        pendingTokens += tokens;
+    }
+
+    void onStarted(double tokens, long nowNanos) {
+        unanswered = Math.max(0, unanswered - 1);
+        pendingTokens = Math.max(0, pendingTokens - tokens);
+        onBytes(nowNanos);
+        pauseMillis = 0;
+    }
+
+    /** Notes that bytes came from the server. */
+    public void onBytes(long nowNanos) {
+        lastByteNanos = nowNanos;
+    }
+
+    void onReleased(double tokens) {
+        inFlight = Math.max(0, inFlight - 1);
+        pendingTokens = Math.max(0, pendingTokens - tokens);
+        unanswered = Math.min(unanswered, inFlight);
+    }
+
+    void onLoad(ServerLoad load, long nowNanos) {
+        loadKnown = true;
+        loadNanos = nowNanos;
+        othersInFlight = Math.max(0, load.running() + load.waiting() - inFlight);
+    }
+
+    /** Leaves the server alone for a while that doubles with each failure in a row. */
+    void pause(long nowNanos) {
+        pauseMillis = pauseMillis == 0 ? FIRST_PAUSE_MILLIS : Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
+        pausedUntilNanos = nowNanos + pauseMillis * Moment.NANOS_PER_MILLI;
+        refusals++;
+    }
+
+    /** Returns how often the server was left alone. */
+    public int pauses() {
+        return refusals;
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
+++ b/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
@@ -4,6 +4,9 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
+import org.geraniumstand.entry.relay.RelayProcess;
+import org.geraniumstand.entry.settings.RelaySettings;
+import org.geraniumstand.entry.settings.RelaySettingsFile;
 import org.geraniumstand.entry.settings.Settings;
 import org.geraniumstand.entry.settings.SettingsError;
 import org.geraniumstand.entry.settings.SettingsFile;
@@ -29,6 +32,9 @@
             description = "Print this help")
     private boolean help;
 
+    @Parameter(names = "--relay", description = "Relay the calls of the users' platform as they are")
+    private boolean relay;
+
     private Geraniumstand() {}
 
     /**
@@ -55,6 +61,13 @@
             return;
         }
         LogSetup.apply();
+        if (command.relay) {
+            RelaySettingsFile.read(Path.of(command.settingsFile))
+                    .fold(
+                            settings -> command.check ? confirm(command.settingsFile) : relay(settings),
+                            Geraniumstand::refuse);
+            return;
+        }
         SettingsFile.read(Path.of(command.settingsFile))
                 .fold(settings -> command.check ? confirm(command.settingsFile) : run(settings), Geraniumstand::refuse);
     }
@@ -73,6 +86,14 @@
         return true;
     }
 
+    // The process is its own server, so no container could manage its shutdown.
+    @SuppressWarnings("ShutdownHook")
+    private static boolean relay(RelaySettings settings) {
+        RelayProcess process = RelayProcess.start(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(process::stopGracefully, "stop"));
+        return true;
+    }
+
     @SuppressWarnings("SystemOut")
     private static boolean confirm(String file) {
         System.out.println(file + ": the settings are valid");
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
@@ -0,0 +1,89 @@
+package org.geraniumstand.entry.relay;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.geraniumstand.decisions.relay.RelayDesk;
+import org.geraniumstand.http.opaque.DeskTask;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.StoreFact;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.support.log.Log;
+
+/** Tells the desk what the store says. */
+final class DeskFacts implements StoreFollower.Listener {
+    private static final Log LOG = Log.of(DeskFacts.class);
+
+    private final DeskTask task;
+
+    DeskFacts(DeskTask task) {
+        this.task = task;
+    }
+
+    private RelayDesk desk() {
+        return task.desk();
+    }
+
+    @Override
+    public void onFact(StoreFact fact) {
+        apply(fact);
+        task.look();
+    }
+
+    private void apply(StoreFact fact) {
+        if (fact instanceof StoreFact.Planned planned) {
+            boolean inForce = desk().onPlan(planned.plan());
+            LOG.info("configuration-read", Field.of("version", planned.plan().version()), Field.of("inForce", inForce));
+        } else if (fact instanceof StoreFact.Listed listed) {
+            list(listed.server());
+        } else if (fact instanceof StoreFact.UnreadableServer unreadable) {
+            desk().fleet().onGone(unreadable.server());
+        } else if (fact instanceof StoreFact.DataCentreOut out) {
+            LOG.info("data-centre-out", Field.of("dataCentre", out.dataCentre()));
+            desk().fleet().onDataCentre(out.dataCentre(), true);
+        }
+    }
+
+    private void list(RelayServer server) {
+        desk().fleet().onListed(server, System.nanoTime());
+        LOG.info(
+                "server-listed",
+                Field.of("server", server.id()),
+                Field.of("service", server.service()),
+                Field.of("dataCentre", server.dataCentre()),
+                Field.of("leaving", server.leaving()),
+                Field.of("coldMillis", server.coldMillis()),
+                Field.of("reclaimable", server.reclaimable()));
+    }
+
+    @Override
+    public void onRemoved(StoreFact.Removed removed) {
+        if (removed instanceof StoreFact.Removed.Server server) {
+            LOG.info("server-gone", Field.of("server", server.server()));
+            desk().fleet().onGone(server.server());
+        } else if (removed instanceof StoreFact.Removed.DataCentreIn in) {
+            LOG.info("data-centre-in", Field.of("dataCentre", in.dataCentre()));
+            desk().fleet().onDataCentre(in.dataCentre(), false);
+        }
+        task.look();
+    }
+
+    @Override
+    public void onWhole(List<StoreFact> facts) {
+        Set<ServerId> listed = new HashSet<>();
+        Set<DataCentreId> out = new HashSet<>();
+        for (StoreFact fact : facts) {
+            if (fact instanceof StoreFact.Listed server) {
+                listed.add(server.server().id());
+            } else if (fact instanceof StoreFact.DataCentreOut dataCentre) {
+                out.add(dataCentre.dataCentre());
+            }
+        }
+        desk().fleet().retain(listed);
+        desk().fleet().onDataCentresOut(out);
+        facts.forEach(this::apply);
+        task.look();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -0,0 +1,159 @@
+package org.geraniumstand.entry.relay;
+
+import io.undertow.connector.ByteBufferPool;
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.geraniumstand.decisions.relay.RelayBounds;
+import org.geraniumstand.decisions.relay.RelayDesk;
+import org.geraniumstand.entry.settings.RelaySettings;
+import org.geraniumstand.http.opaque.DeskTask;
+import org.geraniumstand.http.opaque.OpaqueListener;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.platform.PlatformDialect;
+import org.geraniumstand.platform.PlatformFacts;
+import org.geraniumstand.platform.PlatformStore;
+import org.geraniumstand.support.io.Closer;
+import org.geraniumstand.support.log.Log;
+import org.geraniumstand.support.net.HttpCalls;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Wires the tasks of a process that relays calls as they are and gathers what must be closed. */
+public final class RelayProcess implements AutoCloseable {
+    private static final Log LOG = Log.of(RelayProcess.class);
+    private static final int BUFFER_BYTES = 8 * 1024;
+    private static final double MILLIS_IN_SECOND = 1_000;
+
+    /** Processes taken to share limits until the others are known; the users' deployments have 7 and more. */
+    private static final int PROCESSES_ASSUMED = 8;
+
+    /**
+     * Milliseconds for which a stopping process takes requests as before; the balancer asks every 1,000 and leaves
+     * after the second miss.
+     */
+    private static final long LEAVING_MILLIS = 3_500;
+
+    /** Milliseconds kept back at the end of a stop for the process to end by itself. */
+    private static final long END_MILLIS = 500;
+
+    private static final long PAUSE_MILLIS = 20;
+
+    private final Closer closer = new Closer();
+    private final RelaySettings settings;
+    private final AtomicBoolean stopping = new AtomicBoolean();
+    private final AtomicBoolean informed = new AtomicBoolean();
+    private final XnioWorker worker;
+    private final DeskTask desk;
+    private final OpaqueListener listener;
+
+    private RelayProcess(RelaySettings settings) {
+        this.settings = settings;
+        this.worker = worker();
+        closer.add(worker::shutdownNow);
+        ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
+        RelaySettings.Bounds bounds = settings.bounds();
+        RelayDesk decisions = new RelayDesk(
+                settings.dataCentre(),
+                new RelayBounds(
+                        bounds.repeatRatio(),
+                        bounds.repeatSlack(),
+                        Math.round(bounds.repeatWindowSeconds() * MILLIS_IN_SECOND),
+                        PROCESSES_ASSUMED));
+        this.desk = new DeskTask(decisions, worker.getIoThread(0));
+        HttpCalls calls = closer.add(HttpCalls.on(worker));
+        PlatformStore store = new PlatformStore(calls, settings.store());
+        DeskFacts facts = new DeskFacts(desk);
+        StoreFollower follower = new StoreFollower(store, new PlatformFacts(), calls::schedule, facts);
+        this.listener = closer.add(OpaqueListener.start(new OpaqueListener.Setup(
+                settings.callers(), settings.readiness(), worker, buffers, desk, new PlatformDialect(), this::ready)));
+        calls.schedule(follower::start, 0);
+        calls.schedule(this::lookForPlan, 0);
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param settings its settings
+     */
+    public static RelayProcess start(RelaySettings settings) {
+        RelayProcess process = new RelayProcess(settings);
+        LOG.info(
+                "process-started",
+                Field.of("process", settings.name()),
+                Field.of("dataCentre", settings.dataCentre()),
+                Field.of("address", settings.callers()));
+        return process;
+    }
+
+    private static XnioWorker worker() {
+        OptionMap options = OptionMap.builder()
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .set(Options.WORKER_NAME, "relay")
+                .getMap();
+        try {
+            return Xnio.getInstance().createWorker(options);
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot start the I/O threads", e);
+        }
+    }
+
+    private void lookForPlan() {
+        if (desk.desk().plan().isPresent()) {
+            informed.set(true);
+            LOG.info("process-ready", Field.of("process", settings.name()));
+            return;
+        }
+        worker.getIoThread(0).executeAfter(this::lookForPlan, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean ready() {
+        return informed.get() && !stopping.get();
+    }
+
+    /** Takes no new connections, finishes what is under way and returns. */
+    public void stopGracefully() {
+        stopping.set(true);
+        LOG.info("process-stopping", Field.of("process", settings.name()));
+        long start = System.nanoTime();
+        long most = Math.round(settings.bounds().stopSeconds() * MILLIS_IN_SECOND) - END_MILLIS;
+        listener.closeConnections();
+        try {
+            boolean clean = false;
+            while (millisSince(start) < most && !clean) {
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+                clean = millisSince(start) >= LEAVING_MILLIS && open() == 0;
+            }
+            LOG.info("process-stopped", Field.of("process", settings.name()), Field.of("clean", clean));
+        } catch (InterruptedException _e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warn("process-stopped", Field.of("process", settings.name()), Field.of("reason", e));
+        }
+    }
+
+    private static long millisSince(long startNanos) {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+    }
+
+    private int open() throws InterruptedException, ExecutionException, TimeoutException {
+        CompletableFuture<Integer> count = new CompletableFuture<>();
+        worker.getIoThread(0).execute(() -> count.complete(desk.open()));
+        return count.get(END_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/settings/SettingForms.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/SettingForms.java
@@ -14,6 +14,7 @@
     private static final int MAX_OCTET = 255;
     private static final Pattern NAME = Pattern.compile("[a-z0-9][a-z0-9-]{0,62}");
     private static final Pattern NUMBER = Pattern.compile("\\d{1,9}");
+    private static final Pattern DECIMAL = Pattern.compile("\\d{1,9}(\\.\\d{1,9})?");
     private static final Pattern IP = Pattern.compile("\\d{1,3}(\\.\\d{1,3}){3}");
     private static final Pattern PREFIX = Pattern.compile("[a-zA-Z0-9_-]+(/[a-zA-Z0-9_-]+)*");
     private static final String HTTP = "http://";
@@ -27,6 +28,7 @@
             new Form("1 to 65535, or 0 for any free port", false, text -> inRange(text, 0, MAX_PORT));
     static final Form URL_FORM = new Form("http://IP:port, no host name", false, SettingForms::url);
     static final Form ADDRESSES_FORM = new Form("a list of IP:port, no host names", true, SettingForms::address);
+    static final Form ADDRESS_FORM = new Form("IP:port, no host name", false, SettingForms::address);
     static final Form FILE_FORM = new Form("path of a file", false, text -> !text.isBlank());
     static final Form PREFIX_FORM = new Form(
             "letters, digits, hyphens and underscores, with slashes between",
@@ -35,6 +37,9 @@
     static final Form SECRET_FORM =
             new Form("at least " + MIN_SECRET_LENGTH + " characters without blanks", false, SettingForms::secret);
 
+    static final Form DECIMAL_FORM = new Form(
+            "a number, zero or above", false, text -> DECIMAL.matcher(text).matches());
+
     private SettingForms() {}
 
     /** Returns the form of a whole number between two bounds. */
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/SettingsDocument.java
@@ -0,0 +1,133 @@
+package org.geraniumstand.entry.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.geraniumstand.model.result.Result;
+
+/** Reads the entries of a YAML settings file and reports everything that is wrong with them at once. */
+final class SettingsDocument {
+    private final Path file;
+    private final List<Setting> schema;
+    private final List<String> problems = new ArrayList<>();
+    private final Map<String, List<String>> values = new HashMap<>();
+
+    private SettingsDocument(Path file, List<Setting> schema) {
+        this.file = file;
+        this.schema = schema;
+    }
+
+    /** Reads a file; the secrets may stand in files of their own. */
+    static Result<SettingValues, SettingsError> read(Path file, List<Setting> schema, List<SecretEntry> secrets) {
+        return new SettingsDocument(file, schema).read(secrets);
+    }
+
+    private Result<SettingValues, SettingsError> read(List<SecretEntry> secrets) {
+        try {
+            take(SettingsTree.parse(Files.readString(file)));
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
+            problems.add(file + ":" + line + ": this is not YAML");
+        } catch (IOException _e) {
+            problems.add(file + ": the file cannot be read");
+        }
+        if (problems.isEmpty()) {
+            secrets.forEach(secret -> readSecret(secret.path(), secret.filePath()));
+        }
+        return problems.isEmpty() ? Result.ok(new SettingValues(values)) : Result.err(new SettingsError(problems));
+    }
+
+    private void take(SettingsTree tree) {
+        tree.duplicates().forEach(path -> problems.add(place(tree, path) + "the entry stands twice"));
+        tree.entries().forEach((path, entry) -> {
+            Optional<Setting> setting = find(path);
+            if (setting.isEmpty()) {
+                problems.add(place(tree, path) + "there is no such entry; allowed here: " + siblings(path));
+            } else {
+                check(place(tree, path), setting.get(), entry);
+                values.put(path, entry.values());
+            }
+        });
+        for (Setting setting : schema) {
+            if (!values.containsKey(setting.path())) {
+                fillIn(setting);
+            }
+        }
+    }
+
+    private void check(String place, Setting setting, SettingsTree.Entry entry) {
+        boolean form = entry.list() == setting.form().list();
+        if (!form || !entry.values().stream().allMatch(setting.form().accepts())) {
+            problems.add(place + "the value is not allowed; allowed: "
+                    + setting.form().allowed());
+        }
+    }
+
+    private void fillIn(Setting setting) {
+        if (setting.absent().isEmpty()) {
+            problems.add(file + ": " + setting.path() + " is missing; allowed: "
+                    + setting.form().allowed());
+        } else {
+            String absent = setting.absent().get();
+            values.put(setting.path(), absent.isEmpty() ? List.of() : List.of(absent));
+        }
+    }
+
+    private void readSecret(String path, String filePath) {
+        boolean direct = !values.get(path).isEmpty();
+        boolean fromFile = !values.get(filePath).isEmpty();
+        if (direct == fromFile) {
+            problems.add(file + ": exactly one of " + path + " and " + filePath + " must be there");
+        } else if (fromFile) {
+            readSecretFile(path, filePath);
+        }
+    }
+
+    private void readSecretFile(String path, String filePath) {
+        try {
+            String secret = Files.readString(Path.of(text(filePath))).trim();
+            if (!SettingForms.secret(secret)) {
+                problems.add(file + ": the file of " + filePath + " must hold " + SettingForms.SECRET_FORM.allowed());
+            }
+            values.put(path, List.of(secret));
+        } catch (IOException _e) {
+            problems.add(file + ": the file of " + filePath + " cannot be read");
+        }
+    }
+
+    private Optional<Setting> find(String path) {
+        return schema.stream().filter(setting -> setting.path().equals(path)).findFirst();
+    }
+
+    private String text(String path) {
+        return values.get(path).get(0);
+    }
+
+    private String place(SettingsTree tree, String path) {
+        return file + ":" + tree.entries().get(path).line() + ": " + path + ": ";
+    }
+
+    private String siblings(String path) {
+        String section = path.substring(0, path.lastIndexOf('.') + 1);
+        boolean known = schema.stream().anyMatch(s -> s.path().startsWith(section));
+        return schema.stream()
+                .map(Setting::path)
+                .filter(other -> !known || other.startsWith(section))
+                .collect(Collectors.joining(", "));
+    }
+
+    /**
+     * A secret that stands in the settings or in a file of its own.
+     *
+     * @param path entry that holds the secret
+     * @param filePath entry that names its file
+     */
+    record SecretEntry(String path, String filePath) {}
+}
--- a/entry/src/main/java/org/geraniumstand/entry/settings/SettingsSchema.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/SettingsSchema.java
@@ -1,7 +1,6 @@
 package org.geraniumstand.entry.settings;
 
 import java.util.List;
-import java.util.Optional;
 
 /** All entries of the settings file; {@code docs/SETTINGS.md} lists them too. */
 final class SettingsSchema {
@@ -34,8 +33,4 @@
             Setting.required("cloud.url", SettingForms.URL_FORM, "Where host list and cloud API listen"));
 
     private SettingsSchema() {}
-
-    static Optional<Setting> find(String path) {
-        return ALL.stream().filter(setting -> setting.path().equals(path)).findFirst();
-    }
 }
--- a/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
@@ -18,7 +18,7 @@
  * <p>The server's own limit cuts the connection when a chunked body grows too large, before the caller can be told why.
  * So the bytes are counted here, and that limit only bounds what is still read after a refusal.
  */
-final class BodyReader {
+public final class BodyReader {
     private static final long READ_AFTER_REFUSAL_BYTES = 1024 * 1024;
 
     private final HttpServerExchange exchange;
@@ -28,13 +28,25 @@
     private XnioExecutor.Key timer;
     private boolean done;
 
-    BodyReader(HttpServerExchange exchange, long limit, Consumer<Result<HttpBody, Rejection>> callback) {
+    /**
+     * Creates a reader.
+     *
+     * @param exchange the caller's exchange
+     * @param limit largest body that is accepted, in bytes
+     * @param callback told the body or why there is none
+     */
+    public BodyReader(HttpServerExchange exchange, long limit, Consumer<Result<HttpBody, Rejection>> callback) {
         this.exchange = exchange;
         this.limit = limit;
         this.callback = callback;
     }
 
-    void start(long timeoutMillis) {
+    /**
+     * Starts to read.
+     *
+     * @param timeoutMillis time in which the body must have arrived, in milliseconds
+     */
+    public void start(long timeoutMillis) {
         if (exchange.getRequestContentLength() > limit) {
             finish(tooLarge());
             return;
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
@@ -12,7 +12,7 @@
 import org.xnio.IoUtils;
 
 /** Writes bytes to a caller in order and holds the backend server back while the caller is slow. */
-final class CallerOutput {
+public final class CallerOutput {
     private static final int PAUSE_BYTES = 256 * 1024;
     private static final int RESUME_BYTES = 64 * 1024;
     private static final long FLUSH_MILLIS = 2_000;
@@ -25,18 +25,32 @@
     private boolean sending;
     private Runnable onDrained;
 
-    CallerOutput(HttpServerExchange exchange) {
+    /**
+     * Creates an output without bytes.
+     *
+     * @param exchange the caller's exchange
+     */
+    public CallerOutput(HttpServerExchange exchange) {
         this.exchange = exchange;
     }
 
-    /** Holds back this attempt from now on. */
-    void hold(Flow next) {
+    /**
+     * Holds back this attempt from now on.
+     *
+     * @param next the attempt
+     */
+    public void hold(Flow next) {
         flow = next;
         paused = false;
         adjust();
     }
 
-    void send(ByteBuffer bytes) {
+    /**
+     * Sends bytes after those before.
+     *
+     * @param bytes the bytes, not to be changed afterwards
+     */
+    public void send(ByteBuffer bytes) {
         queue.add(bytes);
         queued += bytes.remaining();
         adjust();
@@ -44,17 +58,17 @@
     }
 
     /** Ends the answer after all bytes. */
-    void end() {
+    public void end() {
         drainThen(exchange::endExchange);
     }
 
     /** Cuts the connection, so that the caller sees that the answer is not whole. */
-    void cut() {
+    public void cut() {
         IoUtils.safeClose(exchange.getConnection());
     }
 
     /** Cuts the connection after all bytes, or after a while if the caller does not read them. */
-    void drainAndCut() {
+    public void drainAndCut() {
         exchange.getIoThread().executeAfter(this::cut, FLUSH_MILLIS, TimeUnit.MILLISECONDS);
         drainThen(this::cut);
     }
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerWatch.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerWatch.java
@@ -15,7 +15,7 @@
  * <p>The server does not read from a connection while a request is served. This watch reads from it; bytes of a next
  * request are pushed back, and the end of the stream means that the caller has left.
  */
-final class CallerWatch implements ReadReadyHandler {
+public final class CallerWatch implements ReadReadyHandler {
     private final HttpServerConnection connection;
     private final StreamSourceConduit conduit;
     private final Runnable onLeft;
@@ -27,8 +27,13 @@
         this.onLeft = onLeft;
     }
 
-    /** Watches until the exchange ends; the request must have been read whole. */
-    static void start(HttpServerExchange exchange, Runnable onLeft) {
+    /**
+     * Watches until the exchange ends; the request must have been read whole.
+     *
+     * @param exchange the caller's exchange
+     * @param onLeft called once when the caller has left
+     */
+    public static void start(HttpServerExchange exchange, Runnable onLeft) {
         if (!(exchange.getConnection() instanceof HttpServerConnection connection)
                 || connection.getExtraBytes() != null) {
             return;
--- a/http/src/main/java/org/geraniumstand/http/caller/RelayedHeaders.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RelayedHeaders.java
@@ -7,7 +7,7 @@
 import java.util.Set;
 
 /** Copies the headers of a backend server's answer that are meant for the caller. */
-final class RelayedHeaders {
+public final class RelayedHeaders {
     static final HttpString REQUEST_ID = new HttpString("X-Request-Id");
 
     // Headers of one connection (RFC 9110, section 7.6.1), and those that are written anew.
@@ -25,8 +25,13 @@
 
     private RelayedHeaders() {}
 
-    /** Copies all but the headers of the connection. */
-    static void copy(HeaderMap from, HeaderMap to) {
+    /**
+     * Copies all but the headers of the connection.
+     *
+     * @param from the server's answer
+     * @param to the answer to the caller
+     */
+    public static void copy(HeaderMap from, HeaderMap to) {
         for (HeaderValues values : from) {
             if (!OWN.contains(values.getHeaderName())) {
                 to.remove(values.getHeaderName());
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
@@ -0,0 +1,97 @@
+package org.geraniumstand.http.opaque;
+
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.nio.ByteBuffer;
+import org.geraniumstand.http.caller.CallerOutput;
+import org.geraniumstand.http.caller.RelayedHeaders;
+import org.geraniumstand.http.upstream.AnswerHead;
+import org.geraniumstand.http.upstream.Flow;
+import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.outside.relay.Dialect;
+import org.geraniumstand.support.json.Json;
+
+/** Writes the one answer of an exchange to its caller. */
+final class CallerAnswer {
+    private final HttpServerExchange exchange;
+    private final CallerOutput output;
+    private boolean started;
+    private boolean ended;
+
+    CallerAnswer(HttpServerExchange exchange) {
+        this.exchange = exchange;
+        this.output = new CallerOutput(exchange);
+    }
+
+    private record Problem(int status, String title, String reason, String outcome) {}
+
+    boolean started() {
+        return started;
+    }
+
+    boolean ended() {
+        return ended;
+    }
+
+    /** Holds this attempt back from now on while the caller reads slowly. */
+    void hold(Flow flow) {
+        output.hold(flow);
+    }
+
+    /** Writes the head of a server's answer whose length is not known. */
+    void start(AnswerHead head) {
+        started = true;
+        exchange.setStatusCode(head.status());
+        RelayedHeaders.copy(head.headers(), exchange.getResponseHeaders());
+    }
+
+    /** Writes a part of the body. */
+    void send(byte[] bytes) {
+        if (!ended && bytes.length > 0) {
+            output.send(ByteBuffer.wrap(bytes));
+        }
+    }
+
+    /** Ends the answer; it is whole. */
+    void end() {
+        ended = true;
+        output.end();
+    }
+
+    /** Writes a whole answer of a server. */
+    void sendWhole(AnswerHead head, byte[] body) {
+        start(head);
+        ended = true;
+        exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
+        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    }
+
+    /** Ends an answer that is not whole, so that the caller sees it. */
+    void cut() {
+        ended = true;
+        output.drainAndCut();
+    }
+
+    /** Writes a refusal, or cuts an answer that has started. */
+    void refuse(Refusal refusal, String attempt, Dialect dialect) {
+        if (ended) {
+            return;
+        }
+        if (started) {
+            cut();
+            return;
+        }
+        ended = true;
+        exchange.setStatusCode(refusal.reason().status());
+        dialect.refusal(attempt, refusal.retryAfterMillis())
+                .forEach(h -> exchange.getResponseHeaders().put(HttpString.tryFromString(h.name()), h.value()));
+        exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/problem+json");
+        exchange.getResponseSender()
+                .send(Json.write(new Problem(
+                        refusal.reason().status(),
+                        refusal.reason().summary(),
+                        refusal.reason().text(),
+                        refusal.outcome().text())));
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DeskTask.java
@@ -0,0 +1,102 @@
+package org.geraniumstand.http.opaque;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.geraniumstand.decisions.relay.RelayCall;
+import org.geraniumstand.decisions.relay.RelayDesk;
+import org.geraniumstand.decisions.relay.RelayStep;
+import org.geraniumstand.decisions.relay.RepeatRule;
+import org.geraniumstand.model.relay.ServerAnswer;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.xnio.XnioIoThread;
+
+/** Tells the desk what happens to calls and hands its steps to their tasks; runs on one I/O thread. */
+public final class DeskTask {
+    /** Milliseconds between looks at calls that wait; short against the targets of 100 and more. */
+    private static final long TICK_MILLIS = 10;
+
+    private final RelayDesk desk;
+    private final XnioIoThread thread;
+    private final Map<Long, OpaqueTask> tasks = new HashMap<>();
+    private boolean ticking;
+
+    /**
+     * Creates a task.
+     *
+     * @param desk takes the decisions
+     * @param thread the I/O thread that owns the desk
+     */
+    public DeskTask(RelayDesk desk, XnioIoThread thread) {
+        this.desk = desk;
+        this.thread = thread;
+    }
+
+    /** Returns the desk; to be used on its thread only. */
+    public RelayDesk desk() {
+        return desk;
+    }
+
+    /** Returns the calls that have no answer yet. */
+    public int open() {
+        return tasks.size();
+    }
+
+    void arrive(OpaqueTask task) {
+        tasks.put(task.call().number(), task);
+        List<RelayStep> steps = new ArrayList<>();
+        desk.arrive(task.call(), System.nanoTime(), steps);
+        run(steps);
+    }
+
+    void started(RelayCall call, ServerAnswer facts) {
+        desk.onStarted(call, facts.load(), System.nanoTime());
+    }
+
+    void ended(RelayCall call, AttemptEnd end) {
+        List<RelayStep> steps = new ArrayList<>();
+        desk.onEnded(call, end, System.nanoTime(), steps);
+        run(steps);
+    }
+
+    void abandoned(RelayCall call) {
+        List<RelayStep> steps = new ArrayList<>();
+        desk.onAbandoned(call, System.nanoTime(), steps);
+        run(steps);
+    }
+
+    void forget(RelayCall call) {
+        tasks.remove(call.number());
+    }
+
+    boolean mayRepeat(RelayCall call, AttemptEnd end) {
+        return RepeatRule.test(call, end, System.nanoTime());
+    }
+
+    /** Looks at the calls that wait, as something they wait for may have changed. */
+    public void look() {
+        List<RelayStep> steps = new ArrayList<>();
+        desk.onTick(System.nanoTime(), steps);
+        run(steps);
+    }
+
+    private void run(List<RelayStep> steps) {
+        for (RelayStep step : steps) {
+            OpaqueTask task = tasks.get(step.call().number());
+            if (task != null) {
+                task.act(step);
+            }
+        }
+        if (!ticking && desk.anyWaiting()) {
+            ticking = true;
+            thread.executeAfter(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void tick() {
+        ticking = false;
+        look();
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventCutter.java
@@ -0,0 +1,85 @@
+package org.geraniumstand.http.opaque;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.Optional;
+
+/**
+ * Cuts the bytes of a server-sent event stream at the ends of events, without changing a byte.
+ *
+ * <p>Source: WHATWG HTML, "Server-sent events". An event ends with an empty line.
+ */
+final class EventCutter {
+    private static final String ID_FIELD = "id:";
+
+    private final ByteArrayOutputStream open = new ByteArrayOutputStream();
+    private Optional<String> lastId;
+    private Optional<String> openId = Optional.empty();
+    private int lineStart;
+
+    /** Creates a cutter; the caller has the event with this id and those before it. */
+    EventCutter(Optional<String> lastId) {
+        this.lastId = lastId;
+    }
+
+    /** Returns the id of the last whole event. */
+    Optional<String> lastId() {
+        return lastId;
+    }
+
+    /** Takes in bytes and returns those of the events that are whole now, none if none is. */
+    byte[] accept(ByteBuffer bytes) {
+        int whole = 0;
+        while (bytes.hasRemaining()) {
+            byte next = bytes.get();
+            open.write(next);
+            if (next == '\n' && endsEvent()) {
+                whole = open.size();
+            }
+        }
+        return whole == 0 ? new byte[0] : take(whole);
+    }
+
+    /** Returns the bytes after the last whole event and forgets them. */
+    byte[] rest() {
+        byte[] rest = open.toByteArray();
+        forget();
+        return rest;
+    }
+
+    /** Forgets the bytes after the last whole event. */
+    void forget() {
+        open.reset();
+        lineStart = 0;
+        openId = Optional.empty();
+    }
+
+    private byte[] take(int count) {
+        byte[] all = open.toByteArray();
+        open.reset();
+        open.write(all, count, all.length - count);
+        lineStart = Math.max(0, lineStart - count);
+        return Arrays.copyOf(all, count);
+    }
+
+    private boolean endsEvent() {
+        byte[] all = open.toByteArray();
+        int end = all.length - 1;
+        if (end > lineStart && all[end - 1] == '\r') {
+            end--;
+        }
+        String line = new String(all, lineStart, end - lineStart, StandardCharsets.UTF_8);
+        lineStart = all.length;
+        if (line.startsWith(ID_FIELD)) {
+            openId = Optional.of(line.substring(ID_FIELD.length()).trim());
+        }
+        if (!line.isEmpty()) {
+            return false;
+        }
+        lastId = openId.or(() -> lastId);
+        openId = Optional.empty();
+        return true;
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueProtocol.java
@@ -0,0 +1,46 @@
+package org.geraniumstand.http.opaque;
+
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import org.geraniumstand.http.upstream.AnswerHead;
+import org.geraniumstand.http.upstream.AttemptSpec;
+import org.geraniumstand.http.upstream.ServerProtocol;
+import org.geraniumstand.model.relay.ServerAnswer;
+import org.geraniumstand.outside.relay.Dialect;
+
+/** Speaks to backend servers in a dialect. */
+final class OpaqueProtocol implements ServerProtocol {
+    private final Dialect dialect;
+
+    OpaqueProtocol(Dialect dialect) {
+        this.dialect = dialect;
+    }
+
+    @Override
+    public void writeHead(HeaderMap headers, String authority, AttemptSpec spec) {
+        headers.put(Headers.HOST, authority);
+        spec.headers().forEach(header -> {
+            HttpString name = HttpString.tryFromString(header.name());
+            if (name.equals(Headers.HOST)) {
+                headers.put(name, header.value());
+            } else {
+                headers.add(name, header.value());
+            }
+        });
+    }
+
+    @Override
+    public boolean answers(AnswerHead head, AttemptSpec spec) {
+        return read(head).attempt().map(spec.identity()::equals).orElse(true);
+    }
+
+    @Override
+    public boolean vouchesNotRun(AnswerHead head) {
+        return read(head).notRun();
+    }
+
+    ServerAnswer read(AnswerHead head) {
+        return dialect.answer(head.status(), new UndertowHeaders(head.headers()));
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -0,0 +1,283 @@
+package org.geraniumstand.http.opaque;
+
+import io.undertow.server.HttpServerExchange;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.geraniumstand.decisions.Action;
+import org.geraniumstand.decisions.relay.RelayCall;
+import org.geraniumstand.decisions.relay.RelayStep;
+import org.geraniumstand.http.upstream.AnswerHead;
+import org.geraniumstand.http.upstream.Attempt;
+import org.geraniumstand.http.upstream.AttemptListener;
+import org.geraniumstand.http.upstream.AttemptSpec;
+import org.geraniumstand.model.relay.CallKind;
+import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.RelayTeam;
+import org.geraniumstand.model.relay.ServerAnswer;
+import org.geraniumstand.model.relay.ServerCall;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.Outcome;
+import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.model.request.RefusalReason;
+import org.geraniumstand.model.time.Moment;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.support.log.Log;
+import org.geraniumstand.support.net.HttpBody;
+import org.xnio.XnioExecutor;
+
+/** Owns a caller's exchange and the attempts to answer it; all of it runs on one I/O thread. */
+final class OpaqueTask {
+    private static final Log LOG = Log.of(OpaqueTask.class);
+    private static final int SUCCESS_CLASS = 2;
+    private static final int STATUS_CLASS = 100;
+    private static final int SERVER_ERROR = 500;
+
+    /** Bytes of an answer that are held until it is whole, so that a broken one can be replaced. */
+    private static final int HELD_BYTES = 256 * 1024;
+
+    private final HttpServerExchange exchange;
+    private final RelayCall call;
+    private final HttpBody body;
+    private final OpaqueTools tools;
+    private final CallerAnswer answer;
+    private final EventCutter events;
+    private XnioExecutor.Key deadline;
+    private Attempt attempt;
+    private boolean done;
+
+    OpaqueTask(HttpServerExchange exchange, RelayCall call, HttpBody body, OpaqueTools tools) {
+        this.exchange = exchange;
+        this.call = call;
+        this.body = body;
+        this.tools = tools;
+        this.answer = new CallerAnswer(exchange);
+        this.events = new EventCutter(call.head().lastEvent());
+    }
+
+    /** Watches the call's deadline. */
+    void start() {
+        long leftNanos = Math.max(0, call.deadlineNanos() - System.nanoTime());
+        deadline = tools.thread().executeAfter(this::onDeadline, leftNanos, TimeUnit.NANOSECONDS);
+    }
+
+    void act(RelayStep step) {
+        if (done) {
+            return;
+        }
+        if (step instanceof RelayStep.Send send) {
+            launch(send);
+        } else if (step instanceof RelayStep.Refuse refuse) {
+            refuse(refuse.refusal());
+        }
+    }
+
+    void onCallerLeft() {
+        if (done) {
+            return;
+        }
+        LOG.info("caller-left", Field.of("request", call.head().attempt()), Field.of("attempts", call.attempts()));
+        finish();
+        tools.desk().abandoned(call);
+    }
+
+    private void onDeadline() {
+        deadline = null;
+        if (done) {
+            return;
+        }
+        boolean ran = call.server() != null || call.mayHaveRun();
+        Refusal refusal = ran
+                ? Refusal.unknown(RefusalReason.TIMED_OUT)
+                : new Refusal(RefusalReason.DEADLINE, Outcome.NOT_RUN, 0);
+        finish();
+        tools.desk().abandoned(call);
+        logRefusal(refusal);
+        answer.refuse(refusal, call.head().attempt(), tools.dialect());
+    }
+
+    private void launch(RelayStep.Send send) {
+        RelayServer server = send.server();
+        long leftMillis = Math.max(1, (call.deadlineNanos() - System.nanoTime()) / Moment.NANOS_PER_MILLI);
+        ServerCall words = new ServerCall(
+                server.id(), call.team().map(RelayTeam::id), leftMillis, events.lastId(), send.urgency());
+        LOG.info(
+                "call-sent",
+                Field.of("request", call.head().attempt()),
+                Field.of("route", call.route().id()),
+                Field.of("server", server.id()),
+                Field.of("attempt", call.attempts()),
+                Field.of("load", call.server() == null ? 0 : call.server().inFlight()),
+                Field.of("leftMillis", leftMillis));
+        AttemptSpec spec = new AttemptSpec(
+                server.address(),
+                server.port(),
+                exchange.getRequestMethod().toString(),
+                target(),
+                tools.dialect().toServer(new UndertowHeaders(exchange.getRequestHeaders()), words),
+                call.head().attempt(),
+                body,
+                new Action.AttemptLimits(
+                        send.firstByteMillis(), leftMillis, !call.route().repeatable()),
+                tools.protocol());
+        events.forget();
+        attempt = tools.upstream().prepare(spec, tools.thread(), new Progress());
+        attempt.start();
+    }
+
+    private String target() {
+        String query = exchange.getQueryString();
+        return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + "?" + query;
+    }
+
+    private void refuse(Refusal refusal) {
+        finish();
+        logRefusal(refusal);
+        answer.refuse(refusal, call.head().attempt(), tools.dialect());
+    }
+
+    private void logRefusal(Refusal refusal) {
+        LOG.info(
+                "call-refused",
+                Field.of("request", call.head().attempt()),
+                Field.of("route", call.route().id()),
+                Field.of("reason", refusal.reason().text()),
+                Field.of("outcome", refusal.outcome().text()),
+                Field.of("attempts", call.attempts()),
+                Field.of("waitedMillis", (System.nanoTime() - call.arrivedNanos()) / Moment.NANOS_PER_MILLI));
+    }
+
+    private void finish() {
+        done = true;
+        if (deadline != null) {
+            deadline.remove();
+        }
+        if (attempt != null) {
+            attempt.cancel();
+        }
+        tools.desk().forget(call);
+    }
+
+    /** Passes on what one attempt brings. */
+    private final class Progress implements AttemptListener {
+        private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+        private AnswerHead head;
+        private ServerAnswer facts;
+        private boolean success;
+
+        @Override
+        public void onHead(AnswerHead arrived) {
+            head = arrived;
+            facts = tools.protocol().read(arrived);
+            success = head.status() / STATUS_CLASS == SUCCESS_CLASS && facts.signed();
+            tools.desk().started(call, facts);
+            if (success && answer.started()) {
+                answer.hold(attempt);
+            }
+        }
+
+        @Override
+        public void onBytes(ByteBuffer bytes) {
+            if (call.server() != null) {
+                call.server().onBytes(System.nanoTime());
+            }
+            if (success && call.route().kind() == CallKind.STREAM) {
+                pass(events.accept(bytes));
+                return;
+            }
+            byte[] part = new byte[bytes.remaining()];
+            bytes.get(part);
+            if (answer.started()) {
+                answer.send(part);
+                return;
+            }
+            held.write(part, 0, part.length);
+            if (success && held.size() > HELD_BYTES) {
+                pass(held.toByteArray());
+                held.reset();
+            }
+        }
+
+        private void pass(byte[] bytes) {
+            if (bytes.length == 0) {
+                return;
+            }
+            if (!answer.started()) {
+                answer.start(head);
+                answer.hold(attempt);
+                call.onRelayed();
+            }
+            answer.send(bytes);
+        }
+
+        @Override
+        public void onEnd(AttemptEnd end) {
+            AttemptEnd judged = judge(end);
+            LOG.info(
+                    "attempt-ended",
+                    Field.of("request", call.head().attempt()),
+                    Field.of("attempt", call.attempts()),
+                    Field.of("end", judged),
+                    Field.of("status", head == null ? 0 : head.status()),
+                    Field.of("millis", (System.nanoTime() - call.sentNanos()) / Moment.NANOS_PER_MILLI));
+            boolean answered = judged == AttemptEnd.ANSWERED || ownFailure(judged);
+            if (answered) {
+                complete();
+            }
+            tools.desk().ended(call, answered ? AttemptEnd.ANSWERED : judged);
+        }
+
+        private AttemptEnd judge(AttemptEnd end) {
+            if (end != AttemptEnd.ANSWERED && end != AttemptEnd.SERVER_ERROR) {
+                return end;
+            }
+            if (answer.started() && !success) {
+                // What was relayed cannot be completed by another answer.
+                return AttemptEnd.BROKEN;
+            }
+            if (head.status() / STATUS_CLASS == SUCCESS_CLASS && !facts.signed()) {
+                // Nobody vouches for the answer.
+                return AttemptEnd.BROKEN;
+            }
+            return head.status() >= SERVER_ERROR ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED;
+        }
+
+        /** A server's own failure is the answer unless another server may do better. */
+        private boolean ownFailure(AttemptEnd judged) {
+            return judged == AttemptEnd.SERVER_ERROR
+                    && !answer.started()
+                    && !tools.desk().mayRepeat(call, judged);
+        }
+
+        private void complete() {
+            done = true;
+            if (deadline != null) {
+                deadline.remove();
+            }
+            tools.desk().forget(call);
+            if (!success) {
+                answer.sendWhole(head, held.toByteArray());
+                return;
+            }
+            if (call.route().kind() == CallKind.STREAM) {
+                pass(events.rest());
+            }
+            if (answer.started()) {
+                answer.end();
+            } else {
+                answer.sendWhole(head, held.toByteArray());
+            }
+        }
+    }
+
+    /** Returns the call. */
+    RelayCall call() {
+        return call;
+    }
+
+    /** Returns the last event that was relayed, if any. */
+    Optional<String> lastEvent() {
+        return events.lastId();
+    }
+}
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -9,7 +9,6 @@
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
 import io.undertow.util.Methods;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -29,8 +28,9 @@
 public final class Attempt implements Flow {
     private static final long PROVEN_MILLIS = 300;
     private static final long REUSE_MILLIS = 5_000;
-    private static final int REUSE_BODY_BYTES = 16 * 1024;
-    private static final HttpString IDENTITY = new HttpString("X-Request-Id");
+
+    /** Milliseconds for a connection to be made; a round trip takes a few, a lost packet is sent again after 1,000. */
+    private static final long CONNECT_MILLIS = 500;
 
     private final AttemptSpec spec;
     private final Origin origin;
@@ -41,7 +41,9 @@
     private ClientConnection connection;
     private StreamSourceChannel answer;
     private AnswerHead head;
+    private BodyWriter writer;
     private XnioExecutor.Key silence;
+    private long startNanos;
     private long lastByteNanos;
     private boolean paused;
     private boolean done;
@@ -63,7 +65,8 @@
 
     /** Connects and sends the request. */
     public void start() {
-        lastByteNanos = System.nanoTime();
+        startNanos = System.nanoTime();
+        lastByteNanos = startNanos;
         watchSilence(spec.limits().firstByteMillis());
         long reuse = spec.limits().provenConnection() ? PROVEN_MILLIS : REUSE_MILLIS;
         shelf.take(origin.uri(), reuse).ifPresentOrElse(this::sendOn, this::connect);
@@ -126,16 +129,15 @@
         ClientRequest request =
                 new ClientRequest().setMethod(Methods.fromString(spec.method())).setPath(spec.path());
         HeaderMap headers = request.getRequestHeaders();
-        headers.put(Headers.HOST, origin.authority());
         headers.put(Headers.CONTENT_LENGTH, spec.body().size());
-        headers.put(IDENTITY, spec.identity());
-        spec.headers().forEach(h -> headers.put(HttpString.tryFromString(h.name()), h.value()));
+        spec.protocol().writeHead(headers, origin.authority(), spec);
         open.sendRequest(request, Callbacks.of(this::writeBody, _e -> fail(AttemptEnd.BROKEN)));
     }
 
     private void writeBody(ClientExchange exchange) {
         exchange.setResponseListener(Callbacks.of(this::readHead, _e -> fail(AttemptEnd.BROKEN)));
-        new BodyWriter(exchange.getRequestChannel(), spec.body(), () -> fail(AttemptEnd.BROKEN)).start();
+        writer = new BodyWriter(exchange.getRequestChannel(), spec.body(), () -> fail(AttemptEnd.BROKEN));
+        writer.start();
     }
 
     private void readHead(ClientExchange exchange) {
@@ -143,14 +145,13 @@
             return;
         }
         ClientResponse response = exchange.getResponse();
-        String identity = response.getResponseHeaders().getFirst(IDENTITY);
-        if (identity != null && !identity.equals(spec.identity())) {
+        head = new AnswerHead(response.getResponseCode(), response.getResponseHeaders());
+        if (!spec.protocol().answers(head, spec)) {
             // The answer belongs to another request, so this connection is out of step.
             fail(AttemptEnd.BROKEN);
             return;
         }
         lastByteNanos = System.nanoTime();
-        head = new AnswerHead(response.getResponseCode(), response.getResponseHeaders());
         answer = exchange.getResponseChannel();
         answer.getReadSetter().set((ChannelListener<StreamSourceChannel>) this::drain);
         watchSilence(spec.limits().betweenBytesMillis());
@@ -183,13 +184,13 @@
 
     private void complete() {
         finish();
-        if (spec.body().size() <= REUSE_BODY_BYTES) {
+        if (writer.written()) {
             shelf.put(origin.uri(), connection);
         } else {
-            // A large body may not be read whole by a server that answered early.
+            // The server answered early and still waits for the rest of the body.
             IoUtils.safeClose(connection);
         }
-        if (head.vouchesNotRun()) {
+        if (spec.protocol().vouchesNotRun(head)) {
             listener.onEnd(AttemptEnd.DECLINED);
         } else {
             listener.onEnd(head.serverError() ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED);
@@ -211,8 +212,15 @@
             silence.remove();
         }
         long quietMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - lastByteNanos);
-        silence = thread.executeAfter(
-                () -> checkSilence(limitMillis), Math.max(1, limitMillis - quietMillis), TimeUnit.MILLISECONDS);
+        long leftMillis = limitMillis - quietMillis;
+        if (connection == null) {
+            leftMillis = Math.min(leftMillis, CONNECT_MILLIS - sinceStartMillis());
+        }
+        silence = thread.executeAfter(() -> checkSilence(limitMillis), Math.max(1, leftMillis), TimeUnit.MILLISECONDS);
+    }
+
+    private long sinceStartMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
     }
 
     private void checkSilence(long limitMillis) {
@@ -223,7 +231,9 @@
         if (paused) {
             lastByteNanos = System.nanoTime();
         }
-        if (System.nanoTime() - lastByteNanos >= TimeUnit.MILLISECONDS.toNanos(limitMillis)) {
+        if (connection == null && sinceStartMillis() >= CONNECT_MILLIS) {
+            fail(AttemptEnd.NOT_CONNECTED);
+        } else if (System.nanoTime() - lastByteNanos >= TimeUnit.MILLISECONDS.toNanos(limitMillis)) {
             fail(connection == null ? AttemptEnd.NOT_CONNECTED : AttemptEnd.SILENT);
         } else {
             watchSilence(limitMillis);
--- a/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
+++ b/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
@@ -22,6 +22,10 @@
     BODY_TOO_LARGE("body-too-large", 413, "The body is larger than the route accepts."),
     /** The team has more work waiting than its share. */
     OVER_SHARE("over-share", 429, "The team has more work waiting than its share."),
+    /** The team has used up its quota. */
+    OVER_QUOTA("over-quota", 429, "The team has used up its quota."),
+    /** The process has no configuration yet. */
+    NO_CONFIGURATION("no-configuration", 503, "The process has no configuration yet."),
     /** No backend server can answer before the deadline. */
     DEADLINE("deadline", 503, "No backend server can answer before the deadline."),
     /** No backend server of the service may take the request now. */
@@ -32,6 +36,8 @@
     STOPPING("stopping", 503, "The process is stopping."),
     /** The backend server failed and the request may not be repeated. */
     SERVER_FAILED("server-failed", 502, "The backend server failed and the request may not be repeated."),
+    /** The route's time for an answer is over. */
+    TIMED_OUT("timed-out", 504, "The route's time for an answer is over."),
     /** The backend server fell silent and the request may not be repeated. */
     SERVER_SILENT("server-silent", 504, "The backend server fell silent and the request may not be repeated.");
 
--- a/support/src/main/java/org/geraniumstand/support/net/BodyWriter.java
+++ b/support/src/main/java/org/geraniumstand/support/net/BodyWriter.java
@@ -10,6 +10,7 @@
     private final StreamSinkChannel channel;
     private final ByteBuffer buffer;
     private final Runnable onFailure;
+    private boolean written;
 
     /**
      * Creates a writer.
@@ -30,6 +31,11 @@
         write();
     }
 
+    /** Returns whether the whole body was handed to the connection. */
+    public boolean written() {
+        return written;
+    }
+
     private void write() {
         try {
             while (buffer.hasRemaining()) {
@@ -40,6 +46,7 @@
             }
             channel.shutdownWrites();
             if (channel.flush()) {
+                written = true;
                 channel.suspendWrites();
             } else {
                 channel.resumeWrites();
--- a/support/src/main/java/org/geraniumstand/support/net/HttpCalls.java
+++ b/support/src/main/java/org/geraniumstand/support/net/HttpCalls.java
@@ -28,8 +28,20 @@
     private final ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final ConnectionShelf shelf = new ConnectionShelf();
 
-    private HttpCalls(XnioWorker worker) {
+    private final boolean ownsWorker;
+
+    private HttpCalls(XnioWorker worker, boolean ownsWorker) {
         this.worker = worker;
+        this.ownsWorker = ownsWorker;
+    }
+
+    /**
+     * Makes the calls on the first I/O thread of a worker that others use too.
+     *
+     * @param worker the worker; closing the calls leaves it running
+     */
+    public static HttpCalls on(XnioWorker worker) {
+        return new HttpCalls(worker, false);
     }
 
     /**
@@ -46,7 +58,7 @@
                 .set(Options.WORKER_NAME, name)
                 .getMap();
         try {
-            return new HttpCalls(Xnio.getInstance().createWorker(options));
+            return new HttpCalls(Xnio.getInstance().createWorker(options), true);
         } catch (IOException e) {
             throw new UncheckedIOException("cannot start an I/O thread", e);
         }
@@ -76,6 +88,9 @@
 
     @Override
     public void close() {
+        if (!ownsWorker) {
+            return;
+        }
         worker.shutdownNow();
         try {
             // The thread may still read; it must not find the buffers closed.
