--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -4,6 +4,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -11,11 +12,13 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDesk;
+import org.geraniumstand.decisions.relay.UsageBook;
 import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.http.opaque.DeskTask;
 import org.geraniumstand.http.opaque.OpaqueListener;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.platform.PlatformDialect;
+import org.geraniumstand.platform.PlatformDuties;
 import org.geraniumstand.platform.PlatformFacts;
 import org.geraniumstand.platform.PlatformStore;
 import org.geraniumstand.support.io.Closer;
@@ -44,6 +47,9 @@
     /** Milliseconds kept back at the end of a stop for the process to end by itself. */
     private static final long END_MILLIS = 500;
 
+    /** Milliseconds for the last counts to reach the store, which answers in a few. */
+    private static final long FLUSH_MILLIS = 100;
+
     private static final long PAUSE_MILLIS = 20;
 
     private final Closer closer = new Closer();
@@ -53,6 +59,8 @@
     private final XnioWorker worker;
     private final DeskTask desk;
     private final OpaqueListener listener;
+    private final DutyLease lease;
+    private final UsageTask usage;
 
     private RelayProcess(RelaySettings settings) {
         this.settings = settings;
@@ -67,15 +75,30 @@
                         bounds.repeatSlack(),
                         Math.round(bounds.repeatWindowSeconds() * MILLIS_IN_SECOND),
                         PROCESSES_ASSUMED));
-        this.desk = new DeskTask(decisions, worker.getIoThread(0));
         HttpCalls calls = closer.add(HttpCalls.on(worker));
         PlatformStore store = new PlatformStore(calls, settings.store());
+        PlatformDuties duties = new PlatformDuties(calls, settings.cloud());
+        String incarnation = settings.name() + "-" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
+        Random random = new Random(incarnation.hashCode());
+        this.lease = new DutyLease(store, calls::schedule, random, settings.name(), bounds.leaseMillis());
+        this.usage = new UsageTask(
+                store,
+                duties,
+                lease,
+                calls::schedule,
+                incarnation,
+                new UsageBook(Math.round(bounds.usageWindowSeconds() * MILLIS_IN_SECOND)),
+                Math.round(bounds.usageLateSeconds() * MILLIS_IN_SECOND));
+        this.desk = new DeskTask(decisions, worker.getIoThread(0), usage::onBegan);
         DeskFacts facts = new DeskFacts(desk);
-        StoreFollower follower = new StoreFollower(store, new PlatformFacts(), calls::schedule, facts);
+        StoreFollower follower =
+                new StoreFollower(store, new PlatformFacts(), calls::schedule, facts, this::onOwnKeyRemoved);
         this.listener = closer.add(OpaqueListener.start(new OpaqueListener.Setup(
                 settings.callers(), settings.readiness(), worker, buffers, desk, new PlatformDialect(), this::ready)));
         calls.schedule(follower::start, 0);
         calls.schedule(this::lookForPlan, 0);
+        calls.schedule(lease::start, 0);
+        calls.schedule(usage::start, 0);
     }
 
     /**
@@ -108,6 +131,12 @@
         }
     }
 
+    private void onOwnKeyRemoved(String key) {
+        if (key.equals(DutyLease.KEY)) {
+            lease.onFree();
+        }
+    }
+
     private void lookForPlan() {
         if (desk.desk().plan().isPresent()) {
             informed.set(true);
@@ -127,6 +156,7 @@
         LOG.info("process-stopping", Field.of("process", settings.name()));
         long start = System.nanoTime();
         long most = Math.round(settings.bounds().stopSeconds() * MILLIS_IN_SECOND) - END_MILLIS;
+        worker.getIoThread(0).execute(lease::end);
         listener.closeConnections();
         try {
             boolean clean = false;
@@ -134,6 +164,8 @@
                 TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
                 clean = millisSince(start) >= LEAVING_MILLIS && open() == 0;
             }
+            worker.getIoThread(0).execute(usage::flush);
+            TimeUnit.MILLISECONDS.sleep(FLUSH_MILLIS);
             LOG.info("process-stopped", Field.of("process", settings.name()), Field.of("clean", clean));
         } catch (InterruptedException _e) {
             Thread.currentThread().interrupt();
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -49,8 +49,10 @@
     private final FactReader reader;
     private final Timer timer;
     private final Listener listener;
+    private final Consumer<String> onOwnKeyRemoved;
     private final Map<String, StoreFact> known = new TreeMap<>();
     private final Map<ServerId, Long> missing = new HashMap<>();
+    private final Map<ServerId, StoreFact> kept = new HashMap<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean out;
     private boolean failed;
@@ -68,7 +70,9 @@
         void onWhole(List<StoreFact> facts);
     }
 
-    StoreFollower(RevisionStore store, FactReader reader, Timer timer, Listener listener) {
+    StoreFollower(
+            RevisionStore store, FactReader reader, Timer timer, Listener listener, Consumer<String> onOwnKeyRemoved) {
+        this.onOwnKeyRemoved = onOwnKeyRemoved;
         this.store = store;
         this.reader = reader;
         this.timer = timer;
@@ -120,8 +124,6 @@
         }
     }
 
-    private final Map<ServerId, StoreFact> kept = new HashMap<>();
-
     private void watch(long since) {
         store.watch("", since, WATCH_MILLIS, result -> {
             if (result instanceof Result.Ok<RevisionStore.Changes, StoreError> ok) {
@@ -137,6 +139,9 @@
 
     private void take(Change change) {
         if (reader.prefixes().stream().noneMatch(change.key()::startsWith)) {
+            if (change.value().isEmpty()) {
+                onOwnKeyRemoved.accept(change.key());
+            }
             return;
         }
         if (change.value().isEmpty()) {
--- a/http/src/main/java/org/geraniumstand/http/opaque/DeskTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DeskTask.java
@@ -5,10 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.geraniumstand.decisions.relay.RelayCall;
 import org.geraniumstand.decisions.relay.RelayDesk;
 import org.geraniumstand.decisions.relay.RelayStep;
 import org.geraniumstand.decisions.relay.RepeatRule;
+import org.geraniumstand.model.id.TeamId;
 import org.geraniumstand.model.relay.ServerAnswer;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.xnio.XnioIoThread;
@@ -20,6 +22,7 @@
 
     private final RelayDesk desk;
     private final XnioIoThread thread;
+    private final Consumer<TeamId> onBegan;
     private final Map<Long, OpaqueTask> tasks = new HashMap<>();
     private boolean ticking;
 
@@ -28,9 +31,11 @@
      *
      * @param desk takes the decisions
      * @param thread the I/O thread that owns the desk
+     * @param onBegan told the team of each request that a server began to run
      */
-    public DeskTask(RelayDesk desk, XnioIoThread thread) {
+    public DeskTask(RelayDesk desk, XnioIoThread thread, Consumer<TeamId> onBegan) {
         this.desk = desk;
+        this.onBegan = onBegan;
         this.thread = thread;
     }
 
@@ -53,6 +58,14 @@
 
     void started(RelayCall call, ServerAnswer facts) {
         desk.onStarted(call, facts.load(), System.nanoTime());
+        if (!facts.notRun()) {
+            began(call);
+        }
+    }
+
+    /** Notes that a server ran a call, or most likely did. */
+    void began(RelayCall call) {
+        call.team().ifPresent(team -> onBegan.accept(team.id()));
     }
 
     void ended(RelayCall call, AttemptEnd end) {
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -222,6 +222,10 @@
                     Field.of("status", head == null ? 0 : head.status()),
                     Field.of("millis", (System.nanoTime() - call.sentNanos()) / Moment.NANOS_PER_MILLI));
             boolean answered = judged == AttemptEnd.ANSWERED || ownFailure(judged);
+            if (judged == AttemptEnd.BROKEN && head == null) {
+                // The server most likely ran the call and its answer was lost.
+                tools.desk().began(call);
+            }
             if (answered) {
                 complete();
             }
