--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -4,12 +4,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.relay.CallerHead;
 import org.geraniumstand.model.relay.RelayPlan;
 import org.geraniumstand.model.relay.RelayRoute;
 import org.geraniumstand.model.relay.RelayService;
+import org.geraniumstand.model.relay.RelayTeam;
 import org.geraniumstand.model.relay.ServerLoad;
 import org.geraniumstand.model.relay.ServiceShare;
 import org.geraniumstand.model.request.AttemptEnd;
@@ -40,6 +43,7 @@
     private final RelayFleet fleet = new RelayFleet();
     private final PromptHomes prompts = new PromptHomes();
     private final ColdPace pace = new ColdPace();
+    private final QuotaBook quotas = new QuotaBook();
     private final RelayChoice choice;
     private final Map<ServiceId, WaitingCalls> waiting = new HashMap<>();
     private final Map<ServiceId, RepeatAllowance> allowances = new HashMap<>();
@@ -68,6 +72,29 @@
         return fleet;
     }
 
+    /** Returns the teams' quotas. */
+    public QuotaBook quotas() {
+        return quotas;
+    }
+
+    /**
+     * Lets a call pass its team's quota or refuses it.
+     *
+     * @param head the call's head
+     * @param team its team
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the refusal, or nothing if the call passes
+     */
+    public Optional<Refusal> overQuota(CallerHead head, Optional<RelayTeam> team, long nowNanos) {
+        if (team.isEmpty()) {
+            return Optional.empty();
+        }
+        OptionalLong wait = quotas.spend(team.get(), QuotaBook.cost(team.get(), head), nowNanos);
+        return wait.isPresent()
+                ? Optional.of(Refusal.notRun(RefusalReason.OVER_QUOTA, wait.getAsLong()))
+                : Optional.empty();
+    }
+
     /** Returns the number of calls of a service that wait. */
     public int waiting(ServiceId service) {
         return line(service).size();
--- a/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
@@ -17,9 +17,17 @@
     private static final Log LOG = Log.of(DeskFacts.class);
 
     private final DeskTask task;
+    private final PlanListener onPlan;
 
-    DeskFacts(DeskTask task) {
+    /** Told a configuration that came into force. */
+    @FunctionalInterface
+    interface PlanListener {
+        void accept(long version, String text);
+    }
+
+    DeskFacts(DeskTask task, PlanListener onPlan) {
         this.task = task;
+        this.onPlan = onPlan;
     }
 
     private RelayDesk desk() {
@@ -36,6 +44,9 @@
         if (fact instanceof StoreFact.Planned planned) {
             boolean inForce = desk().onPlan(planned.plan());
             LOG.info("configuration-read", Field.of("version", planned.plan().version()), Field.of("inForce", inForce));
+            if (inForce) {
+                onPlan.accept(planned.plan().version(), planned.text());
+            }
         } else if (fact instanceof StoreFact.Listed listed) {
             list(listed.server());
         } else if (fact instanceof StoreFact.UnreadableServer unreadable) {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -10,12 +10,14 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDesk;
 import org.geraniumstand.decisions.relay.UsageBook;
 import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.http.opaque.DeskTask;
 import org.geraniumstand.http.opaque.OpaqueListener;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.platform.PlatformDialect;
 import org.geraniumstand.platform.PlatformDuties;
@@ -42,7 +44,7 @@
      * Milliseconds for which a stopping process takes requests as before; the balancer asks every 1,000 and leaves
      * after the second miss.
      */
-    private static final long LEAVING_MILLIS = 3_500;
+    private static final long LEAVING_MILLIS = 2_900;
 
     /** Milliseconds kept back at the end of a stop for the process to end by itself. */
     private static final long END_MILLIS = 500;
@@ -61,6 +63,8 @@
     private final OpaqueListener listener;
     private final DutyLease lease;
     private final UsageTask usage;
+    private final PeerTask peers;
+    private final MemberRow member;
 
     private RelayProcess(RelaySettings settings) {
         this.settings = settings;
@@ -90,15 +94,24 @@
                 new UsageBook(Math.round(bounds.usageWindowSeconds() * MILLIS_IN_SECOND)),
                 Math.round(bounds.usageLateSeconds() * MILLIS_IN_SECOND));
         this.desk = new DeskTask(decisions, worker.getIoThread(0), usage::onBegan);
-        DeskFacts facts = new DeskFacts(desk);
-        StoreFollower follower =
-                new StoreFollower(store, new PlatformFacts(), calls::schedule, facts, this::onOwnKeyRemoved);
+        PlatformFacts reader = new PlatformFacts();
+        AtomicReference<DeskFacts> facts = new AtomicReference<>();
+        this.peers = closer.add(PeerTask.start(
+                settings,
+                new ProcessId(incarnation),
+                decisions,
+                calls::schedule,
+                text -> facts.get().onFact(reader.plan(text))));
+        facts.set(new DeskFacts(desk, peers::onPlan));
+        this.member = new MemberRow(store, calls::schedule, peers);
+        StoreFollower follower = new StoreFollower(store, reader, calls::schedule, facts.get(), this::onOwnKeyRemoved);
         this.listener = closer.add(OpaqueListener.start(new OpaqueListener.Setup(
                 settings.callers(), settings.readiness(), worker, buffers, desk, new PlatformDialect(), this::ready)));
         calls.schedule(follower::start, 0);
         calls.schedule(this::lookForPlan, 0);
         calls.schedule(lease::start, 0);
         calls.schedule(usage::start, 0);
+        calls.schedule(member::start, 0);
     }
 
     /**
@@ -157,12 +170,16 @@
         long start = System.nanoTime();
         long most = Math.round(settings.bounds().stopSeconds() * MILLIS_IN_SECOND) - END_MILLIS;
         worker.getIoThread(0).execute(lease::end);
+        worker.getIoThread(0).execute(member::end);
+        peers.announceStop();
         listener.closeConnections();
         try {
-            boolean clean = false;
+            TimeUnit.MILLISECONDS.sleep(LEAVING_MILLIS);
+            listener.takeNoMore();
+            boolean clean = open() == 0;
             while (millisSince(start) < most && !clean) {
                 TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
-                clean = millisSince(start) >= LEAVING_MILLIS && open() == 0;
+                clean = open() == 0;
             }
             worker.getIoThread(0).execute(usage::flush);
             TimeUnit.MILLISECONDS.sleep(FLUSH_MILLIS);
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -43,11 +43,16 @@
     /** When a caller is told to come back while there is no configuration, in milliseconds. */
     private static final long NO_PLAN_MILLIS = 300;
 
+    /** When a caller is told to come back while the process ends, in milliseconds; another process is ready. */
+    private static final long STOPPING_MILLIS = 50;
+
     private final OpaqueTools tools;
     private final Undertow server;
     private final BooleanSupplier ready;
+    private final CallerConnections connections = new CallerConnections();
     private long numbers;
     private boolean leaving;
+    private boolean closed;
 
     /**
      * What the listener needs to know and to call.
@@ -106,6 +111,14 @@
         tools.thread().execute(() -> leaving = true);
     }
 
+    /** Takes no more requests: refuses new ones and closes the connections on which none is under way. */
+    public void takeNoMore() {
+        tools.thread().execute(() -> {
+            closed = true;
+            connections.closeIdle();
+        });
+    }
+
     @Override
     public void close() {
         server.stop();
@@ -122,9 +135,17 @@
 
     private void start(HttpServerExchange exchange) {
         long arrived = System.nanoTime();
+        connections.onRequest(exchange);
         if (leaving) {
             exchange.setPersistent(false);
         }
+        if (closed) {
+            reject(
+                    exchange,
+                    new Rejection(
+                            Refusal.notRun(RefusalReason.STOPPING, STOPPING_MILLIS), "the process ends in a moment"));
+            return;
+        }
         Optional<RelayPlan> plan = tools.desk().desk().plan();
         if (plan.isEmpty()) {
             reject(
@@ -167,6 +188,18 @@
     }
 
     private void serve(HttpServerExchange exchange, OpaqueRequest request, HttpBody body, long arrived) {
+        Optional<Refusal> refusal = tools.desk().desk().overQuota(request.head(), request.team(), System.nanoTime());
+        if (refusal.isPresent()) {
+            reject(
+                    exchange,
+                    new Rejection(
+                            refusal.get(),
+                            "quota of "
+                                    + request.team()
+                                            .map(team -> team.id().value())
+                                            .orElse("")));
+            return;
+        }
         OptionalLong wait = request.head().waitMillis();
         long millis = Math.min(
                 wait.orElse(request.route().timeoutMillis()), request.route().timeoutMillis());
--- a/model/src/main/java/org/geraniumstand/model/relay/StoreFact.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/StoreFact.java
@@ -10,8 +10,9 @@
      * The configuration.
      *
      * @param plan the plan
+     * @param text the document as the store held it
      */
-    record Planned(RelayPlan plan) implements StoreFact {}
+    record Planned(RelayPlan plan, String text) implements StoreFact {}
 
     /**
      * A backend server.
--- a/outside/src/main/java/org/geraniumstand/outside/relay/FactReader.java
+++ b/outside/src/main/java/org/geraniumstand/outside/relay/FactReader.java
@@ -13,6 +13,13 @@
      */
     StoreFact read(String key, String value);
 
+    /**
+     * Reads a configuration.
+     *
+     * @param text the document as the store holds it
+     */
+    StoreFact plan(String text);
+
     /**
      * Returns what a removed entry was about.
      *
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -11,6 +11,7 @@
 import org.geraniumstand.model.limits.Grant;
 import org.geraniumstand.model.member.Confirmation;
 import org.geraniumstand.model.member.MemberNews;
+import org.geraniumstand.model.relay.TeamUse;
 
 /** A message between entry processes. */
 public sealed interface PeerMessage {
@@ -177,4 +178,24 @@
      * @param change the changes
      */
     record FleetNews(FleetChange change) implements PeerMessage {}
+
+    /**
+     * What the sender let teams use of their quotas since it started.
+     *
+     * @param uses a use a team, which only grows
+     */
+    record TeamUseShare(List<TeamUse> uses) implements PeerMessage {
+        /** Copies the list. */
+        public TeamUseShare {
+            uses = List.copyOf(uses);
+        }
+    }
+
+    /**
+     * The configuration of relayed calls that is in force at the sender.
+     *
+     * @param version its version
+     * @param text the document as the store held it
+     */
+    record PlanShare(long version, String text) implements PeerMessage {}
 }
--- a/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
@@ -34,7 +34,9 @@
             new ClaimReplyCodec(),
             new StreamAskCodec(),
             new StreamHeldCodec(),
-            new FleetNewsCodec());
+            new FleetNewsCodec(),
+            new TeamUseShareCodec(),
+            new PlanShareCodec());
     private static final Map<Integer, MessageCodec<?>> BY_NUMBER =
             ALL.stream().collect(Collectors.toMap(MessageCodec::number, Function.identity()));
     private static final Map<Class<?>, MessageCodec<?>> BY_TYPE =
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/PlanShareCodec.java
@@ -0,0 +1,26 @@
+package org.geraniumstand.peer.codec;
+
+import org.geraniumstand.peer.PeerMessage;
+
+/** Codec of {@link PeerMessage.PlanShare}. */
+final class PlanShareCodec implements MessageCodec<PeerMessage.PlanShare> {
+    @Override
+    public int number() {
+        return 19;
+    }
+
+    @Override
+    public Class<PeerMessage.PlanShare> type() {
+        return PeerMessage.PlanShare.class;
+    }
+
+    @Override
+    public void write(FieldWriter out, PeerMessage.PlanShare message) {
+        out.fields(2).number(message.version()).text(message.text());
+    }
+
+    @Override
+    public PeerMessage.PlanShare read(FieldReader in) {
+        return new PeerMessage.PlanShare(in.number(), in.text());
+    }
+}
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/TeamUseShareCodec.java
@@ -0,0 +1,32 @@
+package org.geraniumstand.peer.codec;
+
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.relay.TeamUse;
+import org.geraniumstand.peer.PeerMessage;
+
+/** Codec of {@link PeerMessage.TeamUseShare}. */
+final class TeamUseShareCodec implements MessageCodec<PeerMessage.TeamUseShare> {
+    @Override
+    public int number() {
+        return 18;
+    }
+
+    @Override
+    public Class<PeerMessage.TeamUseShare> type() {
+        return PeerMessage.TeamUseShare.class;
+    }
+
+    @Override
+    public void write(FieldWriter out, PeerMessage.TeamUseShare message) {
+        out.fields(1)
+                .list(
+                        message.uses(),
+                        (writer, use) ->
+                                writer.fields(2).text(use.team().value()).number(use.units()));
+    }
+
+    @Override
+    public PeerMessage.TeamUseShare read(FieldReader in) {
+        return new PeerMessage.TeamUseShare(in.list(fields -> new TeamUse(new TeamId(fields.text()), fields.number())));
+    }
+}
