--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
@@ -55,6 +55,16 @@
     /** Creates a book in which nothing was used. */
     public QuotaBook() {}
 
+    /**
+     * Takes in the teams of a plan, so that their quotas begin to fill.
+     *
+     * @param teams the teams
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onTeams(List<RelayTeam> teams, long nowNanos) {
+        teams.forEach(team -> refill(team, nowNanos));
+    }
+
     /**
      * Takes in which other processes live.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -109,13 +109,15 @@
      * Takes in a plan; one that is not newer than the one in force is ignored.
      *
      * @param next the plan
+     * @param nowNanos the monotonic time in nanoseconds
      * @return whether it came into force
      */
-    public boolean onPlan(RelayPlan next) {
+    public boolean onPlan(RelayPlan next, long nowNanos) {
         if (plan.isPresent() && plan.get().version() >= next.version()) {
             return false;
         }
         plan = Optional.of(next);
+        quotas.onTeams(next.teams(), nowNanos);
         return true;
     }
 
--- a/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
@@ -42,7 +42,7 @@
 
     private void apply(StoreFact fact) {
         if (fact instanceof StoreFact.Planned planned) {
-            boolean inForce = desk().onPlan(planned.plan());
+            boolean inForce = desk().onPlan(planned.plan(), System.nanoTime());
             LOG.info("configuration-read", Field.of("version", planned.plan().version()), Field.of("inForce", inForce));
             if (inForce) {
                 onPlan.accept(planned.plan().version(), planned.text());
