--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
@@ -37,6 +37,11 @@
 
     private static final long MOST_RETRY_MILLIS = 5_000;
 
+    /** Part of the slack that is used; the rest covers what other processes let pass but have not told yet. */
+    private static final double USED_SLACK = 0.3;
+
+    private final double slack;
+    private final double overrun;
     private final Map<TeamId, Level> levels = new HashMap<>();
     private final Map<TeamId, Long> used = new HashMap<>();
     private final Map<ProcessId, Heard> others = new HashMap<>();
@@ -52,8 +57,16 @@
         private long atNanos;
     }
 
-    /** Creates a book in which nothing was used. */
-    public QuotaBook() {}
+    /**
+     * Creates a book in which nothing was used.
+     *
+     * @param slack units by which quotas may be exceeded over all processes
+     * @param overrun part by which rates may be exceeded
+     */
+    public QuotaBook(double slack, double overrun) {
+        this.slack = slack * USED_SLACK;
+        this.overrun = overrun * USED_SLACK;
+    }
 
     /**
      * Takes in the teams of a plan, so that their quotas begin to fill.
@@ -110,6 +123,20 @@
         return uses;
     }
 
+    /** Returns the units that all processes let all teams use since they started, as far as they told. */
+    public long total() {
+        long sum = 0;
+        for (long units : used.values()) {
+            sum += units;
+        }
+        for (Heard heard : others.values()) {
+            for (long units : heard.used.values()) {
+                sum += units;
+            }
+        }
+        return sum;
+    }
+
     /**
      * Returns what a request uses of its team's quota.
      *
@@ -133,12 +160,13 @@
      */
     public OptionalLong spend(RelayTeam team, long cost, long nowNanos) {
         if (team.ratePerSecond() <= 0) {
+            used.merge(team.id(), cost, Long::sum);
             return OptionalLong.empty();
         }
         Level level = refill(team, nowNanos);
-        if (level.left < cost) {
+        if (level.left + slack < cost) {
             double rate = Math.max(team.ratePerSecond(), 1e-3);
-            long wait = Math.round((cost - level.left) / rate * MILLIS_IN_SECOND);
+            long wait = Math.round((cost - level.left - slack) / rate * MILLIS_IN_SECOND);
             return OptionalLong.of(Math.max(LEAST_RETRY_MILLIS, Math.min(MOST_RETRY_MILLIS, wait)));
         }
         level.left -= cost;
@@ -156,7 +184,7 @@
         }
         double seconds = Math.max(0, nowNanos - level.atNanos) / NANOS_IN_SECOND;
         double share = 1 - (double) silent(nowNanos) / (members.size() + 1);
-        level.left = Math.min(team.burst(), level.left + team.ratePerSecond() * share * seconds);
+        level.left = Math.min(team.burst(), level.left + team.ratePerSecond() * (1 + overrun) * share * seconds);
         level.left = Math.max(level.left, -MOST_DEBT * team.burst());
         level.atNanos = nowNanos;
         return level;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -43,7 +43,7 @@
     private final RelayFleet fleet = new RelayFleet();
     private final PromptHomes prompts = new PromptHomes();
     private final ColdPace pace = new ColdPace();
-    private final QuotaBook quotas = new QuotaBook();
+    private final QuotaBook quotas;
     private final RelayChoice choice;
     private final Map<ServiceId, WaitingCalls> waiting = new HashMap<>();
     private final Map<ServiceId, RepeatAllowance> allowances = new HashMap<>();
@@ -59,6 +59,7 @@
     public RelayDesk(DataCentreId home, RelayBounds bounds) {
         this.bounds = bounds;
         this.processes = bounds.processesAssumed();
+        this.quotas = new QuotaBook(bounds.quotaSlack(), bounds.quotaOverrun());
         this.choice = new RelayChoice(home, fleet, prompts, pace);
     }
 
@@ -189,8 +190,7 @@
     public void onEnded(RelayCall call, AttemptEnd end, long nowNanos, List<RelayStep> steps) {
         ServerView server = call.server();
         call.release(end != AttemptEnd.CANCELLED && RepeatRule.mayHaveRun(end));
-        boolean unwell = end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.SILENT;
-        if (unwell && server != null) {
+        if (server != null && server.unwell(end)) {
             server.pause(nowNanos);
         }
         if (end != AttemptEnd.ANSWERED && end != AttemptEnd.CANCELLED) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -2,6 +2,7 @@
 
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.ServerLoad;
+import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.time.Moment;
 
 /** What this process knows about a backend server; it belongs to one thread. */
@@ -18,6 +19,10 @@
     /** Milliseconds without any byte from a server that owes some after which it counts as silent. */
     private static final long SILENT_MILLIS = 900;
 
+    /** Connections that break without an answer, one after the other, that speak against a server. */
+    private static final int BROKEN_IN_ROW = 2;
+
+    private int brokenInRow;
     private RelayServer server;
     private long coldUntilNanos;
     private int inFlight;
@@ -98,6 +103,7 @@
         pendingTokens = Math.max(0, pendingTokens - tokens);
         onBytes(nowNanos);
         pauseMillis = 0;
+        brokenInRow = 0;
     }
 
     /** Notes that bytes came from the server. */
@@ -117,6 +123,16 @@
         othersInFlight = Math.max(0, load.running() + load.waiting() - inFlight);
     }
 
+    /** Counts how an attempt ended and returns whether it speaks against the server. */
+    boolean unwell(AttemptEnd end) {
+        if (end == AttemptEnd.ANSWERED || end == AttemptEnd.CANCELLED || end == AttemptEnd.DECLINED) {
+            return false;
+        }
+        brokenInRow++;
+        boolean gone = end == AttemptEnd.NOT_CONNECTED || end == AttemptEnd.SILENT;
+        return gone || (end == AttemptEnd.BROKEN && brokenInRow >= BROKEN_IN_ROW);
+    }
+
     /** Leaves the server alone for a while that doubles with each failure in a row. */
     void pause(long nowNanos) {
         pauseMillis = pauseMillis == 0 ? FIRST_PAUSE_MILLIS : Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -78,6 +78,8 @@
                         bounds.repeatRatio(),
                         bounds.repeatSlack(),
                         Math.round(bounds.repeatWindowSeconds() * MILLIS_IN_SECOND),
+                        bounds.quotaSlack(),
+                        bounds.quotaOverrun(),
                         PROCESSES_ASSUMED));
         HttpCalls calls = closer.add(HttpCalls.on(worker));
         PlatformStore store = new PlatformStore(calls, settings.store());
@@ -112,6 +114,7 @@
         calls.schedule(lease::start, 0);
         calls.schedule(usage::start, 0);
         calls.schedule(member::start, 0);
+        calls.schedule(new ScaleTask(duties, lease, calls::schedule, decisions)::start, 0);
     }
 
     /**
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -0,0 +1,185 @@
+package org.geraniumstand.entry.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.geraniumstand.decisions.relay.DemandMeter;
+import org.geraniumstand.decisions.relay.RelayDesk;
+import org.geraniumstand.decisions.relay.ServerView;
+import org.geraniumstand.decisions.relay.ServersWanted;
+import org.geraniumstand.decisions.relay.ServersWanted.Count;
+import org.geraniumstand.entry.task.Timer;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.relay.RelayService;
+import org.geraniumstand.model.relay.ScalingBounds;
+import org.geraniumstand.model.time.Moment;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.outside.relay.DutyDesk;
+import org.geraniumstand.outside.relay.DutyDesk.ServerOrder;
+import org.geraniumstand.support.log.Log;
+
+/** Orders backend servers while this process holds the duty. */
+final class ScaleTask {
+    private static final Log LOG = Log.of(ScaleTask.class);
+
+    /** Milliseconds between looks; a new server takes seconds to boot. */
+    private static final long TICK_MILLIS = 500;
+
+    /** Milliseconds until an order is repeated whose servers are still missing. */
+    private static final long REPEAT_MILLIS = 6_000;
+
+    /** Milliseconds for which no reclaimable servers are asked for where there were none. */
+    private static final long NONE_MILLIS = 2_500;
+
+    /**
+     * Tokens a second that a server bears with first tokens in good time: it reads 93,600, about half of all tokens
+     * are in caches, and a third of its time is used.
+     */
+    private static final double TOKENS_PER_SERVER = 60_000;
+
+    /** Milliseconds of demand after which it counts as measured; its rise is averaged over 2,000. */
+    private static final long MEASURED_MILLIS = 5_000;
+
+    /** Milliseconds for which servers that were ordered count as coming; they boot for some 4,000 and start cold. */
+    private static final long COMING_MILLIS = 7_500;
+
+    private final DutyDesk duties;
+    private final DutyLease lease;
+    private final Timer timer;
+    private final RelayDesk desk;
+    private final DemandMeter demand = new DemandMeter();
+    private long firstDemandNanos;
+    private final Map<Lot, Ordered> ordered = new HashMap<>();
+    private final Map<Lot, Long> noneUntilNanos = new HashMap<>();
+
+    private record Lot(ServiceId service, DataCentreId dataCentre, boolean reclaimable) {}
+
+    private record Ordered(int count, long atNanos) {}
+
+    ScaleTask(DutyDesk duties, DutyLease lease, Timer timer, RelayDesk desk) {
+        this.duties = duties;
+        this.lease = lease;
+        this.timer = timer;
+        this.desk = desk;
+    }
+
+    void start() {
+        timer.after(this::start, TICK_MILLIS);
+        long now = System.nanoTime();
+        demand.onReading(desk.quotas().total(), now);
+        Optional<DutyDesk.Claim> claim = lease.claim();
+        if (claim.isEmpty()) {
+            // Another process orders, so what was ordered here says nothing any more.
+            ordered.clear();
+            return;
+        }
+        desk.plan()
+                .ifPresent(plan -> plan.services()
+                        .forEach(service ->
+                                service.scaling().ifPresent(bounds -> plan(claim.get(), service, bounds, now))));
+    }
+
+    private void plan(DutyDesk.Claim claim, RelayService service, ScalingBounds bounds, long now) {
+        Map<DataCentreId, Count> serving = serving(service.id(), now);
+        int served = serving.values().stream().mapToInt(Count::total).sum();
+        if (served == 0) {
+            return;
+        }
+        int needed = Math.max(bounds.prices().size(), (int) Math.ceil(demand.perSecond() / TOKENS_PER_SERVER));
+        if (!measured(now)) {
+            // What was there before the first callers stays until their demand is known.
+            needed = Math.max(needed, served);
+        }
+        Map<DataCentreId, Count> wanted = ServersWanted.decide(new ServersWanted.Input(
+                bounds,
+                needed,
+                present(service.id(), serving, now),
+                desk.fleet().dataCentresOut()));
+        boolean complete = wanted.entrySet().stream()
+                .allMatch(e -> serving.getOrDefault(e.getKey(), new Count(0, 0)).reclaimable()
+                        >= e.getValue().reclaimable());
+        wanted.forEach((dc, count) -> {
+            Count there = serving.getOrDefault(dc, new Count(0, 0));
+            order(claim, new Lot(service.id(), dc, true), count.reclaimable(), there.reclaimable(), now);
+            // Lasting servers go only once others serve in their place.
+            Ordered last = ordered.get(new Lot(service.id(), dc, false));
+            int before = Math.max(there.lasting(), last == null ? 0 : last.count());
+            int lasting = complete ? count.lasting() : Math.max(count.lasting(), before);
+            order(claim, new Lot(service.id(), dc, false), lasting, there.lasting(), now);
+        });
+    }
+
+    private boolean measured(long now) {
+        if (demand.perSecond() > 0 && firstDemandNanos == 0) {
+            firstDemandNanos = now;
+        }
+        return firstDemandNanos != 0 && now - firstDemandNanos > MEASURED_MILLIS * Moment.NANOS_PER_MILLI;
+    }
+
+    private Map<DataCentreId, Count> present(ServiceId service, Map<DataCentreId, Count> serving, long now) {
+        Map<DataCentreId, Count> present = new HashMap<>(serving);
+        ordered.forEach((lot, order) -> {
+            boolean coming = now - order.atNanos() < COMING_MILLIS * Moment.NANOS_PER_MILLI;
+            if (lot.service().equals(service) && lot.reclaimable() && coming) {
+                Count there = present.getOrDefault(lot.dataCentre(), new Count(0, 0));
+                present.put(lot.dataCentre(), new Count(there.lasting(), Math.max(there.reclaimable(), order.count())));
+            }
+        });
+        return present;
+    }
+
+    private Map<DataCentreId, Count> serving(ServiceId service, long now) {
+        Map<DataCentreId, Count> serving = new HashMap<>();
+        for (ServerView view : desk.fleet().all()) {
+            if (view.server().service().equals(service) && !view.server().leaving() && !view.cold(now)) {
+                Count one = view.server().reclaimable() ? new Count(0, 1) : new Count(1, 0);
+                serving.merge(
+                        view.server().dataCentre(),
+                        one,
+                        (a, b) -> new Count(a.lasting() + b.lasting(), a.reclaimable() + b.reclaimable()));
+            }
+        }
+        return serving;
+    }
+
+    private void order(DutyDesk.Claim claim, Lot lot, int wanted, int serving, long now) {
+        Ordered last = ordered.get(lot);
+        boolean fresh = last != null && now - last.atNanos() < REPEAT_MILLIS * Moment.NANOS_PER_MILLI;
+        boolean same = last != null && last.count() == wanted;
+        if (same && (fresh || serving == wanted)) {
+            return;
+        }
+        if (last == null && serving == wanted) {
+            ordered.put(lot, new Ordered(wanted, now));
+            return;
+        }
+        Long none = noneUntilNanos.get(lot);
+        if (none != null && now - none < 0 && wanted > serving) {
+            return;
+        }
+        ordered.put(lot, new Ordered(wanted, now));
+        ServerOrder order = new ServerOrder(lot.service(), lot.dataCentre(), lot.reclaimable(), wanted);
+        duties.orderServers(claim, order, outcome -> onOutcome(lot, order, serving, outcome));
+    }
+
+    private void onOutcome(Lot lot, ServerOrder order, int serving, DutyDesk.Outcome outcome) {
+        LOG.info(
+                "servers-ordered",
+                Field.of("service", order.service()),
+                Field.of("dataCentre", order.dataCentre()),
+                Field.of("reclaimable", order.reclaimable()),
+                Field.of("count", order.count()),
+                Field.of("serving", serving),
+                Field.of("demand", Math.round(demand.perSecond())),
+                Field.of("outcome", outcome));
+        if (outcome == DutyDesk.Outcome.REFUSED && lot.reclaimable()) {
+            noneUntilNanos.put(lot, System.nanoTime() + NONE_MILLIS * Moment.NANOS_PER_MILLI);
+        } else if (outcome == DutyDesk.Outcome.REFUSED) {
+            lease.onFenced();
+        }
+        if (outcome != DutyDesk.Outcome.DONE) {
+            ordered.remove(lot);
+        }
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettings.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettings.java
@@ -50,7 +50,8 @@
      * @param repeatRatio repeats allowed for each request of a service
      * @param repeatSlack repeats allowed beside that, over all processes
      * @param repeatWindowSeconds window in which repeats are counted, in seconds
-     * @param quotaWindowSeconds window in which quotas are judged, in seconds
+     * @param quotaSlack units by which a team may exceed its quota
+     * @param quotaOverrun part by which a team may exceed its quota
      * @param leaseMillis time that a duty's lease holds, in milliseconds
      * @param usageWindowSeconds length of a window of usage, in seconds
      * @param usageLateSeconds time after a window in which its usage is due, in seconds
@@ -60,7 +61,8 @@
             double repeatRatio,
             double repeatSlack,
             double repeatWindowSeconds,
-            double quotaWindowSeconds,
+            double quotaSlack,
+            double quotaOverrun,
             int leaseMillis,
             double usageWindowSeconds,
             double usageLateSeconds) {}
--- a/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettingsFile.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettingsFile.java
@@ -27,7 +27,8 @@
             Setting.required("bounds.repeatRatio", SettingForms.DECIMAL_FORM, "Repeats allowed for each request"),
             Setting.required("bounds.repeatSlack", SettingForms.DECIMAL_FORM, "Repeats allowed beside that"),
             Setting.required("bounds.repeatWindowSeconds", SettingForms.DECIMAL_FORM, "Window of repeats, in seconds"),
-            Setting.required("bounds.quotaWindowSeconds", SettingForms.DECIMAL_FORM, "Window of quotas, in seconds"),
+            Setting.required("bounds.quotaSlack", SettingForms.DECIMAL_FORM, "Units by which a quota may be exceeded"),
+            Setting.required("bounds.quotaOverrun", SettingForms.DECIMAL_FORM, "Part by which a quota may be exceeded"),
             Setting.required(
                     "bounds.leaseMillis",
                     SettingForms.between(1, MOST_MILLIS),
@@ -71,7 +72,8 @@
                         values.decimal("bounds.repeatRatio"),
                         values.decimal("bounds.repeatSlack"),
                         values.decimal("bounds.repeatWindowSeconds"),
-                        values.decimal("bounds.quotaWindowSeconds"),
+                        values.decimal("bounds.quotaSlack"),
+                        values.decimal("bounds.quotaOverrun"),
                         values.number("bounds.leaseMillis"),
                         values.decimal("bounds.usageWindowSeconds"),
                         values.decimal("bounds.usageLateSeconds")));
