--- a/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
+++ b/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
+import org.geraniumstand.entry.relay.Rehearsal;
 import org.geraniumstand.entry.relay.RelayProcess;
 import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.entry.settings.RelaySettingsFile;
@@ -19,7 +20,6 @@
 
     @Parameter(
             names = {"--settings", "-s"},
-            required = true,
             description = "YAML file with the settings of this process")
     private String settingsFile;
 
@@ -35,6 +35,9 @@
     @Parameter(names = "--relay", description = "Relay the calls of the users' platform as they are")
     private boolean relay;
 
+    @Parameter(names = "--rehearse", description = "Start on loopback and end, to archive classes for faster starts")
+    private boolean rehearse;
+
     private Geraniumstand() {}
 
     /**
@@ -61,6 +64,14 @@
             return;
         }
         LogSetup.apply();
+        if (command.rehearse) {
+            Rehearsal.run();
+            return;
+        }
+        if (command.settingsFile == null) {
+            System.err.println("The following option is required: [--settings | -s]");
+            System.exit(EXIT_USAGE);
+        }
         if (command.relay) {
             RelaySettingsFile.read(Path.of(command.settingsFile))
                     .fold(
--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -34,9 +34,12 @@
 
     /**
      * Tokens a second that a server bears with first tokens in good time: it reads 93,600, about half of all tokens
-     * are in caches, and a third of its time is used.
+     * are in caches, and a quarter of its time is used, as long prompts that come together must not delay each other.
      */
-    private static final double TOKENS_PER_SERVER = 60_000;
+    private static final double TOKENS_PER_SERVER = 45_000;
+
+    /** Servers beside those that the load needs; one may crash at any time. */
+    private static final int SPARE_SERVERS = 1;
 
     /** Milliseconds of demand after which it counts as measured; its rise is averaged over 2,000. */
     private static final long MEASURED_MILLIS = 5_000;
@@ -49,6 +52,7 @@
     private final Timer timer;
     private final RelayDesk desk;
     private final DemandMeter demand = new DemandMeter();
+    private final Map<ServiceId, Integer> firstServed = new HashMap<>();
     private long firstDemandNanos;
     private final Map<Lot, Ordered> ordered = new HashMap<>();
     private final Map<Lot, Long> noneUntilNanos = new HashMap<>();
@@ -86,10 +90,11 @@
         if (served == 0) {
             return;
         }
-        int needed = Math.max(bounds.prices().size(), (int) Math.ceil(demand.perSecond() / TOKENS_PER_SERVER));
+        int needed = SPARE_SERVERS
+                + Math.max(bounds.prices().size(), (int) Math.ceil(demand.perSecond() / TOKENS_PER_SERVER));
         if (!measured(now)) {
             // What was there before the first callers stays until their demand is known.
-            needed = Math.max(needed, served);
+            needed = Math.max(needed, firstServed.computeIfAbsent(service.id(), _key -> served));
         }
         Map<DataCentreId, Count> wanted = ServersWanted.decide(new ServersWanted.Input(
                 bounds,
