--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
@@ -100,7 +100,7 @@
      * Takes in what another process let teams use.
      *
      * @param process the process
-     * @param uses its uses since it started
+     * @param uses its uses since it started, less what it gave back
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void onOther(ProcessId process, List<TeamUse> uses, long nowNanos) {
@@ -110,7 +110,7 @@
             Long before = heard.used.put(use.team(), use.units());
             long more = use.units() - (before == null ? 0 : before);
             Level level = levels.get(use.team());
-            if (more > 0 && level != null) {
+            if (level != null) {
                 level.left -= more;
             }
         }
@@ -174,6 +174,20 @@
         return OptionalLong.empty();
     }
 
+    /**
+     * Gives back what a request used that did not run.
+     *
+     * @param team its team
+     * @param cost what it used
+     */
+    public void refund(RelayTeam team, long cost) {
+        Level level = levels.get(team.id());
+        if (level != null) {
+            level.left += cost;
+        }
+        used.merge(team.id(), -cost, Long::sum);
+    }
+
     private Level refill(RelayTeam team, long nowNanos) {
         Level level = levels.get(team.id());
         if (level == null) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -143,7 +143,7 @@
         call.toService(service);
         allowance(service).onRequest(nowNanos);
         if (plan.flatMap(p -> p.service(service)).isEmpty() || !choice.any(call)) {
-            steps.add(new RelayStep.Refuse(call, Refusal.notRun(RefusalReason.NO_SERVER, COME_BACK_MILLIS)));
+            refuse(call, Refusal.notRun(RefusalReason.NO_SERVER, COME_BACK_MILLIS), steps);
             return;
         }
         line(service).add(call);
@@ -207,7 +207,14 @@
             line(call.service()).add(call);
             return;
         }
-        steps.add(new RelayStep.Refuse(call, refusal(call, end)));
+        refuse(call, refusal(call, end), steps);
+    }
+
+    private void refuse(RelayCall call, Refusal refusal, List<RelayStep> steps) {
+        if (!call.mayHaveRun()) {
+            call.team().ifPresent(team -> quotas.refund(team, QuotaBook.cost(team, call.head())));
+        }
+        steps.add(new RelayStep.Refuse(call, refusal));
     }
 
     private static Refusal refusal(RelayCall call, AttemptEnd end) {
@@ -245,7 +252,7 @@
                 Refusal refusal = late.mayHaveRun()
                         ? Refusal.unknown(RefusalReason.DEADLINE)
                         : Refusal.notRun(RefusalReason.DEADLINE, COME_BACK_MILLIS);
-                steps.add(new RelayStep.Refuse(late, refusal));
+                refuse(late, refusal, steps);
             }
             drain(entry.getKey(), nowNanos, steps);
         }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
@@ -24,7 +24,7 @@
     private static final Log LOG = Log.of(Rehearsal.class);
     private static final String LOOPBACK = "127.0.0.1";
     private static final long CALL_MILLIS = 1_000;
-    private static final int ROUNDS = 3;
+    private static final int ROUNDS = 2;
 
     /** Bounds without a meaning; no request is relayed. */
     private static final RelaySettings.Bounds BOUNDS = new RelaySettings.Bounds(1, 0, 0, 1, 0, 0, 3_000, 5, 10);
@@ -48,7 +48,7 @@
                 BOUNDS);
         closer.add(RelayProcess.start(settings));
         HttpCalls calls = closer.add(HttpCalls.start("rehearsal"));
-        new PlatformFacts().plan("{\"version\":1}");
+        PlatformFacts.rehearse();
         for (int i = 0; i < ROUNDS; i++) {
             call(calls, settings.readiness());
             call(calls, settings.callers());
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -52,6 +52,9 @@
     /** Milliseconds for the last counts to reach the store, which answers in a few. */
     private static final long FLUSH_MILLIS = 100;
 
+    /** Milliseconds after the start when the tasks begin that no caller waits for. */
+    private static final long LATER_MILLIS = 400;
+
     private static final long PAUSE_MILLIS = 20;
 
     private final Closer closer = new Closer();
@@ -107,14 +110,16 @@
         facts.set(new DeskFacts(desk, peers::onPlan));
         this.member = new MemberRow(store, calls::schedule, peers);
         StoreFollower follower = new StoreFollower(store, reader, calls::schedule, facts.get(), this::onOwnKeyRemoved);
+        // The store's answer is on its way while the listeners open.
+        calls.schedule(follower::start, 0);
         this.listener = closer.add(OpaqueListener.start(new OpaqueListener.Setup(
                 settings.callers(), settings.readiness(), worker, buffers, desk, new PlatformDialect(), this::ready)));
-        calls.schedule(follower::start, 0);
         calls.schedule(this::lookForPlan, 0);
-        calls.schedule(lease::start, 0);
         calls.schedule(usage::start, 0);
-        calls.schedule(member::start, 0);
-        calls.schedule(new ScaleTask(duties, lease, calls::schedule, decisions)::start, 0);
+        // What callers do not wait for comes after what they do.
+        calls.schedule(member::start, LATER_MILLIS);
+        calls.schedule(lease::start, LATER_MILLIS);
+        calls.schedule(new ScaleTask(duties, lease, calls::schedule, decisions)::start, LATER_MILLIS);
     }
 
     /**
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -9,6 +9,7 @@
 import java.net.InetSocketAddress;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.geraniumstand.decisions.relay.RelayCall;
 import org.geraniumstand.http.caller.BodyReader;
@@ -40,6 +41,11 @@
     private static final int MAX_HEADER_BYTES = 32 * 1024;
     private static final int MAX_HEADERS = 100;
 
+    /** Milliseconds for which a request waits for the first configuration; the store answers in a few when it can. */
+    private static final long AWAIT_PLAN_MILLIS = 700;
+
+    private static final long LOOK_FOR_PLAN_MILLIS = 20;
+
     /** When a caller is told to come back while there is no configuration, in milliseconds. */
     private static final long NO_PLAN_MILLIS = 300;
 
@@ -148,17 +154,37 @@
         }
         Optional<RelayPlan> plan = tools.desk().desk().plan();
         if (plan.isEmpty()) {
+            awaitPlan(exchange, arrived);
+            return;
+        }
+        check(exchange, plan.get(), arrived);
+    }
+
+    // A process that has just started reads the configuration within a moment.
+    private void awaitPlan(HttpServerExchange exchange, long arrived) {
+        Optional<RelayPlan> plan = tools.desk().desk().plan();
+        if (plan.isPresent()) {
+            check(exchange, plan.get(), arrived);
+        } else if (System.nanoTime() - arrived < AWAIT_PLAN_MILLIS * Moment.NANOS_PER_MILLI) {
+            tools.thread()
+                    .executeAfter(
+                            () -> exchange.dispatch(SameThreadExecutor.INSTANCE, () -> awaitPlan(exchange, arrived)),
+                            LOOK_FOR_PLAN_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        } else {
             reject(
                     exchange,
                     new Rejection(
                             Refusal.notRun(RefusalReason.NO_CONFIGURATION, NO_PLAN_MILLIS),
                             "there is no configuration yet"));
-            return;
         }
-        Result<OpaqueRequest, Rejection> read = OpaqueRequest.read(exchange, plan.get(), tools.dialect());
+    }
+
+    private void check(HttpServerExchange exchange, RelayPlan plan, long arrived) {
+        Result<OpaqueRequest, Rejection> read = OpaqueRequest.read(exchange, plan, tools.dialect());
         read.fold(
                 request -> {
-                    readBody(exchange, request, plan.get(), arrived);
+                    readBody(exchange, request, plan, arrived);
                     return true;
                 },
                 rejection -> {
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -182,7 +182,7 @@
     /**
      * What the sender let teams use of their quotas since it started.
      *
-     * @param uses a use a team, which only grows
+     * @param uses a use a team
      */
     record TeamUseShare(List<TeamUse> uses) implements PeerMessage {
         /** Copies the list. */
