--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/Calls.java
@@ -0,0 +1,110 @@
+package org.geraniumstand.decisions.relay;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.RouteId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.relay.CallKind;
+import org.geraniumstand.model.relay.CallerHead;
+import org.geraniumstand.model.relay.CallerLimits;
+import org.geraniumstand.model.relay.EngineShape;
+import org.geraniumstand.model.relay.PromptPart;
+import org.geraniumstand.model.relay.RelayPlan;
+import org.geraniumstand.model.relay.RelayRoute;
+import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.RelayService;
+import org.geraniumstand.model.relay.RelayTeam;
+import org.geraniumstand.model.relay.ServiceShare;
+
+/** Calls, servers and plans for tests of relay decisions. */
+final class Calls {
+    static final long MILLI = 1_000_000L;
+    static final DataCentreId WEST = new DataCentreId("west");
+    static final DataCentreId EAST = new DataCentreId("east");
+    static final ServiceId ENGINES = new ServiceId("engines");
+    static final ServiceId DESK = new ServiceId("desk");
+    static final RelayTeam TEAM =
+            new RelayTeam(new TeamId("shops"), List.of("key"), OptionalInt.empty(), true, 200, 1_000, 1_000);
+
+    private Calls() {}
+
+    static RelayRoute route(CallKind kind, boolean resumable, int maxAttempts, int priority) {
+        return new RelayRoute(
+                new RouteId("r-" + kind),
+                "host.example",
+                "/" + kind + "/",
+                kind,
+                resumable,
+                5_000,
+                600,
+                priority,
+                List.of(new ServiceShare(kind == CallKind.STREAM ? ENGINES : DESK, 1)),
+                maxAttempts,
+                false,
+                kind == CallKind.STREAM);
+    }
+
+    static CallerHead head(String attempt, PromptPart... parts) {
+        int tokens = 0;
+        for (PromptPart part : parts) {
+            tokens += part.tokens();
+        }
+        return new CallerHead(
+                attempt,
+                Optional.of("key"),
+                OptionalLong.of(5_000),
+                Optional.empty(),
+                tokens,
+                0,
+                tokens > 0,
+                List.of(parts));
+    }
+
+    static RelayCall call(long number, RelayRoute route, PromptPart... parts) {
+        return new RelayCall(
+                number, head("attempt-" + number, parts), route, Optional.of(TEAM), number * MILLI, 5_000 * MILLI);
+    }
+
+    static RelayServer server(String id, ServiceId service, DataCentreId dataCentre, long coldMillis) {
+        return new RelayServer(
+                new ServerId(id),
+                1,
+                service,
+                "127.0.0.1",
+                1_000,
+                dataCentre,
+                new VersionId("v1"),
+                4,
+                false,
+                coldMillis,
+                false);
+    }
+
+    static RelayService engines(double coldPerSecond) {
+        return new RelayService(
+                ENGINES, 100, 3_000, coldPerSecond, Optional.of(new EngineShape(4, 100_000)), Optional.empty());
+    }
+
+    static RelayService desk() {
+        return new RelayService(DESK, 100, 0, 0, Optional.empty(), Optional.empty());
+    }
+
+    static RelayPlan plan(long version) {
+        return new RelayPlan(
+                version,
+                List.of(route(CallKind.SAFE, false, 2, 0), route(CallKind.STREAM, true, 2, 0)),
+                List.of(engines(10), desk()),
+                List.of(TEAM),
+                new CallerLimits(16_384, 1_000_000, 3_000, 15_000));
+    }
+
+    static RelayBounds bounds() {
+        return new RelayBounds(0.2, 50, 10_000, 0, 0, 2);
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaBookTest.java
@@ -0,0 +1,107 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.relay.TeamUse;
+import org.junit.jupiter.api.Test;
+
+final class QuotaBookTest {
+    private static final long SECOND = 1_000 * Calls.MILLI;
+    private static final ProcessId OTHER = new ProcessId("other");
+
+    private final QuotaBook book = new QuotaBook(0, 0);
+
+    private QuotaBook filled() {
+        book.onTeams(List.of(Calls.TEAM), 0);
+        return book;
+    }
+
+    @Test
+    void passesWhatTheBurstHolds() {
+        assertThat(filled().spend(Calls.TEAM, 1_000, SECOND), is(OptionalLong.empty()));
+    }
+
+    @Test
+    void refusesWhatExceedsTheBurstAndSaysWhenItIsThere() {
+        filled().spend(Calls.TEAM, 1_000, SECOND);
+
+        assertThat(book.spend(Calls.TEAM, 500, SECOND), is(OptionalLong.of(500)));
+        assertThat(book.spend(Calls.TEAM, 500, SECOND + SECOND / 2), is(OptionalLong.empty()));
+    }
+
+    @Test
+    void countsWhatOthersLetPass() {
+        filled().onMembers(Set.of(OTHER), SECOND);
+        book.onOther(OTHER, List.of(new TeamUse(Calls.TEAM.id(), 0)), SECOND);
+        book.spend(Calls.TEAM, 1, SECOND);
+        book.onOther(OTHER, List.of(new TeamUse(Calls.TEAM.id(), 900)), SECOND);
+
+        assertThat(book.spend(Calls.TEAM, 500, SECOND).isPresent(), is(true));
+    }
+
+    @Test
+    void givesBackWhatDidNotRun() {
+        filled().spend(Calls.TEAM, 1_000, SECOND);
+        book.refund(Calls.TEAM, 1_000);
+
+        assertThat(book.spend(Calls.TEAM, 1_000, SECOND), is(OptionalLong.empty()));
+        assertThat(book.own().get(0).units(), is(1_000L));
+    }
+
+    @Test
+    void takesAnEvenShareWhileAnotherIsNotHeard() {
+        filled().onMembers(Set.of(OTHER), 0);
+        book.spend(Calls.TEAM, 500, 2 * SECOND);
+        long passed = 0;
+        for (long at = 2 * SECOND; at < 12 * SECOND; at += SECOND / 10) {
+            passed += book.spend(Calls.TEAM, 50, at).isEmpty() ? 50 : 0;
+        }
+
+        assertThat(passed, lessThanOrEqualTo(1_000L + 10 * 1_000 / 2));
+    }
+
+    /** A team sends five times its quota through two processes that tell each other five times a second. */
+    @Test
+    void keepsATeamWithinItsQuotaOverTwoProcesses() {
+        QuotaBook first = new QuotaBook(0, 0);
+        QuotaBook second = new QuotaBook(0, 0);
+        ProcessId one = new ProcessId("one");
+        ProcessId two = new ProcessId("two");
+        first.onTeams(List.of(Calls.TEAM), 0);
+        second.onTeams(List.of(Calls.TEAM), 0);
+        first.onMembers(Set.of(two), 0);
+        second.onMembers(Set.of(one), 0);
+        long passed = 0;
+        for (int step = 0; step < 800; step++) {
+            long now = step * SECOND / 100;
+            passed += first.spend(Calls.TEAM, 25, now).isEmpty() ? 25 : 0;
+            passed += second.spend(Calls.TEAM, 25, now).isEmpty() ? 25 : 0;
+            if (step % 20 == 0) {
+                first.onOther(two, second.own(), now);
+                second.onOther(one, first.own(), now);
+            }
+        }
+
+        long quota = 8 * 1_000 + 1_000;
+        assertThat(passed, lessThanOrEqualTo(Math.round(quota * 1.1)));
+        assertThat(passed, greaterThan(Math.round(quota * 0.8)));
+    }
+
+    @Test
+    void countsWhatAllLetPass() {
+        filled().spend(Calls.TEAM, 10, SECOND);
+        book.onOther(OTHER, List.of(new TeamUse(Calls.TEAM.id(), 30)), SECOND);
+
+        assertThat(book.total(), is(40L));
+        book.onMembers(new HashSet<>(), SECOND);
+        assertThat(book.total(), is(10L));
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -0,0 +1,168 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.instanceOf;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.relay.CallKind;
+import org.geraniumstand.model.relay.PromptPart;
+import org.geraniumstand.model.relay.RelayRoute;
+import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.request.Outcome;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class RelayDeskTest {
+    private static final RelayRoute SAFE = Calls.route(CallKind.SAFE, false, 2, 0);
+    private static final RelayRoute UNSAFE = Calls.route(CallKind.UNSAFE, false, 1, 0);
+    private static final RelayRoute STREAM = Calls.route(CallKind.STREAM, true, 2, 0);
+
+    private final RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds());
+    private final List<RelayStep> steps = new ArrayList<>();
+
+    @BeforeEach
+    void plan() {
+        desk.onPlan(Calls.plan(1), 0);
+    }
+
+    private void list(RelayServer server) {
+        desk.fleet().onListed(server, 0);
+    }
+
+    private RelayStep arrive(RelayCall call, long nowNanos) {
+        steps.clear();
+        desk.arrive(call, nowNanos, steps);
+        return steps.isEmpty() ? null : steps.get(0);
+    }
+
+    private static ServerId sentTo(RelayStep step) {
+        assertThat(step, instanceOf(RelayStep.Send.class));
+        return ((RelayStep.Send) step).server().id();
+    }
+
+    @Test
+    void ignoresAnOlderPlan() {
+        assertThat(desk.onPlan(Calls.plan(1), 0), is(false));
+        assertThat(desk.onPlan(Calls.plan(2), 0), is(true));
+    }
+
+    @Test
+    void refusesAtOnceWhereThereIsNoServer() {
+        RelayStep step = arrive(Calls.call(1, SAFE), 0);
+
+        assertThat(((RelayStep.Refuse) step).refusal().outcome(), is(Outcome.NOT_RUN));
+    }
+
+    @Test
+    void sendsToTheNearServer() {
+        list(Calls.server("far", Calls.DESK, Calls.EAST, 0));
+        list(Calls.server("near", Calls.DESK, Calls.WEST, 0));
+
+        assertThat(sentTo(arrive(Calls.call(1, SAFE), 0)), is(new ServerId("near")));
+    }
+
+    @Test
+    void sendsNothingToALeavingServerOrADataCentreThatIsOut() {
+        list(Calls.server("out", Calls.DESK, Calls.EAST, 0));
+        desk.fleet().onDataCentre(Calls.EAST, true);
+
+        assertThat(arrive(Calls.call(1, SAFE), 0), instanceOf(RelayStep.Refuse.class));
+    }
+
+    @Test
+    void triesAnotherServerAfterABrokenConnection() {
+        list(Calls.server("one", Calls.DESK, Calls.WEST, 0));
+        list(Calls.server("two", Calls.DESK, Calls.WEST, 0));
+        RelayCall call = Calls.call(1, SAFE);
+        ServerId first = sentTo(arrive(call, 0));
+        steps.clear();
+        desk.onEnded(call, AttemptEnd.BROKEN, Calls.MILLI, steps);
+
+        assertThat(sentTo(steps.get(0)), is(not(first)));
+    }
+
+    @Test
+    void saysThatTheOutcomeIsUnknownWhenAnUnsafeCallBreaks() {
+        list(Calls.server("one", Calls.DESK, Calls.WEST, 0));
+        RelayCall call = Calls.call(1, UNSAFE);
+        arrive(call, 0);
+        steps.clear();
+        desk.onEnded(call, AttemptEnd.BROKEN, Calls.MILLI, steps);
+
+        assertThat(((RelayStep.Refuse) steps.get(0)).refusal().outcome(), is(Outcome.UNKNOWN));
+    }
+
+    @Test
+    void letsCallsWaitWhileAllServersAreFullAndRefusesThemAtTheirDeadline() {
+        list(Calls.server("one", Calls.DESK, Calls.WEST, 0));
+        for (int i = 0; i < 10; i++) {
+            assertThat(arrive(Calls.call(i, SAFE), 0), instanceOf(RelayStep.Send.class));
+        }
+        RelayCall waits = Calls.call(11, SAFE);
+        arrive(waits, 0);
+        assertThat(desk.waiting(Calls.DESK), is(1));
+        steps.clear();
+        desk.onTick(waits.deadlineNanos(), steps);
+
+        assertThat(steps.get(0), instanceOf(RelayStep.Refuse.class));
+    }
+
+    @Test
+    void sendsAWaitingCallWhenAServerGetsRoom() {
+        list(Calls.server("one", Calls.DESK, Calls.WEST, 0));
+        List<RelayCall> calls = new ArrayList<>();
+        for (int i = 0; i < 11; i++) {
+            calls.add(Calls.call(i, SAFE));
+            arrive(calls.get(i), 0);
+        }
+        steps.clear();
+        desk.onEnded(calls.get(0), AttemptEnd.ANSWERED, Calls.MILLI, steps);
+
+        assertThat(steps.get(0).call(), is(calls.get(10)));
+    }
+
+    /** One topic gets much of the traffic; its prompts should meet in one cache while that server has room. */
+    @Test
+    void keepsTheCallsOfATopicTogether() {
+        list(Calls.server("one", Calls.ENGINES, Calls.WEST, 0));
+        list(Calls.server("two", Calls.ENGINES, Calls.WEST, 0));
+        list(Calls.server("three", Calls.ENGINES, Calls.WEST, 0));
+        Set<ServerId> used = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            RelayCall call = Calls.call(i, STREAM, new PromptPart(7, 6_000), new PromptPart(100 + i, 50));
+            used.add(sentTo(arrive(call, i * 100L * Calls.MILLI)));
+            desk.onStarted(call, Optional.empty(), i * 100L * Calls.MILLI);
+            desk.onEnded(call, AttemptEnd.ANSWERED, i * 100L * Calls.MILLI, new ArrayList<>());
+        }
+
+        assertThat(used.size(), is(1));
+    }
+
+    @Test
+    void pacesCallsToAColdServer() {
+        list(Calls.server("cold", Calls.ENGINES, Calls.WEST, 3_000));
+
+        assertThat(arrive(Calls.call(1, STREAM), 0), instanceOf(RelayStep.Send.class));
+        arrive(Calls.call(2, STREAM), Calls.MILLI);
+        assertThat(desk.waiting(Calls.ENGINES), is(1));
+    }
+
+    @Test
+    void leavesAServerAloneThatTakesNoConnections() {
+        list(Calls.server("gone", Calls.DESK, Calls.WEST, 0));
+        RelayCall call = Calls.call(1, SAFE);
+        arrive(call, 0);
+        desk.onEnded(call, AttemptEnd.NOT_CONNECTED, Calls.MILLI, new ArrayList<>());
+        list(Calls.server("other", Calls.DESK, Calls.EAST, 0));
+
+        assertThat(sentTo(arrive(Calls.call(2, SAFE), 2 * Calls.MILLI)), is(new ServerId("other")));
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RepeatRuleTest.java
@@ -0,0 +1,72 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.geraniumstand.model.relay.CallKind;
+import org.geraniumstand.model.relay.RelayRoute;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.junit.jupiter.api.Test;
+
+final class RepeatRuleTest {
+    private static RelayCall sent(RelayRoute route, int attempts) {
+        RelayCall call = Calls.call(1, route);
+        for (int i = 0; i < attempts; i++) {
+            call.send(new ServerView(Calls.server("s" + i, Calls.DESK, Calls.WEST, 0), 0), 0, 0);
+            call.release(true);
+        }
+        return call;
+    }
+
+    private static boolean again(RelayRoute route, int attempts, AttemptEnd end) {
+        return RepeatRule.test(sent(route, attempts), end, 0);
+    }
+
+    @Test
+    void repeatsSafeCallAfterBrokenConnection() {
+        assertThat(again(Calls.route(CallKind.SAFE, false, 2, 0), 1, AttemptEnd.BROKEN), is(true));
+    }
+
+    @Test
+    void neverRepeatsUnsafeCallThatMayHaveRun() {
+        RelayRoute route = Calls.route(CallKind.UNSAFE, false, 3, 0);
+
+        assertThat(again(route, 1, AttemptEnd.BROKEN), is(false));
+        assertThat(again(route, 1, AttemptEnd.SILENT), is(false));
+        assertThat(again(route, 1, AttemptEnd.SERVER_ERROR), is(false));
+    }
+
+    @Test
+    void repeatsUnsafeCallThatSurelyDidNotRun() {
+        RelayRoute route = Calls.route(CallKind.UNSAFE, false, 1, 0);
+
+        assertThat(again(route, 1, AttemptEnd.DECLINED), is(true));
+        assertThat(again(route, 1, AttemptEnd.NOT_CONNECTED), is(true));
+    }
+
+    @Test
+    void endsAfterTheAttemptsOfTheRoute() {
+        assertThat(again(Calls.route(CallKind.SAFE, false, 2, 0), 2, AttemptEnd.BROKEN), is(false));
+    }
+
+    @Test
+    void repeatsStreamOnlyWhereItMayBeResumed() {
+        assertThat(again(Calls.route(CallKind.STREAM, true, 2, 0), 1, AttemptEnd.BROKEN), is(true));
+        assertThat(again(Calls.route(CallKind.STREAM, false, 2, 0), 1, AttemptEnd.BROKEN), is(false));
+    }
+
+    @Test
+    void doesNotReplaceAnAnswerOfWhichAPartIsOut() {
+        RelayCall call = sent(Calls.route(CallKind.SAFE, false, 2, 0), 1);
+        call.onRelayed();
+
+        assertThat(RepeatRule.test(call, AttemptEnd.BROKEN, 0), is(false));
+    }
+
+    @Test
+    void endsShortlyBeforeTheDeadline() {
+        RelayCall call = sent(Calls.route(CallKind.SAFE, false, 2, 0), 1);
+
+        assertThat(RepeatRule.test(call, AttemptEnd.BROKEN, call.deadlineNanos() - 10 * Calls.MILLI), is(false));
+    }
+}
