Close a server's connection at once when its caller leaves

Cause: the HTTP client closes a connection by ending its own side and waiting for the other; while an answer is due its write side still belongs to the finished request, so that nothing is sent and the server works on. Seen by OpaqueListenerTest (endsTheServersWorkWhenTheCallerLeaves and ...BeforeAnyAnswer), which failed before. Ruled out: the thread on which it is closed, the caller's watch (it told at once). After: both pass.

--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -17,6 +17,7 @@
 import org.geraniumstand.support.net.BodyWriter;
 import org.geraniumstand.support.net.Callbacks;
 import org.geraniumstand.support.net.ConnectionShelf;
+import org.geraniumstand.support.net.Connections;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -86,7 +87,7 @@
     public void cancel() {
         if (!done) {
             finish();
-            IoUtils.safeClose(connection);
+            Connections.closeNow(connection);
         }
     }
 
@@ -202,7 +203,7 @@
             return;
         }
         finish();
-        IoUtils.safeClose(connection);
+        Connections.closeNow(connection);
         listener.onEnd(end);
     }
 
--- /dev/null
+++ b/http/src/test/java/org/geraniumstand/http/opaque/PlainDialect.java
@@ -0,0 +1,57 @@
+package org.geraniumstand.http.opaque;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.geraniumstand.model.relay.CallerHead;
+import org.geraniumstand.model.relay.ServerAnswer;
+import org.geraniumstand.model.relay.ServerCall;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.outside.relay.Dialect;
+import org.geraniumstand.outside.relay.HeaderView;
+import org.geraniumstand.support.net.HttpRequest.Header;
+
+/** A dialect of its own for tests: one header a fact. */
+final class PlainDialect implements Dialect {
+    @Override
+    public Result<CallerHead, String> caller(HeaderView headers) {
+        return Result.ok(new CallerHead(
+                headers.first("attempt").orElse(""),
+                headers.first("key"),
+                headers.first("wait")
+                        .map(text -> OptionalLong.of(Long.parseLong(text)))
+                        .orElseGet(OptionalLong::empty),
+                headers.first("after"),
+                0,
+                0,
+                false,
+                List.of()));
+    }
+
+    @Override
+    public List<Header> toServer(HeaderView caller, ServerCall call) {
+        List<Header> headers = new ArrayList<>();
+        headers.add(new Header("x-request-id", caller.first("attempt").orElse("")));
+        headers.add(new Header("server", call.server().value()));
+        call.team().ifPresent(team -> headers.add(new Header("team", team.value())));
+        call.lastEvent().ifPresent(event -> headers.add(new Header("after", event)));
+        return headers;
+    }
+
+    @Override
+    public ServerAnswer answer(int _status, HeaderView headers) {
+        return new ServerAnswer(
+                headers.first("attempt"),
+                headers.first("signed").isPresent(),
+                headers.first("not-run").isPresent(),
+                Optional.empty(),
+                OptionalInt.empty());
+    }
+
+    @Override
+    public List<Header> refusal(String _attempt, long retryAfterMillis) {
+        return List.of(new Header("Retry-After", Long.toString(retryAfterMillis)));
+    }
+}
--- a/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
+++ b/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
@@ -136,7 +136,7 @@
             return;
         }
         finish();
-        IoUtils.safeClose(connection);
+        Connections.closeNow(connection);
         callback.accept(Result.err(failure));
     }
 
