--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
@@ -9,7 +9,6 @@
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.PromptPart;
 import org.geraniumstand.model.relay.RelayService;
-import org.geraniumstand.model.time.Moment;
 
 /** Chooses the backend server of a call. */
 @Decision(
@@ -35,9 +34,6 @@
     /** Requests in a plain server's queue beyond its slots that still start in time. */
     private static final int PLAIN_QUEUE = 6;
 
-    /** Part of a model engine's slots that is used; memory is short before the last slots are. */
-    private static final double SLOTS_USED = 1.0;
-
     private final DataCentreId home;
     private final RelayFleet fleet;
     private final PromptHomes prompts;
@@ -122,7 +118,7 @@
             return false;
         }
         int slots = view.server().slots();
-        double most = service.engine().isPresent() ? slots * SLOTS_USED : slots + PLAIN_QUEUE;
+        int most = service.engine().isPresent() ? slots : slots + PLAIN_QUEUE;
         return view.load(nowNanos) < most;
     }
 
@@ -143,7 +139,4 @@
     private static double tie(RelayCall call, ServerId server) {
         return Hash.below(Hash.mix(call.arrivedNanos() ^ Hash.of(server.value())), 1000) / 1000.0;
     }
-
-    /** Nanoseconds after which a choice that found no room is worth repeating. */
-    static final long AGAIN_NANOS = 20 * Moment.NANOS_PER_MILLI;
 }
--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -0,0 +1,168 @@
+package org.geraniumstand.entry.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.StoreFact;
+import org.geraniumstand.model.result.Result;
+import org.geraniumstand.outside.relay.FactReader;
+import org.geraniumstand.outside.relay.RevisionStore.Change;
+import org.geraniumstand.outside.relay.RevisionStore.Changes;
+import org.geraniumstand.outside.store.StoreError;
+import org.junit.jupiter.api.Test;
+
+final class StoreFollowerTest {
+    private static final long SOON = 1_000;
+    private static final long LATER = 3_000;
+
+    private final FakeRevisionStore store = new FakeRevisionStore();
+    private final ManualTimer timer = new ManualTimer();
+    private final List<String> told = new ArrayList<>();
+    private final List<String> ownRemoved = new ArrayList<>();
+    private final StoreFollower follower = new StoreFollower(store, new Reader(), timer, new Told(), ownRemoved::add);
+
+    /** Reads a server from an entry whose value is its state. */
+    private static final class Reader implements FactReader {
+        @Override
+        public StoreFact plan(String _text) {
+            return new StoreFact.Unrelated();
+        }
+
+        @Override
+        public StoreFact read(String key, String value) {
+            return new StoreFact.Listed(new RelayServer(
+                    new ServerId(key.substring(2)),
+                    0,
+                    new ServiceId("s"),
+                    "127.0.0.1",
+                    1,
+                    new DataCentreId("d"),
+                    new VersionId("v"),
+                    1,
+                    value.equals("leaving"),
+                    0,
+                    false));
+        }
+
+        @Override
+        public StoreFact.Removed removed(String key) {
+            return new StoreFact.Removed.Server(new ServerId(key.substring(2)));
+        }
+
+        @Override
+        public List<String> prefixes() {
+            return List.of("s/");
+        }
+    }
+
+    private final class Told implements StoreFollower.Listener {
+        @Override
+        public void onFact(StoreFact fact) {
+            told.add("fact " + ((StoreFact.Listed) fact).server().id());
+        }
+
+        @Override
+        public void onRemoved(StoreFact.Removed removed) {
+            told.add("gone " + ((StoreFact.Removed.Server) removed).server());
+        }
+
+        @Override
+        public void onWhole(List<StoreFact> facts) {
+            told.add("whole " + facts.size());
+        }
+    }
+
+    private void change(String key, Optional<String> value) {
+        store.tell(Result.ok(new Changes(List.of(new Change(key, value, 200)), 200)));
+        timer.run(SOON);
+    }
+
+    private void fail() {
+        store.tell(Result.err(StoreError.UNAVAILABLE));
+        timer.run(SOON);
+    }
+
+    @Test
+    void readsAllAndThenFollowsChanges() {
+        store.write("s/a", "ready");
+        follower.start();
+        change("s/b", Optional.of("ready"));
+        change("s/a", Optional.empty());
+
+        assertThat(told, contains("whole 1", "fact b", "gone a"));
+        assertThat(store.watching(), is(1));
+    }
+
+    @Test
+    void readsAnewWhenTheHistoryIsGone() {
+        follower.start();
+        store.write("s/a", "ready");
+        store.tell(Result.err(StoreError.HISTORY_GONE));
+
+        assertThat(told, contains("whole 0", "whole 1"));
+    }
+
+    @Test
+    void startsOverUntilTheStoreAnswers() {
+        store.out(true);
+        follower.start();
+        timer.run(SOON);
+        assertThat(told, empty());
+        store.out(false);
+        timer.run(SOON);
+
+        assertThat(told, contains("whole 0"));
+    }
+
+    @Test
+    void keepsAServerThatVanishedAroundAnOutageForAWhile() {
+        store.write("s/a", "ready");
+        follower.start();
+        fail();
+        change("s/a", Optional.empty());
+        assertThat(told, contains("whole 1"));
+        timer.run(LATER);
+
+        assertThat(told, contains("whole 1", "gone a"));
+    }
+
+    @Test
+    void keepsAServerForGoodThatIsBackAfterAnOutage() {
+        store.write("s/a", "ready");
+        follower.start();
+        fail();
+        change("s/a", Optional.empty());
+        change("s/a", Optional.of("ready"));
+        timer.run(LATER);
+
+        assertThat(told, contains("whole 1", "fact a"));
+    }
+
+    @Test
+    void dropsALeavingServerAtOnceAlsoAroundAnOutage() {
+        store.write("s/a", "leaving");
+        follower.start();
+        fail();
+        change("s/a", Optional.empty());
+
+        assertThat(told, contains("whole 1", "gone a"));
+    }
+
+    @Test
+    void tellsOfItsOwnKeysThatAreRemoved() {
+        follower.start();
+        change("own/x", Optional.empty());
+
+        assertThat(ownRemoved, contains("own/x"));
+    }
+}
