Remove twins, dead code and repeated work from the relaying process

Found by reading the whole change again; the decisions and their bounds are as before. Gone: methods nobody called, a list that held one server or none, the second of two tables of missing servers. Done once: whether a service has any server (was once a waiting call), the copy of a stream's bytes (was once a line). Readiness is told when the configuration comes instead of being looked for every 20 ms, so it may be up to that much earlier; a call that ends at its deadline is answered before others take its place.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptHomes.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptHomes.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.id.ServerId;
@@ -56,11 +57,11 @@
      * @param prompt the prompt's parts; a part counts as held only if all before it are
      * @param promptTokens tokens of the whole prompt
      * @param server the server
-     * @param homes the servers by rank as homes of the prompt, the first in front
+     * @param home the home of the prompt, if it has one
      * @param nowNanos the monotonic time in nanoseconds
      */
     public double unread(
-            List<PromptPart> prompt, int promptTokens, ServerId server, List<ServerId> homes, long nowNanos) {
+            List<PromptPart> prompt, int promptTokens, ServerId server, Optional<ServerId> home, long nowNanos) {
         double held = 0;
         double chance = 1;
         for (PromptPart part : prompt) {
@@ -69,7 +70,7 @@
             boolean known = at != null && nowNanos - at < KEPT_MILLIS * Moment.NANOS_PER_MILLI;
             if (!known) {
                 boolean shared = !part.equals(prompt.get(prompt.size() - 1));
-                chance *= shared && !homes.isEmpty() && homes.get(0).equals(server) ? HOME_CHANCE : 0;
+                chance *= shared && home.filter(server::equals).isPresent() ? HOME_CHANCE : 0;
             }
             held += chance * part.tokens();
         }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
@@ -7,6 +7,7 @@
 import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.relay.PromptPart;
 import org.geraniumstand.model.relay.RelayService;
 
@@ -63,12 +64,12 @@
     public record Chosen(ServerView server, double unreadTokens) {}
 
     /**
-     * Returns whether any server may take new work of a call.
+     * Returns whether any server of a service may take new work.
      *
-     * @param call the call
+     * @param service the service
      */
-    public boolean any(RelayCall call) {
-        return !fleet.takingWork(call.service()).isEmpty();
+    public boolean any(ServiceId service) {
+        return !fleet.takingWork(service).isEmpty();
     }
 
     /**
@@ -83,15 +84,7 @@
         boolean othersAwake = servers.stream()
                 .anyMatch(s -> !s.paused(nowNanos) && !call.tried(s.server().id()));
         List<PromptPart> prompt = call.head().prompt();
-        long key = PromptHomes.homeKey(prompt);
-        List<ServerId> homes = prompt.isEmpty()
-                ? List.of()
-                : servers.stream()
-                        .filter(s -> !s.paused(nowNanos))
-                        .map(s -> s.server().id())
-                        .max(Comparator.comparingLong(id -> PromptHomes.weight(key, id)))
-                        .map(List::of)
-                        .orElseGet(List::of);
+        Optional<ServerId> home = prompt.isEmpty() ? Optional.empty() : home(prompt, servers, nowNanos);
         Chosen best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (ServerView view : servers) {
@@ -101,7 +94,7 @@
                 continue;
             }
             double unread = service.engine().isPresent()
-                    ? prompts.unread(prompt, call.head().promptTokens(), id, homes, nowNanos)
+                    ? prompts.unread(prompt, call.head().promptTokens(), id, home, nowNanos)
                     : 0;
             double cost = cost(view, service, unread, nowNanos) + tie(call, id);
             if (cost < bestCost) {
@@ -112,6 +105,14 @@
         return Optional.ofNullable(best);
     }
 
+    private static Optional<ServerId> home(List<PromptPart> prompt, List<ServerView> servers, long nowNanos) {
+        long key = PromptHomes.homeKey(prompt);
+        return servers.stream()
+                .filter(s -> !s.paused(nowNanos))
+                .map(s -> s.server().id())
+                .max(Comparator.comparingLong(id -> PromptHomes.weight(key, id)));
+    }
+
     private boolean hasRoom(ServerView view, RelayService service, long nowNanos) {
         boolean paced = view.cold(nowNanos) && service.coldPerSecond() > 0;
         if (paced && !pace.allows(view.server().id(), nowNanos)) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -142,7 +142,7 @@
         ServiceId service = service(call);
         call.toService(service);
         allowance(service).onRequest(nowNanos);
-        if (plan.flatMap(p -> p.service(service)).isEmpty() || !choice.any(call)) {
+        if (plan.flatMap(p -> p.service(service)).isEmpty() || !choice.any(service)) {
             refuse(call, Refusal.notRun(RefusalReason.NO_SERVER, COME_BACK_MILLIS), steps);
             return;
         }
@@ -201,7 +201,7 @@
 
     private void afterFailure(RelayCall call, AttemptEnd end, long nowNanos, List<RelayStep> steps) {
         boolean again = RepeatRule.test(call, end, nowNanos)
-                && choice.any(call)
+                && choice.any(call.service())
                 && allowance(call.service()).spend(processes, nowNanos);
         if (again) {
             line(call.service()).add(call);
@@ -248,7 +248,10 @@
      */
     public void onTick(long nowNanos, List<RelayStep> steps) {
         for (Map.Entry<ServiceId, WaitingCalls> entry : Map.copyOf(waiting).entrySet()) {
-            for (RelayCall late : entry.getValue().removeIf(call -> hopeless(call, nowNanos))) {
+            boolean noServer = !choice.any(entry.getKey());
+            List<RelayCall> hopeless =
+                    entry.getValue().removeIf(call -> noServer || nowNanos - call.deadlineNanos() >= 0);
+            for (RelayCall late : hopeless) {
                 Refusal refusal = late.mayHaveRun()
                         ? Refusal.unknown(RefusalReason.DEADLINE)
                         : Refusal.notRun(RefusalReason.DEADLINE, COME_BACK_MILLIS);
@@ -258,10 +261,6 @@
         }
     }
 
-    private boolean hopeless(RelayCall call, long nowNanos) {
-        return !choice.any(call) || nowNanos - call.deadlineNanos() >= 0;
-    }
-
     private void drain(ServiceId id, long nowNanos, List<RelayStep> steps) {
         Optional<RelayService> service = plan.flatMap(p -> p.service(id));
         if (service.isEmpty() || line(id).size() == 0) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RepeatRule.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RepeatRule.java
@@ -3,6 +3,7 @@
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.relay.CallKind;
 import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.time.Moment;
 
 /** Decides whether a call that failed at a server may go to another. */
 @Decision(
@@ -41,7 +42,7 @@
         if (call.attempts() > call.route().maxAttempts() + 1) {
             return false;
         }
-        return call.deadlineNanos() - nowNanos > WORTHWHILE_MILLIS * 1_000_000L;
+        return call.deadlineNanos() - nowNanos > WORTHWHILE_MILLIS * Moment.NANOS_PER_MILLI;
     }
 
     /**
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -35,7 +35,6 @@
     private boolean loadKnown;
     private long pauseMillis;
     private long pausedUntilNanos;
-    private int refusals;
 
     ServerView(RelayServer server, long nowNanos) {
         list(server, nowNanos);
@@ -137,11 +136,5 @@
     void pause(long nowNanos) {
         pauseMillis = pauseMillis == 0 ? FIRST_PAUSE_MILLIS : Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
         pausedUntilNanos = nowNanos + pauseMillis * Moment.NANOS_PER_MILLI;
-        refusals++;
-    }
-
-    /** Returns how often the server was left alone. */
-    public int pauses() {
-        return refusals;
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServersWanted.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServersWanted.java
@@ -58,16 +58,16 @@
         List<DataCentreId> cheapFirst = new ArrayList<>(bounds.prices().keySet());
         cheapFirst.sort(
                 Comparator.<DataCentreId>comparingDouble(dc -> bounds.prices().get(dc))
-                        .thenComparing(DataCentreId::value));
-        Map<DataCentreId, Integer> lasting = new TreeMap<>(Comparator.comparing(DataCentreId::value));
-        Map<DataCentreId, Integer> reclaimable = new TreeMap<>(Comparator.comparing(DataCentreId::value));
+                        .thenComparing(Comparator.naturalOrder()));
+        Map<DataCentreId, Integer> lasting = new TreeMap<>();
+        Map<DataCentreId, Integer> reclaimable = new TreeMap<>();
         for (DataCentreId dc : cheapFirst) {
             lasting.put(dc, bounds.least());
             reclaimable.put(dc, 0);
         }
         spread(cheapFirst, input, lasting, reclaimable);
         cover(cheapFirst, input, lasting, reclaimable);
-        Map<DataCentreId, Count> wanted = new TreeMap<>(Comparator.comparing(DataCentreId::value));
+        Map<DataCentreId, Count> wanted = new TreeMap<>();
         for (DataCentreId dc : cheapFirst) {
             wanted.put(dc, new Count(lasting.get(dc), reclaimable.get(dc)));
         }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/WaitingCalls.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/WaitingCalls.java
@@ -6,6 +6,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.time.Moment;
 
 /** The calls of a service that wait for a server. */
 @Decision(
@@ -20,7 +21,7 @@
     public WaitingCalls() {}
 
     private static long dueNanos(RelayCall call) {
-        return call.arrivedNanos() + call.route().targetMillis() * 1_000_000L;
+        return call.arrivedNanos() + call.route().targetMillis() * Moment.NANOS_PER_MILLI;
     }
 
     /**
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -68,8 +68,10 @@
                 settings.metrics().getPort(),
                 ProtocolLevel.CURRENT,
                 false);
-        List<Exchange.Seed> seeds =
-                settings.seeds().stream().map(PeerTask::seed).toList();
+        List<Exchange.Seed> seeds = settings.seeds().stream()
+                .map(Exchange.Seed::parse)
+                .flatMap(Optional::stream)
+                .toList();
         TcpPeerNetwork network = TcpPeerNetwork.open(
                 new PeerSettings(member, address.getPort(), settings.peerKey(), seeds, self.hashCode()));
         PeerTask task = new PeerTask(network, desk, timer, onPlan);
@@ -79,12 +81,6 @@
         return task;
     }
 
-    // The settings are checked, so the text has a colon and a port.
-    private static Exchange.Seed seed(String text) {
-        int colon = text.lastIndexOf(':');
-        return new Exchange.Seed(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
-    }
-
     /** Returns this process as its peers know it. */
     Member self() {
         return network.self();
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -107,14 +107,13 @@
                 decisions,
                 calls::schedule,
                 text -> facts.get().onFact(reader.plan(text))));
-        facts.set(new DeskFacts(desk, peers::onPlan));
+        facts.set(new DeskFacts(desk, this::onPlan));
         this.member = new MemberRow(store, calls::schedule, peers);
         StoreFollower follower = new StoreFollower(store, reader, calls::schedule, facts.get(), this::onOwnKeyRemoved);
         // The store's answer is on its way while the listeners open.
         calls.schedule(follower::start, 0);
         this.listener = closer.add(OpaqueListener.start(new OpaqueListener.Setup(
                 settings.callers(), settings.readiness(), worker, buffers, desk, new PlatformDialect(), this::ready)));
-        calls.schedule(this::lookForPlan, 0);
         calls.schedule(usage::start, 0);
         // What callers do not wait for comes after what they do.
         calls.schedule(member::start, LATER_MILLIS);
@@ -158,13 +157,11 @@
         }
     }
 
-    private void lookForPlan() {
-        if (desk.desk().plan().isPresent()) {
-            informed.set(true);
+    private void onPlan(long version, String text) {
+        if (informed.compareAndSet(false, true)) {
             LOG.info("process-ready", Field.of("process", settings.name()));
-            return;
         }
-        worker.getIoThread(0).executeAfter(this::lookForPlan, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        peers.onPlan(version, text);
     }
 
     private boolean ready() {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -51,13 +51,15 @@
     private final Listener listener;
     private final Consumer<String> onOwnKeyRemoved;
     private final Map<String, StoreFact> known = new TreeMap<>();
-    private final Map<ServerId, Long> missing = new HashMap<>();
-    private final Map<ServerId, StoreFact> kept = new HashMap<>();
+    private final Map<ServerId, Missing> missing = new HashMap<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private boolean out;
     private boolean failed;
     private long failedNanos;
 
+    /** The last entry of a server that vanished, and when it did, on the monotonic clock in nanoseconds. */
+    private record Missing(StoreFact fact, long sinceNanos) {}
+
     /** Told what the store says; all calls come on one thread. */
     interface Listener {
         /** An entry is there or changed. */
@@ -110,18 +112,10 @@
                 remove(key);
             }
         }
-        List<StoreFact> whole = new ArrayList<>(facts);
-        missing.keySet().forEach(id -> lastKnown(id, whole));
+        // A server that is only missing for now stays among the listed ones.
+        missing.values().forEach(server -> facts.add(server.fact()));
         LOG.info("store-read", Field.of("entries", items.size()), Field.of("missing", missing.size()));
-        listener.onWhole(whole);
-    }
-
-    // A server that is only missing for now stays among the listed ones.
-    private void lastKnown(ServerId id, List<StoreFact> facts) {
-        StoreFact fact = kept.get(id);
-        if (fact != null) {
-            facts.add(fact);
-        }
+        listener.onWhole(facts);
     }
 
     private void watch(long since) {
@@ -152,7 +146,6 @@
         known.put(change.key(), fact);
         if (fact instanceof StoreFact.Listed listed) {
             missing.remove(listed.server().id());
-            kept.remove(listed.server().id());
         }
         listener.onFact(fact);
     }
@@ -165,19 +158,17 @@
                 && outage
                 && before instanceof StoreFact.Listed listed
                 && !listed.server().leaving()) {
-            long since = System.nanoTime();
-            missing.put(server.server(), since);
-            kept.put(server.server(), before);
+            Missing vanished = new Missing(before, System.nanoTime());
+            missing.put(server.server(), vanished);
             LOG.info("server-missing", Field.of("server", server.server()));
-            timer.after(() -> giveUp(server, since), MISSING_MILLIS);
+            timer.after(() -> giveUp(server, vanished), MISSING_MILLIS);
             return;
         }
         listener.onRemoved(removed);
     }
 
-    private void giveUp(StoreFact.Removed.Server server, long since) {
-        if (missing.remove(server.server(), since)) {
-            kept.remove(server.server());
+    private void giveUp(StoreFact.Removed.Server server, Missing vanished) {
+        if (missing.remove(server.server(), vanished)) {
             listener.onRemoved(server);
         }
     }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
@@ -112,10 +112,8 @@
     }
 
     private void write(UsageBook.Ended ended) {
-        Map<String, Long> table = new TreeMap<>();
-        ended.counts().forEach((team, count) -> table.put(team.value(), count));
         String key = COUNTS + ended.window() + "/" + process;
-        store.commit(Commit.put(key, Json.write(table), 0), result -> {
+        store.commit(Commit.put(key, text(ended.counts()), 0), result -> {
             if (result.error().isPresent()) {
                 LOG.warn(
                         "usage-not-written",
@@ -186,12 +184,10 @@
 
     private void record(long window, String key, List<Item> items) {
         Map<TeamId, Long> sums = total(items);
-        Map<String, Long> table = new TreeMap<>();
-        sums.forEach((team, count) -> table.put(team.value(), count));
         store.commit(
                 new Commit(
                         List.of(new RevisionStore.Expected(key, 0)),
-                        List.of(new RevisionStore.Put(key, Json.write(table), 0)),
+                        List.of(new RevisionStore.Put(key, text(sums), 0)),
                         removals(window, items)),
                 result -> result.fold(
                         _revision -> {
@@ -234,6 +230,12 @@
         });
     }
 
+    private static String text(Map<TeamId, Long> counts) {
+        Map<String, Long> table = new TreeMap<>();
+        counts.forEach((team, count) -> table.put(team.value(), count));
+        return Json.write(table);
+    }
+
     private static Map<TeamId, Long> parse(Item item) {
         Map<TeamId, Long> counts = new HashMap<>();
         try {
--- a/entry/src/main/java/org/geraniumstand/entry/task/FactTasks.java
+++ b/entry/src/main/java/org/geraniumstand/entry/task/FactTasks.java
@@ -176,19 +176,9 @@
                 ProtocolLevel.CURRENT,
                 false);
         List<Exchange.Seed> seeds = own.seeds().stream()
-                .map(FactTasks::seed)
+                .map(Exchange.Seed::parse)
                 .flatMap(Optional::stream)
                 .toList();
         return new PeerSettings(member, own.port(), own.sharedKey(), seeds, self.hashCode());
     }
-
-    private static Optional<Exchange.Seed> seed(String text) {
-        int colon = text.lastIndexOf(':');
-        try {
-            return Optional.of(
-                    new Exchange.Seed(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
-        } catch (IndexOutOfBoundsException | NumberFormatException _e) {
-            return Optional.empty();
-        }
-    }
 }
--- a/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
@@ -30,10 +30,6 @@
         return started;
     }
 
-    boolean ended() {
-        return ended;
-    }
-
     /** Holds this attempt back from now on while the caller reads slowly. */
     void hold(Flow flow) {
         output.hold(flow);
--- a/http/src/main/java/org/geraniumstand/http/opaque/EventCutter.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventCutter.java
@@ -31,15 +31,18 @@
 
     /** Takes in bytes and returns those of the events that are whole now, none if none is. */
     byte[] accept(ByteBuffer bytes) {
+        int from = open.size();
+        byte[] part = new byte[bytes.remaining()];
+        bytes.get(part);
+        open.write(part, 0, part.length);
+        byte[] all = open.toByteArray();
         int whole = 0;
-        while (bytes.hasRemaining()) {
-            byte next = bytes.get();
-            open.write(next);
-            if (next == '\n' && endsEvent()) {
-                whole = open.size();
+        for (int i = from; i < all.length; i++) {
+            if (all[i] == '\n' && endsEvent(all, i)) {
+                whole = i + 1;
             }
         }
-        return whole == 0 ? new byte[0] : take(whole);
+        return whole == 0 ? new byte[0] : take(all, whole);
     }
 
     /** Returns the bytes after the last whole event and forgets them. */
@@ -56,22 +59,17 @@
         openId = Optional.empty();
     }
 
-    private byte[] take(int count) {
-        byte[] all = open.toByteArray();
+    private byte[] take(byte[] all, int count) {
         open.reset();
         open.write(all, count, all.length - count);
-        lineStart = Math.max(0, lineStart - count);
+        lineStart -= count;
         return Arrays.copyOf(all, count);
     }
 
-    private boolean endsEvent() {
-        byte[] all = open.toByteArray();
-        int end = all.length - 1;
-        if (end > lineStart && all[end - 1] == '\r') {
-            end--;
-        }
+    private boolean endsEvent(byte[] all, int lineFeed) {
+        int end = lineFeed > lineStart && all[lineFeed - 1] == '\r' ? lineFeed - 1 : lineFeed;
         String line = new String(all, lineStart, end - lineStart, StandardCharsets.UTF_8);
-        lineStart = all.length;
+        lineStart = lineFeed + 1;
         if (line.startsWith(ID_FIELD)) {
             openId = Optional.of(line.substring(ID_FIELD.length()).trim());
         }
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -92,7 +92,7 @@
                 .setWorker(setup.worker())
                 .setByteBufferPool(setup.buffers())
                 .addHttpListener(setup.callers().getPort(), setup.callers().getHostString(), this::handle)
-                .addHttpListener(setup.readiness().getPort(), setup.readiness().getHostString(), this::check)
+                .addHttpListener(setup.readiness().getPort(), setup.readiness().getHostString(), this::tellReadiness)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MILLIS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MILLIS)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
@@ -130,7 +130,7 @@
         server.stop();
     }
 
-    private void check(HttpServerExchange exchange) {
+    private void tellReadiness(HttpServerExchange exchange) {
         exchange.setStatusCode(ready.getAsBoolean() ? StatusCodes.OK : StatusCodes.SERVICE_UNAVAILABLE);
         exchange.endExchange();
     }
@@ -152,12 +152,7 @@
                             Refusal.notRun(RefusalReason.STOPPING, STOPPING_MILLIS), "the process ends in a moment"));
             return;
         }
-        Optional<RelayPlan> plan = tools.desk().desk().plan();
-        if (plan.isEmpty()) {
-            awaitPlan(exchange, arrived);
-            return;
-        }
-        check(exchange, plan.get(), arrived);
+        awaitPlan(exchange, arrived);
     }
 
     // A process that has just started reads the configuration within a moment.
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -3,7 +3,6 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.relay.RelayCall;
@@ -18,7 +17,6 @@
 import org.geraniumstand.model.relay.ServerAnswer;
 import org.geraniumstand.model.relay.ServerCall;
 import org.geraniumstand.model.request.AttemptEnd;
-import org.geraniumstand.model.request.Outcome;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.time.Moment;
@@ -88,13 +86,8 @@
             return;
         }
         boolean ran = call.server() != null || call.mayHaveRun();
-        Refusal refusal = ran
-                ? Refusal.unknown(RefusalReason.TIMED_OUT)
-                : new Refusal(RefusalReason.DEADLINE, Outcome.NOT_RUN, 0);
-        finish();
+        refuse(ran ? Refusal.unknown(RefusalReason.TIMED_OUT) : Refusal.notRun(RefusalReason.DEADLINE, 0));
         tools.desk().abandoned(call);
-        logRefusal(refusal);
-        answer.refuse(refusal, call.head().attempt(), tools.dialect());
     }
 
     private void launch(RelayStep.Send send) {
@@ -133,11 +126,6 @@
 
     private void refuse(Refusal refusal) {
         finish();
-        logRefusal(refusal);
-        answer.refuse(refusal, call.head().attempt(), tools.dialect());
-    }
-
-    private void logRefusal(Refusal refusal) {
         LOG.info(
                 "call-refused",
                 Field.of("request", call.head().attempt()),
@@ -146,6 +134,7 @@
                 Field.of("outcome", refusal.outcome().text()),
                 Field.of("attempts", call.attempts()),
                 Field.of("waitedMillis", (System.nanoTime() - call.arrivedNanos()) / Moment.NANOS_PER_MILLI));
+        answer.refuse(refusal, call.head().attempt(), tools.dialect());
     }
 
     private void finish() {
@@ -255,11 +244,7 @@
         }
 
         private void complete() {
-            done = true;
-            if (deadline != null) {
-                deadline.remove();
-            }
-            tools.desk().forget(call);
+            finish();
             if (!success) {
                 answer.sendWhole(head, held.toByteArray());
                 return;
@@ -279,9 +264,4 @@
     RelayCall call() {
         return call;
     }
-
-    /** Returns the last event that was relayed, if any. */
-    Optional<String> lastEvent() {
-        return events.lastId();
-    }
 }
--- a/model/src/main/java/org/geraniumstand/model/relay/RelayPlan.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/RelayPlan.java
@@ -5,13 +5,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Stream;
+import java.util.stream.Collectors;
 import org.geraniumstand.model.id.ServiceId;
 
 /** A version of the configuration of relayed calls; immutable. */
 public final class RelayPlan {
     private final long version;
-    private final Map<String, List<RelayRoute>> routesByHost = new HashMap<>();
+    private final Map<String, List<RelayRoute>> routesByHost;
     private final Map<ServiceId, RelayService> services = new HashMap<>();
     private final List<RelayTeam> teams;
     private final Map<String, RelayTeam> teamsByKey = new HashMap<>();
@@ -35,17 +35,13 @@
         this.version = version;
         this.teams = List.copyOf(teams);
         this.limits = limits;
-        routes.stream()
+        this.routesByHost = routes.stream()
                 .sorted(Comparator.comparingInt(route -> -route.pathPrefix().length()))
-                .forEach(route -> routesByHost.merge(route.host(), List.of(route), RelayPlan::concat));
+                .collect(Collectors.groupingBy(RelayRoute::host));
         services.forEach(service -> this.services.put(service.id(), service));
         teams.forEach(team -> team.keys().forEach(key -> teamsByKey.put(key, team)));
     }
 
-    private static List<RelayRoute> concat(List<RelayRoute> first, List<RelayRoute> second) {
-        return Stream.concat(first.stream(), second.stream()).toList();
-    }
-
     /** Returns the version. */
     public long version() {
         return version;
--- a/peer/src/main/java/org/geraniumstand/peer/exchange/Exchange.java
+++ b/peer/src/main/java/org/geraniumstand/peer/exchange/Exchange.java
@@ -79,7 +79,22 @@
      * @param host IP number
      * @param port port
      */
-    public record Seed(String host, int port) {}
+    public record Seed(String host, int port) {
+        /**
+         * Reads an address.
+         *
+         * @param text the address as {@code IP:port}
+         * @return the address, or nothing if the text is none
+         */
+        public static Optional<Seed> parse(String text) {
+            int colon = text.lastIndexOf(':');
+            try {
+                return Optional.of(new Seed(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1))));
+            } catch (IndexOutOfBoundsException | NumberFormatException _e) {
+                return Optional.empty();
+            }
+        }
+    }
 
     /**
      * A connection to a peer was made and its key checked.
