Leave out of the sums of quota use what was used before a process was heard

Ruled out: the teams' rates (no team sent more) and a hub that is not heard.

UseSumsTest failed first.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/UseSums.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/UseSums.java
@@ -10,7 +10,11 @@
 import org.geraniumstand.model.relay.TeamUse;
 import org.geraniumstand.model.time.Moment;
 
-/** Adds up what all processes let teams use, for those that ask; it belongs to one thread. */
+/**
+ * Adds up what all processes let teams use, for those that ask; it belongs to one thread.
+ *
+ * <p>What a process used before it was heard first is left out, so that sums do not jump when a process begins to add up.
+ */
 public final class UseSums {
     /** Milliseconds after which a process counts as not heard; processes tell a few times a second. */
     private static final long HEARD_MILLIS = 1_000;
@@ -20,6 +24,7 @@
 
     private static final class Told {
         private final Map<TeamId, Long> used = new HashMap<>();
+        private final Map<TeamId, Long> counted = new HashMap<>();
         private long atNanos;
     }
 
@@ -34,11 +39,14 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void onTold(ProcessId process, List<TeamUse> uses, long nowNanos) {
+        boolean first = !told.containsKey(process);
         Told of = told.computeIfAbsent(process, _key -> new Told());
         of.atNanos = nowNanos;
         for (TeamUse use : uses) {
             Long before = of.used.put(use.team(), use.units());
-            all.merge(use.team(), use.units() - (before == null ? 0 : before), Long::sum);
+            long more = first ? 0 : use.units() - (before == null ? 0 : before);
+            all.merge(use.team(), more, Long::sum);
+            of.counted.merge(use.team(), more, Long::sum);
         }
     }
 
@@ -60,7 +68,7 @@
         Told own = told.get(process);
         List<TeamUse> sums = new ArrayList<>();
         all.forEach((team, units) ->
-                sums.add(new TeamUse(team, units - (own == null ? 0 : own.used.getOrDefault(team, 0L)))));
+                sums.add(new TeamUse(team, units - (own == null ? 0 : own.counted.getOrDefault(team, 0L)))));
         return sums;
     }
 
