Send nothing for a caller that left while the thread was busy

Ruled out: a close that is not watched for; the watch is told, but later.

The caller's connection is looked at when its request is whole and when the connection to the server stands; a call whose time ended is answered then, and as not run if nothing was sent. OpaqueListenerTest has both cases; they failed first.

--- a/http/src/main/java/org/geraniumstand/http/caller/CallerWatch.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerWatch.java
@@ -4,6 +4,7 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
+import java.util.Optional;
 import org.xnio.IoUtils;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 import org.xnio.conduits.ReadReadyHandler;
@@ -34,9 +35,20 @@
      * @param onLeft called once when the caller has left
      */
     public static void start(HttpServerExchange exchange, Runnable onLeft) {
+        create(exchange, onLeft);
+    }
+
+    /**
+     * Watches until the exchange ends; the request must have been read whole.
+     *
+     * @param exchange the caller's exchange
+     * @param onLeft called once when the caller has left
+     * @return the watch, or nothing if the caller has sent its next request already
+     */
+    public static Optional<CallerWatch> create(HttpServerExchange exchange, Runnable onLeft) {
         if (!(exchange.getConnection() instanceof HttpServerConnection connection)
                 || connection.getExtraBytes() != null) {
-            return;
+            return Optional.empty();
         }
         CallerWatch watch = new CallerWatch(connection, onLeft);
         exchange.addExchangeCompleteListener((_exchange, next) -> {
@@ -45,6 +57,12 @@
         });
         watch.conduit.setReadReadyHandler(watch);
         watch.conduit.resumeReads();
+        return Optional.of(watch);
+    }
+
+    /** Looks whether the caller has left; a busy thread may not have been told yet. */
+    public void look() {
+        readReady();
     }
 
     @Override
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -237,9 +237,10 @@
             task.onCallerLeft();
             next.proceed();
         });
-        CallerWatch.start(exchange, task::onCallerLeft);
-        task.start();
-        tools.desk().arrive(task);
+        task.start(CallerWatch.create(exchange, task::onCallerLeft));
+        if (!task.isDone()) {
+            tools.desk().arrive(task);
+        }
     }
 
     private void reject(HttpServerExchange exchange, Rejection rejection) {
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -3,10 +3,12 @@
 import io.undertow.server.HttpServerExchange;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.relay.RelayCall;
 import org.geraniumstand.decisions.relay.RelayStep;
+import org.geraniumstand.http.caller.CallerWatch;
 import org.geraniumstand.http.upstream.AnswerHead;
 import org.geraniumstand.http.upstream.Attempt;
 import org.geraniumstand.http.upstream.AttemptListener;
@@ -42,6 +44,7 @@
     private final CallerAnswer answer;
     private final EventCutter events;
     private XnioExecutor.Key deadline;
+    private Optional<CallerWatch> watch = Optional.empty();
     private Attempt attempt;
     private boolean done;
 
@@ -54,10 +57,16 @@
         this.events = new EventCutter(call.head().lastEvent());
     }
 
-    /** Watches the call's deadline. */
-    void start() {
+    /**
+     * Watches the call's deadline and its caller, who may have left already.
+     *
+     * @param callerWatch sees the caller leave, if it can be seen
+     */
+    void start(Optional<CallerWatch> callerWatch) {
+        watch = callerWatch;
         long leftNanos = Math.max(0, call.deadlineNanos() - System.nanoTime());
         deadline = tools.thread().executeAfter(this::onDeadline, leftNanos, TimeUnit.NANOSECONDS);
+        watch.ifPresent(CallerWatch::look);
     }
 
     void act(RelayStep step) {
@@ -85,7 +94,7 @@
         if (done) {
             return;
         }
-        boolean ran = call.server() != null || call.mayHaveRun();
+        boolean ran = (attempt != null && attempt.sent()) || call.mayHaveRun();
         refuse(ran ? Refusal.unknown(RefusalReason.TIMED_OUT) : Refusal.notRun(RefusalReason.DEADLINE, 0));
         tools.desk().abandoned(call);
     }
@@ -155,6 +164,15 @@
         private ServerAnswer facts;
         private boolean success;
 
+        /** Sends nothing for a caller that left, or whose time ended, while this thread was busy. */
+        @Override
+        public void onConnected() {
+            watch.ifPresent(CallerWatch::look);
+            if (!done && System.nanoTime() - call.deadlineNanos() >= 0) {
+                onDeadline();
+            }
+        }
+
         @Override
         public void onHead(AnswerHead arrived) {
             head = arrived;
@@ -260,6 +278,11 @@
         }
     }
 
+    /** Returns whether the call needs nothing more. */
+    boolean isDone() {
+        return done;
+    }
+
     /** Returns the call. */
     RelayCall call() {
         return call;
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -122,6 +122,11 @@
     }
 
     private void sendOn(ClientConnection open) {
+        if (done) {
+            IoUtils.safeClose(open);
+            return;
+        }
+        listener.onConnected();
         if (done) {
             IoUtils.safeClose(open);
             return;
--- a/http/src/main/java/org/geraniumstand/http/upstream/AttemptListener.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/AttemptListener.java
@@ -5,6 +5,9 @@
 
 /** Told what an attempt brings, on the thread that owns it. */
 public interface AttemptListener {
+    /** A connection stands and nothing was sent on it yet; the attempt may still be cancelled as if it had not begun. */
+    default void onConnected() {}
+
     /**
      * The head of the answer arrived.
      *
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
@@ -17,6 +18,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDesk;
 import org.geraniumstand.http.fake.Caller;
@@ -51,6 +53,7 @@
 
     private XnioWorker worker;
     private OpaqueListener listener;
+    private final AtomicReference<Runnable> beforeSend = new AtomicReference<>(() -> {});
     private RelayDesk desk;
     private int port;
 
@@ -66,7 +69,7 @@
                 worker,
                 new DefaultByteBufferPool(true, 4_096),
                 new DeskTask(desk, worker.getIoThread(0), _team -> {}),
-                new PlainDialect(),
+                new PlainDialect(() -> beforeSend.get().run()),
                 () -> true));
     }
 
@@ -356,6 +359,58 @@
         }
     }
 
+    /** A process that stood still finds requests whose callers left meanwhile. */
+    @Test
+    void sendsNothingForACallerThatLeftBeforeItsRequestWasRead() throws Exception {
+        try (FakeServer server = FakeServer.start((_r, c) -> c.answer(200, OURS, "x"))) {
+            list(server);
+            CountDownLatch left = new CountDownLatch(1);
+            worker.getIoThread(0).execute(() -> await(left));
+            try (Caller caller = new Caller(port)) {
+                caller.write("GET /safe/ HTTP/1.1\r\nHost: x\r\n" + HEAD + "\r\n");
+            }
+            left.countDown();
+            onThread(() -> {});
+            assertThat(call("GET", "/safe/", HEAD, "").status(), is(200));
+
+            assertThat(server.requests(), hasSize(1));
+        }
+    }
+
+    /** The thread stands still between the choice of a server and the connection to it. */
+    @Test
+    void sendsNothingForACallerThatLeftBeforeTheConnectionStood() throws Exception {
+        try (FakeServer server = FakeServer.start((_r, c) -> c.answer(200, OURS, "x"))) {
+            list(server);
+            for (int i = 0; i < 20; i++) {
+                CountDownLatch chosen = new CountDownLatch(1);
+                CountDownLatch left = new CountDownLatch(1);
+                beforeSend.set(() -> {
+                    chosen.countDown();
+                    await(left);
+                });
+                try (Caller caller = new Caller(port)) {
+                    caller.write("GET /safe/ HTTP/1.1\r\nHost: x\r\n" + HEAD + "\r\n");
+                    await(chosen);
+                }
+                left.countDown();
+                onThread(() -> {});
+            }
+            beforeSend.set(() -> {});
+            assertThat(call("GET", "/safe/", HEAD, "").status(), is(200));
+
+            assertThat(server.requests(), hasSize(1));
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertThat(latch.await(5, TimeUnit.SECONDS), is(true));
+        } catch (InterruptedException _e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private static void awaitGone(FakeServer server) throws InterruptedException {
         for (int i = 0; i < 60 && server.gone() == 0; i++) {
             Thread.sleep(20);
--- a/http/src/test/java/org/geraniumstand/http/opaque/PlainDialect.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/PlainDialect.java
@@ -15,6 +15,13 @@
 
 /** A dialect of its own for tests: one header a fact. */
 final class PlainDialect implements Dialect {
+    private final Runnable beforeSend;
+
+    /** Creates a dialect that runs a step on the I/O thread before each call goes to a server. */
+    PlainDialect(Runnable beforeSend) {
+        this.beforeSend = beforeSend;
+    }
+
     @Override
     public Result<CallerHead, String> caller(HeaderView headers) {
         return Result.ok(new CallerHead(
@@ -32,6 +39,7 @@
 
     @Override
     public List<Header> toServer(HeaderView caller, ServerCall call) {
+        beforeSend.run();
         List<Header> headers = new ArrayList<>();
         headers.add(new Header("x-request-id", caller.first("attempt").orElse("")));
         headers.add(new Header("server", call.server().value()));
