--- a/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
+++ b/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
@@ -63,7 +63,7 @@
             System.out.println("Example: geraniumstand --settings entry-1.yaml --check");
             return;
         }
-        LogSetup.apply();
+        LogSetup.forProcess();
         if (command.rehearse) {
             Rehearsal.run();
             return;
