Serve counters and times of relayed calls on the metrics address

RelayMetrics counts calls by outcome and attempts by end and measures times by kind, on a listener that opens after those that callers wait for.

--- a/entry/src/main/java/org/geraniumstand/entry/metrics/ProcessMetrics.java
+++ b/entry/src/main/java/org/geraniumstand/entry/metrics/ProcessMetrics.java
@@ -3,7 +3,6 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import java.lang.management.ManagementFactory;
-import java.lang.management.MemoryMXBean;
 import java.util.function.LongSupplier;
 
 /** The registry of a process, with gauges about the Java machine. */
@@ -12,12 +11,18 @@
 
     /** Creates the registry. */
     public ProcessMetrics() {
-        MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
-        gauge("geraniumstand_heap_used_bytes", () -> memory.getHeapMemoryUsage().getUsed());
-        gauge("geraniumstand_heap_max_bytes", () -> memory.getHeapMemoryUsage().getMax());
+        // The platform's beans are looked up when they are read, as that takes a starting process long.
+        gauge(
+                "geraniumstand_heap_used_bytes",
+                () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed());
+        gauge(
+                "geraniumstand_heap_max_bytes",
+                () -> ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getMax());
         gauge(
                 "geraniumstand_non_heap_used_bytes",
-                () -> memory.getNonHeapMemoryUsage().getUsed());
+                () -> ManagementFactory.getMemoryMXBean()
+                        .getNonHeapMemoryUsage()
+                        .getUsed());
         gauge("geraniumstand_threads", () -> ManagementFactory.getThreadMXBean().getThreadCount());
         gauge(
                 "geraniumstand_uptime_millis",
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -14,10 +14,13 @@
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDesk;
 import org.geraniumstand.decisions.relay.UsageBook;
+import org.geraniumstand.entry.metrics.ProcessMetrics;
+import org.geraniumstand.entry.metrics.RelayMetrics;
 import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.http.opaque.DeskTask;
 import org.geraniumstand.http.opaque.OpaqueListener;
 import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.relay.RelayPlan;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.platform.PlatformDialect;
 import org.geraniumstand.platform.PlatformDuties;
@@ -62,6 +65,7 @@
     private final AtomicBoolean stopping = new AtomicBoolean();
     private final AtomicBoolean informed = new AtomicBoolean();
     private final XnioWorker worker;
+    private final ProcessMetrics metrics = new ProcessMetrics();
     private final DeskTask desk;
     private final OpaqueListener listener;
     private final DutyLease lease;
@@ -116,11 +120,19 @@
         // The store's answer is on its way while the listeners open.
         calls.schedule(follower::start, 0);
         this.listener = closer.add(OpaqueListener.start(new OpaqueListener.Setup(
-                settings.callers(), settings.readiness(), worker, buffers, desk, new PlatformDialect(), this::ready)));
+                settings.callers(),
+                settings.readiness(),
+                worker,
+                buffers,
+                desk,
+                new PlatformDialect(),
+                this::ready,
+                new RelayMetrics(metrics))));
         calls.schedule(usage::start, 0);
         // What callers do not wait for comes after what they do.
         calls.schedule(member::start, LATER_MILLIS);
         calls.schedule(lease::start, LATER_MILLIS);
+        calls.schedule(this::serveMetrics, LATER_MILLIS);
         calls.schedule(new ScaleTask(duties, lease, calls::schedule, decisions)::start, LATER_MILLIS);
     }
 
@@ -154,6 +166,22 @@
         }
     }
 
+    private void serveMetrics() {
+        RelayDesk decisions = desk.desk();
+        metrics.gauge("geraniumstand_calls_open", desk::open);
+        metrics.gauge(
+                "geraniumstand_servers_listed", () -> decisions.fleet().all().size());
+        metrics.gauge(
+                "geraniumstand_configuration_version",
+                () -> decisions.plan().map(RelayPlan::version).orElse(0L));
+        try {
+            closer.add(MetricsListener.start(settings.metrics(), worker, metrics));
+        } catch (RuntimeException e) {
+            // Callers are served without metrics too.
+            LOG.warn("metrics-not-served", Field.of("address", settings.metrics()), Field.of("reason", e));
+        }
+    }
+
     private void onPlan(long version, String text) {
         if (informed.compareAndSet(false, true)) {
             LOG.info("process-ready", Field.of("process", settings.name()));
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -70,6 +70,7 @@
      * @param desk takes the decisions
      * @param dialect reads and writes headers
      * @param ready tells whether new connections may come
+     * @param observer told what becomes of calls
      */
     public record Setup(
             InetSocketAddress callers,
@@ -78,7 +79,8 @@
             ByteBufferPool buffers,
             DeskTask desk,
             Dialect dialect,
-            BooleanSupplier ready) {}
+            BooleanSupplier ready,
+            CallObserver observer) {}
 
     private OpaqueListener(Setup setup) {
         this.ready = setup.ready();
@@ -87,7 +89,8 @@
                 setup.dialect(),
                 new OpaqueProtocol(setup.dialect()),
                 new UpstreamClient(setup.buffers()),
-                setup.worker().getIoThread(0));
+                setup.worker().getIoThread(0),
+                setup.observer());
         this.server = Undertow.builder()
                 .setWorker(setup.worker())
                 .setByteBufferPool(setup.buffers())
@@ -257,6 +260,7 @@
                 Field.of(
                         "version",
                         tools.desk().desk().plan().map(RelayPlan::version).orElse(-1L)));
+        tools.observer().refused(rejection.refusal().reason());
         if (!exchange.isRequestComplete()) {
             // What is left of the request is not read, so the connection cannot carry another one.
             exchange.setPersistent(false);
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -84,6 +84,7 @@
         if (done) {
             return;
         }
+        tools.observer().callerLeft();
         LOG.info("caller-left", Field.of("request", call.head().attempt()), Field.of("attempts", call.attempts()));
         finish();
         tools.desk().abandoned(call);
@@ -142,10 +143,15 @@
                 Field.of("reason", refusal.reason().text()),
                 Field.of("outcome", refusal.outcome().text()),
                 Field.of("attempts", call.attempts()),
-                Field.of("waitedMillis", (System.nanoTime() - call.arrivedNanos()) / Moment.NANOS_PER_MILLI));
+                Field.of("waitedMillis", millisSinceArrival()));
+        tools.observer().refused(refusal.reason());
         answer.refuse(refusal, call.head().attempt(), tools.dialect());
     }
 
+    private long millisSinceArrival() {
+        return (System.nanoTime() - call.arrivedNanos()) / Moment.NANOS_PER_MILLI;
+    }
+
     private void finish() {
         done = true;
         if (deadline != null) {
@@ -179,6 +185,7 @@
             facts = tools.protocol().read(arrived);
             success = head.status() / STATUS_CLASS == SUCCESS_CLASS && facts.signed();
             tools.desk().started(call, facts);
+            tools.observer().started(call.route().kind(), millisSinceArrival());
             if (success && answer.started()) {
                 answer.hold(attempt);
             }
@@ -221,6 +228,7 @@
         @Override
         public void onEnd(AttemptEnd end) {
             AttemptEnd judged = judge(end);
+            tools.observer().attemptEnded(judged);
             LOG.info(
                     "attempt-ended",
                     Field.of("request", call.head().attempt()),
@@ -263,6 +271,7 @@
 
         private void complete() {
             finish();
+            tools.observer().answered(call.route().kind(), millisSinceArrival());
             if (!success) {
                 answer.sendWhole(head, held.toByteArray());
                 return;
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTools.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTools.java
@@ -12,6 +12,12 @@
  * @param protocol speaks to backend servers
  * @param upstream opens attempts
  * @param thread the I/O thread that owns all of it
+ * @param observer told what becomes of calls
  */
 record OpaqueTools(
-        DeskTask desk, Dialect dialect, OpaqueProtocol protocol, UpstreamClient upstream, XnioIoThread thread) {}
+        DeskTask desk,
+        Dialect dialect,
+        OpaqueProtocol protocol,
+        UpstreamClient upstream,
+        XnioIoThread thread,
+        CallObserver observer) {}
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.http.opaque;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
@@ -54,6 +55,7 @@
     private XnioWorker worker;
     private OpaqueListener listener;
     private final AtomicReference<Runnable> beforeSend = new AtomicReference<>(() -> {});
+    private final ListObserver observer = new ListObserver();
     private RelayDesk desk;
     private int port;
 
@@ -70,7 +72,8 @@
                 new DefaultByteBufferPool(true, 4_096),
                 new DeskTask(desk, worker.getIoThread(0), _team -> {}),
                 new PlainDialect(() -> beforeSend.get().run()),
-                () -> true));
+                () -> true,
+                observer));
     }
 
     @AfterEach
@@ -164,6 +167,19 @@
         }
     }
 
+    @Test
+    void tellsWhatBecomesOfCalls() throws Exception {
+        try (FakeServer server = FakeServer.start((_r, c) -> c.answer(200, OURS, "x"))) {
+            list(server);
+            call("GET", "/safe/", HEAD, "");
+            call("GET", "/other/", HEAD, "");
+
+            assertThat(
+                    observer.told(),
+                    contains("started SAFE", "ended ANSWERED", "answered SAFE", "refused UNKNOWN_ROUTE"));
+        }
+    }
+
     @Test
     void answersWithoutAServerWhatIsNotAllowed() throws Exception {
         try (FakeServer server = FakeServer.start((_r, c) -> c.answer(200, OURS, "x"))) {
