Read the rehearsal's settings as a starting process does

Cause: 117 classes of the settings file's reader were missing from the class archive, as the rehearsal made its settings in code, so that each start read and verified them from the jar.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
@@ -10,7 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.entry.settings.RelaySettings;
-import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.entry.settings.RelaySettingsFile;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.platform.PlatformFacts;
 import org.geraniumstand.support.io.Closer;
@@ -26,26 +26,28 @@
     private static final long CALL_MILLIS = 1_000;
     private static final int ROUNDS = 2;
 
-    /** Bounds without a meaning; no request is relayed. */
-    private static final RelaySettings.Bounds BOUNDS = new RelaySettings.Bounds(1, 0, 0, 1, 0, 0, 3_000, 5, 10);
+    /** Settings as a process reads them; the bounds have no meaning, as no request is relayed. */
+    private static final String SETTINGS = String.join(
+            "\n",
+            "process: {name: rehearsal, dataCentre: none}",
+            "listen: {callers: \"$0\", readiness: \"$1\", peers: \"$2\", metrics: \"$3\"}",
+            "peers: {sharedKey: rehearsal-without-peers, seeds: [\"$2\"]}",
+            "store: {url: \"http://$4\"}",
+            "cloud: {url: \"http://$5\"}",
+            "bounds: {stopSeconds: 1, repeatRatio: 0, repeatSlack: 0, repeatWindowSeconds: 1, quotaSlack: 0,",
+            "  quotaOverrun: 0, leaseMillis: 3000, usageWindowSeconds: 5, usageLateSeconds: 10}",
+            "");
+
+    private static final int ADDRESSES = 6;
 
     private Rehearsal() {}
 
     /** Runs it. */
     public static void run() {
         Closer closer = new Closer();
-        RelaySettings settings = new RelaySettings(
-                "rehearsal",
-                new DataCentreId("none"),
-                address(),
-                address(),
-                address(),
-                address(),
-                "rehearsal-without-peers",
-                List.of(),
-                URI.create("http://" + LOOPBACK + ":" + address().getPort()),
-                URI.create("http://" + LOOPBACK + ":" + address().getPort()),
-                BOUNDS);
+        RelaySettings settings = RelaySettingsFile.parse("rehearsal", text())
+                .value()
+                .orElseThrow(() -> new IllegalStateException("the settings of the rehearsal are not valid"));
         closer.add(RelayProcess.start(settings));
         HttpCalls calls = closer.add(HttpCalls.start("rehearsal"));
         PlatformFacts.rehearse();
@@ -56,6 +58,14 @@
         closer.close();
     }
 
+    private static String text() {
+        String text = SETTINGS;
+        for (int i = 0; i < ADDRESSES; i++) {
+            text = text.replace("$" + i, LOOPBACK + ":" + address().getPort());
+        }
+        return text;
+    }
+
     private static void call(HttpCalls calls, InetSocketAddress address) {
         URI origin = URI.create("http://" + LOOPBACK + ":" + address.getPort());
         CountDownLatch answered = new CountDownLatch(1);
--- a/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettingsFile.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettingsFile.java
@@ -49,6 +49,16 @@
         return SettingsDocument.read(file, SCHEMA, List.of()).map(RelaySettingsFile::settings);
     }
 
+    /**
+     * Reads settings from a text.
+     *
+     * @param name names the text in what is reported
+     * @param text the text, in YAML
+     */
+    public static Result<RelaySettings, SettingsError> parse(String name, String text) {
+        return SettingsDocument.parse(Path.of(name), text, SCHEMA).map(RelaySettingsFile::settings);
+    }
+
     private static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
         return InetSocketAddress.createUnresolved(
--- a/entry/src/main/java/org/geraniumstand/entry/settings/SettingsDocument.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/SettingsDocument.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -29,18 +30,38 @@
         return new SettingsDocument(file, schema).read(secrets);
     }
 
+    /** Reads a text; the file is only named in what is reported. */
+    static Result<SettingValues, SettingsError> parse(Path file, String text, List<Setting> schema) {
+        SettingsDocument document = new SettingsDocument(file, schema);
+        document.parse(text);
+        return document.end();
+    }
+
     private Result<SettingValues, SettingsError> read(List<SecretEntry> secrets) {
         try {
-            take(SettingsTree.parse(Files.readString(file)));
-        } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
-            problems.add(file + ":" + line + ": this is not YAML");
+            parse(Files.readString(file));
         } catch (IOException _e) {
             problems.add(file + ": the file cannot be read");
         }
         if (problems.isEmpty()) {
             secrets.forEach(secret -> readSecret(secret.path(), secret.filePath()));
         }
+        return end();
+    }
+
+    private void parse(String text) {
+        try {
+            take(SettingsTree.parse(text));
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
+            problems.add(file + ":" + line + ": this is not YAML");
+        } catch (IOException e) {
+            // A text cannot fail to be read, but the parser's signature says that it may.
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private Result<SettingValues, SettingsError> end() {
         return problems.isEmpty() ? Result.ok(new SettingValues(values)) : Result.err(new SettingsError(problems));
     }
 
