--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServersNeeded.java
@@ -0,0 +1,69 @@
+package org.geraniumstand.decisions.relay;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.time.Moment;
+
+/** Decides how many servers the demand needs; it belongs to one thread. */
+@Decision(
+        name = "relay-servers-needed",
+        summary =
+                "A service needs a server for each part of the measured demand and one to spare; until demand has been"
+                        + " measured for a while, no fewer than the most lasting ones that were seen.")
+public final class RelayServersNeeded {
+    /**
+     * Tokens a second that a server bears with first tokens in good time: it reads 93,600, about half of all tokens
+     * are in caches, and a quarter of its time is used, as long prompts that come together must not delay each other.
+     */
+    private static final double TOKENS_PER_SERVER = 45_000;
+
+    /** Servers beside those that the load needs; one may crash at any time. */
+    private static final int SPARE_SERVERS = 1;
+
+    /** Milliseconds of demand after which it counts as measured; its rise is averaged over 2,000. */
+    private static final long MEASURED_MILLIS = 5_000;
+
+    private final Map<ServiceId, Integer> mostLasting = new HashMap<>();
+    private boolean demanded;
+    private long demandedNanos;
+
+    /** Creates a decision without any demand seen. */
+    public RelayServersNeeded() {}
+
+    /**
+     * Takes in the demand.
+     *
+     * @param tokensPerSecond tokens that callers ask for a second
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onDemand(double tokensPerSecond, long nowNanos) {
+        if (!demanded && tokensPerSecond > 0) {
+            demanded = true;
+            demandedNanos = nowNanos;
+        }
+    }
+
+    /**
+     * Returns how many servers a service needs.
+     *
+     * @param service the service
+     * @param tokensPerSecond tokens that callers ask for a second
+     * @param lasting its servers that serve now and stay until they are given back
+     * @param dataCentres data centres in which it may have servers; each has one at least
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public int decide(ServiceId service, double tokensPerSecond, int lasting, int dataCentres, long nowNanos) {
+        int needed = SPARE_SERVERS + Math.max(dataCentres, (int) Math.ceil(tokensPerSecond / TOKENS_PER_SERVER));
+        if (measured(nowNanos)) {
+            return needed;
+        }
+        // Entries are read one after the other, so that the first look may show a few of the servers only.
+        return Math.max(needed, mostLasting.merge(service, lasting, Math::max));
+    }
+
+    private boolean measured(long nowNanos) {
+        return demanded && nowNanos - demandedNanos > MEASURED_MILLIS * Moment.NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayServersNeededTest.java
@@ -0,0 +1,50 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.geraniumstand.model.id.ServiceId;
+import org.junit.jupiter.api.Test;
+
+final class RelayServersNeededTest {
+    private static final ServiceId MODEL = new ServiceId("model");
+    private static final int DATA_CENTRES = 3;
+
+    private final RelayServersNeeded needed = new RelayServersNeeded();
+
+    private int decide(double tokensPerSecond, int lasting, long atMillis) {
+        needed.onDemand(tokensPerSecond, atMillis * Calls.MILLI);
+        return needed.decide(MODEL, tokensPerSecond, lasting, DATA_CENTRES, atMillis * Calls.MILLI);
+    }
+
+    /** The entries of 19 servers arrive while the process starts; callers come 11 s later. */
+    @Test
+    void keepsAllServersThatWereSeenUntilCallersCome() {
+        decide(0, 8, 0);
+        decide(0, 19, 500);
+
+        assertThat(decide(0, 3, 11_000), is(19));
+    }
+
+    @Test
+    void followsTheDemandOnceItIsMeasured() {
+        decide(0, 19, 0);
+        decide(90_000, 19, 1_000);
+
+        assertThat(decide(360_000, 19, 6_500), is(9));
+    }
+
+    @Test
+    void followsAHigherDemandAtOnce() {
+        decide(0, 3, 0);
+
+        assertThat(decide(900_000, 3, 100), is(21));
+    }
+
+    @Test
+    void needsOneADataCentreAndOneToSpareAtTheLeast() {
+        decide(1, 0, 0);
+
+        assertThat(decide(1, 0, 6_000), is(DATA_CENTRES + 1));
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.geraniumstand.decisions.relay.DemandMeter;
 import org.geraniumstand.decisions.relay.RelayDesk;
+import org.geraniumstand.decisions.relay.RelayServersNeeded;
 import org.geraniumstand.decisions.relay.ServerView;
 import org.geraniumstand.decisions.relay.ServersWanted;
 import org.geraniumstand.decisions.relay.ServersWanted.Count;
@@ -32,18 +33,6 @@
     /** Milliseconds for which no reclaimable servers are asked for where there were none. */
     private static final long NONE_MILLIS = 2_500;
 
-    /**
-     * Tokens a second that a server bears with first tokens in good time: it reads 93,600, about half of all tokens
-     * are in caches, and a quarter of its time is used, as long prompts that come together must not delay each other.
-     */
-    private static final double TOKENS_PER_SERVER = 45_000;
-
-    /** Servers beside those that the load needs; one may crash at any time. */
-    private static final int SPARE_SERVERS = 1;
-
-    /** Milliseconds of demand after which it counts as measured; its rise is averaged over 2,000. */
-    private static final long MEASURED_MILLIS = 5_000;
-
     /** Milliseconds for which servers that were ordered count as coming; they boot for some 4,000 and start cold. */
     private static final long COMING_MILLIS = 7_500;
 
@@ -52,8 +41,7 @@
     private final Timer timer;
     private final RelayDesk desk;
     private final DemandMeter demand = new DemandMeter();
-    private final Map<ServiceId, Integer> firstServed = new HashMap<>();
-    private long firstDemandNanos;
+    private final RelayServersNeeded needs = new RelayServersNeeded();
     private final Map<Lot, Ordered> ordered = new HashMap<>();
     private final Map<Lot, Long> noneUntilNanos = new HashMap<>();
 
@@ -72,6 +60,7 @@
         timer.after(this::start, TICK_MILLIS);
         long now = System.nanoTime();
         demand.onReading(desk.quotas().total(), now);
+        needs.onDemand(demand.perSecond(), now);
         Optional<DutyDesk.Claim> claim = lease.claim();
         if (claim.isEmpty()) {
             // Another process orders, so what was ordered here says nothing any more.
@@ -90,12 +79,9 @@
         if (served == 0) {
             return;
         }
-        int needed = SPARE_SERVERS
-                + Math.max(bounds.prices().size(), (int) Math.ceil(demand.perSecond() / TOKENS_PER_SERVER));
-        if (!measured(now)) {
-            // What was there before the first callers stays until their demand is known.
-            needed = Math.max(needed, firstServed.computeIfAbsent(service.id(), _key -> served));
-        }
+        int lasting = serving.values().stream().mapToInt(Count::lasting).sum();
+        int needed = needs.decide(
+                service.id(), demand.perSecond(), lasting, bounds.prices().size(), now);
         Map<DataCentreId, Count> wanted = ServersWanted.decide(new ServersWanted.Input(
                 bounds,
                 needed,
@@ -110,18 +96,11 @@
             // Lasting servers go only once others serve in their place.
             Ordered last = ordered.get(new Lot(service.id(), dc, false));
             int before = Math.max(there.lasting(), last == null ? 0 : last.count());
-            int lasting = complete ? count.lasting() : Math.max(count.lasting(), before);
-            order(claim, new Lot(service.id(), dc, false), lasting, there.lasting(), now);
+            int kept = complete ? count.lasting() : Math.max(count.lasting(), before);
+            order(claim, new Lot(service.id(), dc, false), kept, there.lasting(), now);
         });
     }
 
-    private boolean measured(long now) {
-        if (demand.perSecond() > 0 && firstDemandNanos == 0) {
-            firstDemandNanos = now;
-        }
-        return firstDemandNanos != 0 && now - firstDemandNanos > MEASURED_MILLIS * Moment.NANOS_PER_MILLI;
-    }
-
     private Map<DataCentreId, Count> present(ServiceId service, Map<DataCentreId, Count> serving, long now) {
         Map<DataCentreId, Count> present = new HashMap<>(serving);
         ordered.forEach((lot, order) -> {
