Tell peers no change of the store that was not seen one by one

Cause: a process that asks the store for all vouched for more than it had seen: changes before its own first or repeated read, and changes that only the other reader had told it. Ruled out: a late entry (others stopped in time) and the follower's own watch (it started after the news).

News start at the revision of the own read and end at that of the own watch. Readers tell at least every 750 ms and are given up after 1,200, so that both may fall silent within the bound of 2,000. The three cases of StoreFollowerTest failed first.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreAsking.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreAsking.java
@@ -10,8 +10,11 @@
                 "Two processes ask the store for changes and tell the others, who ask it themselves once they have heard"
                         + " neither for a moment or have missed a change.")
 public final class StoreAsking {
-    /** Milliseconds after which readers that were not heard count as lost; each tells at least every 1,300. */
-    private static final long HEARD_MILLIS = 1_800;
+    /**
+     * Milliseconds after which readers that were not heard count as lost; each tells at least every 750, and a server
+     * that leaves must be known to all within 2,000.
+     */
+    private static final long HEARD_MILLIS = 1_200;
 
     private boolean reader;
     private boolean behind = true;
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -35,7 +35,7 @@
     private static final long WATCH_MILLIS = 4_000;
 
     /** The same where others rely on the answers; they take this process for lost soon after. */
-    private static final long READER_WATCH_MILLIS = 1_000;
+    private static final long READER_WATCH_MILLIS = 500;
 
     /** Milliseconds between a change and the next call, so that changes that come together cost one call. */
     private static final long GATHER_MILLIS = 40;
@@ -47,7 +47,7 @@
     private static final long LOOK_MILLIS = 100;
 
     /** Milliseconds after which peers are told that nothing changed. */
-    private static final long QUIET_MILLIS = 800;
+    private static final long QUIET_MILLIS = 300;
 
     /** Most characters of changes that are told to all peers; a small host's link takes a megabyte a second. */
     private static final int MOST_TOLD = 16_000;
@@ -81,7 +81,13 @@
     private boolean failed;
     private long failedNanos;
     private Consumer<PeerMessage.StoreNews> onNews = _news -> {};
+
+    /** Revision up to which all changes are known. */
     private long revision;
+
+    /** Revision up to which this process itself saw all changes since it was told; what peers saw does not count. */
+    private long seenRevision;
+
     private boolean read;
     private long toldRevision;
     private long toldNanos = System.nanoTime();
@@ -139,6 +145,7 @@
     void onReader(boolean reader) {
         if (reader && !asking.reader()) {
             untold.clear();
+            seenRevision = revision;
             toldRevision = revision;
         }
         asking.onReader(reader);
@@ -168,6 +175,10 @@
         if (prefixes.isEmpty()) {
             revision = from;
             read = true;
+            // Peers learn what changed up to here from the store, as it was not told change by change.
+            untold.clear();
+            seenRevision = from;
+            toldRevision = from;
             takeAll(items);
             watch();
             return;
@@ -204,7 +215,7 @@
             timer.after(this::watch, LOOK_MILLIS);
             return;
         }
-        long since = revision;
+        long since = asking.reader() ? seenRevision : revision;
         store.watch("", since, asking.reader() ? READER_WATCH_MILLIS : WATCH_MILLIS, result -> {
             if (result instanceof Result.Ok<RevisionStore.Changes, StoreError> ok) {
                 answered();
@@ -213,6 +224,7 @@
                         ok.held().changes().stream().filter(this::matters).toList();
                 takeNew(mattering);
                 revision = Math.max(revision, ok.held().revision());
+                seenRevision = Math.max(seenRevision, ok.held().revision());
                 tell(mattering);
                 long gather = mattering.isEmpty() ? IDLE_GATHER_MILLIS : GATHER_MILLIS;
                 timer.after(this::watch, ok.held().changes().isEmpty() ? 0 : gather);
@@ -241,9 +253,9 @@
                 .sum();
         boolean large = size > MOST_TOLD;
         onNews.accept(new PeerMessage.StoreNews(
-                toldRevision, revision, lapsed(), large, large ? List.of() : List.copyOf(untold)));
+                toldRevision, seenRevision, lapsed(), large, large ? List.of() : List.copyOf(untold)));
         untold.clear();
-        toldRevision = revision;
+        toldRevision = seenRevision;
         toldNanos = now;
     }
 
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -253,6 +253,43 @@
         assertThat(news, contains(told(100, 202, ready("s/a", 202))));
     }
 
+    /** The entries were read at revision 101, so that changes before it were not told to peers one by one. */
+    @Test
+    void tellsPeersOnlyWhatComesAfterItReadAnew() {
+        follower.onNews(news::add);
+        follower.start();
+        follower.onReader(true);
+        store.write("s/a", "ready");
+        store.tell(Result.err(StoreError.HISTORY_GONE));
+        change("s/b", Optional.of("ready"));
+
+        assertThat(news, contains(told(101, 201, ready("s/b", 201))));
+    }
+
+    @Test
+    void tellsPeersOnlyWhatComesAfterItsFirstRead() {
+        follower.onNews(news::add);
+        follower.onReader(true);
+        follower.start();
+        change("s/a", Optional.of("ready"));
+
+        assertThat(news, contains(told(100, 201, ready("s/a", 201))));
+    }
+
+    /** Two processes tell each other too; neither may vouch for changes that only the other one saw. */
+    @Test
+    void tellsPeersNoMoreThanItSawItself() {
+        follower.onNews(news::add);
+        follower.start();
+        follower.onReader(true);
+        follower.onTold(told(100, 150, ready("s/a", 140)));
+        store.tell(Result.ok(new Changes(List.of(ready("s/b", 120)), 120)));
+        timer.run(SOON);
+
+        assertThat(news, contains(told(100, 120, ready("s/b", 120))));
+        assertThat(store.watchedSince(), is(120L));
+    }
+
     @Test
     void withholdsFromPeersWhatIsLarge() {
         follower.onNews(news::add);
