--- a/operator/src/main/java/org/geraniumstand/operator/command/Explain.java
+++ b/operator/src/main/java/org/geraniumstand/operator/command/Explain.java
@@ -3,13 +3,21 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Stream;
 import org.geraniumstand.model.timeline.TimelineEvent;
 import org.geraniumstand.operator.Command;
 import org.geraniumstand.operator.Console;
 import org.geraniumstand.operator.ExitCode;
 import org.geraniumstand.operator.client.ConnectionOptions;
 import org.geraniumstand.operator.client.Events;
+import org.geraniumstand.operator.logs.LogLine;
+import org.geraniumstand.operator.logs.RequestChain;
 import org.geraniumstand.operator.text.TimelineText;
 
 /** Shows what happened to a request and why. */
@@ -18,11 +26,20 @@
     @Parameter(description = "REQUEST", required = true)
     private String request;
 
+    @Parameter(
+            names = "--logs",
+            variableArity = true,
+            description = "Log files of entry processes to read instead of asking them")
+    private List<String> logs = List.of();
+
     @ParametersDelegate
     private final ConnectionOptions connection = new ConnectionOptions();
 
     @Override
     public ExitCode run(Console console) {
+        if (!logs.isEmpty()) {
+            return fromLogs(console);
+        }
         return connection.with(
                 console,
                 client -> Events.read(client, "/v1/requests/" + Paths.segment(request), console)
@@ -34,6 +51,25 @@
         return "geraniumctl explain 3f0c-counter-17";
     }
 
+    private ExitCode fromLogs(Console console) {
+        List<LogLine> lines = new ArrayList<>();
+        for (String file : logs) {
+            try (Stream<String> texts = Files.lines(Path.of(file))) {
+                texts.flatMap(text -> LogLine.parse(file, text).stream()).forEach(lines::add);
+            } catch (IOException | UncheckedIOException e) {
+                console.complain(file + " cannot be read: " + e.getMessage());
+                return ExitCode.REFUSED;
+            }
+        }
+        List<String> texts = RequestChain.explain(request, lines);
+        if (texts.isEmpty()) {
+            console.complain("No line of these logs names the request " + request + ".");
+            return ExitCode.REFUSED;
+        }
+        texts.forEach(console::print);
+        return ExitCode.DONE;
+    }
+
     private ExitCode print(Console console, List<TimelineEvent> events) {
         if (events.isEmpty()) {
             console.complain("No entry process remembers the request " + request + ".");
--- a/operator/src/test/java/org/geraniumstand/operator/CommandLineTest.java
+++ b/operator/src/test/java/org/geraniumstand/operator/CommandLineTest.java
@@ -186,6 +186,20 @@
         assertThat(Files.readString(html), startsWith("<!DOCTYPE html>"));
     }
 
+    @Test
+    void explainsRequestFromLogsWithoutAnyProcess() throws IOException {
+        Path log = folder.resolve("a.log");
+        Files.writeString(
+                log,
+                "time=2026-05-16T15:16:20.931+0000 level=INFO event=call-refused request=r1 reason=no-server\n"
+                        + "some other line\n");
+
+        assertThat(run("explain", "r1", "--logs", log.toString()), is(ExitCode.DONE));
+        assertThat(run("explain", "r2", "--logs", log.toString()), is(ExitCode.REFUSED));
+        assertThat(run("explain", "r1", "--logs", folder.resolve("none").toString()), is(ExitCode.REFUSED));
+        assertThat(text(out), containsString("Cause: No server of the service took work."));
+    }
+
     @Test
     void explainsRequestOrSaysThatNobodyKnowsIt() {
         entry.answer("GET /v1/status", 200, Reports.report("p1", entry.port(), 5))
