Let the proof of a fresh process wait for its log, and compare times

Ruled out: a process that is ready without the configuration; the line is written before. The proof waits for the line and then demands that its time is not after readiness, which is as strict.

--- a/proofs/src/test/java/org/geraniumstand/proofs/process/ConfigurationProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/ConfigurationProofTest.java
@@ -5,9 +5,14 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.hasItem;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.time.Instant;
+import java.time.OffsetDateTime;
+import java.time.format.DateTimeFormatter;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Queue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -21,6 +26,8 @@
 
 /** An accepted configuration is in force everywhere within seconds and never reverts. */
 final class ConfigurationProofTest {
+    private static final DateTimeFormatter TIME =
+            DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSSxx", Locale.ROOT);
     private static final Pattern IN_FORCE = Pattern.compile("event=configuration-in-force .*?generation=(\\d+)");
     private static final long SECONDS_MILLIS = 6_000;
     private static final int CHANGES = 10;
@@ -67,7 +74,11 @@
             old.kill();
             EntryHost fresh = cluster.replace(old);
             Conditions.await("the new process is ready", fresh::ready);
-            assertThat(generations(fresh), hasItem(2L));
+            Instant ready = Instant.now();
+            // Lines are written in batches, so the line may come after the process is ready; what it tells may not.
+            Conditions.await(
+                    "the log names the generation", () -> generations(fresh).contains(2L));
+            assertThat(fresh.log(), inForceAt(fresh, 2), is(lessThanOrEqualTo(ready)));
         }
     }
 
@@ -124,6 +135,19 @@
         assertThat("generation " + generation + "\n" + cluster.logs(), everywhere, is(true));
     }
 
+    /** Returns when a process wrote first that a generation is in force. */
+    private static Instant inForceAt(EntryHost host, long generation) {
+        return host.log()
+                .lines()
+                .filter(line -> IN_FORCE.matcher(line)
+                        .results()
+                        .anyMatch(found -> Long.parseLong(found.group(1)) == generation))
+                .map(line -> OffsetDateTime.parse(line.replaceAll("^time=(\\S+) .*$", "$1"), TIME)
+                        .toInstant())
+                .findFirst()
+                .orElseThrow();
+    }
+
     private static List<Long> generations(EntryHost host) {
         return IN_FORCE.matcher(host.log())
                 .results()
