Say not run again of a call that no server ran and that waited in vain

Cause: since the answer at the deadline asked whether any attempt had been sent, also one that a server had declined, so that such a call was told to be of unknown outcome though nothing ran it. Only an attempt that is under way counts now; what earlier ones may have done is known to the call. Found by reading; the test in OpaqueListenerTest failed first (504 for 503).

--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -95,7 +95,7 @@
         if (done) {
             return;
         }
-        boolean ran = (attempt != null && attempt.sent()) || call.mayHaveRun();
+        boolean ran = (call.server() != null && attempt.sent()) || call.mayHaveRun();
         refuse(ran ? Refusal.unknown(RefusalReason.TIMED_OUT) : Refusal.notRun(RefusalReason.DEADLINE, 0));
         tools.desk().abandoned(call);
     }
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -19,6 +19,7 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDesk;
@@ -49,6 +50,10 @@
 final class OpaqueListenerTest {
     private static final ServiceId SERVICE = new ServiceId("desk");
     private static final DataCentreId HERE = new DataCentreId("here");
+
+    /** Slots with which a server takes nothing, its queue included. */
+    private static final int NO_ROOM = -6;
+
     private static final String OURS = "attempt: a-1\r\nsigned: yes\r\n";
     private static final String HEAD = "attempt: a-1\r\nkey: right\r\nwait: 1500\r\n";
 
@@ -121,22 +126,26 @@
     private void list(FakeServer... servers) throws InterruptedException {
         plan();
         for (int i = 0; i < servers.length; i++) {
-            RelayServer server = new RelayServer(
-                    new ServerId("s" + i),
-                    1,
-                    SERVICE,
-                    "127.0.0.1",
-                    servers[i].port(),
-                    HERE,
-                    new VersionId("v1"),
-                    8,
-                    false,
-                    0,
-                    false);
-            onThread(() -> desk.fleet().onListed(server, System.nanoTime()));
+            list("s" + i, servers[i].port(), 8);
         }
     }
 
+    private void list(String id, int serverPort, int slots) throws InterruptedException {
+        RelayServer server = new RelayServer(
+                new ServerId(id),
+                1,
+                SERVICE,
+                "127.0.0.1",
+                serverPort,
+                HERE,
+                new VersionId("v1"),
+                slots,
+                false,
+                0,
+                false);
+        onThread(() -> desk.fleet().onListed(server, System.nanoTime()));
+    }
+
     private void onThread(Runnable task) throws InterruptedException {
         CountDownLatch done = new CountDownLatch(1);
         worker.getIoThread(0).execute(() -> {
@@ -375,6 +384,26 @@
         }
     }
 
+    /** No server ran it, though one had it; while it waits for another there is no room until its time ends. */
+    @Test
+    void saysNotRunOfACallThatAServerDeclinedAndThatThenWaitedInVain() throws Exception {
+        AtomicInteger ownPort = new AtomicInteger();
+        try (FakeServer server = FakeServer.start((_r, c) -> {
+            try {
+                list("s0", ownPort.get(), NO_ROOM);
+            } catch (InterruptedException _e) {
+                Thread.currentThread().interrupt();
+            }
+            c.answer(503, OURS + "not-run: yes\r\n", "");
+        })) {
+            ownPort.set(server.port());
+            list(server);
+
+            assertThat(call("POST", "/unsafe/", HEAD, "x").status(), is(503));
+            assertThat(server.requests(), hasSize(1));
+        }
+    }
+
     /** A process that stood still finds requests whose callers left meanwhile. */
     @Test
     void sendsNothingForACallerThatLeftBeforeItsRequestWasRead() throws Exception {
