Find metrics by small keys, and drop state and branches that are not needed

RelayMetrics built names and asked the registry several times a call; it keeps its counters as TrafficMetrics does, and both make histograms in one place. What a reader tells its peers is the changes at hand, as the list of untold ones was always empty between calls. A process that adds up sends its own use to itself, which the network delivers like any message. RequestChain takes the last line that fits without a list.

--- a/entry/src/main/java/org/geraniumstand/entry/metrics/ProcessMetrics.java
+++ b/entry/src/main/java/org/geraniumstand/entry/metrics/ProcessMetrics.java
@@ -1,6 +1,8 @@
 package org.geraniumstand.entry.metrics;
 
 import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.MetricRegistry;
 import java.lang.management.ManagementFactory;
 import java.util.function.LongSupplier;
@@ -39,6 +41,18 @@
         registry.gauge(name, () -> (Gauge<Long>) value::getAsLong);
     }
 
+    /**
+     * Returns a histogram of recent values, a new one if there is none.
+     *
+     * @param name its name, in snake case, with its unit at the end
+     */
+    Histogram histogram(String name) {
+        return registry.histogram(
+                name,
+                () -> new Histogram(
+                        LockFreeExponentiallyDecayingReservoir.builder().build()));
+    }
+
     /** Returns the registry. */
     MetricRegistry registry() {
         return registry;
--- a/entry/src/main/java/org/geraniumstand/entry/metrics/RelayMetrics.java
+++ b/entry/src/main/java/org/geraniumstand/entry/metrics/RelayMetrics.java
@@ -1,18 +1,27 @@
 package org.geraniumstand.entry.metrics;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
-import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
+import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 import org.geraniumstand.http.opaque.CallObserver;
 import org.geraniumstand.model.relay.CallKind;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.RefusalReason;
 
-/** Counts relayed calls by outcome, attempts by end, and times of answers by kind of call. */
+/**
+ * Counts relayed calls by outcome, attempts by end, and times of answers by kind of call.
+ *
+ * <p>It belongs to the I/O thread; metrics that exist already are found by a small key, without building names.
+ */
 public final class RelayMetrics implements CallObserver {
-    private static final String CALLS = "geraniumstand_calls_total";
-
     private final ProcessMetrics metrics;
+    private final Map<String, Counter> outcomes = new HashMap<>();
+    private final Map<AttemptEnd, Counter> ends = new EnumMap<>(AttemptEnd.class);
+    private final Map<CallKind, Histogram> firstBytes = new EnumMap<>(CallKind.class);
+    private final Map<CallKind, Histogram> answers = new EnumMap<>(CallKind.class);
 
     /**
      * Creates the metrics.
@@ -26,12 +35,12 @@
     @Override
     public void answered(CallKind kind, long millis) {
         outcome("answered");
-        time("geraniumstand_call_millis", kind, millis);
+        time(answers, "geraniumstand_call_millis", kind, millis);
     }
 
     @Override
     public void started(CallKind kind, long millis) {
-        time("geraniumstand_call_first_byte_millis", kind, millis);
+        time(firstBytes, "geraniumstand_call_first_byte_millis", kind, millis);
     }
 
     @Override
@@ -46,21 +55,21 @@
 
     @Override
     public void attemptEnded(AttemptEnd end) {
-        metrics.registry()
-                .counter(MetricName.of("geraniumstand_attempts_total", "end", label(end)))
+        ends.computeIfAbsent(end, key -> counter("geraniumstand_attempts_total", "end", label(key)))
                 .inc();
     }
 
     private void outcome(String outcome) {
-        metrics.registry().counter(MetricName.of(CALLS, "outcome", outcome)).inc();
+        outcomes.computeIfAbsent(outcome, key -> counter("geraniumstand_calls_total", "outcome", key))
+                .inc();
+    }
+
+    private Counter counter(String name, String label, String value) {
+        return metrics.registry().counter(MetricName.of(name, label, value));
     }
 
-    private void time(String name, CallKind kind, long millis) {
-        metrics.registry()
-                .histogram(
-                        MetricName.of(name, "kind", label(kind)),
-                        () -> new Histogram(
-                                LockFreeExponentiallyDecayingReservoir.builder().build()))
+    private void time(Map<CallKind, Histogram> times, String name, CallKind kind, long millis) {
+        times.computeIfAbsent(kind, key -> metrics.histogram(MetricName.of(name, "kind", label(key))))
                 .update(millis);
     }
 
--- a/entry/src/main/java/org/geraniumstand/entry/metrics/TrafficMetrics.java
+++ b/entry/src/main/java/org/geraniumstand/entry/metrics/TrafficMetrics.java
@@ -2,7 +2,6 @@
 
 import com.codahale.metrics.Counter;
 import com.codahale.metrics.Histogram;
-import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
 import com.codahale.metrics.MetricRegistry;
 import java.util.HashMap;
 import java.util.Map;
@@ -27,6 +26,7 @@
     private static final String ANSWERED = "answered";
     private static final String ABANDONED = "abandoned";
 
+    private final ProcessMetrics metrics;
     private final MetricRegistry registry;
     private final LongSupplier nanos;
     private final Map<RequestId, Flight> inFlight = new HashMap<>();
@@ -63,6 +63,7 @@
      * @param nanos reads the monotonic clock, in nanoseconds
      */
     public TrafficMetrics(ProcessMetrics metrics, LongSupplier nanos) {
+        this.metrics = metrics;
         this.registry = metrics.registry();
         this.nanos = nanos;
         this.retries = registry.counter("geraniumstand_retries_total");
@@ -145,13 +146,10 @@
     private Histogram time(ServiceId service, String name) {
         return times.computeIfAbsent(
                 new TimeKey(service, name),
-                key -> registry.histogram(
-                        MetricName.of(
-                                "geraniumstand_" + key.name() + "_millis",
-                                "service",
-                                key.service().value()),
-                        () -> new Histogram(
-                                LockFreeExponentiallyDecayingReservoir.builder().build())));
+                key -> metrics.histogram(MetricName.of(
+                        "geraniumstand_" + key.name() + "_millis",
+                        "service",
+                        key.service().value())));
     }
 
     private static TeamTotals sum(TeamTotals a, TeamTotals b) {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -211,20 +211,8 @@
         tellVersion();
         PeerMessage.TeamUseShare own =
                 new PeerMessage.TeamUseShare(desk.quotas().own());
-        for (ProcessId hub : hubs) {
-            if (hub.equals(network.self().id())) {
-                addUp(own);
-            } else {
-                network.send(hub, own);
-            }
-        }
-    }
-
-    private void addUp(PeerMessage.TeamUseShare own) {
-        long now = System.nanoTime();
-        ProcessId self = network.self().id();
-        sums.onTold(self, own.uses(), now);
-        desk.quotas().onOthers(self, sums.without(self), sums.heard(now), now);
+        // What this process sends to itself comes back to it like any other message.
+        hubs.forEach(hub -> network.send(hub, own));
     }
 
     /** Tells the neighbours which configuration is in force here; those that have a newer one answer. */
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -73,7 +73,6 @@
     private final String ownKey;
     private final Runnable onOwnKeyRemoved;
     private final StoreAsking asking = new StoreAsking();
-    private final List<Change> untold = new ArrayList<>();
     private final Map<String, StoreFact> known = new TreeMap<>();
     private final Map<ServerId, Missing> missing = new HashMap<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
@@ -144,7 +143,6 @@
     /** Takes in whether this process asks for all. */
     void onReader(boolean reader) {
         if (reader && !asking.reader()) {
-            untold.clear();
             seenRevision = revision;
             toldRevision = revision;
         }
@@ -176,7 +174,6 @@
             revision = from;
             read = true;
             // Peers learn what changed up to here from the store, as it was not told change by change.
-            untold.clear();
             seenRevision = from;
             toldRevision = from;
             takeAll(items);
@@ -243,18 +240,16 @@
         if (!asking.reader()) {
             return;
         }
-        untold.addAll(changes);
         long now = System.nanoTime();
-        if (untold.isEmpty() && now - toldNanos < QUIET_MILLIS * Moment.NANOS_PER_MILLI) {
+        if (changes.isEmpty() && now - toldNanos < QUIET_MILLIS * Moment.NANOS_PER_MILLI) {
             return;
         }
-        int size = untold.stream()
+        int size = changes.stream()
                 .mapToInt(c -> c.key().length() + c.value().map(String::length).orElse(0))
                 .sum();
         boolean large = size > MOST_TOLD;
-        onNews.accept(new PeerMessage.StoreNews(
-                toldRevision, seenRevision, lapsed(), large, large ? List.of() : List.copyOf(untold)));
-        untold.clear();
+        onNews.accept(
+                new PeerMessage.StoreNews(toldRevision, seenRevision, lapsed(), large, large ? List.of() : changes));
         toldRevision = seenRevision;
         toldNanos = now;
     }
--- a/operator/src/main/java/org/geraniumstand/operator/logs/RequestChain.java
+++ b/operator/src/main/java/org/geraniumstand/operator/logs/RequestChain.java
@@ -1,6 +1,5 @@
 package org.geraniumstand.operator.logs;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
@@ -8,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /** The lines that explain what became of a request, from the logs of several processes. */
 public final class RequestChain {
@@ -32,24 +32,20 @@
         }
         Set<LogLine> told = new HashSet<>(chain);
         chain.forEach(line -> context(line, lines).ifPresent(told::add));
-        List<String> texts =
-                told.stream().sorted(BY_TIME).map(RequestChain::text).collect(Collectors.toList());
-        texts.add("Cause: " + FailureCause.of(chain));
-        return texts;
+        return Stream.concat(
+                        told.stream().sorted(BY_TIME).map(RequestChain::text),
+                        Stream.of("Cause: " + FailureCause.of(chain)))
+                .toList();
     }
 
     /** The last line of the same process that tells what a decision rested on. */
     private static Optional<LogLine> context(LogLine decision, List<LogLine> lines) {
-        List<LogLine> before = new ArrayList<>();
-        for (LogLine line : lines) {
-            boolean rests = decision.event().equals("call-sent")
-                    ? line.is("server-listed", "server", decision.field("server"))
-                    : line.is("configuration-read", "version", decision.field("version"));
-            if (rests && line.source().equals(decision.source()) && BY_TIME.compare(line, decision) <= 0) {
-                before.add(line);
-            }
-        }
-        return before.stream().max(BY_TIME);
+        return lines.stream()
+                .filter(line -> decision.event().equals("call-sent")
+                        ? line.is("server-listed", "server", decision.field("server"))
+                        : line.is("configuration-read", "version", decision.field("version")))
+                .filter(line -> line.source().equals(decision.source()) && BY_TIME.compare(line, decision) <= 0)
+                .max(BY_TIME);
     }
 
     private static String text(LogLine line) {
