Test the signal on a child that begins with its default

Cause: the test sent the signal to its own process; where whoever started the tests ignores it, as nohup does, the Java machine takes no handler and the test failed, though such a process does not end either. The child begins with the default action; it must say that it was told and be alive after it, which is stricter than before. Without the handler it fails, under nohup too.

--- a/entry/src/test/java/org/geraniumstand/entry/HangUpTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/HangUpTest.java
@@ -3,20 +3,48 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
-import java.util.concurrent.CountDownLatch;
+import java.io.BufferedReader;
+import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
 final class HangUpTest {
-    /** Without a handler the signal ends this process, and the test with it. */
+    private static final String READY = "ready";
+    private static final String TOLD = "told";
+
+    /** A process that handles the signal and says so. */
+    static final class Child {
+        private Child() {}
+
+        @SuppressWarnings("SystemOut") // The test reads it.
+        public static void main(String[] _args) throws InterruptedException {
+            HangUp.handle(() -> System.out.println(TOLD));
+            System.out.println(READY);
+            TimeUnit.SECONDS.sleep(20);
+        }
+    }
+
+    /** Whoever runs the tests may ignore the signal, which children inherit, so the child begins with its default. */
     @Test
     void runsTheTaskAndGoesOn() throws Exception {
-        CountDownLatch told = new CountDownLatch(1);
-        HangUp.handle(told::countDown);
-        new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid()))
-                .start()
-                .waitFor();
+        Process child = new ProcessBuilder(
+                        "env",
+                        "--default-signal=HUP",
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        Child.class.getName())
+                .start();
+        try (BufferedReader lines = child.inputReader()) {
+            assertThat(lines.readLine(), is(READY));
+            new ProcessBuilder("kill", "-HUP", Long.toString(child.pid()))
+                    .start()
+                    .waitFor();
 
-        assertThat(told.await(5, TimeUnit.SECONDS), is(true));
+            assertThat(lines.readLine(), is(TOLD));
+            assertThat(child.isAlive(), is(true));
+        } finally {
+            child.destroyForcibly();
+        }
     }
 }
