Set the log up before the first logger is made

Cause: the main class got a logger of its own with the handling of the signal for changed settings. It was made before the set-up, so the platform's own log manager stayed in place, whose hook closes the log while the process still stops. Lines after the signal were lost: PlannedStopProofTest and StreamHandoverTest failed once each in a whole run, each missing a line of the stop. Ruled out: the ring of lines (offered lines are written by whoever drains next), the test's reading of the file.

The set-up now fails if another log manager is in place, and the settings are read again by a class of its own.

--- a/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
+++ b/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
@@ -11,14 +11,10 @@
 import org.geraniumstand.entry.settings.Settings;
 import org.geraniumstand.entry.settings.SettingsError;
 import org.geraniumstand.entry.settings.SettingsFile;
-import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.support.log.Log;
 import org.geraniumstand.support.log.LogSetup;
 
 /** Binary {@code geraniumstand}: the entry process. */
 public final class Geraniumstand {
-    private static final Log LOG = Log.of(Geraniumstand.class);
-
     private static final int EXIT_USAGE = 2;
     private static final long STOP_TIMEOUT_MILLIS = 60_000;
 
@@ -107,25 +103,11 @@
     @SuppressWarnings("ShutdownHook")
     private static boolean relay(RelaySettings settings, Path file) {
         RelayProcess process = RelayProcess.start(settings);
-        HangUp.handle(() -> reread(settings, file));
+        HangUp.handle(() -> SettingsChange.note(settings, file));
         Runtime.getRuntime().addShutdownHook(new Thread(process::stopGracefully, "stop"));
         return true;
     }
 
-    /** Says whether changed settings are valid; they come into force with the next start. */
-    private static void reread(RelaySettings settings, Path file) {
-        RelaySettingsFile.read(file)
-                .fold(
-                        next -> {
-                            LOG.info("settings-read-again", Field.of("changed", !next.equals(settings)));
-                            return true;
-                        },
-                        error -> {
-                            LOG.warn("settings-not-valid", Field.of("reason", error.text()));
-                            return false;
-                        });
-    }
-
     @SuppressWarnings("SystemOut")
     private static boolean confirm(String file) {
         System.out.println(file + ": the settings are valid");
--- a/support/src/main/java/org/geraniumstand/support/log/LogSetup.java
+++ b/support/src/main/java/org/geraniumstand/support/log/LogSetup.java
@@ -25,9 +25,17 @@
         apply(CONSOLE);
     }
 
-    /** Has a serving process write to standard output, without ever waiting for it. */
+    /**
+     * Has a serving process write to standard output, without ever waiting for it.
+     *
+     * @throws IllegalStateException if a logger was made before: the platform's own log manager then stays in place, which
+     *     closes the log as soon as the process is told to stop
+     */
     public static void forProcess() {
         apply(RING);
+        if (!(LogManager.getLogManager() instanceof KeepingLogManager)) {
+            throw new IllegalStateException("a logger was made before the logging was set up");
+        }
     }
 
     private static void apply(String handlers) {
