Pay once for calls that are lost together with their server

Ruled out: the retry rule (both were idempotent, first failure) and the deadline (15 s away).

Breaks at one server within 100 ms now cost one retry. What is repeated stays bounded by what ran at that server; a server that goes on breaking calls is paid for every 100 ms, until the budget ends.

--- a/decisions/src/main/java/org/geraniumstand/decisions/flow/Endings.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/flow/Endings.java
@@ -5,6 +5,7 @@
 import org.geraniumstand.decisions.Observation;
 import org.geraniumstand.decisions.Reasons;
 import org.geraniumstand.decisions.flight.Flight;
+import org.geraniumstand.decisions.retry.RetryBudget;
 import org.geraniumstand.decisions.retry.RetryRule;
 import org.geraniumstand.decisions.routing.ServerState;
 import org.geraniumstand.model.id.RequestId;
@@ -104,7 +105,7 @@
         boolean allowed =
                 RetryRule.test(facts.idempotent(), end, flight.failures(), facts.deadlineNanos(), now.nanos());
         // A server that was about to leave did not fail, so the move costs nothing of the retry budget.
-        if (allowed && (leaving || parts.work(facts.service()).retries().spend(now))) {
+        if (allowed && (leaving || paid(facts, state, end, now))) {
             parts.work(facts.service()).queue().addResumed(flight);
             actions.add(new Action.Note(
                     EventKind.REQUEST_RETRIED,
@@ -125,4 +126,9 @@
         Refusal refusal = flight.mayHaveRun() ? Refusal.unknown(reason) : Refusal.notRun(reason, RETRY_AFTER_MILLIS);
         Intake.refuse(facts, refusal, actions);
     }
+
+    private boolean paid(RequestFacts facts, ServerState state, AttemptEnd end, Moment now) {
+        RetryBudget budget = parts.work(facts.service()).retries();
+        return end == AttemptEnd.BROKEN ? budget.spendForBreak(state.server().id(), now) : budget.spend(now);
+    }
 }
