Let few processes look for the duties, and gather changes of the store for 200 ms

Ruled out: renewals (a tenth of a call each).

Two processes look often and take a free duty at once, the others look every 8 s and take it 1.5 s later or more, unless it is known to be taken. Readers gather changes for 200 ms.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/Hubs.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/Hubs.java
@@ -25,7 +25,10 @@
         ADD_UP_USE,
 
         /** Asks the store for changes and tells them. */
-        READ_STORE
+        READ_STORE,
+
+        /** Takes the duties when nobody holds them. */
+        HOLD_DUTIES
     }
 
     /**
--- a/entry/src/main/java/org/geraniumstand/entry/relay/DutyLease.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DutyLease.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.geraniumstand.decisions.relay.DutyHold;
+import org.geraniumstand.decisions.relay.DutySeeking;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.outside.relay.DutyDesk;
@@ -21,18 +22,14 @@
     /** Renewals in the lease's time; one may fail without the duty being lost. */
     private static final int RENEWALS = 3;
 
-    /** Milliseconds between looks whether the duty is free; the removal of its record usually tells sooner. */
-    private static final long LOOK_MILLIS = 2_500;
-
-    /** Longest random wait before the duty is taken, in milliseconds, so that few processes try at once. */
-    private static final int SPREAD_MILLIS = 300;
-
     private final RevisionStore store;
     private final Timer timer;
     private final Random random;
     private final String holder;
     private final long ttlMillis;
     private final DutyHold hold;
+    private boolean first = true;
+    private boolean free;
     private boolean trying;
     private boolean ended;
 
@@ -72,35 +69,44 @@
         }
     }
 
-    /** Notes that the record that names the holder was removed. */
-    void onFree() {
-        if (!hold.held()) {
+    /** Takes in whether this process is one of the first to take the duty when nobody holds it. */
+    void onFirst(boolean next) {
+        first = next;
+    }
+
+    /** Takes in that the record that names the holder was written or removed. */
+    void onRecord(boolean present) {
+        free = !present;
+        if (free && !hold.held()) {
             tryLater();
         }
     }
 
     private void look() {
-        timer.after(this::look, LOOK_MILLIS + random.nextInt(SPREAD_MILLIS));
+        timer.after(this::look, DutySeeking.lookMillis(first, random.nextDouble()));
         if (hold.held() || trying || ended) {
             return;
         }
         store.read(
                 KEY,
                 result -> result.value().ifPresent(item -> {
-                    if (item.isEmpty()) {
-                        tryLater();
-                    }
+                    onRecord(item.isPresent());
                 }));
     }
 
     private void tryLater() {
         if (!trying && !ended) {
             trying = true;
-            timer.after(this::open, random.nextInt(SPREAD_MILLIS));
+            timer.after(this::open, DutySeeking.waitMillis(first, random.nextDouble()));
         }
     }
 
     private void open() {
+        if (!free) {
+            // Another process took it meanwhile.
+            trying = false;
+            return;
+        }
         long asked = System.nanoTime();
         store.openLease(
                 ttlMillis,
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -48,6 +48,7 @@
     private Set<ProcessId> live = Set.of();
     private List<ProcessId> hubs = List.of();
     private StoreFollower follower;
+    private DutyLease lease;
     private long toldVersion = -1;
     private long toldNanos;
     private Optional<PeerMessage.PlanShare> plan = Optional.empty();
@@ -123,6 +124,11 @@
         next.onNews(this::tellStoreNews);
     }
 
+    /** Sets what is told whether this process is one of the first to take the duties. */
+    void tellFirst(DutyLease next) {
+        lease = next;
+    }
+
     private void tellStoreNews(PeerMessage.StoreNews news) {
         for (ProcessId other : live) {
             if (!other.equals(network.self().id())) {
@@ -169,6 +175,8 @@
                 Field.of("quotaHubs", hubs),
                 Field.of("storeReaders", readers));
         follower.onReader(readers.contains(network.self().id()));
+        lease.onFirst(
+                Hubs.choose(Hubs.Task.HOLD_DUTIES, live).contains(network.self().id()));
         sums.retain(live);
         desk.quotas().onMembers(hubs, live.size());
         desk.onProcesses(live.size());
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -114,8 +114,9 @@
         facts.set(new DeskFacts(desk, this::onPlan));
         this.member = new MemberRow(store, calls::schedule, peers);
         StoreFollower follower =
-                new StoreFollower(store, reader, calls::schedule, facts.get(), DutyLease.KEY, lease::onFree);
+                new StoreFollower(store, reader, calls::schedule, facts.get(), DutyLease.KEY, lease::onRecord);
         peers.follow(follower);
+        peers.tellFirst(lease);
         peers.start();
         // The store's answer is on its way while the listeners open.
         calls.schedule(follower::start, 0);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -37,11 +37,11 @@
     /** The same where others rely on the answers; they take this process for lost soon after. */
     private static final long READER_WATCH_MILLIS = 500;
 
-    /** Milliseconds between a change and the next call, so that changes that come together cost one call. */
-    private static final long GATHER_MILLIS = 40;
-
-    /** The same after changes that matter to nobody, such as the processes' own counts. */
-    private static final long IDLE_GATHER_MILLIS = 200;
+    /**
+     * Milliseconds between a change and the next call, so that changes that come together cost one call: each server
+     * writes its entry about once a second, and changes must be known to all within 2,000.
+     */
+    private static final long GATHER_MILLIS = 200;
 
     /** Milliseconds between looks at whether peers still tell the changes. */
     private static final long LOOK_MILLIS = 100;
@@ -71,7 +71,7 @@
     private final Timer timer;
     private final Listener listener;
     private final String ownKey;
-    private final Runnable onOwnKeyRemoved;
+    private final Consumer<Boolean> onOwnKey;
     private final StoreAsking asking = new StoreAsking();
     private final Map<String, StoreFact> known = new TreeMap<>();
     private final Map<ServerId, Missing> missing = new HashMap<>();
@@ -113,8 +113,8 @@
      * @param reader reads its entries
      * @param timer waits
      * @param listener told what the store says
-     * @param ownKey a key of the processes' own whose removal matters
-     * @param onOwnKeyRemoved told that it was removed
+     * @param ownKey a key of the processes' own whose changes matter
+     * @param onOwnKey told whether it is there after a change
      */
     StoreFollower(
             RevisionStore store,
@@ -122,9 +122,9 @@
             Timer timer,
             Listener listener,
             String ownKey,
-            Runnable onOwnKeyRemoved) {
+            Consumer<Boolean> onOwnKey) {
         this.ownKey = ownKey;
-        this.onOwnKeyRemoved = onOwnKeyRemoved;
+        this.onOwnKey = onOwnKey;
         this.store = store;
         this.reader = reader;
         this.timer = timer;
@@ -223,8 +223,7 @@
                 revision = Math.max(revision, ok.held().revision());
                 seenRevision = Math.max(seenRevision, ok.held().revision());
                 tell(mattering);
-                long gather = mattering.isEmpty() ? IDLE_GATHER_MILLIS : GATHER_MILLIS;
-                timer.after(this::watch, ok.held().changes().isEmpty() ? 0 : gather);
+                timer.after(this::watch, ok.held().changes().isEmpty() ? 0 : GATHER_MILLIS);
             } else {
                 onError(result.error().orElse(StoreError.MALFORMED), this::watch);
             }
@@ -233,7 +232,7 @@
 
     private boolean matters(Change change) {
         return reader.prefixes().stream().anyMatch(change.key()::startsWith)
-                || (change.key().equals(ownKey) && change.value().isEmpty());
+                || change.key().equals(ownKey);
     }
 
     private void tell(List<Change> changes) {
@@ -267,7 +266,7 @@
 
     private void take(Change change) {
         if (change.key().equals(ownKey)) {
-            onOwnKeyRemoved.run();
+            onOwnKey.accept(change.value().isPresent());
             return;
         }
         if (change.value().isEmpty()) {
--- a/entry/src/test/java/org/geraniumstand/entry/relay/DutyLeaseTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/DutyLeaseTest.java
@@ -10,6 +10,7 @@
 final class DutyLeaseTest {
     private static final long TTL = 3_000;
     private static final long SOON = 2_900;
+    private static final long LATE = 5_000;
 
     private final FakeRevisionStore store = new FakeRevisionStore();
     private final ManualTimer timer = new ManualTimer();
@@ -53,7 +54,7 @@
         store.lapse(store.lastLease());
         timer.run(SOON);
         assertThat(lease.claim().isPresent(), is(false));
-        lease.onFree();
+        lease.onRecord(false);
         pass();
 
         assertThat(lease.claim().orElseThrow().fence(), greaterThan(before));
@@ -90,4 +91,32 @@
 
         assertThat(lease.claim().isPresent(), is(true));
     }
+
+    /** The holder is gone; one of the first takes the duty before the others try. */
+    @Test
+    void leavesAFreeDutyToTheFirst() {
+        DutyLease first = lease("first");
+        lease.onFirst(false);
+        lease.onRecord(false);
+        first.onRecord(false);
+        pass();
+        assertThat(first.claim().isPresent(), is(true));
+        long leases = store.lastLease();
+        lease.onRecord(true);
+        timer.run(LATE);
+
+        assertThat(lease.claim().isPresent(), is(false));
+        assertThat(store.lastLease(), is(leases));
+    }
+
+    @Test
+    void takesADutyThatTheFirstDoNotTake() {
+        lease.onFirst(false);
+        lease.onRecord(false);
+        pass();
+        assertThat(lease.claim().isPresent(), is(false));
+        timer.run(LATE);
+
+        assertThat(lease.claim().isPresent(), is(true));
+    }
 }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -29,10 +29,10 @@
     private final FakeRevisionStore store = new FakeRevisionStore();
     private final ManualTimer timer = new ManualTimer();
     private final List<String> told = new ArrayList<>();
-    private final List<String> ownRemoved = new ArrayList<>();
+    private final List<String> ownKey = new ArrayList<>();
     private final List<PeerMessage.StoreNews> news = new ArrayList<>();
-    private final StoreFollower follower =
-            new StoreFollower(store, new Reader(), timer, new Told(), "own/x", () -> ownRemoved.add("own/x"));
+    private final StoreFollower follower = new StoreFollower(
+            store, new Reader(), timer, new Told(), "own/x", present -> ownKey.add(present ? "there" : "gone"));
     private long revision = 200;
 
     /** Reads a server from an entry whose value is its state. */
@@ -172,12 +172,13 @@
     }
 
     @Test
-    void tellsOfItsOwnKeyThatIsRemoved() {
+    void tellsOfChangesOfItsOwnKey() {
         follower.start();
         change("own/x", Optional.empty());
         change("own/y", Optional.empty());
+        change("own/x", Optional.of("holder"));
 
-        assertThat(ownRemoved, contains("own/x"));
+        assertThat(ownKey, contains("gone", "there"));
     }
 
     /** Two processes ask for all; the others must learn every change from them, without a call of their own. */
