Send nothing to a server whose address a newer one has

For 3.6 s the old entries stay; each call sent there is answered 421, and after two such answers the call was refused (40 refused between seconds 44 and 46). Ruled out: room (the servers of the other data centre took few calls), quotas.

The newest server at an address is the one that may get calls, and a server for which another answers is left alone until its entry has lapsed.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -179,6 +179,18 @@
         }
     }
 
+    /**
+     * Takes in that another server answered at the address of the one that a call was sent to.
+     *
+     * @param call the call
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onReplaced(RelayCall call, long nowNanos) {
+        if (call.server() != null) {
+            call.server().onReplaced(nowNanos);
+        }
+    }
+
     /**
      * Takes in the end of an attempt.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -16,6 +16,7 @@
 public final class RelayFleet {
     private final Map<ServerId, ServerView> servers = new HashMap<>();
     private final Map<ServiceId, List<ServerView>> byService = new HashMap<>();
+    private final Map<String, ServerView> newestAt = new HashMap<>();
     private final Set<DataCentreId> out = new HashSet<>();
 
     /** Creates a fleet without servers. */
@@ -40,6 +41,20 @@
         ServerView view = new ServerView(listed, nowNanos);
         servers.put(listed.id(), view);
         byService.computeIfAbsent(listed.service(), _key -> new ArrayList<>()).add(view);
+        newestAt.merge(
+                place(view),
+                view,
+                (old, next) -> old.server().bornMillis() > next.server().bornMillis() ? old : next);
+    }
+
+    private static String place(ServerView view) {
+        return view.server().address() + ":" + view.server().port();
+    }
+
+    /** The entry of a server that crashed stays for some seconds, in which another may start at its address. */
+    private boolean replaced(ServerView view) {
+        ServerView newest = newestAt.get(place(view));
+        return newest != null && newest.server().bornMillis() > view.server().bornMillis();
     }
 
     /**
@@ -51,6 +66,7 @@
         ServerView view = servers.remove(id);
         if (view != null) {
             byService.get(view.server().service()).remove(view);
+            newestAt.remove(place(view), view);
         }
     }
 
@@ -109,7 +125,8 @@
     public List<ServerView> takingWork(ServiceId service) {
         List<ServerView> taking = new ArrayList<>();
         for (ServerView view : byService.getOrDefault(service, List.of())) {
-            if (!view.server().leaving() && !out.contains(view.server().dataCentre())) {
+            boolean here = !out.contains(view.server().dataCentre());
+            if (here && !view.server().leaving() && !replaced(view)) {
                 taking.add(view);
             }
         }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -13,7 +13,7 @@
     /** First pause after a failed connection, in milliseconds; about ten round trips to another data centre. */
     private static final long FIRST_PAUSE_MILLIS = 250;
 
-    /** Longest pause, in milliseconds; a server that came back is found again within this time. */
+    /** Longest pause, in milliseconds; a server that came back is found again, and a dead one's entry lapses, within it. */
     private static final long LONGEST_PAUSE_MILLIS = 4_000;
 
     /** Milliseconds without any byte from a server that owes some after which it counts as silent. */
@@ -122,6 +122,11 @@
         othersInFlight = Math.max(0, load.running() + load.waiting() - inFlight);
     }
 
+    /** Leaves the server alone until its entry has surely lapsed, as another one has its address. */
+    void onReplaced(long nowNanos) {
+        pausedUntilNanos = nowNanos + LONGEST_PAUSE_MILLIS * Moment.NANOS_PER_MILLI;
+    }
+
     /** Counts how an attempt ended and returns whether it speaks against the server. */
     boolean unwell(AttemptEnd end) {
         if (end == AttemptEnd.ANSWERED || end == AttemptEnd.CANCELLED || end == AttemptEnd.DECLINED) {
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/Calls.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/Calls.java
@@ -72,9 +72,18 @@
     }
 
     static RelayServer server(String id, ServiceId service, DataCentreId dataCentre, long coldMillis) {
+        return server(id, 1, service, dataCentre, coldMillis);
+    }
+
+    static RelayServer born(String id, ServiceId service, long bornMillis) {
+        return server(id, bornMillis, service, WEST, 0);
+    }
+
+    private static RelayServer server(
+            String id, long bornMillis, ServiceId service, DataCentreId dataCentre, long coldMillis) {
         return new RelayServer(
                 new ServerId(id),
-                1,
+                bornMillis,
                 service,
                 "127.0.0.1",
                 1_000,
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -89,6 +89,33 @@
         assertThat(sentTo(steps.get(0)), is(not(first)));
     }
 
+    /** All servers of a data centre crash and start again under new names at their addresses, while old entries stay. */
+    @Test
+    void sendsNothingToAServerWhoseAddressANewerOneHas() {
+        list(Calls.server("old", Calls.DESK, Calls.WEST, 0));
+        list(Calls.born("new", Calls.DESK, 2));
+        for (int i = 1; i <= 8; i++) {
+            assertThat(sentTo(arrive(Calls.call(i, SAFE), 0)), is(new ServerId("new")));
+        }
+        desk.fleet().onGone(new ServerId("new"));
+
+        assertThat(sentTo(arrive(Calls.call(9, SAFE), 0)), is(new ServerId("old")));
+    }
+
+    @Test
+    void leavesAServerAloneThatAnotherAnswersFor() {
+        list(Calls.server("gone", Calls.DESK, Calls.WEST, 0));
+        list(Calls.server("here", Calls.DESK, Calls.EAST, 0));
+        RelayCall call = Calls.call(1, SAFE);
+        assertThat(sentTo(arrive(call, 0)), is(new ServerId("gone")));
+        desk.onReplaced(call, Calls.MILLI);
+        steps.clear();
+        desk.onEnded(call, AttemptEnd.DECLINED, Calls.MILLI, steps);
+        assertThat(sentTo(steps.get(0)), is(new ServerId("here")));
+
+        assertThat(sentTo(arrive(Calls.call(2, SAFE), 500 * Calls.MILLI)), is(new ServerId("here")));
+    }
+
     @Test
     void saysThatTheOutcomeIsUnknownWhenAnUnsafeCallBreaks() {
         list(Calls.server("one", Calls.DESK, Calls.WEST, 0));
--- a/http/src/main/java/org/geraniumstand/http/opaque/DeskTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DeskTask.java
@@ -58,6 +58,9 @@
 
     void started(RelayCall call, ServerAnswer facts) {
         desk.onStarted(call, facts.load(), System.nanoTime());
+        if (facts.replaced()) {
+            desk.onReplaced(call, System.nanoTime());
+        }
         if (!facts.notRun()) {
             began(call);
         }
--- a/http/src/test/java/org/geraniumstand/http/opaque/PlainDialect.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/PlainDialect.java
@@ -54,6 +54,7 @@
                 headers.first("attempt"),
                 headers.first("signed").isPresent(),
                 headers.first("not-run").isPresent(),
+                headers.first("other-server").isPresent(),
                 Optional.empty(),
                 OptionalInt.empty());
     }
