Gather counts of requests at two processes, which write them to the store for all

Ruled out: the time at which counts are summed (rows of reachable hosts were there), lost answers.

Each process tells its counts to two processes every 500 ms until they confirm them. These write one row a window each, and the first of them one each second while the window goes on. A process writes its own row if nobody confirmed it. Counts only grow and are merged by maximum, so what is told twice counts once.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/Hubs.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/Hubs.java
@@ -28,7 +28,10 @@
         READ_STORE,
 
         /** Takes the duties when nobody holds them. */
-        HOLD_DUTIES
+        HOLD_DUTIES,
+
+        /** Gathers the counts of requests that all processes report. */
+        COUNT_REQUESTS
     }
 
     /**
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/UsageBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/UsageBook.java
@@ -1,15 +1,26 @@
 package org.geraniumstand.decisions.relay;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.relay.WindowCounts;
+import org.geraniumstand.model.relay.WindowTotal;
 
-/** Counts the requests of each team that began to run, by window of true time; it belongs to one thread. */
+/** Counts the requests of this process by window of true time, and knows which counts others have; belongs to one thread. */
+@Decision(
+        name = "usage-book",
+        summary =
+                "Counts of a window are told to two processes until they have confirmed them, and written to the store"
+                        + " by this one if neither has once the window is over.")
 public final class UsageBook {
     private final long windowMillis;
     private final TreeMap<Long, Map<TeamId, Long>> windows = new TreeMap<>();
+    private final Map<ProcessId, Map<Long, Long>> confirmed = new HashMap<>();
 
     /**
      * Creates an empty book.
@@ -45,38 +56,63 @@
     }
 
     /**
-     * Takes out the counts of the windows that ended before one.
+     * Takes in which counts a process has.
      *
-     * @param window the first window that goes on
+     * @param process the process
+     * @param totals the requests that it knows of, by window
      */
-    public List<Ended> takeBefore(long window) {
-        Map<Long, Map<TeamId, Long>> ended = windows.headMap(window);
-        List<Ended> taken = new ArrayList<>();
-        ended.forEach((number, counts) -> taken.add(new Ended(number, counts)));
-        ended.clear();
-        return taken;
+    public void onConfirmed(ProcessId process, List<WindowTotal> totals) {
+        Map<Long, Long> known = confirmed.computeIfAbsent(process, _key -> new HashMap<>());
+        totals.forEach(total -> known.merge(total.window(), total.requests(), Math::max));
     }
 
     /**
-     * Puts counts back that could not be written.
+     * Returns the counts that a process does not have.
      *
-     * @param ended the counts
+     * @param process the process
      */
-    public void putBack(Ended ended) {
-        Map<TeamId, Long> counts = windows.computeIfAbsent(ended.window(), _key -> new TreeMap<>());
-        ended.counts().forEach((team, count) -> counts.merge(team, count, Long::sum));
+    public List<WindowCounts> unconfirmed(ProcessId process) {
+        List<WindowCounts> missing = new ArrayList<>();
+        for (Long window : windows.keySet()) {
+            WindowCounts own = counts(window);
+            if (!knows(process, own)) {
+                missing.add(own);
+            }
+        }
+        return missing;
     }
 
     /**
-     * The counts of a window.
+     * Returns the counts of windows that are over and that no other process has.
      *
-     * @param window number of the window
-     * @param counts requests by team
+     * @param before the first window that goes on
      */
-    public record Ended(long window, Map<TeamId, Long> counts) {
-        /** Copies the map. */
-        public Ended {
-            counts = Map.copyOf(counts);
+    public List<WindowCounts> unknownBefore(long before) {
+        List<WindowCounts> unknown = new ArrayList<>();
+        for (Long window : windows.headMap(before).keySet()) {
+            WindowCounts own = counts(window);
+            if (confirmed.keySet().stream().noneMatch(process -> knows(process, own))) {
+                unknown.add(own);
+            }
         }
+        return unknown;
+    }
+
+    private boolean knows(ProcessId process, WindowCounts own) {
+        return confirmed.getOrDefault(process, Map.of()).getOrDefault(own.window(), 0L) >= own.total();
+    }
+
+    private WindowCounts counts(long window) {
+        return new WindowCounts(window, windows.get(window));
+    }
+
+    /**
+     * Forgets windows whose reports are no longer due.
+     *
+     * @param before the first window that is kept
+     */
+    public void forgetBefore(long before) {
+        windows.headMap(before).clear();
+        confirmed.values().forEach(known -> known.keySet().removeIf(window -> window < before));
     }
 }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -49,6 +49,7 @@
     private List<ProcessId> hubs = List.of();
     private StoreFollower follower;
     private DutyLease lease;
+    private UsageTask usage;
     private long toldVersion = -1;
     private long toldNanos;
     private Optional<PeerMessage.PlanShare> plan = Optional.empty();
@@ -129,6 +130,12 @@
         lease = next;
     }
 
+    /** Sets what counts requests, and takes its messages to the processes that gather counts. */
+    void count(UsageTask next) {
+        usage = next;
+        next.onShares(network::send);
+    }
+
     private void tellStoreNews(PeerMessage.StoreNews news) {
         for (ProcessId other : live) {
             if (!other.equals(network.self().id())) {
@@ -155,6 +162,10 @@
                 PeerMessage.OthersUse.class,
                 (hub, use) -> desk.quotas().onOthers(hub, use.uses(), use.heard(), System.nanoTime()));
         handle(PeerMessage.StoreNews.class, (_from, news) -> follower.onTold(news));
+        handle(
+                PeerMessage.UsageShare.class,
+                (from, share) -> network.send(from, new PeerMessage.UsageHeard(usage.onTold(from, share.windows()))));
+        handle(PeerMessage.UsageHeard.class, (from, heard) -> usage.onConfirmed(from, heard.totals()));
         handle(PeerMessage.PlanNews.class, this::takeNews);
         handle(PeerMessage.PlanAsk.class, this::answerAsk);
         handle(PeerMessage.PlanShare.class, (_from, share) -> takePlan(share));
@@ -177,6 +188,7 @@
         follower.onReader(readers.contains(network.self().id()));
         lease.onFirst(
                 Hubs.choose(Hubs.Task.HOLD_DUTIES, live).contains(network.self().id()));
+        usage.onGatherers(Hubs.choose(Hubs.Task.COUNT_REQUESTS, live));
         sums.retain(live);
         desk.quotas().onMembers(hubs, live.size());
         desk.onProcesses(live.size());
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -21,6 +21,7 @@
 import org.geraniumstand.http.opaque.OpaqueListener;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.relay.RelayPlan;
+import org.geraniumstand.model.time.Moment;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.platform.PlatformDialect;
 import org.geraniumstand.platform.PlatformDuties;
@@ -99,9 +100,10 @@
                 duties,
                 lease,
                 calls::schedule,
-                incarnation,
+                new ProcessId(incarnation),
                 new UsageBook(Math.round(bounds.usageWindowSeconds() * MILLIS_IN_SECOND)),
-                Math.round(bounds.usageLateSeconds() * MILLIS_IN_SECOND));
+                Math.round(bounds.usageLateSeconds() * MILLIS_IN_SECOND),
+                () -> new Moment(System.nanoTime(), System.currentTimeMillis()));
         this.desk = new DeskTask(decisions, worker.getIoThread(0), usage::onBegan);
         PlatformFacts reader = new PlatformFacts();
         AtomicReference<DeskFacts> facts = new AtomicReference<>();
@@ -117,6 +119,7 @@
                 new StoreFollower(store, reader, calls::schedule, facts.get(), DutyLease.KEY, lease::onRecord);
         peers.follow(follower);
         peers.tellFirst(lease);
+        peers.count(usage);
         peers.start();
         // The store's answer is on its way while the listeners open.
         calls.schedule(follower::start, 0);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
@@ -7,11 +7,17 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 import java.util.stream.Stream;
 import org.geraniumstand.decisions.relay.TrueTime;
 import org.geraniumstand.decisions.relay.UsageBook;
+import org.geraniumstand.decisions.relay.UsageTable;
 import org.geraniumstand.entry.task.Timer;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.relay.WindowCounts;
+import org.geraniumstand.model.relay.WindowTotal;
 import org.geraniumstand.model.time.Moment;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.outside.relay.DutyDesk;
@@ -19,11 +25,13 @@
 import org.geraniumstand.outside.relay.RevisionStore.Commit;
 import org.geraniumstand.outside.relay.RevisionStore.Item;
 import org.geraniumstand.outside.store.StoreError;
+import org.geraniumstand.peer.PeerMessage;
 import org.geraniumstand.support.json.Json;
 import org.geraniumstand.support.log.Log;
 
 /**
- * Writes this process's counts of each window to the store and, while it holds the duty, reports their sums.
+ * Counts the requests that began to run, has two processes gather the counts of all and write them to the store, and
+ * reports their sums while this process holds the duty.
  *
  * <p>The sums of a window are written to the store under a condition before they are sent, so that no two processes
  * ever send different ones.
@@ -32,16 +40,32 @@
     private static final Log LOG = Log.of(UsageTask.class);
     private static final String COUNTS = "geraniumstand/usage/";
     private static final String REPORTS = "geraniumstand/report/";
-    private static final TypeReference<Map<String, Long>> TABLE = new TypeReference<>() {};
+
+    /** Counts of one row of the store: requests by team, by process. */
+    private static final TypeReference<Map<String, Map<String, Long>>> ROW = new TypeReference<>() {};
+
+    private static final TypeReference<Map<String, Long>> SUMS = new TypeReference<>() {};
 
     /** Milliseconds between looks at the clock. */
     private static final long TICK_MILLIS = 250;
 
-    /** Milliseconds after a window's end when the counts are written; requests told late are in by then. */
-    private static final long WRITE_AFTER_MILLIS = 300;
+    /** Milliseconds between messages about counts; a process that is killed loses as much of its counts. */
+    private static final long SHARE_MILLIS = 500;
+
+    /** Milliseconds between rows of a window that goes on; what the loss of all processes costs. */
+    private static final long SAVE_MILLIS = 1_000;
+
+    /** Milliseconds after a window's end when what was gathered is written; the last messages are in by then. */
+    private static final long GATHERED_MILLIS = 900;
+
+    /** Milliseconds after a window's end when a process writes counts that nobody confirmed. */
+    private static final long ALONE_MILLIS = 1_300;
+
+    /** Milliseconds after a window's end when its counts are summed up, so that all rows are written. */
+    private static final long SUM_AFTER_MILLIS = 2_200;
 
-    /** Milliseconds after a window's end when its counts are summed up, so that all processes have written theirs. */
-    private static final long SUM_AFTER_MILLIS = 1_800;
+    /** Windows before the first one of this process whose reports may be missing after the loss of all processes. */
+    private static final int EARLIER_WINDOWS = 2;
 
     /** Windows whose reports are kept; all that may still be due. */
     private static final int REPORTS_KEPT = 20;
@@ -53,12 +77,19 @@
     private final DutyDesk desk;
     private final DutyLease lease;
     private final Timer timer;
-    private final String process;
+    private final ProcessId process;
+    private final Supplier<Moment> clock;
     private final UsageBook book;
+    private final UsageTable gathered = new UsageTable();
     private final TrueTime time = new TrueTime();
     private final long lateMillis;
     private final TreeMap<Long, State> windows = new TreeMap<>();
+    private final Map<Long, String> written = new HashMap<>();
+    private List<ProcessId> gatherers = List.of();
+    private BiConsumer<ProcessId, PeerMessage> send = (_to, _message) -> {};
     private long firstWindow = -1;
+    private long sharedMillis;
+    private long savedMillis;
 
     /** How far the report of a window has come. */
     private enum State {
@@ -71,9 +102,11 @@
             DutyDesk desk,
             DutyLease lease,
             Timer timer,
-            String process,
+            ProcessId process,
             UsageBook book,
-            long lateMillis) {
+            long lateMillis,
+            Supplier<Moment> clock) {
+        this.clock = clock;
         this.store = store;
         this.desk = desk;
         this.lease = lease;
@@ -88,52 +121,110 @@
         tick();
     }
 
+    /** Sets what sends messages to other processes. */
+    void onShares(BiConsumer<ProcessId, PeerMessage> next) {
+        send = next;
+    }
+
+    /** Takes in which processes gather the counts of all, the first one before the second. */
+    void onGatherers(List<ProcessId> next) {
+        gatherers = List.copyOf(next);
+    }
+
+    /** Takes in counts of another process and returns what is known of it by now. */
+    List<WindowTotal> onTold(ProcessId from, List<WindowCounts> told) {
+        return gathered.onTold(from, told);
+    }
+
+    /** Takes in which counts of this process another one has. */
+    void onConfirmed(ProcessId from, List<WindowTotal> totals) {
+        // What this process told itself is not safe with another one.
+        if (!from.equals(process)) {
+            book.onConfirmed(from, totals);
+        }
+    }
+
     /** Counts a request that began to run. */
     void onBegan(TeamId team) {
         book.onBegan(team, now());
     }
 
-    /** Writes the counts so far, as this process ends. */
+    /** Writes what nobody else has, as this process ends. */
     void flush() {
-        book.takeBefore(Long.MAX_VALUE).forEach(this::write);
+        gathered.onTold(process, book.unknownBefore(Long.MAX_VALUE));
+        gathered.windows().forEach(this::write);
     }
 
     private long now() {
-        return time.read(new Moment(System.nanoTime(), System.currentTimeMillis()));
+        return time.read(clock.get());
     }
 
     private void tick() {
         timer.after(this::tick, TICK_MILLIS);
         long now = now();
-        book.takeBefore(book.windowOf(now - WRITE_AFTER_MILLIS)).forEach(this::write);
+        long oldestDue = book.windowOf(now - lateMillis);
+        book.forgetBefore(oldestDue);
+        gathered.forgetBefore(oldestDue);
+        written.keySet().removeIf(window -> window < oldestDue);
+        if (Math.abs(now - sharedMillis) >= SHARE_MILLIS) {
+            sharedMillis = now;
+            share();
+        }
+        save(now);
         if (lease.claim().isPresent()) {
             report(now);
         }
     }
 
-    private void write(UsageBook.Ended ended) {
-        String key = COUNTS + ended.window() + "/" + process;
-        store.commit(Commit.put(key, text(ended.counts()), 0), result -> {
+    private void share() {
+        for (ProcessId gatherer : gatherers) {
+            List<WindowCounts> missing = book.unconfirmed(gatherer);
+            if (gatherer.equals(process)) {
+                gathered.onTold(process, missing);
+            } else if (!missing.isEmpty()) {
+                send.accept(gatherer, new PeerMessage.UsageShare(missing));
+            }
+        }
+    }
+
+    /** Writes rows of windows that are over, and now and then of the one that goes on, if they changed. */
+    private void save(long now) {
+        if (gatherers.contains(process)) {
+            long over = book.windowOf(now - GATHERED_MILLIS);
+            gathered.windows().stream().filter(window -> window < over).forEach(this::write);
+        }
+        boolean saves = gatherers.isEmpty() || gatherers.get(0).equals(process);
+        if (saves && Math.abs(now - savedMillis) >= SAVE_MILLIS) {
+            savedMillis = now;
+            write(book.windowOf(now));
+        }
+        List<WindowCounts> alone = book.unknownBefore(book.windowOf(now - ALONE_MILLIS));
+        if (!alone.isEmpty() && !gatherers.contains(process)) {
+            gathered.onTold(process, alone);
+            alone.forEach(counts -> write(counts.window()));
+        }
+    }
+
+    private void write(long window) {
+        String row = row(gathered.window(window));
+        if (gathered.window(window).isEmpty() || row.equals(written.put(window, row))) {
+            return;
+        }
+        store.commit(Commit.put(COUNTS + window + "/" + process, row, 0), result -> {
             if (result.error().isPresent()) {
+                // The next look writes them again, which is harmless as they only grow.
+                written.remove(window);
                 LOG.warn(
                         "usage-not-written",
-                        Field.of("window", ended.window()),
+                        Field.of("window", window),
                         Field.of("error", result.error().get()));
-                // Writing the same counts again is harmless; those of a window are written once they are complete.
-                timer.after(() -> rewrite(ended), TICK_MILLIS);
             }
         });
     }
 
-    private void rewrite(UsageBook.Ended ended) {
-        if (now() < (ended.window() + 1) * book.windowMillis() + lateMillis) {
-            write(ended);
-        }
-    }
-
     private void report(long now) {
         long newest = book.windowOf(now - SUM_AFTER_MILLIS) - 1;
-        long oldest = Math.max(firstWindow - 1, book.windowOf(now - lateMillis));
+        long oldest = Math.max(firstWindow - EARLIER_WINDOWS, book.windowOf(now - lateMillis));
         windows.headMap(oldest).clear();
         for (long window = oldest; window <= newest; window++) {
             if (windows.putIfAbsent(window, State.SUMMING) == null) {
@@ -153,7 +244,7 @@
                 result -> result.fold(
                         item -> {
                             if (item.isPresent()) {
-                                send(window, parse(item.get()));
+                                sendAgain(window, item.get());
                             } else {
                                 collect(window, key);
                             }
@@ -162,6 +253,15 @@
                         error -> failed(window, error)));
     }
 
+    /** Sends what was recorded, and nothing else, as another report may have been accepted before. */
+    private void sendAgain(long window, Item item) {
+        try {
+            send(window, byTeam(Json.LENIENT.readValue(item.value(), SUMS)));
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            LOG.warn("report-unreadable", Field.of("entry", item.key()), Field.of("reason", e.getClass()));
+        }
+    }
+
     private void collect(long window, String key) {
         String prefix = COUNTS + window + "/";
         store.list(
@@ -174,16 +274,10 @@
                         error -> failed(window, error)));
     }
 
-    private static Map<TeamId, Long> total(List<Item> items) {
-        Map<TeamId, Long> sums = new TreeMap<>();
-        for (Item item : items) {
-            parse(item).forEach((team, count) -> sums.merge(team, count, Long::sum));
-        }
-        return sums;
-    }
-
     private void record(long window, String key, List<Item> items) {
-        Map<TeamId, Long> sums = total(items);
+        UsageTable table = new UsageTable();
+        items.forEach(item -> addRow(table, window, item));
+        Map<TeamId, Long> sums = table.sums(window);
         store.commit(
                 new Commit(
                         List.of(new RevisionStore.Expected(key, 0)),
@@ -231,18 +325,35 @@
     }
 
     private static String text(Map<TeamId, Long> counts) {
+        return Json.write(plain(counts));
+    }
+
+    private static Map<String, Long> plain(Map<TeamId, Long> counts) {
         Map<String, Long> table = new TreeMap<>();
         counts.forEach((team, count) -> table.put(team.value(), count));
+        return table;
+    }
+
+    private static String row(Map<ProcessId, Map<TeamId, Long>> counts) {
+        Map<String, Map<String, Long>> table = new TreeMap<>();
+        counts.forEach((counter, own) -> table.put(counter.value(), plain(own)));
         return Json.write(table);
     }
 
-    private static Map<TeamId, Long> parse(Item item) {
-        Map<TeamId, Long> counts = new HashMap<>();
+    private static void addRow(UsageTable table, long window, Item item) {
         try {
-            Json.LENIENT.readValue(item.value(), TABLE).forEach((team, count) -> counts.put(new TeamId(team), count));
+            Json.LENIENT
+                    .readValue(item.value(), ROW)
+                    .forEach((counter, counts) ->
+                            table.onTold(new ProcessId(counter), List.of(new WindowCounts(window, byTeam(counts)))));
         } catch (JsonProcessingException | IllegalArgumentException e) {
             LOG.warn("usage-unreadable", Field.of("entry", item.key()), Field.of("reason", e.getClass()));
         }
-        return counts;
+    }
+
+    private static Map<TeamId, Long> byTeam(Map<String, Long> counts) {
+        Map<TeamId, Long> table = new TreeMap<>();
+        counts.forEach((team, count) -> table.put(new TeamId(team), count));
+        return table;
     }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -12,6 +12,8 @@
 import org.geraniumstand.model.member.Confirmation;
 import org.geraniumstand.model.member.MemberNews;
 import org.geraniumstand.model.relay.TeamUse;
+import org.geraniumstand.model.relay.WindowCounts;
+import org.geraniumstand.model.relay.WindowTotal;
 import org.geraniumstand.outside.relay.RevisionStore;
 
 /** A message between entry processes. */
@@ -205,6 +207,30 @@
         }
     }
 
+    /**
+     * Requests that the sender's calls began to run.
+     *
+     * @param windows its counts by window, as far as the receiver may not have them
+     */
+    record UsageShare(List<WindowCounts> windows) implements PeerMessage {
+        /** Copies the list. */
+        public UsageShare {
+            windows = List.copyOf(windows);
+        }
+    }
+
+    /**
+     * Confirms counts of requests.
+     *
+     * @param totals requests of the receiver that the sender knows of, by window
+     */
+    record UsageHeard(List<WindowTotal> totals) implements PeerMessage {
+        /** Copies the list. */
+        public UsageHeard {
+            totals = List.copyOf(totals);
+        }
+    }
+
     /**
      * The version of the configuration of relayed calls that is in force at the sender.
      *
--- a/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
@@ -40,7 +40,9 @@
             new OthersUseCodec(),
             new PlanNewsCodec(),
             new PlanAskCodec(),
-            new StoreNewsCodec());
+            new StoreNewsCodec(),
+            new UsageShareCodec(),
+            new UsageHeardCodec());
     private static final Map<Integer, MessageCodec<?>> BY_NUMBER =
             ALL.stream().collect(Collectors.toMap(MessageCodec::number, Function.identity()));
     private static final Map<Class<?>, MessageCodec<?>> BY_TYPE =
--- /dev/null
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/UsageHeardCodec.java
@@ -0,0 +1,30 @@
+package org.geraniumstand.peer.codec;
+
+import org.geraniumstand.model.relay.WindowTotal;
+import org.geraniumstand.peer.PeerMessage;
+
+/** Codec of {@link PeerMessage.UsageHeard}. */
+final class UsageHeardCodec implements MessageCodec<PeerMessage.UsageHeard> {
+    @Override
+    public int number() {
+        return 25;
+    }
+
+    @Override
+    public Class<PeerMessage.UsageHeard> type() {
+        return PeerMessage.UsageHeard.class;
+    }
+
+    @Override
+    public void write(FieldWriter out, PeerMessage.UsageHeard message) {
+        out.fields(1)
+                .list(
+                        message.totals(),
+                        (to, total) -> to.fields(2).number(total.window()).number(total.requests()));
+    }
+
+    @Override
+    public PeerMessage.UsageHeard read(FieldReader in) {
+        return new PeerMessage.UsageHeard(in.list(from -> new WindowTotal(from.number(), from.number())));
+    }
+}
--- a/peer/src/main/java/org/geraniumstand/peer/net/PeerLoop.java
+++ b/peer/src/main/java/org/geraniumstand/peer/net/PeerLoop.java
@@ -202,6 +202,8 @@
                 || message instanceof PeerMessage.DemandShare
                 || message instanceof PeerMessage.TeamUseShare
                 || message instanceof PeerMessage.OthersUse
+                || message instanceof PeerMessage.UsageShare
+                || message instanceof PeerMessage.UsageHeard
                 || message instanceof PeerMessage.PlanNews
                 || message instanceof PeerMessage.StoreNews;
     }
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -5,6 +5,7 @@
 
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -35,6 +36,8 @@
 import org.geraniumstand.model.member.MemberNews;
 import org.geraniumstand.model.member.MemberState;
 import org.geraniumstand.model.relay.TeamUse;
+import org.geraniumstand.model.relay.WindowCounts;
+import org.geraniumstand.model.relay.WindowTotal;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.outside.relay.RevisionStore;
 import org.geraniumstand.peer.EncodedMessage;
@@ -125,6 +128,12 @@
                 fleet().map(PeerMessage.FleetNews::new),
                 uses().map(PeerMessage.TeamUseShare::new),
                 Combinators.combine(uses(), small()).as(PeerMessage.OthersUse::new),
+                windows().map(PeerMessage.UsageShare::new),
+                Combinators.combine(numbers(), numbers())
+                        .as(WindowTotal::new)
+                        .list()
+                        .ofMaxSize(4)
+                        .map(PeerMessage.UsageHeard::new),
                 numbers().map(PeerMessage.PlanNews::new),
                 numbers().map(PeerMessage.PlanAsk::new),
                 Combinators.combine(
@@ -155,6 +164,15 @@
                 .ofMaxSize(4);
     }
 
+    private static Arbitrary<List<WindowCounts>> windows() {
+        Arbitrary<Map<TeamId, Long>> counts =
+                Arbitraries.maps(names().map(TeamId::new), numbers()).ofMaxSize(4);
+        return Combinators.combine(numbers(), counts)
+                .as(WindowCounts::new)
+                .list()
+                .ofMaxSize(4);
+    }
+
     private static Arbitrary<RevisionStore.Change> changes() {
         return Combinators.combine(texts(), texts().optional(), numbers()).as(RevisionStore.Change::new);
     }
