Have lasting servers only in place of reclaimable ones that cannot be had

Reclaimable servers fill each data centre's least number. They go one by one as far as those that serve now are enough (LastingKept), and an empty service is no longer left alone. Single data centres get no spare that protects nothing.

--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/LastingKept.java
@@ -0,0 +1,55 @@
+package org.geraniumstand.decisions.relay;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.decisions.relay.ServersWanted.Count;
+import org.geraniumstand.model.id.DataCentreId;
+
+/** Decides how many lasting servers each data centre keeps while others boot in their place. */
+@Decision(
+        name = "lasting-kept",
+        summary = "Lasting servers that are no longer wanted go, the dearest first, as far as those that serve now are"
+                + " enough without them.")
+public final class LastingKept {
+    private LastingKept() {}
+
+    /**
+     * Returns the lasting servers to have by data centre.
+     *
+     * @param serving what the servers that serve now are enough for; those that are on their way are left out
+     * @param wanted the servers wanted
+     * @param lasting lasting servers that were ordered, by data centre
+     */
+    public static Map<DataCentreId, Integer> decide(
+            ServersWanted.Input serving, Map<DataCentreId, Count> wanted, Map<DataCentreId, Integer> lasting) {
+        Map<DataCentreId, Count> withoutNew = ServersWanted.decide(new ServersWanted.Input(
+                serving.bounds(), serving.needed(), serving.present(), serving.out(), wanted.keySet()));
+        int enough = Math.max(total(wanted), total(withoutNew));
+        int surplus = lasting.values().stream().mapToInt(Integer::intValue).sum() - enough;
+        Map<DataCentreId, Integer> kept = new HashMap<>();
+        for (DataCentreId dc : dearestFirst(serving, wanted)) {
+            int most = lasting.getOrDefault(dc, 0);
+            int least = wanted.get(dc).lasting();
+            int given = Math.max(0, Math.min(surplus, most - least));
+            surplus -= given;
+            kept.put(dc, Math.max(least, most - given));
+        }
+        return kept;
+    }
+
+    private static int total(Map<DataCentreId, Count> counts) {
+        return counts.values().stream().mapToInt(Count::lasting).sum();
+    }
+
+    private static List<DataCentreId> dearestFirst(ServersWanted.Input input, Map<DataCentreId, Count> wanted) {
+        List<DataCentreId> sorted = new ArrayList<>(wanted.keySet());
+        sorted.sort(Comparator.<DataCentreId>comparingDouble(
+                        dc -> -input.bounds().prices().get(dc))
+                .thenComparing(Comparator.naturalOrder()));
+        return sorted;
+    }
+}
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServersWanted.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServersWanted.java
@@ -2,10 +2,13 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.function.BiPredicate;
+import java.util.function.BooleanSupplier;
+import java.util.function.UnaryOperator;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.relay.ScalingBounds;
@@ -13,10 +16,15 @@
 /** Decides how many backend servers of a service each data centre should have, and of which kind. */
 @Decision(
         name = "servers-wanted",
-        summary = "A service has its least number of lasting servers in each data centre, and as many reclaimable ones"
-                + " beside them as the load needs after the loss of one data centre's; lasting ones stand in for"
-                + " reclaimable ones that cannot be had.")
+        summary = "A service has as many reclaimable servers as the load needs after the loss of one data centre's, and"
+                + " lasting ones in place of those that cannot be had.")
 public final class ServersWanted {
+    /**
+     * Part of the needed servers that must be left after a loss where lasting ones have to stand in, at several times the
+     * cost; a server reads about twice the tokens that it is planned for before calls come late.
+     */
+    private static final double LEFT_AFTER_LOSS = 0.6;
+
     private ServersWanted() {}
 
     /**
@@ -30,6 +38,14 @@
         public int total() {
             return lasting + reclaimable;
         }
+
+        private Count plusLasting() {
+            return new Count(lasting + 1, reclaimable);
+        }
+
+        private Count plusReclaimable() {
+            return new Count(lasting, reclaimable + 1);
+        }
     }
 
     /**
@@ -39,12 +55,28 @@
      * @param needed servers that the load needs
      * @param present servers that serve now or were ordered a moment ago, by data centre
      * @param out data centres that take no new work
+     * @param noneToHave data centres that have no reclaimable servers to give beside those that are present
      */
-    public record Input(ScalingBounds bounds, int needed, Map<DataCentreId, Count> present, Set<DataCentreId> out) {
+    public record Input(
+            ScalingBounds bounds,
+            int needed,
+            Map<DataCentreId, Count> present,
+            Set<DataCentreId> out,
+            Set<DataCentreId> noneToHave) {
         /** Copies the collections. */
         public Input {
             present = Map.copyOf(present);
             out = Set.copyOf(out);
+            noneToHave = Set.copyOf(noneToHave);
+        }
+
+        private int reclaimableToHave(DataCentreId dc) {
+            int here = present.getOrDefault(dc, new Count(0, 0)).reclaimable();
+            return noneToHave.contains(dc) ? Math.min(here, bounds.most()) : bounds.most();
+        }
+
+        private boolean mayAddReclaimable(DataCentreId dc, Count count) {
+            return count.reclaimable() < reclaimableToHave(dc);
         }
     }
 
@@ -59,76 +91,64 @@
         cheapFirst.sort(
                 Comparator.<DataCentreId>comparingDouble(dc -> bounds.prices().get(dc))
                         .thenComparing(Comparator.naturalOrder()));
-        Map<DataCentreId, Integer> lasting = new TreeMap<>();
-        Map<DataCentreId, Integer> reclaimable = new TreeMap<>();
+        Map<DataCentreId, Count> wanted = new LinkedHashMap<>();
         for (DataCentreId dc : cheapFirst) {
-            lasting.put(dc, bounds.least());
-            reclaimable.put(dc, 0);
-        }
-        spread(cheapFirst, input, lasting, reclaimable);
-        cover(cheapFirst, input, lasting, reclaimable);
-        Map<DataCentreId, Count> wanted = new TreeMap<>();
-        for (DataCentreId dc : cheapFirst) {
-            wanted.put(dc, new Count(lasting.get(dc), reclaimable.get(dc)));
+            // The least number binds both kinds together, also where no new work goes.
+            int reclaimable = Math.min(bounds.least(), input.reclaimableToHave(dc));
+            wanted.put(dc, new Count(bounds.least() - reclaimable, reclaimable));
         }
+        fill(
+                input,
+                wanted,
+                Count::plusReclaimable,
+                input::mayAddReclaimable,
+                () -> afterLoss(input, wanted) >= input.needed());
+        fill(
+                input,
+                wanted,
+                Count::plusLasting,
+                (_dc, _count) -> true,
+                () -> usable(input, wanted) >= input.needed()
+                        && afterLoss(input, wanted) >= LEFT_AFTER_LOSS * input.needed());
         return wanted;
     }
 
-    /** Adds reclaimable servers, one a data centre in turn, until the rest is enough if one data centre loses its own. */
-    private static void spread(
-            List<DataCentreId> cheapFirst,
+    /** Adds servers, one a data centre in turn, until there are enough. */
+    private static void fill(
             Input input,
-            Map<DataCentreId, Integer> lasting,
-            Map<DataCentreId, Integer> reclaimable) {
+            Map<DataCentreId, Count> wanted,
+            UnaryOperator<Count> plusOne,
+            BiPredicate<DataCentreId, Count> mayAdd,
+            BooleanSupplier enough) {
         int most = input.bounds().most();
         for (int round = 0; round < most; round++) {
-            for (DataCentreId dc : cheapFirst) {
-                if (afterLoss(input, lasting, reclaimable) >= input.needed()) {
+            for (DataCentreId dc : List.copyOf(wanted.keySet())) {
+                if (enough.getAsBoolean()) {
                     return;
                 }
-                if (!input.out().contains(dc) && lasting.get(dc) + reclaimable.get(dc) < most) {
-                    reclaimable.merge(dc, 1, Integer::sum);
+                Count count = wanted.get(dc);
+                if (!input.out().contains(dc) && count.total() < most && mayAdd.test(dc, count)) {
+                    wanted.put(dc, plusOne.apply(count));
                 }
             }
         }
     }
 
-    private static int afterLoss(
-            Input input, Map<DataCentreId, Integer> lasting, Map<DataCentreId, Integer> reclaimable) {
-        int usable = 0;
-        int loss = 0;
-        for (Map.Entry<DataCentreId, Integer> entry : reclaimable.entrySet()) {
-            if (!input.out().contains(entry.getKey())) {
-                usable += entry.getValue() + lasting.get(entry.getKey());
-                loss = Math.max(loss, entry.getValue());
-            }
-        }
-        return usable - loss;
+    private static int usable(Input input, Map<DataCentreId, Count> wanted) {
+        return wanted.entrySet().stream()
+                .filter(e -> !input.out().contains(e.getKey()))
+                .mapToInt(e -> e.getValue().total())
+                .sum();
     }
 
-    /** Orders lasting servers where reclaimable ones are missing and the load needs them. */
-    private static void cover(
-            List<DataCentreId> cheapFirst,
-            Input input,
-            Map<DataCentreId, Integer> lasting,
-            Map<DataCentreId, Integer> reclaimable) {
-        int expected = 0;
-        for (DataCentreId dc : cheapFirst) {
-            if (input.out().contains(dc)) {
-                continue;
-            }
-            int present = input.present().getOrDefault(dc, new Count(0, 0)).reclaimable();
-            expected += lasting.get(dc) + Math.min(present, reclaimable.get(dc));
-        }
-        for (int round = 0; round < input.bounds().most(); round++) {
-            for (DataCentreId dc : cheapFirst) {
-                boolean room =
-                        lasting.get(dc) + reclaimable.get(dc) < input.bounds().most();
-                if (expected < input.needed() && room && !input.out().contains(dc)) {
-                    lasting.merge(dc, 1, Integer::sum);
-                    expected++;
-                }
-            }
-        }
+    /** Returns the usable servers that are left once the data centre with the most reclaimable ones has lost them. */
+    private static int afterLoss(Input input, Map<DataCentreId, Count> wanted) {
+        List<Count> inUse = wanted.entrySet().stream()
+                .filter(e -> !input.out().contains(e.getKey()))
+                .map(Map.Entry::getValue)
+                .toList();
+        int loss = inUse.stream().mapToInt(Count::reclaimable).max().orElse(0);
+        // A single data centre's loss could be covered by lasting servers only.
+        return usable(input, wanted) - (inUse.size() < 2 ? 0 : loss);
     }
 }
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/LastingKeptTest.java
@@ -0,0 +1,59 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Map;
+import java.util.Set;
+import org.geraniumstand.decisions.relay.ServersWanted.Count;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.relay.ScalingBounds;
+import org.junit.jupiter.api.Test;
+
+final class LastingKeptTest {
+    private static final DataCentreId NORTH = new DataCentreId("north");
+    private static final ScalingBounds BOUNDS =
+            new ScalingBounds(1, 8, 4_000, 0.22, Map.of(Calls.WEST, 0.85, Calls.EAST, 1.2, NORTH, 1.0));
+    private static final Map<DataCentreId, Integer> TWO_EACH = Map.of(Calls.WEST, 2, Calls.EAST, 2, NORTH, 2);
+
+    private static Map<DataCentreId, Count> reclaimable(int west, int east, int north) {
+        return Map.of(Calls.WEST, new Count(0, west), Calls.EAST, new Count(0, east), NORTH, new Count(0, north));
+    }
+
+    private static Map<DataCentreId, Integer> decide(
+            Map<DataCentreId, Count> serving, Map<DataCentreId, Integer> lasting) {
+        Map<DataCentreId, Count> wanted =
+                ServersWanted.decide(new ServersWanted.Input(BOUNDS, 6, reclaimable(0, 0, 0), Set.of(), Set.of()));
+        return LastingKept.decide(new ServersWanted.Input(BOUNDS, 6, serving, Set.of(), Set.of()), wanted, lasting);
+    }
+
+    @Test
+    void keepsAllWhileNothingServesInTheirPlace() {
+        assertThat(decide(reclaimable(0, 0, 0), TWO_EACH), is(TWO_EACH));
+    }
+
+    @Test
+    void givesAllBackOnceTheOthersServe() {
+        assertThat(decide(reclaimable(3, 3, 3), TWO_EACH), is(Map.of(Calls.WEST, 0, Calls.EAST, 0, NORTH, 0)));
+    }
+
+    /** A wave of reclaims is over, but fewer reclaimable servers come back than were ordered. */
+    @Test
+    void givesSomeBackDearestFirstWhileOthersAreMissing() {
+        assertThat(decide(reclaimable(3, 1, 1), TWO_EACH), is(Map.of(Calls.WEST, 2, Calls.EAST, 0, NORTH, 0)));
+    }
+
+    @Test
+    void ordersThoseThatAreWanted() {
+        Map<DataCentreId, Count> wanted =
+                Map.of(Calls.WEST, new Count(3, 0), Calls.EAST, new Count(0, 1), NORTH, new Count(0, 1));
+
+        assertThat(
+                LastingKept.decide(
+                                new ServersWanted.Input(BOUNDS, 3, reclaimable(0, 1, 1), Set.of(), Set.of()),
+                                wanted,
+                                Map.of())
+                        .get(Calls.WEST),
+                is(3));
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -1,9 +1,13 @@
 package org.geraniumstand.entry.relay;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.geraniumstand.decisions.relay.DemandMeter;
+import org.geraniumstand.decisions.relay.LastingKept;
 import org.geraniumstand.decisions.relay.RelayDesk;
 import org.geraniumstand.decisions.relay.RelayServersNeeded;
 import org.geraniumstand.decisions.relay.ServerView;
@@ -44,6 +48,7 @@
     private final RelayServersNeeded needs = new RelayServersNeeded();
     private final Map<Lot, Ordered> ordered = new HashMap<>();
     private final Map<Lot, Long> noneUntilNanos = new HashMap<>();
+    private final Set<ServiceId> seen = new HashSet<>();
 
     private record Lot(ServiceId service, DataCentreId dataCentre, boolean reclaimable) {}
 
@@ -58,6 +63,10 @@
 
     void start() {
         timer.after(this::start, TICK_MILLIS);
+        look();
+    }
+
+    private void look() {
         long now = System.nanoTime();
         demand.onReading(desk.quotas().total(), now);
         needs.onDemand(demand.perSecond(), now);
@@ -76,7 +85,10 @@
     private void plan(DutyDesk.Claim claim, RelayService service, ScalingBounds bounds, long now) {
         Map<DataCentreId, Count> serving = serving(service.id(), now);
         int served = serving.values().stream().mapToInt(Count::total).sum();
-        if (served == 0) {
+        if (served > 0) {
+            seen.add(service.id());
+        } else if (!seen.contains(service.id())) {
+            // The entries of its servers were not read yet.
             return;
         }
         int lasting = serving.values().stream().mapToInt(Count::lasting).sum();
@@ -86,21 +98,37 @@
                 bounds,
                 needed,
                 present(service.id(), serving, now),
-                desk.fleet().dataCentresOut()));
-        boolean complete = wanted.entrySet().stream()
-                .allMatch(e -> serving.getOrDefault(e.getKey(), new Count(0, 0)).reclaimable()
-                        >= e.getValue().reclaimable());
+                desk.fleet().dataCentresOut(),
+                noneToHave(service.id(), now)));
+        Map<DataCentreId, Integer> kept = LastingKept.decide(
+                new ServersWanted.Input(bounds, needed, serving, desk.fleet().dataCentresOut(), Set.of()),
+                wanted,
+                lastingOrdered(service.id(), serving));
         wanted.forEach((dc, count) -> {
             Count there = serving.getOrDefault(dc, new Count(0, 0));
             order(claim, new Lot(service.id(), dc, true), count.reclaimable(), there.reclaimable(), now);
-            // Lasting servers go only once others serve in their place.
-            Ordered last = ordered.get(new Lot(service.id(), dc, false));
-            int before = Math.max(there.lasting(), last == null ? 0 : last.count());
-            int kept = complete ? count.lasting() : Math.max(count.lasting(), before);
-            order(claim, new Lot(service.id(), dc, false), kept, there.lasting(), now);
+            order(claim, new Lot(service.id(), dc, false), kept.get(dc), there.lasting(), now);
         });
     }
 
+    private Map<DataCentreId, Integer> lastingOrdered(ServiceId service, Map<DataCentreId, Count> serving) {
+        Map<DataCentreId, Integer> lasting = new HashMap<>();
+        serving.forEach((dc, count) -> lasting.put(dc, count.lasting()));
+        ordered.forEach((lot, order) -> {
+            if (lot.service().equals(service) && !lot.reclaimable()) {
+                lasting.merge(lot.dataCentre(), order.count(), Math::max);
+            }
+        });
+        return lasting;
+    }
+
+    private Set<DataCentreId> noneToHave(ServiceId service, long now) {
+        return noneUntilNanos.entrySet().stream()
+                .filter(e -> e.getKey().service().equals(service) && now - e.getValue() < 0)
+                .map(e -> e.getKey().dataCentre())
+                .collect(Collectors.toSet());
+    }
+
     private Map<DataCentreId, Count> present(ServiceId service, Map<DataCentreId, Count> serving, long now) {
         Map<DataCentreId, Count> present = new HashMap<>(serving);
         ordered.forEach((lot, order) -> {
@@ -159,6 +187,8 @@
                 Field.of("outcome", outcome));
         if (outcome == DutyDesk.Outcome.REFUSED && lot.reclaimable()) {
             noneUntilNanos.put(lot, System.nanoTime() + NONE_MILLIS * Moment.NANOS_PER_MILLI);
+            // What stands in for these is ordered at once, as it takes seconds to boot.
+            timer.after(this::look, 0);
         } else if (outcome == DutyDesk.Outcome.REFUSED) {
             lease.onFenced();
         }
