--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -29,6 +29,7 @@
 
     private final FakeRevisionStore store = new FakeRevisionStore();
     private final ManualTimer timer = new ManualTimer();
+    private long nowNanos;
     private final List<String> told = new ArrayList<>();
     private final List<String> ownKey = new ArrayList<>();
     private final List<PeerMessage.StoreNews> news = new ArrayList<>();
@@ -41,7 +42,6 @@
             "own/x",
             present -> ownKey.add(present ? "there" : "gone"));
     private long revision = 200;
-    private long nowNanos;
 
     /** Reads a server from an entry whose value is its state. */
     private static final class Reader implements FactReader {
