Go on past the servers of a data centre that crashed

No server runs anything on a refused connection, and the allowance of repeats still bounds them. RepeatRuleTest fails without the change.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RepeatRule.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RepeatRule.java
@@ -14,6 +14,9 @@
     /** Milliseconds that must be left for a further server to be worth its while; a plain answer takes about 20. */
     private static final long WORTHWHILE_MILLIS = 30;
 
+    /** Attempts beyond those of the route that may end without the call having run; a data centre has about as many servers. */
+    private static final int MOST_NOT_RUN = 4;
+
     private RepeatRule() {}
 
     /**
@@ -39,7 +42,7 @@
         if (call.attempts() >= call.route().maxAttempts() && !surelyNotRun) {
             return false;
         }
-        if (call.attempts() > call.route().maxAttempts() + 1) {
+        if (call.attempts() > call.route().maxAttempts() + MOST_NOT_RUN) {
             return false;
         }
         return call.deadlineNanos() - nowNanos > WORTHWHILE_MILLIS * Moment.NANOS_PER_MILLI;
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RepeatRuleTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RepeatRuleTest.java
@@ -44,6 +44,15 @@
         assertThat(again(route, 1, AttemptEnd.NOT_CONNECTED), is(true));
     }
 
+    /** The servers of a data centre crash together; each refuses the connection, and the entries stay for seconds. */
+    @Test
+    void goesOnPastTheServersOfADataCentreThatCrashed() {
+        RelayRoute route = Calls.route(CallKind.UNSAFE, false, 1, 0);
+
+        assertThat(again(route, 4, AttemptEnd.NOT_CONNECTED), is(true));
+        assertThat(again(route, 6, AttemptEnd.NOT_CONNECTED), is(false));
+    }
+
     @Test
     void endsAfterTheAttemptsOfTheRoute() {
         assertThat(again(Calls.route(CallKind.SAFE, false, 2, 0), 2, AttemptEnd.BROKEN), is(false));
