Tell peers what a reader saw itself, also what another reader told it first

Cause: since entries that say nothing new are left out, a reader compared them with all that it knew. What the other reader had told it a moment before counted as known, so it left that change out of its own news, whose span covered it; a process that heard this reader first took the change for seen and never learned it.

The comparison is now with what the reader saw itself; it starts empty when a process begins to read for all. The new case of StoreFollowerTest fails without the change.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -74,6 +74,10 @@
     private final Consumer<Boolean> onOwnKey;
     private final StoreAsking asking = new StoreAsking();
     private final Map<String, StoreFact> known = new TreeMap<>();
+
+    /** What this process saw itself, without what peers told. */
+    private final Map<String, StoreFact> seen = new HashMap<>();
+
     private final Map<ServerId, Missing> missing = new HashMap<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
     private final StoreOutage outage = new StoreOutage();
@@ -147,6 +151,7 @@
         if (reader && !asking.reader()) {
             seenRevision = revision;
             toldRevision = revision;
+            seen.clear();
         }
         asking.onReader(reader);
     }
@@ -191,11 +196,13 @@
     private void takeAll(List<Item> items) {
         Set<String> keys = new HashSet<>();
         List<StoreFact> facts = new ArrayList<>();
+        seen.clear();
         for (Item item : items) {
             keys.add(item.key());
             StoreFact fact = read(item.key(), item.value());
             facts.add(fact);
             known.put(item.key(), fact);
+            seen.put(item.key(), fact);
         }
         for (String key : List.copyOf(known.keySet())) {
             if (!keys.contains(key)) {
@@ -223,7 +230,7 @@
                 takeNew(mattering);
                 revision = Math.max(revision, ok.held().revision());
                 seenRevision = Math.max(seenRevision, ok.held().revision());
-                tell(mattering);
+                tell(mattering.stream().filter(this::isNews).toList());
                 timer.after(this::watch, ok.held().changes().isEmpty() ? 0 : GATHER_MILLIS);
             } else {
                 onError(result.error().orElse(StoreError.MALFORMED), this::watch);
@@ -232,19 +239,20 @@
     }
 
     private boolean matters(Change change) {
-        if (change.key().equals(ownKey)) {
-            return true;
-        }
-        return reader.prefixes().stream().anyMatch(change.key()::startsWith) && !saysNothingNew(change);
+        return change.key().equals(ownKey) || reader.prefixes().stream().anyMatch(change.key()::startsWith);
     }
 
-    /** Servers write their entries again once a second, mostly without anything that concerns callers. */
-    private boolean saysNothingNew(Change change) {
-        StoreFact before = known.get(change.key());
-        return before != null
-                && change.value()
-                        .map(value -> reader.read(change.key(), value).equals(before))
-                        .orElse(false);
+    /**
+     * Returns whether a change says anything new to peers; servers write their entries again once a second, mostly
+     * unchanged. It is compared with what this process saw itself: what a peer told may not have reached all others.
+     */
+    private boolean isNews(Change change) {
+        if (change.value().isEmpty() || change.key().equals(ownKey)) {
+            seen.remove(change.key());
+            return true;
+        }
+        StoreFact fact = reader.read(change.key(), change.value().get());
+        return !fact.equals(seen.put(change.key(), fact));
     }
 
     private void tell(List<Change> changes) {
@@ -281,7 +289,9 @@
             return;
         }
         StoreFact fact = read(change.key(), change.value().get());
-        known.put(change.key(), fact);
+        if (fact.equals(known.put(change.key(), fact))) {
+            return;
+        }
         if (fact instanceof StoreFact.Listed listed) {
             missing.remove(listed.server().id());
         }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -139,9 +139,30 @@
         follower.onReader(true);
         follower.onNews(news::add);
         change("s/a", Optional.of("ready"));
+        change("s/a", Optional.of("ready"));
         assertThat(told, contains("whole 1"));
         change("s/a", Optional.of("leaving"));
 
+        assertThat(told, contains("whole 1", "fact a"));
+        // The first is told, as this process had not seen the entry itself since it began to tell.
+        assertThat(
+                news.stream()
+                        .flatMap(n -> n.changes().stream())
+                        .map(c -> c.value().orElse(""))
+                        .toList(),
+                contains("ready", "leaving"));
+    }
+
+    /** Two processes ask for all; one hears a change from the other first, but those that it tells may not have. */
+    @Test
+    void tellsAChangeThatAnotherReaderToldItBefore() {
+        store.write("s/a", "ready");
+        follower.start();
+        follower.onReader(true);
+        follower.onNews(news::add);
+        follower.onTold(told(101, revision + 1, new Change("s/a", Optional.of("leaving"), revision + 1)));
+        change("s/a", Optional.of("leaving"));
+
         assertThat(told, contains("whole 1", "fact a"));
         assertThat(
                 news.stream()
