Write the name of a constant in kebab case by one function

RelayMetrics had added a sixth copy of it, beside Observability, EntryProcess, TimelineText, Report and Switches. All call Label.of now. No change of behaviour.

--- a/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/EntryProcess.java
@@ -1,7 +1,6 @@
 package org.geraniumstand.entry;
 
 import java.util.List;
-import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -27,6 +26,7 @@
 import org.geraniumstand.model.status.MemberStatus;
 import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.model.timeline.Label;
 import org.geraniumstand.outside.cloud.HttpHostList;
 import org.geraniumstand.outside.store.HttpConfigurationStore;
 import org.geraniumstand.support.io.Closer;
@@ -167,9 +167,7 @@
         if (action instanceof Action.StopCompleted) {
             stopped.countDown();
         } else if (action instanceof Action.Note note) {
-            LOG.info(
-                    note.kind().name().toLowerCase(Locale.ROOT).replace('_', '-'),
-                    note.fields().toArray(new Field[0]));
+            LOG.info(Label.of(note.kind()), note.fields().toArray(new Field[0]));
         } else {
             carryOutFact(action);
         }
--- a/entry/src/main/java/org/geraniumstand/entry/metrics/RelayMetrics.java
+++ b/entry/src/main/java/org/geraniumstand/entry/metrics/RelayMetrics.java
@@ -4,12 +4,12 @@
 import com.codahale.metrics.Histogram;
 import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import org.geraniumstand.http.opaque.CallObserver;
 import org.geraniumstand.model.relay.CallKind;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.RefusalReason;
+import org.geraniumstand.model.timeline.Label;
 
 /**
  * Counts relayed calls by outcome, attempts by end, and times of answers by kind of call.
@@ -55,7 +55,7 @@
 
     @Override
     public void attemptEnded(AttemptEnd end) {
-        ends.computeIfAbsent(end, key -> counter("geraniumstand_attempts_total", "end", label(key)))
+        ends.computeIfAbsent(end, key -> counter("geraniumstand_attempts_total", "end", Label.of(key)))
                 .inc();
     }
 
@@ -69,11 +69,7 @@
     }
 
     private void time(Map<CallKind, Histogram> times, String name, CallKind kind, long millis) {
-        times.computeIfAbsent(kind, key -> metrics.histogram(MetricName.of(name, "kind", label(key))))
+        times.computeIfAbsent(kind, key -> metrics.histogram(MetricName.of(name, "kind", Label.of(key))))
                 .update(millis);
     }
-
-    private static String label(Enum<?> value) {
-        return value.name().toLowerCase(Locale.ROOT).replace('_', '-');
-    }
 }
--- a/entry/src/main/java/org/geraniumstand/entry/operator/Observability.java
+++ b/entry/src/main/java/org/geraniumstand/entry/operator/Observability.java
@@ -12,6 +12,7 @@
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.timeline.EventKind;
 import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.model.timeline.Label;
 import org.geraniumstand.outside.store.ConfigurationStore;
 import org.geraniumstand.support.log.Log;
 
@@ -60,7 +61,7 @@
      */
     public void note(EventKind kind, Field... fields) {
         timeline.note(kind, "", List.of(fields));
-        LOG.info(kind.name().toLowerCase(Locale.ROOT).replace('_', '-'), fields);
+        LOG.info(Label.of(kind), fields);
     }
 
     private void noteStore(ObservedStore.State state) {
--- a/operator/src/main/java/org/geraniumstand/operator/text/TimelineText.java
+++ b/operator/src/main/java/org/geraniumstand/operator/text/TimelineText.java
@@ -6,6 +6,7 @@
 import java.util.Locale;
 import java.util.stream.Collectors;
 import org.geraniumstand.model.timeline.EventKind;
+import org.geraniumstand.model.timeline.Label;
 import org.geraniumstand.model.timeline.TimelineEvent;
 
 /** Writes events as lines of text. */
@@ -34,7 +35,7 @@
 
     /** Returns a kind in the form of logs, in kebab case. */
     static String kind(EventKind kind) {
-        return kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        return Label.of(kind);
     }
 
     /** Returns the details as key=value pairs. */
--- a/standins/src/main/java/org/geraniumstand/standins/Switches.java
+++ b/standins/src/main/java/org/geraniumstand/standins/Switches.java
@@ -4,9 +4,9 @@
 import io.undertow.util.HttpString;
 import java.util.Deque;
 import java.util.EnumMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.TreeMap;
+import org.geraniumstand.model.timeline.Label;
 import org.geraniumstand.support.json.Json;
 
 /**
@@ -149,7 +149,7 @@
 
     private E find(String text) {
         for (E name : type.getEnumConstants()) {
-            if (label(name).equals(text)) {
+            if (Label.of(name).equals(text)) {
                 return name;
             }
         }
@@ -159,12 +159,8 @@
     private Map<String, String> shown() {
         Map<String, String> shown = new TreeMap<>();
         for (E name : type.getEnumConstants()) {
-            shown.put(label(name), text(name));
+            shown.put(Label.of(name), text(name));
         }
         return shown;
     }
-
-    private String label(E name) {
-        return name.name().toLowerCase(Locale.ROOT).replace('_', '-');
-    }
 }
--- a/standins/src/main/java/org/geraniumstand/standins/load/Report.java
+++ b/standins/src/main/java/org/geraniumstand/standins/load/Report.java
@@ -5,9 +5,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.function.ToLongFunction;
 import org.HdrHistogram.Histogram;
+import org.geraniumstand.model.timeline.Label;
 import org.geraniumstand.standins.load.Told.Kind;
 import org.geraniumstand.standins.load.Told.Verdict;
 import org.geraniumstand.support.json.Json;
@@ -27,16 +27,17 @@
         List<String> lines = new ArrayList<>();
         for (Kind kind : Kind.values()) {
             List<Told> same = told.stream().filter(t -> t.kind() == kind).toList();
-            StringBuilder line = new StringBuilder(label(kind)).append(" sent=").append(same.size());
+            StringBuilder line =
+                    new StringBuilder(Label.of(kind)).append(" sent=").append(same.size());
             for (Verdict verdict : Verdict.values()) {
                 long count = same.stream().filter(t -> t.verdict() == verdict).count();
-                line.append(' ').append(label(verdict)).append('=').append(count);
+                line.append(' ').append(Label.of(verdict)).append('=').append(count);
             }
             lines.add(line.toString());
             List<Told> answered =
                     same.stream().filter(t -> t.verdict() == Verdict.ANSWERED).toList();
-            lines.add(percentiles(label(kind) + " first-millis", answered, Told::firstMillis));
-            lines.add(percentiles(label(kind) + " total-millis", answered, Told::totalMillis));
+            lines.add(percentiles(Label.of(kind) + " first-millis", answered, Told::firstMillis));
+            lines.add(percentiles(Label.of(kind) + " total-millis", answered, Told::totalMillis));
         }
         lines.add(
                 "stream reconnects=" + told.stream().mapToInt(Told::reconnects).sum() + " restarts="
@@ -61,8 +62,4 @@
                 + histogram.getValueAtPercentile(95) + " p99=" + histogram.getValueAtPercentile(99) + " max="
                 + histogram.getMaxValue();
     }
-
-    private static String label(Enum<?> name) {
-        return name.name().toLowerCase(Locale.ROOT).replace('_', '-');
-    }
 }
