Repeat less work in the gathering of counts and the following of the store

- A gatherer wrote every row of every ended window as JSON four times a second, only to see that it was unchanged, and kept the texts.
It compares the total of the window, which grows with every count.
- Counts that nobody has were looked up at gatherers, too, which never use them.
- Processes that tell nobody read each entry a second time to find out whether it is news.
- LastingKept took an input of which one part was always overwritten; it takes the one that the wanted servers rest on.
- A relaying process is named by Incarnation.name, as the other one is, and once.

No change of behaviour; the call in LastingKeptTest follows the signature, its expectations are as they were.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/LastingKept.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/LastingKept.java
@@ -20,18 +20,22 @@
     /**
      * Returns the lasting servers to have by data centre.
      *
-     * @param serving what the servers that serve now are enough for; those that are on their way are left out
+     * @param input what the wanted servers rest on
      * @param wanted the servers wanted
+     * @param serving servers that serve now, by data centre; those that are on their way are left out
      * @param lasting lasting servers that were ordered, by data centre
      */
     public static Map<DataCentreId, Integer> decide(
-            ServersWanted.Input serving, Map<DataCentreId, Count> wanted, Map<DataCentreId, Integer> lasting) {
-        Map<DataCentreId, Count> withoutNew = ServersWanted.decide(new ServersWanted.Input(
-                serving.bounds(), serving.needed(), serving.present(), serving.out(), wanted.keySet()));
+            ServersWanted.Input input,
+            Map<DataCentreId, Count> wanted,
+            Map<DataCentreId, Count> serving,
+            Map<DataCentreId, Integer> lasting) {
+        Map<DataCentreId, Count> withoutNew = ServersWanted.decide(
+                new ServersWanted.Input(input.bounds(), input.needed(), serving, input.out(), wanted.keySet()));
         int enough = Math.max(total(wanted), total(withoutNew));
         int surplus = lasting.values().stream().mapToInt(Integer::intValue).sum() - enough;
         Map<DataCentreId, Integer> kept = new HashMap<>();
-        for (DataCentreId dc : dearestFirst(serving, wanted)) {
+        for (DataCentreId dc : dearestFirst(input, wanted)) {
             int most = lasting.getOrDefault(dc, 0);
             int least = wanted.get(dc).lasting();
             int given = Math.max(0, Math.min(surplus, most - least));
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServersWanted.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServersWanted.java
@@ -34,6 +34,9 @@
      * @param reclaimable servers that the cloud may take back
      */
     public record Count(int lasting, int reclaimable) {
+        /** No servers. */
+        public static final Count NONE = new Count(0, 0);
+
         /** Returns the number of both kinds together. */
         public int total() {
             return lasting + reclaimable;
@@ -71,7 +74,7 @@
         }
 
         private int reclaimableToHave(DataCentreId dc) {
-            int here = present.getOrDefault(dc, new Count(0, 0)).reclaimable();
+            int here = present.getOrDefault(dc, Count.NONE).reclaimable();
             return noneToHave.contains(dc) ? Math.min(here, bounds.most()) : bounds.most();
         }
 
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/UsageTable.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/UsageTable.java
@@ -37,7 +37,7 @@
         Map<TeamId, Long> known = windows.computeIfAbsent(told.window(), _key -> new HashMap<>())
                 .computeIfAbsent(process, _key -> new TreeMap<>());
         told.counts().forEach((team, count) -> known.merge(team, count, Math::max));
-        return new WindowTotal(told.window(), new WindowCounts(told.window(), known).total());
+        return new WindowTotal(told.window(), total(known));
     }
 
     /**
@@ -60,6 +60,19 @@
         return sums;
     }
 
+    /**
+     * Returns the requests of all processes and teams in a window.
+     *
+     * @param window number of the window
+     */
+    public long total(long window) {
+        return window(window).values().stream().mapToLong(UsageTable::total).sum();
+    }
+
+    private static long total(Map<TeamId, Long> counts) {
+        return counts.values().stream().mapToLong(Long::longValue).sum();
+    }
+
     /** Returns the windows of which anything is known. */
     public List<Long> windows() {
         return List.copyOf(windows.keySet());
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/LastingKeptTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/LastingKeptTest.java
@@ -22,9 +22,8 @@
 
     private static Map<DataCentreId, Integer> decide(
             Map<DataCentreId, Count> serving, Map<DataCentreId, Integer> lasting) {
-        Map<DataCentreId, Count> wanted =
-                ServersWanted.decide(new ServersWanted.Input(BOUNDS, 6, reclaimable(0, 0, 0), Set.of(), Set.of()));
-        return LastingKept.decide(new ServersWanted.Input(BOUNDS, 6, serving, Set.of(), Set.of()), wanted, lasting);
+        ServersWanted.Input input = new ServersWanted.Input(BOUNDS, 6, reclaimable(0, 0, 0), Set.of(), Set.of());
+        return LastingKept.decide(input, ServersWanted.decide(input), serving, lasting);
     }
 
     @Test
@@ -52,6 +51,7 @@
                 LastingKept.decide(
                                 new ServersWanted.Input(BOUNDS, 3, reclaimable(0, 1, 1), Set.of(), Set.of()),
                                 wanted,
+                                reclaimable(0, 1, 1),
                                 Map.of())
                         .get(Calls.WEST),
                 is(3));
--- a/entry/src/main/java/org/geraniumstand/entry/relay/DutyLease.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DutyLease.java
@@ -87,11 +87,7 @@
         if (hold.held() || trying || ended) {
             return;
         }
-        store.read(
-                KEY,
-                result -> result.value().ifPresent(item -> {
-                    onRecord(item.isPresent());
-                }));
+        store.read(KEY, result -> result.value().ifPresent(item -> onRecord(item.isPresent())));
     }
 
     private void tryLater() {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import org.geraniumstand.decisions.membership.Incarnation;
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDesk;
 import org.geraniumstand.decisions.relay.UsageBook;
@@ -92,15 +93,15 @@
         HttpCalls calls = closer.add(HttpCalls.on(worker));
         PlatformStore store = new PlatformStore(calls, settings.store());
         PlatformDuties duties = new PlatformDuties(calls, settings.cloud());
-        String incarnation = settings.name() + "-" + Long.toString(System.currentTimeMillis(), Character.MAX_RADIX);
-        Random random = new Random(incarnation.hashCode());
+        ProcessId self = Incarnation.name(settings.name(), System.currentTimeMillis());
+        Random random = new Random(self.hashCode());
         this.lease = new DutyLease(store, calls::schedule, random, settings.name(), bounds.leaseMillis());
         this.usage = new UsageTask(
                 store,
                 duties,
                 lease,
                 calls::schedule,
-                new ProcessId(incarnation),
+                self,
                 new UsageBook(Math.round(bounds.usageWindowSeconds() * MILLIS_IN_SECOND)),
                 Math.round(bounds.usageLateSeconds() * MILLIS_IN_SECOND),
                 () -> new Moment(System.nanoTime(), System.currentTimeMillis()));
@@ -108,11 +109,7 @@
         PlatformFacts reader = new PlatformFacts();
         AtomicReference<DeskFacts> facts = new AtomicReference<>();
         this.peers = closer.add(PeerTask.open(
-                settings,
-                new ProcessId(incarnation),
-                decisions,
-                calls::schedule,
-                text -> facts.get().onFact(reader.plan(text))));
+                settings, self, decisions, calls::schedule, text -> facts.get().onFact(reader.plan(text))));
         facts.set(new DeskFacts(desk, this::onPlan));
         this.member = new MemberRow(store, calls::schedule, peers);
         StoreFollower follower = new StoreFollower(
--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -94,18 +94,17 @@
         int lasting = serving.values().stream().mapToInt(Count::lasting).sum();
         int needed = needs.decide(
                 service.id(), demand.perSecond(), lasting, bounds.prices().size(), now);
-        Map<DataCentreId, Count> wanted = ServersWanted.decide(new ServersWanted.Input(
+        ServersWanted.Input input = new ServersWanted.Input(
                 bounds,
                 needed,
                 present(service.id(), serving, now),
                 desk.fleet().dataCentresOut(),
-                noneToHave(service.id(), now)));
-        Map<DataCentreId, Integer> kept = LastingKept.decide(
-                new ServersWanted.Input(bounds, needed, serving, desk.fleet().dataCentresOut(), Set.of()),
-                wanted,
-                lastingOrdered(service.id(), serving));
+                noneToHave(service.id(), now));
+        Map<DataCentreId, Count> wanted = ServersWanted.decide(input);
+        Map<DataCentreId, Integer> kept =
+                LastingKept.decide(input, wanted, serving, lastingOrdered(service.id(), serving));
         wanted.forEach((dc, count) -> {
-            Count there = serving.getOrDefault(dc, new Count(0, 0));
+            Count there = serving.getOrDefault(dc, Count.NONE);
             order(claim, new Lot(service.id(), dc, true), count.reclaimable(), there.reclaimable(), now);
             order(claim, new Lot(service.id(), dc, false), kept.get(dc), there.lasting(), now);
         });
@@ -134,7 +133,7 @@
         ordered.forEach((lot, order) -> {
             boolean coming = now - order.atNanos() < COMING_MILLIS * Moment.NANOS_PER_MILLI;
             if (lot.service().equals(service) && lot.reclaimable() && coming) {
-                Count there = present.getOrDefault(lot.dataCentre(), new Count(0, 0));
+                Count there = present.getOrDefault(lot.dataCentre(), Count.NONE);
                 present.put(lot.dataCentre(), new Count(there.lasting(), Math.max(there.reclaimable(), order.count())));
             }
         });
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -75,7 +75,7 @@
     private final StoreAsking asking = new StoreAsking();
     private final Map<String, StoreFact> known = new TreeMap<>();
 
-    /** What this process saw itself, without what peers told. */
+    /** What this process saw itself while it asks for all, without what peers told. */
     private final Map<String, StoreFact> seen = new HashMap<>();
 
     private final Map<ServerId, Missing> missing = new HashMap<>();
@@ -230,7 +230,9 @@
                 takeNew(mattering);
                 revision = Math.max(revision, ok.held().revision());
                 seenRevision = Math.max(seenRevision, ok.held().revision());
-                tell(mattering.stream().filter(this::isNews).toList());
+                if (asking.reader()) {
+                    tell(mattering.stream().filter(this::isNews).toList());
+                }
                 timer.after(this::watch, ok.held().changes().isEmpty() ? 0 : GATHER_MILLIS);
             } else {
                 onError(result.error().orElse(StoreError.MALFORMED), this::watch);
@@ -256,9 +258,6 @@
     }
 
     private void tell(List<Change> changes) {
-        if (!asking.reader()) {
-            return;
-        }
         long now = clock.getAsLong();
         if (changes.isEmpty() && now - toldNanos < QUIET_MILLIS * Moment.NANOS_PER_MILLI) {
             return;
--- a/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
@@ -84,7 +84,10 @@
     private final TrueTime time = new TrueTime();
     private final long lateMillis;
     private final TreeMap<Long, State> windows = new TreeMap<>();
-    private final Map<Long, String> written = new HashMap<>();
+
+    /** Requests in the row that was written last, by window. */
+    private final Map<Long, Long> written = new HashMap<>();
+
     private List<ProcessId> gatherers = List.of();
     private BiConsumer<ProcessId, PeerMessage> send = (_to, _message) -> {};
     private long firstWindow = -1;
@@ -192,24 +195,26 @@
         if (gatherers.contains(process)) {
             long over = book.windowOf(now - GATHERED_MILLIS);
             gathered.windows().stream().filter(window -> window < over).forEach(this::write);
+        } else {
+            List<WindowCounts> alone = book.unknownBefore(book.windowOf(now - ALONE_MILLIS));
+            gathered.onTold(process, alone);
+            alone.forEach(counts -> write(counts.window()));
         }
         boolean saves = gatherers.isEmpty() || gatherers.get(0).equals(process);
         if (saves && Math.abs(now - savedMillis) >= SAVE_MILLIS) {
             savedMillis = now;
             write(book.windowOf(now));
         }
-        List<WindowCounts> alone = book.unknownBefore(book.windowOf(now - ALONE_MILLIS));
-        if (!alone.isEmpty() && !gatherers.contains(process)) {
-            gathered.onTold(process, alone);
-            alone.forEach(counts -> write(counts.window()));
-        }
     }
 
     private void write(long window) {
-        String row = row(gathered.window(window));
-        if (gathered.window(window).isEmpty() || row.equals(written.put(window, row))) {
+        // Counts only grow, so the row changed if and only if their total did.
+        long total = gathered.total(window);
+        if (total == written.getOrDefault(window, 0L)) {
             return;
         }
+        written.put(window, total);
+        String row = row(gathered.window(window));
         store.commit(Commit.put(COUNTS + window + "/" + process, row, 0), result -> {
             if (result.error().isPresent()) {
                 // The next look writes them again, which is harmless as they only grow.
