Load less code at the start of a relaying process, and archive all of what it serves with

The archive of classes held nothing of the way of a request, as the rehearsal relayed none, and was moved in memory at each start.

Compile thresholds of 4 and 10 times and the interpreter alone gave nothing. Ruled out: the compiler (the interpreter alone takes as long to be ready).

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptHomes.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptHomes.java
@@ -64,13 +64,14 @@
             List<PromptPart> prompt, int promptTokens, ServerId server, Optional<ServerId> home, long nowNanos) {
         double held = 0;
         double chance = 1;
-        for (PromptPart part : prompt) {
+        int last = prompt.size() - 1;
+        for (int i = 0; i <= last; i++) {
+            PromptPart part = prompt.get(i);
             Map<ServerId, Long> readers = readAt.get(part.id());
             Long at = readers == null ? null : readers.get(server);
             boolean known = at != null && nowNanos - at < KEPT_MILLIS * Moment.NANOS_PER_MILLI;
             if (!known) {
-                boolean shared = !part.equals(prompt.get(prompt.size() - 1));
-                chance *= shared && home.filter(server::equals).isPresent() ? HOME_CHANCE : 0;
+                chance *= i < last && home.filter(server::equals).isPresent() ? HOME_CHANCE : 0;
             }
             held += chance * part.tokens();
         }
--- a/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
+++ b/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
@@ -5,8 +5,6 @@
 import com.beust.jcommander.ParameterException;
 import java.nio.file.Path;
 import org.geraniumstand.entry.relay.Rehearsal;
-import org.geraniumstand.entry.relay.RelayProcess;
-import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.entry.settings.RelaySettingsFile;
 import org.geraniumstand.entry.settings.Settings;
 import org.geraniumstand.entry.settings.SettingsError;
@@ -77,7 +75,7 @@
                     .fold(
                             settings -> command.check
                                     ? confirm(command.settingsFile)
-                                    : relay(settings, Path.of(command.settingsFile)),
+                                    : RelayMain.start(settings, Path.of(command.settingsFile)),
                             Geraniumstand::refuse);
             return;
         }
@@ -99,15 +97,6 @@
         return true;
     }
 
-    // The process is its own server, so no container could manage its shutdown.
-    @SuppressWarnings("ShutdownHook")
-    private static boolean relay(RelaySettings settings, Path file) {
-        RelayProcess process = RelayProcess.start(settings);
-        HangUp.handle(() -> SettingsChange.note(settings, file));
-        Runtime.getRuntime().addShutdownHook(new Thread(process::stopGracefully, "stop"));
-        return true;
-    }
-
     @SuppressWarnings("SystemOut")
     private static boolean confirm(String file) {
         System.out.println(file + ": the settings are valid");
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/MemberDocument.java
@@ -0,0 +1,67 @@
+package org.geraniumstand.entry.relay;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.support.json.JsonTree;
+
+/** The form in which a member stands in the store; the same as that of the mapper. */
+final class MemberDocument {
+    private static final String ID = "id";
+    private static final String DATA_CENTRE = "dataCentre";
+    private static final String ADDRESS = "address";
+    private static final String CALLER_PORT = "callerPort";
+    private static final String PEER_PORT = "peerPort";
+    private static final String OPERATOR_PORT = "operatorPort";
+    private static final String LEVEL = "level";
+    private static final String STOPPING = "stopping";
+
+    private MemberDocument() {}
+
+    static String write(Member member) {
+        return JsonTree.write(JsonTree.object()
+                .put(ID, member.id().value())
+                .put(DATA_CENTRE, member.dataCentre().value())
+                .put(ADDRESS, member.address())
+                .put(CALLER_PORT, member.callerPort())
+                .put(PEER_PORT, member.peerPort())
+                .put(OPERATOR_PORT, member.operatorPort())
+                .put(LEVEL, member.level())
+                .put(STOPPING, member.stopping()));
+    }
+
+    /**
+     * Reads a member.
+     *
+     * @throws IOException if the text names none
+     */
+    static Member read(String text) throws IOException {
+        JsonNode node = JsonTree.read(text);
+        return new Member(
+                new ProcessId(text(node, ID)),
+                new DataCentreId(text(node, DATA_CENTRE)),
+                text(node, ADDRESS),
+                number(node, CALLER_PORT),
+                number(node, PEER_PORT),
+                number(node, OPERATOR_PORT),
+                number(node, LEVEL),
+                node.path(STOPPING).asBoolean());
+    }
+
+    private static String text(JsonNode node, String name) throws IOException {
+        String text = node.path(name).asText();
+        if (text.isEmpty()) {
+            throw new IOException(name + " is missing");
+        }
+        return text;
+    }
+
+    private static int number(JsonNode node, String name) throws IOException {
+        if (!node.path(name).canConvertToInt()) {
+            throw new IOException(name + " is no whole number");
+        }
+        return node.path(name).intValue();
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/relay/MemberRow.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/MemberRow.java
@@ -1,6 +1,6 @@
 package org.geraniumstand.entry.relay;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.IOException;
 import java.util.List;
 import java.util.stream.Stream;
 import org.geraniumstand.entry.task.Timer;
@@ -10,7 +10,6 @@
 import org.geraniumstand.outside.relay.RevisionStore.Commit;
 import org.geraniumstand.outside.relay.RevisionStore.Item;
 import org.geraniumstand.outside.store.StoreError;
-import org.geraniumstand.support.json.Json;
 import org.geraniumstand.support.log.Log;
 
 /** Keeps this process registered in the store by a lease, and reads at its start who else is. */
@@ -57,7 +56,7 @@
     private boolean register(long opened) {
         Member self = peers.self();
         store.commit(
-                Commit.put(PREFIX + self.id(), Json.write(self), opened),
+                Commit.put(PREFIX + self.id(), MemberDocument.write(self), opened),
                 result -> result.fold(
                         _revision -> {
                             lease = opened;
@@ -102,9 +101,9 @@
 
     private static Stream<Member> member(Item item) {
         try {
-            return Stream.of(Json.LENIENT.readValue(item.value(), Member.class));
-        } catch (JsonProcessingException e) {
-            LOG.warn("member-unreadable", Field.of("entry", item.key()), Field.of("reason", e.getOriginalMessage()));
+            return Stream.of(MemberDocument.read(item.value()));
+        } catch (IOException | IllegalArgumentException e) {
+            LOG.warn("member-unreadable", Field.of("entry", item.key()), Field.of("reason", e.getMessage()));
             return Stream.empty();
         }
     }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
@@ -1,90 +1,157 @@
 package org.geraniumstand.entry.relay;
 
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
+import java.util.HashMap;
 import java.util.List;
-import java.util.concurrent.CountDownLatch;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.entry.settings.RelaySettingsFile;
 import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.platform.PlatformFacts;
+import org.geraniumstand.platform.RehearsalPlatform;
 import org.geraniumstand.support.io.Closer;
 import org.geraniumstand.support.log.Log;
 import org.geraniumstand.support.net.HttpBody;
 import org.geraniumstand.support.net.HttpCalls;
 import org.geraniumstand.support.net.HttpRequest;
 
-/** Starts a process on loopback, calls its listeners and ends, so that its classes can be archived for faster starts. */
+/**
+ * Runs two processes on loopback against a platform of its own and ends, so that all classes of a process that serves can be
+ * archived for faster starts.
+ */
 public final class Rehearsal {
     private static final Log LOG = Log.of(Rehearsal.class);
     private static final String LOOPBACK = "127.0.0.1";
-    private static final long CALL_MILLIS = 1_000;
-    private static final int ROUNDS = 2;
+    private static final long CALL_MILLIS = 2_000;
+    private static final int ROUNDS = 5;
 
-    /** Settings as a process reads them; the bounds have no meaning, as no request is relayed. */
+    /** Milliseconds until the processes have met, taken the duties and reported the usage of a window. */
+    private static final long DUTIES_MILLIS = 4_500;
+
+    /** Settings as a process reads them. */
     private static final String SETTINGS = String.join(
             "\n",
-            "process: {name: rehearsal, dataCentre: none}",
+            "process: {name: \"$name\", dataCentre: \"z\"}",
             "listen: {callers: \"$0\", readiness: \"$1\", peers: \"$2\", metrics: \"$3\"}",
-            "peers: {sharedKey: rehearsal-without-peers, seeds: [\"$2\"]}",
-            "store: {url: \"http://$4\"}",
-            "cloud: {url: \"http://$5\"}",
-            "bounds: {stopSeconds: 1, repeatRatio: 0, repeatSlack: 0, repeatWindowSeconds: 1, quotaSlack: 0,",
-            "  quotaOverrun: 0, leaseMillis: 3000, usageWindowSeconds: 5, usageLateSeconds: 10}",
+            "peers: {sharedKey: rehearsal-of-two-processes, seeds: [\"$seed\"]}",
+            "store: {url: \"http://$platform\"}",
+            "cloud: {url: \"http://$platform\"}",
+            "bounds: {stopSeconds: 4, repeatRatio: 0.2, repeatSlack: 50, repeatWindowSeconds: 10, quotaSlack: 100000,",
+            "  quotaOverrun: 0.1, leaseMillis: 3000, usageWindowSeconds: 1, usageLateSeconds: 10}",
             "");
 
-    private static final int ADDRESSES = 6;
+    private static final int ADDRESSES = 4;
+
+    private final HttpCalls calls;
 
-    private Rehearsal() {}
+    private Rehearsal(HttpCalls calls) {
+        this.calls = calls;
+    }
 
     /** Runs it. */
     public static void run() {
         Closer closer = new Closer();
-        RelaySettings settings = RelaySettingsFile.parse("rehearsal", text())
-                .value()
-                .orElseThrow(() -> new IllegalStateException("the settings of the rehearsal are not valid"));
-        closer.add(RelayProcess.start(settings));
-        HttpCalls calls = closer.add(HttpCalls.start("rehearsal"));
-        PlatformFacts.rehearse();
+        InetSocketAddress platform = address();
+        closer.add(serve(platform));
+        RelaySettings first = settings("rehearsal-1", platform, "");
+        RelaySettings second = settings("rehearsal-2", platform, text(first.peers()));
+        RelayProcess serving = closer.add(RelayProcess.start(first));
+        RelayProcess other = closer.add(RelayProcess.start(second));
+        Rehearsal rehearsal = new Rehearsal(closer.add(HttpCalls.start("rehearsal")));
         for (int i = 0; i < ROUNDS; i++) {
-            call(calls, settings.readiness());
-            call(calls, settings.callers());
+            rehearsal.callAll(first, i);
         }
+        sleep(DUTIES_MILLIS);
+        other.stopGracefully();
+        serving.stopGracefully();
         closer.close();
     }
 
-    private static String text() {
-        String text = SETTINGS;
-        for (int i = 0; i < ADDRESSES; i++) {
-            text = text.replace("$" + i, LOOPBACK + ":" + address().getPort());
-        }
-        return text;
+    private void callAll(RelaySettings process, int round) {
+        String attempt = "rehearsal-" + round;
+        call(process.readiness(), "GET", "/", List.of());
+        call(process.callers(), "POST", RehearsalPlatform.STREAM_PATH, RehearsalPlatform.callerHeaders(attempt + "s"));
+        call(process.callers(), "GET", RehearsalPlatform.PLAIN_PATH, RehearsalPlatform.callerHeaders(attempt + "p"));
+        call(process.callers(), "GET", RehearsalPlatform.UNKNOWN_PATH, RehearsalPlatform.callerHeaders(attempt + "u"));
+        call(process.metrics(), "GET", "/metrics", List.of());
     }
 
-    private static void call(HttpCalls calls, InetSocketAddress address) {
-        URI origin = URI.create("http://" + LOOPBACK + ":" + address.getPort());
-        CountDownLatch answered = new CountDownLatch(1);
-        HttpRequest request =
-                new HttpRequest("POST", origin, "/", List.of(), HttpBody.of("rehearsal"), CALL_MILLIS, true);
-        calls.send(request, result -> {
-            LOG.info(
-                    "rehearsed",
-                    Field.of("port", address.getPort()),
-                    Field.of("answered", result.value().isPresent()));
-            answered.countDown();
-        });
+    private void call(InetSocketAddress address, String method, String path, List<HttpRequest.Header> headers) {
+        URI origin = URI.create("http://" + text(address));
+        HttpBody body = method.equals("POST") ? HttpBody.of("rehearsal") : HttpBody.EMPTY;
+        CompletableFuture<String> outcome = new CompletableFuture<>();
+        calls.send(
+                new HttpRequest(method, origin, path, headers, body, CALL_MILLIS, true),
+                result -> outcome.complete(result.fold(answer -> "" + answer.status(), Enum::name)));
         try {
-            if (!answered.await(CALL_MILLIS, TimeUnit.MILLISECONDS)) {
-                LOG.warn("rehearsal-unanswered", Field.of("port", address.getPort()));
-            }
+            String told = outcome.get(CALL_MILLIS * 2, TimeUnit.MILLISECONDS);
+            LOG.info("rehearsed", Field.of("path", path), Field.of("outcome", told));
         } catch (InterruptedException _e) {
             Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.warn("rehearsed", Field.of("path", path), Field.of("outcome", e));
+        }
+    }
+
+    private static AutoCloseable serve(InetSocketAddress address) {
+        RehearsalPlatform platform = new RehearsalPlatform(address);
+        Undertow server = Undertow.builder()
+                .setIoThreads(1)
+                .setWorkerThreads(1)
+                .addHttpListener(address.getPort(), address.getHostString(), exchange -> answer(platform, exchange))
+                .build();
+        server.start();
+        return server::stop;
+    }
+
+    private static void answer(RehearsalPlatform platform, HttpServerExchange exchange) {
+        Map<String, String> query = new HashMap<>();
+        exchange.getQueryParameters().forEach((name, values) -> query.put(name, values.getFirst()));
+        RehearsalPlatform.Answer answer = platform.answer(
+                exchange.getRequestPath(),
+                query,
+                name -> exchange.getRequestHeaders().getFirst(name));
+        exchange.setStatusCode(answer.status());
+        answer.headers().forEach(h -> exchange.getResponseHeaders().put(HttpString.tryFromString(h.name()), h.value()));
+        if (answer.streamed()) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        }
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> exchange.getIoThread()
+                        .executeAfter(
+                                () -> exchange.getResponseSender().send(answer.body()),
+                                answer.delayMillis(),
+                                TimeUnit.MILLISECONDS));
+    }
+
+    private static RelaySettings settings(String name, InetSocketAddress platform, String seed) {
+        String text = SETTINGS.replace("$name", name)
+                .replace("$platform", text(platform))
+                .replace("\"$seed\"", seed.isEmpty() ? "" : '"' + seed + '"');
+        for (int i = 0; i < ADDRESSES; i++) {
+            text = text.replace("\"$" + i, "\"" + text(address()));
         }
+        return RelaySettingsFile.parse(name, text).fold(valid -> valid, error -> {
+            throw new IllegalStateException(error.text());
+        });
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
     }
 
     private static InetSocketAddress address() {
@@ -94,4 +161,12 @@
             throw new UncheckedIOException("no free port on loopback", e);
         }
     }
+
+    private static void sleep(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException _e) {
+            Thread.currentThread().interrupt();
+        }
+    }
 }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
@@ -1,7 +1,6 @@
 package org.geraniumstand.entry.relay;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.type.TypeReference;
+import java.io.IOException;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +25,6 @@
 import org.geraniumstand.outside.relay.RevisionStore.Item;
 import org.geraniumstand.outside.store.StoreError;
 import org.geraniumstand.peer.PeerMessage;
-import org.geraniumstand.support.json.Json;
 import org.geraniumstand.support.log.Log;
 
 /**
@@ -41,11 +39,6 @@
     private static final String COUNTS = "geraniumstand/usage/";
     private static final String REPORTS = "geraniumstand/report/";
 
-    /** Counts of one row of the store: requests by team, by process. */
-    private static final TypeReference<Map<String, Map<String, Long>>> ROW = new TypeReference<>() {};
-
-    private static final TypeReference<Map<String, Long>> SUMS = new TypeReference<>() {};
-
     /** Milliseconds between looks at the clock. */
     private static final long TICK_MILLIS = 250;
 
@@ -214,7 +207,7 @@
             return;
         }
         written.put(window, total);
-        String row = row(gathered.window(window));
+        String row = CountRows.row(gathered.window(window));
         store.commit(Commit.put(COUNTS + window + "/" + process, row, 0), result -> {
             if (result.error().isPresent()) {
                 // The next look writes them again, which is harmless as they only grow.
@@ -261,8 +254,8 @@
     /** Sends what was recorded, and nothing else, as another report may have been accepted before. */
     private void sendAgain(long window, Item item) {
         try {
-            send(window, byTeam(Json.LENIENT.readValue(item.value(), SUMS)));
-        } catch (JsonProcessingException | IllegalArgumentException e) {
+            send(window, CountRows.readSums(item.value()));
+        } catch (IOException | IllegalArgumentException e) {
             LOG.warn("report-unreadable", Field.of("entry", item.key()), Field.of("reason", e.getClass()));
         }
     }
@@ -286,7 +279,7 @@
         store.commit(
                 new Commit(
                         List.of(new RevisionStore.Expected(key, 0)),
-                        List.of(new RevisionStore.Put(key, text(sums), 0)),
+                        List.of(new RevisionStore.Put(key, CountRows.sums(sums), 0)),
                         removals(window, items)),
                 result -> result.fold(
                         _revision -> {
@@ -329,36 +322,12 @@
         });
     }
 
-    private static String text(Map<TeamId, Long> counts) {
-        return Json.write(plain(counts));
-    }
-
-    private static Map<String, Long> plain(Map<TeamId, Long> counts) {
-        Map<String, Long> table = new TreeMap<>();
-        counts.forEach((team, count) -> table.put(team.value(), count));
-        return table;
-    }
-
-    private static String row(Map<ProcessId, Map<TeamId, Long>> counts) {
-        Map<String, Map<String, Long>> table = new TreeMap<>();
-        counts.forEach((counter, own) -> table.put(counter.value(), plain(own)));
-        return Json.write(table);
-    }
-
     private static void addRow(UsageTable table, long window, Item item) {
         try {
-            Json.LENIENT
-                    .readValue(item.value(), ROW)
-                    .forEach((counter, counts) ->
-                            table.onTold(new ProcessId(counter), List.of(new WindowCounts(window, byTeam(counts)))));
-        } catch (JsonProcessingException | IllegalArgumentException e) {
+            CountRows.readRow(item.value())
+                    .forEach((counter, counts) -> table.onTold(counter, List.of(new WindowCounts(window, counts))));
+        } catch (IOException | IllegalArgumentException e) {
             LOG.warn("usage-unreadable", Field.of("entry", item.key()), Field.of("reason", e.getClass()));
         }
     }
-
-    private static Map<TeamId, Long> byTeam(Map<String, Long> counts) {
-        Map<TeamId, Long> table = new TreeMap<>();
-        counts.forEach((team, count) -> table.put(new TeamId(team), count));
-        return table;
-    }
 }
--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/MemberDocumentTest.java
@@ -0,0 +1,34 @@
+package org.geraniumstand.entry.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.member.Member;
+import org.geraniumstand.support.json.Json;
+import org.junit.jupiter.api.Test;
+
+final class MemberDocumentTest {
+    private static final Member MEMBER =
+            new Member(new ProcessId("p-1"), new DataCentreId("west"), "10.0.0.1", 1, 2, 3, 4, true);
+
+    @Test
+    void readsWhatItWrites() throws IOException {
+        assertThat(MemberDocument.read(MemberDocument.write(MEMBER)), is(MEMBER));
+    }
+
+    @Test
+    void writesTheFormOfTheMapper() {
+        assertThat(MemberDocument.write(MEMBER), is(Json.write(MEMBER)));
+    }
+
+    @Test
+    void refusesWhatNamesNoMember() {
+        assertThrows(IOException.class, () -> MemberDocument.read("{\"id\":\"p-1\"}"));
+        assertThrows(IOException.class, () -> MemberDocument.read("7"));
+        assertThrows(IOException.class, () -> MemberDocument.read("{\"id\":"));
+    }
+}
--- a/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
@@ -10,7 +10,7 @@
 import org.geraniumstand.http.upstream.Flow;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.outside.relay.Dialect;
-import org.geraniumstand.support.json.Json;
+import org.geraniumstand.support.json.JsonTree;
 
 /** Writes the one answer of an exchange to its caller. */
 final class CallerAnswer {
@@ -24,8 +24,6 @@
         this.output = new CallerOutput(exchange);
     }
 
-    private record Problem(int status, String title, String reason, String outcome) {}
-
     boolean started() {
         return started;
     }
@@ -83,11 +81,14 @@
         dialect.refusal(attempt, refusal.retryAfterMillis())
                 .forEach(h -> exchange.getResponseHeaders().put(HttpString.tryFromString(h.name()), h.value()));
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/problem+json");
-        exchange.getResponseSender()
-                .send(Json.write(new Problem(
-                        refusal.reason().status(),
-                        refusal.reason().summary(),
-                        refusal.reason().text(),
-                        refusal.outcome().text())));
+        exchange.getResponseSender().send(problem(refusal));
+    }
+
+    private static String problem(Refusal refusal) {
+        return JsonTree.write(JsonTree.object()
+                .put("status", refusal.reason().status())
+                .put("title", refusal.reason().summary())
+                .put("reason", refusal.reason().text())
+                .put("outcome", refusal.outcome().text()));
     }
 }
--- a/http/src/main/java/org/geraniumstand/http/upstream/Origins.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Origins.java
@@ -8,22 +8,19 @@
 final class Origins {
     private static final int MAX_KEPT = 4_096;
 
-    private final Map<Address, Origin> kept = new ConcurrentHashMap<>();
-
-    private record Address(String host, int port) {}
+    private final Map<String, Origin> kept = new ConcurrentHashMap<>();
 
     Origin of(String host, int port) {
-        Address address = new Address(host, port);
-        Origin known = kept.get(address);
+        String authority = host + ":" + port;
+        Origin known = kept.get(authority);
         if (known != null) {
             return known;
         }
         if (kept.size() >= MAX_KEPT) {
             kept.clear();
         }
-        String authority = host + ":" + port;
         Origin origin = new Origin(URI.create("http://" + authority), authority);
-        kept.put(address, origin);
+        kept.put(authority, origin);
         return origin;
     }
 }
--- a/model/src/main/java/org/geraniumstand/model/id/ProcessId.java
+++ b/model/src/main/java/org/geraniumstand/model/id/ProcessId.java
@@ -24,4 +24,15 @@
     public String toString() {
         return value;
     }
+
+    // The methods that the compiler generates are linked at run time, which costs each start some milliseconds a type.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ProcessId same && value.equals(same.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/model/src/main/java/org/geraniumstand/model/id/ServerId.java
+++ b/model/src/main/java/org/geraniumstand/model/id/ServerId.java
@@ -24,4 +24,15 @@
     public String toString() {
         return value;
     }
+
+    // The methods that the compiler generates are linked at run time, which costs each start some milliseconds a type.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServerId same && value.equals(same.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/model/src/main/java/org/geraniumstand/model/id/ServiceId.java
+++ b/model/src/main/java/org/geraniumstand/model/id/ServiceId.java
@@ -24,4 +24,15 @@
     public String toString() {
         return value;
     }
+
+    // The methods that the compiler generates are linked at run time, which costs each start some milliseconds a type.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof ServiceId same && value.equals(same.value);
+    }
+
+    @Override
+    public int hashCode() {
+        return value.hashCode();
+    }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/exchange/Contacts.java
+++ b/peer/src/main/java/org/geraniumstand/peer/exchange/Contacts.java
@@ -30,6 +30,17 @@
         static Address of(Member member) {
             return new Address(member.address(), member.peerPort());
         }
+
+        // The methods that the compiler generates are linked at run time, which costs each start some milliseconds.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Address same && port == same.port && host.equals(same.host);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * host.hashCode() + port;
+        }
     }
 
     Contacts(Collection<Address> seeds, Random random) {
--- /dev/null
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/StartBench.java
@@ -0,0 +1,237 @@
+package org.geraniumstand.proofs.bench;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.geraniumstand.platform.RehearsalPlatform;
+
+/**
+ * Measures the processor time of one process that relays calls: until it is ready, until the tenth answer, and over the
+ * answers after that. Run by hand, from the root of the repository after {@code bin/package}:
+ *
+ * <pre>java -cp proofs/target/test-classes:... org.geraniumstand.proofs.bench.StartBench RUNS CALLS java OPTIONS...</pre>
+ *
+ * <p>The command is that of {@code deploy/system.toml} with {@code SETTINGS} in place of the settings' path. The platform of
+ * the rehearsal answers it.
+ */
+public final class StartBench {
+    private static final String LOOPBACK = "127.0.0.1";
+    private static final int FIRST_CALLS = 10;
+    private static final long READY_MILLIS = 20_000;
+
+    /** Milliseconds for a process to stop; it takes requests for some 3,000 of them. */
+    private static final long STOP_MILLIS = 8_000;
+
+    /** Milliseconds between two calls; a host of the largest deployments gets about five a second. */
+    private static final long BETWEEN_MILLIS = 20;
+
+    /** Milliseconds of a tick in which the kernel counts processor time, and the fields of its line after the name. */
+    private static final int TICK_MILLIS = 10;
+
+    private static final int USER_FIELD = 11;
+    private static final int SYSTEM_FIELD = 12;
+
+    private static final String SETTINGS = String.join(
+            "\n",
+            "process: {name: bench, dataCentre: z}",
+            "listen: {callers: \"$0\", readiness: \"$1\", peers: \"$2\", metrics: \"$3\"}",
+            "peers: {sharedKey: bench-of-one-process, seeds: [\"$2\"]}",
+            "store: {url: \"http://$platform\"}",
+            "cloud: {url: \"http://$platform\"}",
+            "bounds: {stopSeconds: 1, repeatRatio: 0.2, repeatSlack: 50, repeatWindowSeconds: 10, quotaSlack: 100000,",
+            "  quotaOverrun: 0.1, leaseMillis: 3000, usageWindowSeconds: 5, usageLateSeconds: 10}",
+            "");
+
+    private static final int ADDRESSES = 4;
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(1))
+            .build();
+    private int attempts;
+
+    private StartBench() {}
+
+    /**
+     * Runs the bench.
+     *
+     * @param args runs, calls after the first ten, and the command
+     */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        int runs = Integer.parseInt(args[0]);
+        int calls = Integer.parseInt(args[1]);
+        List<String> command = Arrays.asList(args).subList(2, args.length);
+        InetSocketAddress platform = address();
+        Undertow server = serve(platform);
+        List<long[]> times = new ArrayList<>();
+        for (int i = 0; i < runs; i++) {
+            times.add(new StartBench().run(platform, command, calls));
+        }
+        server.stop();
+        String[] names = {"ready", "tenth answer", calls + " more answers", "resident at the end, in MB"};
+        for (int i = 0; i < names.length; i++) {
+            List<Long> values = new ArrayList<>();
+            for (long[] run : times) {
+                values.add(run[i]);
+            }
+            Collections.sort(values);
+            System.out.println(names[i] + ": median " + values.get(values.size() / 2) + " of " + values);
+        }
+    }
+
+    private long[] run(InetSocketAddress platform, List<String> command, int calls)
+            throws IOException, InterruptedException {
+        InetSocketAddress callers = address();
+        InetSocketAddress readiness = address();
+        Path settings = Files.createTempFile("start-bench", ".yaml");
+        Files.writeString(
+                settings,
+                SETTINGS.replace("$platform", text(platform))
+                        .replace("$0", text(callers))
+                        .replace("$1", text(readiness))
+                        .replace("$2", text(address()))
+                        .replace("$" + (ADDRESSES - 1), text(address())),
+                StandardCharsets.UTF_8);
+        List<String> words = command.stream()
+                .map(word -> word.replace("SETTINGS", settings.toString()))
+                .toList();
+        Process process = new ProcessBuilder(words)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD)
+                .start();
+        try {
+            awaitReady(readiness);
+            long ready = processorMillis(process);
+            call(callers, FIRST_CALLS);
+            long tenth = processorMillis(process);
+            call(callers, calls);
+            long more = processorMillis(process);
+            return new long[] {ready, tenth - ready, more - tenth, residentMegabytes(process)};
+        } finally {
+            process.destroy();
+            if (!process.waitFor(STOP_MILLIS, TimeUnit.MILLISECONDS)) {
+                process.destroyForcibly().waitFor();
+            }
+            Files.delete(settings);
+        }
+    }
+
+    private void awaitReady(InetSocketAddress address) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(READY_MILLIS);
+        while (System.nanoTime() < end) {
+            try {
+                if (send(address, "/", "GET") == 200) {
+                    return;
+                }
+            } catch (IOException _e) {
+                // It does not listen yet.
+            }
+            TimeUnit.MILLISECONDS.sleep(BETWEEN_MILLIS);
+        }
+        throw new IllegalStateException("the process was not ready in time");
+    }
+
+    private void call(InetSocketAddress address, int count) throws IOException, InterruptedException {
+        for (int i = 0; i < count; i++) {
+            boolean stream = i % 2 == 0;
+            int status = send(
+                    address,
+                    stream ? RehearsalPlatform.STREAM_PATH : RehearsalPlatform.PLAIN_PATH,
+                    stream ? "POST" : "GET");
+            if (status != 200) {
+                throw new IllegalStateException("a call was answered with " + status);
+            }
+            TimeUnit.MILLISECONDS.sleep(BETWEEN_MILLIS);
+        }
+    }
+
+    private int send(InetSocketAddress address, String path, String method) throws IOException, InterruptedException {
+        attempts++;
+        HttpRequest.Builder request = HttpRequest.newBuilder(URI.create("http://" + text(address) + path))
+                .method(
+                        method,
+                        method.equals("POST")
+                                ? HttpRequest.BodyPublishers.ofString("x".repeat(2_000))
+                                : HttpRequest.BodyPublishers.noBody());
+        RehearsalPlatform.callerHeaders("bench-" + attempts).forEach(h -> request.header(h.name(), h.value()));
+        return client.send(request.build(), HttpResponse.BodyHandlers.ofString())
+                .statusCode();
+    }
+
+    private static long processorMillis(Process process) throws IOException {
+        String line = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        String[] fields = line.substring(line.lastIndexOf(')') + 2).split(" ", -1);
+        return TICK_MILLIS * (Long.parseLong(fields[USER_FIELD]) + Long.parseLong(fields[SYSTEM_FIELD]));
+    }
+
+    private static long residentMegabytes(Process process) throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
+                .filter(line -> line.startsWith("VmHWM"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) / 1024)
+                .findFirst()
+                .orElse(0);
+    }
+
+    private static Undertow serve(InetSocketAddress address) {
+        RehearsalPlatform platform = new RehearsalPlatform(address);
+        Undertow server = Undertow.builder()
+                .setIoThreads(1)
+                .setWorkerThreads(1)
+                .addHttpListener(address.getPort(), address.getHostString(), exchange -> answer(platform, exchange))
+                .build();
+        server.start();
+        return server;
+    }
+
+    private static void answer(RehearsalPlatform platform, HttpServerExchange exchange) {
+        Map<String, String> query = new HashMap<>();
+        exchange.getQueryParameters().forEach((name, values) -> query.put(name, values.getFirst()));
+        RehearsalPlatform.Answer answer = platform.answer(
+                exchange.getRequestPath(),
+                query,
+                name -> exchange.getRequestHeaders().getFirst(name));
+        exchange.setStatusCode(answer.status());
+        answer.headers().forEach(h -> exchange.getResponseHeaders().put(HttpString.tryFromString(h.name()), h.value()));
+        if (answer.streamed()) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        }
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> exchange.getIoThread()
+                        .executeAfter(
+                                () -> exchange.getResponseSender().send(answer.body()),
+                                answer.delayMillis(),
+                                TimeUnit.MILLISECONDS));
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getHostString() + ":" + address.getPort();
+    }
+
+    private static InetSocketAddress address() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return InetSocketAddress.createUnresolved(LOOPBACK, socket.getLocalPort());
+        }
+    }
+}
--- a/support/src/main/java/org/geraniumstand/support/log/Log.java
+++ b/support/src/main/java/org/geraniumstand/support/log/Log.java
@@ -3,12 +3,10 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.Set;
-import java.util.regex.Pattern;
 import org.geraniumstand.model.timeline.Field;
 
 /** Writes one line of key=value pairs for each event. */
 public final class Log {
-    private static final Pattern PLAIN = Pattern.compile("[^\\s\"=]+");
     private static final String HIDDEN = "***";
 
     /** Names of fields whose values are never written, whoever passes them by mistake. */
@@ -74,8 +72,19 @@
         return SECRETS.contains(field.name()) ? HIDDEN : quote(field.value());
     }
 
+    /** Looks at each character, as a pattern would cost more than the rest of the line. */
+    private static boolean plain(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (c == '"' || c == '=' || c == ' ' || (c >= '\t' && c <= '\r')) {
+                return false;
+            }
+        }
+        return !value.isEmpty();
+    }
+
     private static String quote(String value) {
-        if (PLAIN.matcher(value).matches()) {
+        if (plain(value)) {
             return value;
         }
         String escaped = value.replace("\\", "\\\\")
