Tell all processes what the others have in flight at each server

A rejected arrival spends a retry, and kinds with one attempt are refused for it.

Changes: the processes that add up the use of quotas add up calls in flight and unread prompt tokens by server, too (InFlightSums), and the first of them tells each process the sums of the others with the answer it sends anyway, two to five times a second. Figures of a hub that heard under 0.7 of the processes are left out; without any, a process goes on with what servers tell it. Waiting calls that can still be on time go before late ones; no call is looked at once there is no room; the list of servers that take work is made once a change instead of once a call, and names are not hashed anew for each choice.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptHomes.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptHomes.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.id.ServerId;
@@ -57,11 +56,10 @@
      * @param prompt the prompt's parts; a part counts as held only if all before it are
      * @param promptTokens tokens of the whole prompt
      * @param server the server
-     * @param home the home of the prompt, if it has one
+     * @param home whether the server is the home of the prompt
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public double unread(
-            List<PromptPart> prompt, int promptTokens, ServerId server, Optional<ServerId> home, long nowNanos) {
+    public double unread(List<PromptPart> prompt, int promptTokens, ServerId server, boolean home, long nowNanos) {
         double held = 0;
         double chance = 1;
         int last = prompt.size() - 1;
@@ -71,7 +69,7 @@
             Long at = readers == null ? null : readers.get(server);
             boolean known = at != null && nowNanos - at < KEPT_MILLIS * Moment.NANOS_PER_MILLI;
             if (!known) {
-                chance *= i < last && home.filter(server::equals).isPresent() ? HOME_CHANCE : 0;
+                chance *= i < last && home ? HOME_CHANCE : 0;
             }
             held += chance * part.tokens();
         }
@@ -92,9 +90,9 @@
      * Returns the weight of a server as the home of a prompt; the highest is the home.
      *
      * @param key the part that names the home
-     * @param server the server
+     * @param serverHash hash of the server's name
      */
-    public static long weight(long key, ServerId server) {
-        return Hash.mix(Hash.mix(key) ^ Hash.of(server.value()));
+    public static long weight(long key, long serverHash) {
+        return Hash.mix(Hash.mix(key) ^ serverHash);
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
@@ -1,12 +1,10 @@
 package org.geraniumstand.decisions.relay;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.id.DataCentreId;
-import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.relay.PromptPart;
 import org.geraniumstand.model.relay.RelayService;
@@ -81,46 +79,90 @@
      */
     public Optional<Chosen> choose(RelayCall call, RelayService service, long nowNanos) {
         List<ServerView> servers = fleet.takingWork(call.service());
-        boolean othersAwake = servers.stream()
-                .anyMatch(s -> !s.paused(nowNanos) && !call.tried(s.server().id()));
+        boolean othersAwake = anyAwake(servers, call, nowNanos);
         List<PromptPart> prompt = call.head().prompt();
-        Optional<ServerId> home = prompt.isEmpty() ? Optional.empty() : home(prompt, servers, nowNanos);
-        Chosen best = null;
+        ServerView preferred = prompt.isEmpty() ? null : home(prompt, servers, nowNanos);
+        ServerView best = null;
+        double bestUnread = 0;
         double bestCost = Double.POSITIVE_INFINITY;
         for (ServerView view : servers) {
-            ServerId id = view.server().id();
-            boolean passedOver = othersAwake && (view.paused(nowNanos) || call.tried(id));
+            boolean passedOver = othersAwake && !awake(view, call, nowNanos);
             if (passedOver || !hasRoom(view, service, nowNanos)) {
                 continue;
             }
-            double unread = service.engine().isPresent()
-                    ? prompts.unread(prompt, call.head().promptTokens(), id, home, nowNanos)
-                    : 0;
-            double cost = cost(view, service, unread, nowNanos) + tie(call, id);
+            double unread = service.engine().isEmpty()
+                    ? 0
+                    : prompts.unread(
+                            prompt, call.head().promptTokens(), view.server().id(), view.equals(preferred), nowNanos);
+            double cost = cost(view, service, unread, nowNanos) + tie(call, view);
             if (cost < bestCost) {
                 bestCost = cost;
-                best = new Chosen(view, unread);
+                bestUnread = unread;
+                best = view;
             }
         }
-        return Optional.ofNullable(best);
+        return best == null ? Optional.empty() : Optional.of(new Chosen(best, bestUnread));
     }
 
-    private static Optional<ServerId> home(List<PromptPart> prompt, List<ServerView> servers, long nowNanos) {
+    private static boolean awake(ServerView view, RelayCall call, long nowNanos) {
+        return !view.paused(nowNanos) && !call.tried(view.server().id());
+    }
+
+    private static boolean anyAwake(List<ServerView> servers, RelayCall call, long nowNanos) {
+        for (ServerView view : servers) {
+            if (awake(view, call, nowNanos)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static ServerView home(List<PromptPart> prompt, List<ServerView> servers, long nowNanos) {
         long key = PromptHomes.homeKey(prompt);
-        return servers.stream()
-                .filter(s -> !s.paused(nowNanos))
-                .map(s -> s.server().id())
-                .max(Comparator.comparingLong(id -> PromptHomes.weight(key, id)));
+        ServerView best = null;
+        long most = Long.MIN_VALUE;
+        for (ServerView view : servers) {
+            long weight = PromptHomes.weight(key, view.hash());
+            if (weight >= most && !view.paused(nowNanos)) {
+                most = weight;
+                best = view;
+            }
+        }
+        return best;
     }
 
-    private boolean hasRoom(ServerView view, RelayService service, long nowNanos) {
-        boolean paced = view.cold(nowNanos) && service.coldPerSecond() > 0;
-        if (paced && !pace.allows(view.server().id(), nowNanos)) {
-            return false;
+    /**
+     * Returns how many calls the servers of a service have room for, as far as is known.
+     *
+     * @param service the service
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public int places(RelayService service, long nowNanos) {
+        int places = 0;
+        for (ServerView view : fleet.takingWork(service.id())) {
+            if (paced(view, service, nowNanos)) {
+                places += pace.allows(view.server().id(), nowNanos) && room(view, service, nowNanos) > 0 ? 1 : 0;
+            } else {
+                places += Math.max(0, room(view, service, nowNanos));
+            }
         }
+        return places;
+    }
+
+    private static boolean paced(ServerView view, RelayService service, long nowNanos) {
+        return view.cold(nowNanos) && service.coldPerSecond() > 0;
+    }
+
+    private boolean hasRoom(ServerView view, RelayService service, long nowNanos) {
+        boolean heldBack =
+                paced(view, service, nowNanos) && !pace.allows(view.server().id(), nowNanos);
+        return !heldBack && room(view, service, nowNanos) > 0;
+    }
+
+    private static int room(ServerView view, RelayService service, long nowNanos) {
         int slots = view.server().slots();
         int most = service.engine().isPresent() ? slots : slots + PLAIN_QUEUE;
-        return view.load(nowNanos) < most;
+        return most - view.load(nowNanos);
     }
 
     private double cost(ServerView view, RelayService service, double unread, long nowNanos) {
@@ -130,14 +172,16 @@
         }
         if (service.engine().isPresent()) {
             // Tokens read again cost twice: this call waits for them, and so do those that run there.
-            return cost + (view.pendingTokens() + 2 * unread) * READ_MILLIS + view.load(nowNanos) * RUNNING_MILLIS;
+            return cost
+                    + (view.unreadTokens(nowNanos) + 2 * unread) * READ_MILLIS
+                    + view.load(nowNanos) * RUNNING_MILLIS;
         }
         int ahead = Math.max(0, view.load(nowNanos) + 1 - view.server().slots());
         return cost + (ahead + (double) view.load(nowNanos) / view.server().slots()) * PLAIN_MILLIS;
     }
 
     // Spreads calls over servers that are otherwise equal.
-    private static double tie(RelayCall call, ServerId server) {
-        return Hash.below(Hash.mix(call.arrivedNanos() ^ Hash.of(server.value())), 1000) / 1000.0;
+    private static double tie(RelayCall call, ServerView view) {
+        return Hash.below(Hash.mix(call.arrivedNanos() ^ view.hash()), 1000) / 1000.0;
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -278,7 +278,13 @@
         if (service.isEmpty() || line(id).size() == 0) {
             return;
         }
-        line(id).offer(call -> place(call, service.get(), nowNanos, steps));
+        // Each look at a call costs a look at each server, so none is taken once there is no room.
+        int places = choice.places(service.get(), nowNanos);
+        int before = steps.size();
+        line(id).offerWhile(
+                        nowNanos,
+                        () -> steps.size() - before < places,
+                        call -> place(call, service.get(), nowNanos, steps));
     }
 
     private boolean place(RelayCall call, RelayService service, long nowNanos, List<RelayStep> steps) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -11,6 +11,7 @@
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.ServerUse;
 
 /** The backend servers that stand in the store, and the data centres that are out. */
 public final class RelayFleet {
@@ -19,6 +20,9 @@
     private final Map<String, ServerView> newestAt = new HashMap<>();
     private final Set<DataCentreId> out = new HashSet<>();
 
+    /** Servers that may take work, until an entry or a data centre changes; each call asks for them. */
+    private final Map<ServiceId, List<ServerView>> taking = new HashMap<>();
+
     /** Creates a fleet without servers. */
     public RelayFleet() {}
 
@@ -29,6 +33,7 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void onListed(RelayServer listed, long nowNanos) {
+        taking.clear();
         ServerView known = servers.get(listed.id());
         boolean same = known != null
                 && known.server().bornMillis() == listed.bornMillis()
@@ -42,18 +47,14 @@
         servers.put(listed.id(), view);
         byService.computeIfAbsent(listed.service(), _key -> new ArrayList<>()).add(view);
         newestAt.merge(
-                place(view),
+                view.place(),
                 view,
                 (old, next) -> old.server().bornMillis() > next.server().bornMillis() ? old : next);
     }
 
-    private static String place(ServerView view) {
-        return view.server().address() + ":" + view.server().port();
-    }
-
     /** The entry of a server that crashed stays for some seconds, in which another may start at its address. */
     private boolean replaced(ServerView view) {
-        ServerView newest = newestAt.get(place(view));
+        ServerView newest = newestAt.get(view.place());
         return newest != null && newest.server().bornMillis() > view.server().bornMillis();
     }
 
@@ -63,10 +64,11 @@
      * @param id the server
      */
     public void onGone(ServerId id) {
+        taking.clear();
         ServerView view = servers.remove(id);
         if (view != null) {
             byService.get(view.server().service()).remove(view);
-            newestAt.remove(place(view), view);
+            newestAt.remove(view.place(), view);
         }
     }
 
@@ -90,6 +92,7 @@
      * @param isOut whether it takes none
      */
     public void onDataCentre(DataCentreId dataCentre, boolean isOut) {
+        taking.clear();
         if (isOut) {
             out.add(dataCentre);
         } else {
@@ -103,6 +106,7 @@
      * @param all the data centres that take none
      */
     public void onDataCentresOut(Set<DataCentreId> all) {
+        taking.clear();
         out.clear();
         out.addAll(all);
     }
@@ -117,19 +121,52 @@
         return servers.values();
     }
 
+    /**
+     * Returns what this process has in flight, by server; servers without any are left out.
+     */
+    public List<ServerUse> inFlight() {
+        List<ServerUse> uses = new ArrayList<>();
+        for (ServerView view : servers.values()) {
+            if (view.inFlight() > 0) {
+                uses.add(new ServerUse(view.server().id(), view.inFlight(), Math.round(view.pendingTokens())));
+            }
+        }
+        return uses;
+    }
+
+    /**
+     * Takes in what all other processes have in flight.
+     *
+     * @param uses their calls by server; servers that are left out have none
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onOthersInFlight(List<ServerUse> uses, long nowNanos) {
+        servers.values().forEach(view -> view.onOthers(0, 0, nowNanos));
+        for (ServerUse use : uses) {
+            ServerView view = servers.get(use.server());
+            if (view != null) {
+                view.onOthers(use.calls(), use.tokens(), nowNanos);
+            }
+        }
+    }
+
     /**
      * Returns the servers of a service that may take new work.
      *
      * @param service the service
      */
     public List<ServerView> takingWork(ServiceId service) {
-        List<ServerView> taking = new ArrayList<>();
+        return taking.computeIfAbsent(service, this::findTaking);
+    }
+
+    private List<ServerView> findTaking(ServiceId service) {
+        List<ServerView> found = new ArrayList<>();
         for (ServerView view : byService.getOrDefault(service, List.of())) {
             boolean here = !out.contains(view.server().dataCentre());
             if (here && !view.server().leaving() && !replaced(view)) {
-                taking.add(view);
+                found.add(view);
             }
         }
-        return taking;
+        return List.copyOf(found);
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.decisions.relay;
 
+import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.ServerLoad;
 import org.geraniumstand.model.request.AttemptEnd;
@@ -22,8 +23,10 @@
     /** Connections that break without an answer, one after the other, that speak against a server. */
     private static final int BROKEN_IN_ROW = 2;
 
+    private final long hash;
     private int brokenInRow;
     private RelayServer server;
+    private String place;
     private long coldUntilNanos;
     private int inFlight;
     private int unanswered;
@@ -31,6 +34,7 @@
     private long lastByteNanos;
     private long oweSinceNanos;
     private int othersInFlight;
+    private long othersPendingTokens;
     private long loadNanos;
     private boolean loadKnown;
     private long pauseMillis;
@@ -38,6 +42,7 @@
 
     ServerView(RelayServer server, long nowNanos) {
         list(server, nowNanos);
+        this.hash = Hash.of(server.id().value());
         this.lastByteNanos = nowNanos;
         this.pausedUntilNanos = nowNanos;
         this.loadNanos = nowNanos;
@@ -45,6 +50,7 @@
 
     void list(RelayServer next, long nowNanos) {
         server = next;
+        place = next.address() + ":" + next.port();
         coldUntilNanos = nowNanos + next.coldMillis() * Moment.NANOS_PER_MILLI;
     }
 
@@ -53,6 +59,16 @@
         return server;
     }
 
+    /** Returns the address and port of the server. */
+    String place() {
+        return place;
+    }
+
+    /** Returns a hash of the server's name. */
+    long hash() {
+        return hash;
+    }
+
     /** Returns whether the server is cold. */
     public boolean cold(long nowNanos) {
         return nowNanos - coldUntilNanos < 0;
@@ -77,6 +93,19 @@
         return pendingTokens;
     }
 
+    /** Returns the prompt tokens that the server has yet to read, those of other processes as far as they are known. */
+    double unreadTokens(long nowNanos) {
+        return pendingTokens + (loadFresh(nowNanos) ? othersPendingTokens : 0);
+    }
+
+    /** Takes in what other processes have in flight at the server. */
+    void onOthers(int calls, long tokens, long nowNanos) {
+        loadKnown = true;
+        loadNanos = nowNanos;
+        othersInFlight = calls;
+        othersPendingTokens = tokens;
+    }
+
     /** Returns whether the server should be left alone for now. */
     public boolean paused(long nowNanos) {
         return nowNanos - pausedUntilNanos < 0 || silent(nowNanos);
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/WaitingCalls.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/WaitingCalls.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Iterator;
 import java.util.List;
 import java.util.TreeSet;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.time.Moment;
@@ -11,7 +13,9 @@
 /** The calls of a service that wait for a server. */
 @Decision(
         name = "waiting-order",
-        summary = "Waiting calls go out by rank, those of a rank by the time at which they are due on time.")
+        summary =
+                "Waiting calls that can still be on time go out before those that are late, by rank, and those of a rank by"
+                        + " the time at which they are due.")
 public final class WaitingCalls {
     private final TreeSet<RelayCall> calls = new TreeSet<>(Comparator.comparingInt(RelayCall::priority)
             .thenComparingLong(WaitingCalls::dueNanos)
@@ -50,12 +54,28 @@
     /**
      * Offers the calls in order and removes those that are taken.
      *
+     * <p>Where there is no room for all, first come by due time makes each call a little late; a late one is worth little to its
+     * caller, so the places go to those that still gain by them.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     * @param more tells whether another call is to be offered; asked before each
      * @param taker tells whether it takes a call
      */
-    public void offer(Predicate<RelayCall> taker) {
-        for (RelayCall call : List.copyOf(calls)) {
-            if (taker.test(call)) {
-                calls.remove(call);
+    public void offerWhile(long nowNanos, BooleanSupplier more, Predicate<RelayCall> taker) {
+        offer(call -> !late(call, nowNanos), more, taker);
+        offer(call -> late(call, nowNanos), more, taker);
+    }
+
+    private static boolean late(RelayCall call, long nowNanos) {
+        return nowNanos - dueNanos(call) >= 0;
+    }
+
+    private void offer(Predicate<RelayCall> which, BooleanSupplier more, Predicate<RelayCall> taker) {
+        Iterator<RelayCall> all = calls.iterator();
+        while (more.getAsBoolean() && all.hasNext()) {
+            RelayCall call = all.next();
+            if (which.test(call) && taker.test(call)) {
+                all.remove();
             }
         }
     }
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/InFlightSumsTest.java
@@ -0,0 +1,66 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.List;
+import java.util.Set;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.relay.ServerUse;
+import org.junit.jupiter.api.Test;
+
+final class InFlightSumsTest {
+    private static final ProcessId ONE = new ProcessId("one");
+    private static final ProcessId TWO = new ProcessId("two");
+    private static final ProcessId THREE = new ProcessId("three");
+    private static final ServerId A = new ServerId("a");
+    private static final ServerId B = new ServerId("b");
+
+    private final InFlightSums sums = new InFlightSums();
+
+    private static ServerUse use(ServerId server, int calls, long tokens) {
+        return new ServerUse(server, calls, tokens);
+    }
+
+    @Test
+    void addsUpWhatTheOthersHaveInFlight() {
+        sums.onTold(ONE, List.of(use(A, 1, 10)), 0);
+        sums.onTold(TWO, List.of(use(A, 2, 20), use(B, 3, 30)), 0);
+        sums.onTold(THREE, List.of(use(A, 4, 40)), 0);
+
+        assertThat(sums.without(ONE), containsInAnyOrder(use(A, 6, 60), use(B, 3, 30)));
+        assertThat(sums.without(TWO), contains(use(A, 5, 50)));
+    }
+
+    @Test
+    void replacesWhatAProcessToldBefore() {
+        sums.onTold(ONE, List.of(use(A, 5, 50)), 0);
+        sums.onTold(ONE, List.of(use(B, 1, 0)), 1);
+
+        assertThat(sums.without(TWO), contains(use(B, 1, 0)));
+    }
+
+    @Test
+    void leavesOutServersWithoutCalls() {
+        sums.onTold(ONE, List.of(use(A, 5, 50)), 0);
+        sums.onTold(ONE, List.of(), 1);
+
+        assertThat(sums.without(TWO), empty());
+    }
+
+    @Test
+    void forgetsProcessesThatAreGoneOrSilent() {
+        sums.onTold(ONE, List.of(use(A, 1, 0)), 0);
+        sums.onTold(TWO, List.of(use(A, 2, 0)), 0);
+        sums.onTold(THREE, List.of(use(A, 4, 0)), 1_600 * Calls.MILLI);
+
+        sums.retain(Set.of(TWO, THREE), 1_000 * Calls.MILLI);
+        assertThat(sums.without(ONE), contains(use(A, 6, 0)));
+
+        sums.retain(Set.of(TWO, THREE), 1_600 * Calls.MILLI);
+        assertThat(sums.without(ONE), contains(use(A, 4, 0)));
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -7,6 +7,7 @@
 import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import org.geraniumstand.decisions.relay.Hubs;
+import org.geraniumstand.decisions.relay.InFlightSums;
 import org.geraniumstand.decisions.relay.PlanPull;
 import org.geraniumstand.decisions.relay.RelayDesk;
 import org.geraniumstand.decisions.relay.UseSums;
@@ -39,11 +40,15 @@
     /** Milliseconds after which neighbours are told the version again that they were told before. */
     private static final long NEWS_MILLIS = 1_000;
 
+    /** Part of the live processes that a hub must have heard for its sums of calls in flight to count. */
+    private static final double HEARD_SHARE = 0.7;
+
     private final TcpPeerNetwork network;
     private final RelayDesk desk;
     private final Timer timer;
     private final PlanListener onPlan;
     private final UseSums sums = new UseSums();
+    private final InFlightSums inFlight = new InFlightSums();
     private final PlanPull pull = new PlanPull();
     private Set<ProcessId> live = Set.of();
     private List<ProcessId> hubs = List.of();
@@ -158,9 +163,7 @@
     private void subscribe() {
         network.onMembers(members -> timer.after(() -> takeMembers(members), 0));
         handle(PeerMessage.TeamUseShare.class, this::takeUse);
-        handle(
-                PeerMessage.OthersUse.class,
-                (hub, use) -> desk.quotas().onOthers(hub, use.uses(), use.heard(), System.nanoTime()));
+        handle(PeerMessage.OthersUse.class, this::takeOthers);
         handle(PeerMessage.StoreNews.class, (_from, news) -> follower.onTold(news));
         handle(
                 PeerMessage.UsageShare.class,
@@ -197,7 +200,22 @@
     private void takeUse(ProcessId from, PeerMessage.TeamUseShare share) {
         long now = System.nanoTime();
         sums.onTold(from, share.uses(), now);
-        network.send(from, new PeerMessage.OthersUse(sums.without(from), sums.heard(now)));
+        inFlight.onTold(from, share.inFlight(), now);
+        // One of the two tells what is in flight; the other has the same figures.
+        boolean first = !hubs.isEmpty() && hubs.get(0).equals(network.self().id());
+        network.send(
+                from,
+                new PeerMessage.OthersUse(
+                        sums.without(from), sums.heard(now), first ? inFlight.without(from) : List.of()));
+    }
+
+    private void takeOthers(ProcessId hub, PeerMessage.OthersUse use) {
+        long now = System.nanoTime();
+        desk.quotas().onOthers(hub, use.uses(), use.heard(), now);
+        // A hub that has just begun knows only a part of what is in flight.
+        if (!use.inFlight().isEmpty() && use.heard() >= HEARD_SHARE * live.size()) {
+            desk.fleet().onOthersInFlight(use.inFlight(), now);
+        }
     }
 
     private void takeNews(ProcessId from, PeerMessage.PlanNews news) {
@@ -230,7 +248,8 @@
         ask();
         tellVersion();
         PeerMessage.TeamUseShare own =
-                new PeerMessage.TeamUseShare(desk.quotas().own());
+                new PeerMessage.TeamUseShare(desk.quotas().own(), desk.fleet().inFlight());
+        inFlight.retain(live, System.nanoTime());
         // What this process sends to itself comes back to it like any other message.
         hubs.forEach(hub -> network.send(hub, own));
     }
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -11,6 +11,7 @@
 import org.geraniumstand.model.limits.Grant;
 import org.geraniumstand.model.member.Confirmation;
 import org.geraniumstand.model.member.MemberNews;
+import org.geraniumstand.model.relay.ServerUse;
 import org.geraniumstand.model.relay.TeamUse;
 import org.geraniumstand.model.relay.WindowCounts;
 import org.geraniumstand.model.relay.WindowTotal;
@@ -183,14 +184,16 @@
     record FleetNews(FleetChange change) implements PeerMessage {}
 
     /**
-     * What the sender let teams use of their quotas since it started.
+     * What the sender let teams use of their quotas since it started, and what it has in flight now.
      *
      * @param uses a use a team
+     * @param inFlight its calls in flight by server; servers without any are left out
      */
-    record TeamUseShare(List<TeamUse> uses) implements PeerMessage {
-        /** Copies the list. */
+    record TeamUseShare(List<TeamUse> uses, List<ServerUse> inFlight) implements PeerMessage {
+        /** Copies the lists. */
         public TeamUseShare {
             uses = List.copyOf(uses);
+            inFlight = List.copyOf(inFlight);
         }
     }
 
@@ -199,11 +202,13 @@
      *
      * @param uses a use a team, since the sender began to add up
      * @param heard processes that told the sender lately
+     * @param inFlight what they have in flight by server; empty if the sender does not tell the receiver
      */
-    record OthersUse(List<TeamUse> uses, int heard) implements PeerMessage {
-        /** Copies the list. */
+    record OthersUse(List<TeamUse> uses, int heard, List<ServerUse> inFlight) implements PeerMessage {
+        /** Copies the lists. */
         public OthersUse {
             uses = List.copyOf(uses);
+            inFlight = List.copyOf(inFlight);
         }
     }
 
--- a/peer/src/main/java/org/geraniumstand/peer/codec/OthersUseCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/OthersUseCodec.java
@@ -16,11 +16,15 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.OthersUse message) {
-        out.fields(2).list(message.uses(), TeamUseShareCodec::writeUse).number(message.heard());
+        out.fields(3)
+                .list(message.uses(), TeamUseShareCodec::writeUse)
+                .number(message.heard())
+                .list(message.inFlight(), TeamUseShareCodec::writeServer);
     }
 
     @Override
     public PeerMessage.OthersUse read(FieldReader in) {
-        return new PeerMessage.OthersUse(in.list(TeamUseShareCodec::readUse), in.smallNumber());
+        return new PeerMessage.OthersUse(
+                in.list(TeamUseShareCodec::readUse), in.smallNumber(), in.list(TeamUseShareCodec::readServer));
     }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/codec/TeamUseShareCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/TeamUseShareCodec.java
@@ -1,6 +1,8 @@
 package org.geraniumstand.peer.codec;
 
+import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.relay.ServerUse;
 import org.geraniumstand.model.relay.TeamUse;
 import org.geraniumstand.peer.PeerMessage;
 
@@ -18,12 +20,15 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.TeamUseShare message) {
-        out.fields(1).list(message.uses(), TeamUseShareCodec::writeUse);
+        out.fields(2)
+                .list(message.uses(), TeamUseShareCodec::writeUse)
+                .list(message.inFlight(), TeamUseShareCodec::writeServer);
     }
 
     @Override
     public PeerMessage.TeamUseShare read(FieldReader in) {
-        return new PeerMessage.TeamUseShare(in.list(TeamUseShareCodec::readUse));
+        return new PeerMessage.TeamUseShare(
+                in.list(TeamUseShareCodec::readUse), in.list(TeamUseShareCodec::readServer));
     }
 
     static void writeUse(FieldWriter out, TeamUse use) {
@@ -33,4 +38,12 @@
     static TeamUse readUse(FieldReader in) {
         return new TeamUse(new TeamId(in.text()), in.number());
     }
+
+    static void writeServer(FieldWriter out, ServerUse use) {
+        out.fields(3).text(use.server().value()).number(use.calls()).number(use.tokens());
+    }
+
+    static ServerUse readServer(FieldReader in) {
+        return new ServerUse(new ServerId(in.text()), in.smallNumber(), in.number());
+    }
 }
