Refuse on arrival what gets no place in time, hold calls back from full servers, and start with less

Full servers. The sums now only tell which servers are full, and an engine may queue 0.6 of its slots.

Waiting calls were refused when their deadline had passed. WaitForecast takes the mean time between the last places that came free; what is not expected to get one before its deadline is refused on arrival or as soon as it shows, with a time to come back that is spread over callers.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/InFlightSums.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/InFlightSums.java
@@ -23,15 +23,10 @@
     private static final long HEARD_MILLIS = 1_500;
 
     private final Map<ProcessId, Told> told = new HashMap<>();
-    private final Map<ServerId, Sum> sums = new HashMap<>();
+    private final Map<ServerId, Integer> sums = new HashMap<>();
 
     private record Told(List<ServerUse> uses, long atNanos) {}
 
-    private static final class Sum {
-        private int calls;
-        private long tokens;
-    }
-
     /** Creates sums to which nobody has told anything. */
     public InFlightSums() {}
 
@@ -52,12 +47,8 @@
 
     private void add(List<ServerUse> uses, int sign) {
         for (ServerUse use : uses) {
-            Sum sum = sums.computeIfAbsent(use.server(), _key -> new Sum());
-            sum.calls += sign * use.calls();
-            sum.tokens += sign * use.tokens();
-            if (sum.calls == 0 && sum.tokens == 0) {
-                sums.remove(use.server());
-            }
+            // A sum of zero is left out, so that servers that are gone are not kept.
+            sums.merge(use.server(), sign * use.calls(), (a, b) -> a + b == 0 ? null : a + b);
         }
     }
 
@@ -85,18 +76,16 @@
      * @param process the one that is left out
      */
     public List<ServerUse> without(ProcessId process) {
-        Map<ServerId, ServerUse> own = new HashMap<>();
+        Map<ServerId, Integer> own = new HashMap<>();
         Told of = told.get(process);
         if (of != null) {
-            of.uses().forEach(use -> own.put(use.server(), use));
+            of.uses().forEach(use -> own.put(use.server(), use.calls()));
         }
         List<ServerUse> others = new ArrayList<>();
-        sums.forEach((server, sum) -> {
-            ServerUse mine = own.get(server);
-            int calls = sum.calls - (mine == null ? 0 : mine.calls());
-            long tokens = sum.tokens - (mine == null ? 0 : mine.tokens());
-            if (calls > 0) {
-                others.add(new ServerUse(server, calls, Math.max(0, tokens)));
+        sums.forEach((server, calls) -> {
+            int left = calls - own.getOrDefault(server, 0);
+            if (left > 0) {
+                others.add(new ServerUse(server, left));
             }
         });
         return others;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
@@ -30,6 +30,12 @@
     /** Milliseconds that a cold server costs against a warm one. */
     private static final double COLD_MILLIS = 150;
 
+    /**
+     * Part of an engine's slots by which calls may queue there: a place that comes free is taken at once, while the processes
+     * hear of it only after some 400 ms.
+     */
+    private static final double ENGINE_QUEUE_SHARE = 0.6;
+
     /** Requests in a plain server's queue beyond its slots that still start in time. */
     private static final int PLAIN_QUEUE = 6;
 
@@ -161,8 +167,8 @@
 
     private static int room(ServerView view, RelayService service, long nowNanos) {
         int slots = view.server().slots();
-        int most = service.engine().isPresent() ? slots : slots + PLAIN_QUEUE;
-        return most - view.load(nowNanos);
+        int most = slots + (service.engine().isPresent() ? (int) (slots * ENGINE_QUEUE_SHARE) : PLAIN_QUEUE);
+        return most - view.occupied(nowNanos);
     }
 
     private double cost(ServerView view, RelayService service, double unread, long nowNanos) {
@@ -172,9 +178,7 @@
         }
         if (service.engine().isPresent()) {
             // Tokens read again cost twice: this call waits for them, and so do those that run there.
-            return cost
-                    + (view.unreadTokens(nowNanos) + 2 * unread) * READ_MILLIS
-                    + view.load(nowNanos) * RUNNING_MILLIS;
+            return cost + (view.pendingTokens() + 2 * unread) * READ_MILLIS + view.load(nowNanos) * RUNNING_MILLIS;
         }
         int ahead = Math.max(0, view.load(nowNanos) + 1 - view.server().slots());
         return cost + (ahead + (double) view.load(nowNanos) / view.server().slots()) * PLAIN_MILLIS;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -47,6 +47,7 @@
     private final RelayChoice choice;
     private final Map<ServiceId, WaitingCalls> waiting = new HashMap<>();
     private final Map<ServiceId, RepeatAllowance> allowances = new HashMap<>();
+    private final Map<ServiceId, WaitForecast> forecasts = new HashMap<>();
     private Optional<RelayPlan> plan = Optional.empty();
     private int processes;
 
@@ -143,11 +144,12 @@
         call.toService(service);
         allowance(service).onRequest(nowNanos);
         if (plan.flatMap(p -> p.service(service)).isEmpty() || !choice.any(service)) {
-            refuse(call, Refusal.notRun(RefusalReason.NO_SERVER, COME_BACK_MILLIS), steps);
+            refuse(call, Refusal.notRun(RefusalReason.NO_SERVER, comeBackMillis(call)), steps);
             return;
         }
         line(service).add(call);
         drain(service, nowNanos, steps);
+        refuseHopeless(service, nowNanos, steps);
     }
 
     /** A route with several services deals its calls out by the hash of the attempt. */
@@ -231,7 +233,7 @@
 
     private static Refusal refusal(RelayCall call, AttemptEnd end) {
         if (!call.mayHaveRun()) {
-            return Refusal.notRun(RefusalReason.NO_SERVER, COME_BACK_MILLIS);
+            return Refusal.notRun(RefusalReason.NO_SERVER, comeBackMillis(call));
         }
         return Refusal.unknown(end == AttemptEnd.SILENT ? RefusalReason.SERVER_SILENT : RefusalReason.SERVER_FAILED);
     }
@@ -259,23 +261,44 @@
      * @param steps filled with what is to be done
      */
     public void onTick(long nowNanos, List<RelayStep> steps) {
-        for (Map.Entry<ServiceId, WaitingCalls> entry : Map.copyOf(waiting).entrySet()) {
-            boolean noServer = !choice.any(entry.getKey());
-            List<RelayCall> hopeless =
-                    entry.getValue().removeIf(call -> noServer || nowNanos - call.deadlineNanos() >= 0);
-            for (RelayCall late : hopeless) {
-                Refusal refusal = late.mayHaveRun()
-                        ? Refusal.unknown(RefusalReason.DEADLINE)
-                        : Refusal.notRun(RefusalReason.DEADLINE, COME_BACK_MILLIS);
-                refuse(late, refusal, steps);
-            }
-            drain(entry.getKey(), nowNanos, steps);
+        for (ServiceId service : List.copyOf(waiting.keySet())) {
+            drain(service, nowNanos, steps);
+            refuseHopeless(service, nowNanos, steps);
         }
     }
 
+    /** Refuses the waiting calls that are not expected to get a place before their deadline. */
+    private void refuseHopeless(ServiceId service, long nowNanos, List<RelayStep> steps) {
+        WaitingCalls line = line(service);
+        if (line.size() == 0) {
+            return;
+        }
+        boolean noServer = !choice.any(service);
+        WaitForecast forecast = forecast(service);
+        List<RelayCall> hopeless = line.removeIf((ahead, call) -> {
+            long leftMillis = (call.deadlineNanos() - nowNanos) / Moment.NANOS_PER_MILLI;
+            // What was passed on already is lost with a refusal, so such a call waits to the end.
+            boolean tooLong = !call.relayed() && forecast.waitMillis(ahead, nowNanos) > leftMillis;
+            return noServer || leftMillis <= 0 || tooLong;
+        });
+        for (RelayCall call : hopeless) {
+            Refusal refusal = call.mayHaveRun()
+                    ? Refusal.unknown(RefusalReason.DEADLINE)
+                    : Refusal.notRun(RefusalReason.NO_SERVER, comeBackMillis(call));
+            refuse(call, refusal, steps);
+        }
+    }
+
+    /** Callers that are refused together come back spread over as long again, as they would otherwise do so together. */
+    private static long comeBackMillis(RelayCall call) {
+        return COME_BACK_MILLIS + Hash.below(Hash.of(call.head().attempt()), (int) COME_BACK_MILLIS);
+    }
+
     private void drain(ServiceId id, long nowNanos, List<RelayStep> steps) {
         Optional<RelayService> service = plan.flatMap(p -> p.service(id));
+        WaitForecast forecast = forecast(id);
         if (service.isEmpty() || line(id).size() == 0) {
+            forecast.onRoom();
             return;
         }
         // Each look at a call costs a look at each server, so none is taken once there is no room.
@@ -285,9 +308,20 @@
                         nowNanos,
                         () -> steps.size() - before < places,
                         call -> place(call, service.get(), nowNanos, steps));
+        for (int i = before; i < steps.size(); i++) {
+            forecast.onPlaced();
+        }
+        if (line(id).size() == 0) {
+            forecast.onRoom();
+        } else {
+            forecast.onFull(nowNanos);
+        }
     }
 
     private boolean place(RelayCall call, RelayService service, long nowNanos, List<RelayStep> steps) {
+        if (nowNanos - call.deadlineNanos() >= 0) {
+            return false;
+        }
         Optional<RelayChoice.Chosen> chosen = choice.choose(call, service, nowNanos);
         if (chosen.isEmpty()) {
             return false;
@@ -321,6 +355,10 @@
         return waiting.computeIfAbsent(service, _key -> new WaitingCalls());
     }
 
+    private WaitForecast forecast(ServiceId service) {
+        return forecasts.computeIfAbsent(service, _key -> new WaitForecast());
+    }
+
     private RepeatAllowance allowance(ServiceId service) {
         return allowances.computeIfAbsent(
                 service,
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -128,7 +128,7 @@
         List<ServerUse> uses = new ArrayList<>();
         for (ServerView view : servers.values()) {
             if (view.inFlight() > 0) {
-                uses.add(new ServerUse(view.server().id(), view.inFlight(), Math.round(view.pendingTokens())));
+                uses.add(new ServerUse(view.server().id(), view.inFlight()));
             }
         }
         return uses;
@@ -141,11 +141,11 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void onOthersInFlight(List<ServerUse> uses, long nowNanos) {
-        servers.values().forEach(view -> view.onOthers(0, 0, nowNanos));
+        servers.values().forEach(view -> view.onOthers(0, nowNanos));
         for (ServerUse use : uses) {
             ServerView view = servers.get(use.server());
             if (view != null) {
-                view.onOthers(use.calls(), use.tokens(), nowNanos);
+                view.onOthers(use.calls(), nowNanos);
             }
         }
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -34,9 +34,11 @@
     private long lastByteNanos;
     private long oweSinceNanos;
     private int othersInFlight;
-    private long othersPendingTokens;
     private long loadNanos;
     private boolean loadKnown;
+    private int sharedInFlight;
+    private long sharedNanos;
+    private boolean sharedKnown;
     private long pauseMillis;
     private long pausedUntilNanos;
 
@@ -93,17 +95,24 @@
         return pendingTokens;
     }
 
-    /** Returns the prompt tokens that the server has yet to read, those of other processes as far as they are known. */
-    double unreadTokens(long nowNanos) {
-        return pendingTokens + (loadFresh(nowNanos) ? othersPendingTokens : 0);
-    }
-
-    /** Takes in what other processes have in flight at the server. */
-    void onOthers(int calls, long tokens, long nowNanos) {
-        loadKnown = true;
-        loadNanos = nowNanos;
-        othersInFlight = calls;
-        othersPendingTokens = tokens;
+    /** Takes in what other processes have in flight at the server, as an aggregator told. */
+    void onOthers(int calls, long nowNanos) {
+        sharedKnown = true;
+        sharedNanos = nowNanos;
+        sharedInFlight = calls;
+    }
+
+    /**
+     * Returns the calls that take up places at the server, by the newer of what it told itself and what the other processes
+     * have in flight.
+     *
+     * <p>It serves to find full servers. Servers are not compared by it: all processes hear the same figures at the same time,
+     * and would all choose the server with the fewest until the next ones.
+     */
+    int occupied(long nowNanos) {
+        boolean sharedFresh = sharedKnown && nowNanos - sharedNanos < LOAD_MILLIS * Moment.NANOS_PER_MILLI;
+        boolean told = loadFresh(nowNanos) && (!sharedFresh || loadNanos - sharedNanos > 0);
+        return told || !sharedFresh ? load(nowNanos) : inFlight + sharedInFlight;
     }
 
     /** Returns whether the server should be left alone for now. */
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/WaitingCalls.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/WaitingCalls.java
@@ -83,11 +83,33 @@
     /**
      * Removes and returns the calls that fulfil a condition.
      *
-     * @param condition the condition
+     * @param condition told how many calls go out before each, and the call
      */
-    public List<RelayCall> removeIf(Predicate<RelayCall> condition) {
+    public List<RelayCall> removeIf(Condition condition) {
         List<RelayCall> removed = new ArrayList<>();
-        calls.removeIf(call -> condition.test(call) && removed.add(call));
+        int ahead = 0;
+        Iterator<RelayCall> all = calls.iterator();
+        while (all.hasNext()) {
+            RelayCall call = all.next();
+            if (condition.test(ahead, call)) {
+                removed.add(call);
+                all.remove();
+            } else {
+                ahead++;
+            }
+        }
         return removed;
     }
+
+    /** Tells whether a call is to be removed. */
+    @FunctionalInterface
+    public interface Condition {
+        /**
+         * Returns whether a call is to be removed.
+         *
+         * @param ahead calls of its rank or a higher one that are due before it and stay
+         * @param call the call
+         */
+        boolean test(int ahead, RelayCall call);
+    }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/InFlightSumsTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/InFlightSumsTest.java
@@ -21,31 +21,31 @@
 
     private final InFlightSums sums = new InFlightSums();
 
-    private static ServerUse use(ServerId server, int calls, long tokens) {
-        return new ServerUse(server, calls, tokens);
+    private static ServerUse use(ServerId server, int calls) {
+        return new ServerUse(server, calls);
     }
 
     @Test
     void addsUpWhatTheOthersHaveInFlight() {
-        sums.onTold(ONE, List.of(use(A, 1, 10)), 0);
-        sums.onTold(TWO, List.of(use(A, 2, 20), use(B, 3, 30)), 0);
-        sums.onTold(THREE, List.of(use(A, 4, 40)), 0);
+        sums.onTold(ONE, List.of(use(A, 1)), 0);
+        sums.onTold(TWO, List.of(use(A, 2), use(B, 3)), 0);
+        sums.onTold(THREE, List.of(use(A, 4)), 0);
 
-        assertThat(sums.without(ONE), containsInAnyOrder(use(A, 6, 60), use(B, 3, 30)));
-        assertThat(sums.without(TWO), contains(use(A, 5, 50)));
+        assertThat(sums.without(ONE), containsInAnyOrder(use(A, 6), use(B, 3)));
+        assertThat(sums.without(TWO), contains(use(A, 5)));
     }
 
     @Test
     void replacesWhatAProcessToldBefore() {
-        sums.onTold(ONE, List.of(use(A, 5, 50)), 0);
-        sums.onTold(ONE, List.of(use(B, 1, 0)), 1);
+        sums.onTold(ONE, List.of(use(A, 5)), 0);
+        sums.onTold(ONE, List.of(use(B, 1)), 1);
 
-        assertThat(sums.without(TWO), contains(use(B, 1, 0)));
+        assertThat(sums.without(TWO), contains(use(B, 1)));
     }
 
     @Test
     void leavesOutServersWithoutCalls() {
-        sums.onTold(ONE, List.of(use(A, 5, 50)), 0);
+        sums.onTold(ONE, List.of(use(A, 5)), 0);
         sums.onTold(ONE, List.of(), 1);
 
         assertThat(sums.without(TWO), empty());
@@ -53,14 +53,14 @@
 
     @Test
     void forgetsProcessesThatAreGoneOrSilent() {
-        sums.onTold(ONE, List.of(use(A, 1, 0)), 0);
-        sums.onTold(TWO, List.of(use(A, 2, 0)), 0);
-        sums.onTold(THREE, List.of(use(A, 4, 0)), 1_600 * Calls.MILLI);
+        sums.onTold(ONE, List.of(use(A, 1)), 0);
+        sums.onTold(TWO, List.of(use(A, 2)), 0);
+        sums.onTold(THREE, List.of(use(A, 4)), 1_600 * Calls.MILLI);
 
         sums.retain(Set.of(TWO, THREE), 1_000 * Calls.MILLI);
-        assertThat(sums.without(ONE), contains(use(A, 6, 0)));
+        assertThat(sums.without(ONE), contains(use(A, 6)));
 
         sums.retain(Set.of(TWO, THREE), 1_600 * Calls.MILLI);
-        assertThat(sums.without(ONE), contains(use(A, 4, 0)));
+        assertThat(sums.without(ONE), contains(use(A, 4)));
     }
 }
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/LoadKnowledgeReplayTest.java
@@ -0,0 +1,197 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.relay.CallKind;
+import org.geraniumstand.model.relay.PromptPart;
+import org.geraniumstand.model.relay.RelayRoute;
+import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.RelayTeam;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Replays the load after a loss of servers: 95 processes send 300 calls a second to the engines that are left. Four topics get
+ * all calls. With the sums, each process hears every 400 ms what the others have in flight.
+ */
+final class LoadKnowledgeReplayTest {
+    private static final int PROCESSES = 95;
+    /** Engines that take the calls at 78% of their batches, at 104%, and three quarters and half of the calls. */
+    private static final int TWELVE = 12;
+
+    private static final int NINE = 9;
+    private static final int SEVEN = 7;
+    private static final int FIVE = 5;
+    private static final int SLOTS = 16;
+    private static final int CALLS_PER_SECOND = 300;
+    private static final int SECONDS = 10;
+    private static final int TOPICS = 4;
+    private static final int SHARE_EVERY_MILLIS = 400;
+    private static final int SEEDS = 5;
+    private static final RelayRoute STREAM = Calls.route(CallKind.STREAM, false, 1, 0);
+    private static final RelayTeam TEAM =
+            new RelayTeam(new TeamId("t"), List.of("key"), OptionalInt.empty(), true, 200, 0, 0);
+
+    private final Map<ServerId, EngineModel> engines = new HashMap<>();
+    private final List<RelayDesk> desks = new ArrayList<>();
+    private final IdentityHashMap<RelayCall, RelayDesk> owner = new IdentityHashMap<>();
+
+    private void start(int count) {
+        engines.clear();
+        desks.clear();
+        owner.clear();
+        for (int i = 0; i < PROCESSES; i++) {
+            RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds());
+            desk.onPlan(Calls.plan(1), 0);
+            desk.onProcesses(PROCESSES);
+            desks.add(desk);
+        }
+        for (int i = 0; i < count; i++) {
+            RelayServer server = new RelayServer(
+                    new ServerId("engine-" + i),
+                    1,
+                    Calls.ENGINES,
+                    "127.0.0.1",
+                    1_000 + i,
+                    Calls.WEST,
+                    new VersionId("v1"),
+                    SLOTS,
+                    false,
+                    0,
+                    false);
+            engines.put(server.id(), new EngineModel());
+            desks.forEach(desk -> desk.fleet().onListed(server, 0));
+        }
+    }
+
+    private void run(int count, long seed, boolean shared) {
+        start(count);
+        Random random = new Random(seed);
+        InFlightSums sums = new InFlightSums();
+        Set<ProcessId> live = new HashSet<>();
+        for (int i = 0; i < PROCESSES; i++) {
+            live.add(id(i));
+        }
+        long number = 0;
+        for (int millis = 0; millis < SECONDS * 1_000; millis++) {
+            long now = millis * Calls.MILLI;
+            end(now);
+            for (int i = 0; shared && i < PROCESSES; i++) {
+                if ((millis + i * 4) % SHARE_EVERY_MILLIS == 0) {
+                    sums.onTold(id(i), desks.get(i).fleet().inFlight(), now);
+                    sums.retain(live, now);
+                    desks.get(i).fleet().onOthersInFlight(sums.without(id(i)), now);
+                }
+            }
+            if (random.nextInt(1_000) < CALLS_PER_SECOND) {
+                number++;
+                arrive(desks.get(random.nextInt(PROCESSES)), number, random, now);
+            }
+        }
+    }
+
+    private static ProcessId id(int index) {
+        return new ProcessId("process-" + index);
+    }
+
+    private void arrive(RelayDesk desk, long number, Random random, long now) {
+        PromptPart topic = new PromptPart(1 + random.nextInt(TOPICS), 2_520);
+        PromptPart session = new PromptPart(1_000 + random.nextInt(700), 3_780);
+        RelayCall call = new RelayCall(
+                number,
+                Calls.head("attempt-" + number, topic, session, new PromptPart(10_000 + number, 2_890)),
+                STREAM,
+                Optional.of(TEAM),
+                now,
+                now + 5_000 * Calls.MILLI);
+        owner.put(call, desk);
+        List<RelayStep> steps = new ArrayList<>();
+        desk.arrive(call, now, steps);
+        act(desk, steps, now);
+    }
+
+    private void act(RelayDesk desk, List<RelayStep> steps, long now) {
+        for (RelayStep step : steps) {
+            if (step instanceof RelayStep.Send send) {
+                EngineModel engine = engines.get(send.server().id());
+                if (!engine.take(send.call(), now)) {
+                    desk.onStarted(send.call(), Optional.of(engine.load()), now);
+                    desk.onEnded(send.call(), AttemptEnd.DECLINED, now, new ArrayList<>());
+                }
+            }
+        }
+    }
+
+    private void end(long now) {
+        for (EngineModel engine : engines.values()) {
+            for (RelayCall call : engine.end(now)) {
+                RelayDesk desk = owner.remove(call);
+                List<RelayStep> steps = new ArrayList<>();
+                desk.onStarted(call, Optional.of(engine.load()), now);
+                desk.onEnded(call, AttemptEnd.ANSWERED, now, steps);
+                act(desk, steps, now);
+            }
+        }
+    }
+
+    private int total(ToIntFunction<EngineModel> count) {
+        return engines.values().stream().mapToInt(count).sum();
+    }
+
+    private int inTime(int count, boolean shared) {
+        int sum = 0;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            run(count, seed, shared);
+            sum += total(EngineModel::inTime);
+        }
+        return sum;
+    }
+
+    @Test
+    void allCallsAreInTimeWhileThereIsRoom() {
+        run(TWELVE, 1, true);
+
+        assertThat(total(EngineModel::rejected), is(0));
+        assertThat(total(EngineModel::inTime) * 100, greaterThan(total(EngineModel::taken) * 99));
+    }
+
+    /** Twice as many callers are served in time once the engines that are left take three quarters of the calls. */
+    @Test
+    void sumsDoubleWhatIsInTimeAfterALossOfServers() {
+        int alone = inTime(SEVEN, false);
+
+        assertThat(inTime(SEVEN, true), greaterThan(2 * alone));
+    }
+
+    @Test
+    void sumsDoubleWhatIsInTimeAfterTheLossOfMostServers() {
+        int alone = inTime(FIVE, false);
+
+        assertThat(inTime(FIVE, true), greaterThan(2 * alone));
+    }
+
+    /** All processes hear the same figures at the same time; they must not all choose the same server for it. */
+    @Test
+    void sumsCostLittleWhereTheLoadJustFits() {
+        int alone = inTime(NINE, false);
+
+        assertThat(inTime(NINE, true) * 100, greaterThan(alone * 98));
+    }
+}
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.decisions.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
@@ -142,6 +143,27 @@
         assertThat(steps.get(0), instanceOf(RelayStep.Refuse.class));
     }
 
+    /** A service is full and no place came free for a second: of 20 callers that come then, most cannot be served. */
+    @Test
+    void refusesOnArrivalWhatIsNotExpectedToGetAPlaceInTime() {
+        list(Calls.server("one", Calls.DESK, Calls.WEST, 0));
+        for (int i = 0; i < 11; i++) {
+            arrive(Calls.call(i, SAFE), 0);
+        }
+        int refused = 0;
+        for (int i = 0; i < 20; i++) {
+            RelayStep step = arrive(Calls.call(1_000 + i, SAFE), 1_000 * Calls.MILLI);
+            if (step instanceof RelayStep.Refuse refuse) {
+                refused++;
+                assertThat(refuse.refusal().outcome(), is(Outcome.NOT_RUN));
+                assertThat(refuse.refusal().retryAfterMillis(), greaterThan(0L));
+            }
+        }
+
+        assertThat(refused, is(17));
+        assertThat(desk.waiting(Calls.DESK), is(4));
+    }
+
     @Test
     void sendsAWaitingCallWhenAServerGetsRoom() {
         list(Calls.server("one", Calls.DESK, Calls.WEST, 0));
--- a/entry/src/main/java/org/geraniumstand/entry/relay/MetricsListener.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/MetricsListener.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.entry.relay;
 
 import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.StatusCodes;
@@ -20,6 +21,7 @@
         this.metrics = metrics;
         this.server = Undertow.builder()
                 .setWorker(worker)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .addHttpListener(address.getPort(), address.getHostString(), this::handle)
                 .build();
     }
--- a/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
@@ -4,6 +4,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.nio.ByteBuffer;
+import java.time.Instant;
 import org.geraniumstand.http.caller.CallerOutput;
 import org.geraniumstand.http.caller.RelayedHeaders;
 import org.geraniumstand.http.upstream.AnswerHead;
@@ -14,6 +15,9 @@
 
 /** Writes the one answer of an exchange to its caller. */
 final class CallerAnswer {
+    /** Of the thread that answers, as each keeps the text of the current second. */
+    private static final ThreadLocal<HttpDate> DATE = ThreadLocal.withInitial(HttpDate::new);
+
     private final HttpServerExchange exchange;
     private final CallerOutput output;
     private boolean started;
@@ -38,6 +42,7 @@
         started = true;
         exchange.setStatusCode(head.status());
         RelayedHeaders.copy(head.headers(), exchange.getResponseHeaders());
+        addDate();
     }
 
     /** Writes a part of the body. */
@@ -81,9 +86,16 @@
         dialect.refusal(attempt, refusal.retryAfterMillis())
                 .forEach(h -> exchange.getResponseHeaders().put(HttpString.tryFromString(h.name()), h.value()));
         exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/problem+json");
+        addDate();
         exchange.getResponseSender().send(problem(refusal));
     }
 
+    private void addDate() {
+        if (!exchange.getResponseHeaders().contains(Headers.DATE)) {
+            exchange.getResponseHeaders().put(Headers.DATE, DATE.get().at(Instant.now()));
+        }
+    }
+
     private static String problem(Refusal refusal) {
         return JsonTree.write(JsonTree.object()
                 .put("status", refusal.reason().status())
--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/opaque/HttpDate.java
@@ -0,0 +1,47 @@
+package org.geraniumstand.http.opaque;
+
+import java.time.Instant;
+import java.time.LocalDateTime;
+import java.time.ZoneOffset;
+
+/**
+ * Writes the time of an answer as headers state it (RFC 9110, section 5.6.7); belongs to one thread.
+ *
+ * <p>The HTTP library's own writer loads the platform's calendars and locales, a tenth of a start.
+ */
+final class HttpDate {
+    private static final String[] DAYS = {"Mon", "Tue", "Wed", "Thu", "Fri", "Sat", "Sun"};
+    private static final String[] MONTHS = {
+        "Jan", "Feb", "Mar", "Apr", "May", "Jun", "Jul", "Aug", "Sep", "Oct", "Nov", "Dec"
+    };
+    private static final int TWO_DIGITS = 10;
+
+    private long second = Long.MIN_VALUE;
+    private String text = "";
+
+    /** Returns the text for a time; it is made once a second. */
+    String at(Instant time) {
+        if (time.getEpochSecond() != second) {
+            second = time.getEpochSecond();
+            text = format(LocalDateTime.ofEpochSecond(second, 0, ZoneOffset.UTC));
+        }
+        return text;
+    }
+
+    private static String format(LocalDateTime time) {
+        StringBuilder text = new StringBuilder(DAYS[time.getDayOfWeek().getValue() - 1]).append(", ");
+        twoDigits(text, time.getDayOfMonth());
+        text.append(' ').append(MONTHS[time.getMonthValue() - 1]).append(' ').append(time.getYear());
+        twoDigits(text.append(' '), time.getHour());
+        twoDigits(text.append(':'), time.getMinute());
+        twoDigits(text.append(':'), time.getSecond());
+        return text.append(" GMT").toString();
+    }
+
+    private static void twoDigits(StringBuilder text, int number) {
+        if (number < TWO_DIGITS) {
+            text.append('0');
+        }
+        text.append(number);
+    }
+}
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -100,6 +100,7 @@
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_MILLIS)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
                 .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
                 .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
                 .build();
     }
--- a/model/src/main/java/org/geraniumstand/model/relay/RelayServer.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/RelayServer.java
@@ -31,4 +31,26 @@
         int slots,
         boolean leaving,
         long coldMillis,
-        boolean reclaimable) {}
+        boolean reclaimable) {
+    // The methods that the compiler generates are linked at run time, which costs each start some milliseconds a type.
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof RelayServer same
+                && id.equals(same.id)
+                && bornMillis == same.bornMillis
+                && service.equals(same.service)
+                && address.equals(same.address)
+                && port == same.port
+                && dataCentre.equals(same.dataCentre)
+                && version.equals(same.version)
+                && slots == same.slots
+                && leaving == same.leaving
+                && coldMillis == same.coldMillis
+                && reclaimable == same.reclaimable;
+    }
+
+    @Override
+    public int hashCode() {
+        return id.hashCode();
+    }
+}
--- a/model/src/main/java/org/geraniumstand/model/relay/ServerUse.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/ServerUse.java
@@ -7,6 +7,5 @@
  *
  * @param server the server
  * @param calls calls that have not ended
- * @param tokens prompt tokens of those calls that the server has yet to read
  */
-public record ServerUse(ServerId server, int calls, long tokens) {}
+public record ServerUse(ServerId server, int calls) {}
--- a/model/src/main/java/org/geraniumstand/model/relay/StoreFact.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/StoreFact.java
@@ -19,7 +19,19 @@
      *
      * @param server the server
      */
-    record Listed(RelayServer server) implements StoreFact {}
+    record Listed(RelayServer server) implements StoreFact {
+        // The methods that the compiler generates are linked at run time, which costs each start some milliseconds a
+        // type.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Listed same && server.equals(same.server);
+        }
+
+        @Override
+        public int hashCode() {
+            return server.hashCode();
+        }
+    }
 
     /**
      * An order to move a service to a version.
--- /dev/null
+++ b/model/src/test/java/org/geraniumstand/model/relay/RelayServerTest.java
@@ -0,0 +1,49 @@
+package org.geraniumstand.model.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.VersionId;
+import org.junit.jupiter.api.Test;
+
+/** An entry that changed in any field must not pass for the one before, or nobody would be told. */
+final class RelayServerTest {
+    private static final DataCentreId WEST = new DataCentreId("west");
+    private static final ServiceId DESK = new ServiceId("desk");
+    private static final VersionId V1 = new VersionId("v1");
+    private static final ServerId ONE = new ServerId("one");
+
+    private static RelayServer server() {
+        return new RelayServer(ONE, 1, DESK, "10.0.0.1", 80, WEST, V1, 4, false, 5, false);
+    }
+
+    @Test
+    void equalsAnotherWithTheSameFields() {
+        assertThat(server(), is(server()));
+        assertThat(server().hashCode(), is(server().hashCode()));
+        assertThat(new StoreFact.Listed(server()), is(new StoreFact.Listed(server())));
+    }
+
+    @Test
+    void differsWithEachField() {
+        List<RelayServer> others = List.of(
+                new RelayServer(new ServerId("two"), 1, DESK, "10.0.0.1", 80, WEST, V1, 4, false, 5, false),
+                new RelayServer(ONE, 2, DESK, "10.0.0.1", 80, WEST, V1, 4, false, 5, false),
+                new RelayServer(ONE, 1, new ServiceId("x"), "10.0.0.1", 80, WEST, V1, 4, false, 5, false),
+                new RelayServer(ONE, 1, DESK, "10.0.0.2", 80, WEST, V1, 4, false, 5, false),
+                new RelayServer(ONE, 1, DESK, "10.0.0.1", 81, WEST, V1, 4, false, 5, false),
+                new RelayServer(ONE, 1, DESK, "10.0.0.1", 80, new DataCentreId("east"), V1, 4, false, 5, false),
+                new RelayServer(ONE, 1, DESK, "10.0.0.1", 80, WEST, new VersionId("v2"), 4, false, 5, false),
+                new RelayServer(ONE, 1, DESK, "10.0.0.1", 80, WEST, V1, 5, false, 5, false),
+                new RelayServer(ONE, 1, DESK, "10.0.0.1", 80, WEST, V1, 4, true, 5, false),
+                new RelayServer(ONE, 1, DESK, "10.0.0.1", 80, WEST, V1, 4, false, 6, false),
+                new RelayServer(ONE, 1, DESK, "10.0.0.1", 80, WEST, V1, 4, false, 5, true));
+
+        others.forEach(other -> assertThat(server(), is(not(other))));
+    }
+}
--- a/peer/src/main/java/org/geraniumstand/peer/codec/TeamUseShareCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/TeamUseShareCodec.java
@@ -40,10 +40,10 @@
     }
 
     static void writeServer(FieldWriter out, ServerUse use) {
-        out.fields(3).text(use.server().value()).number(use.calls()).number(use.tokens());
+        out.fields(2).text(use.server().value()).number(use.calls());
     }
 
     static ServerUse readServer(FieldReader in) {
-        return new ServerUse(new ServerId(in.text()), in.smallNumber(), in.number());
+        return new ServerUse(new ServerId(in.text()), in.smallNumber());
     }
 }
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -159,8 +159,8 @@
     }
 
     private static Arbitrary<List<ServerUse>> serverUses() {
-        return Combinators.combine(names(), small(), numbers())
-                .as((server, calls, tokens) -> new ServerUse(new ServerId(server), calls, tokens))
+        return Combinators.combine(names(), small())
+                .as((server, calls) -> new ServerUse(new ServerId(server), calls))
                 .list()
                 .ofMaxSize(4);
     }
