Do the work of a changed list of members once for changes that come together

Cause: when all hosts come back, each of 95 processes sees some 190 changes of the members (new ones come, old ones are given up) within seconds. For each it chose the processes of four tasks, sorting all names by a hash that the comparison made anew (4 tasks x 95 names x some 14 hashes), made a digest of all names, and sorted the members again for messages without news.

Changes: the choices follow 100 ms after the first of several changes; a hash is made once for each name; the digest is made when it is asked for; members are listed again only after a statement was taken in or one was dropped.

--- a/decisions/src/main/java/org/geraniumstand/decisions/membership/Membership.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/membership/Membership.java
@@ -46,6 +46,11 @@
     private final Map<ProcessId, Long> expected = new HashMap<>();
     private List<Member> alive;
     private long digest;
+    private boolean digested;
+
+    /** Whether a statement was taken in or a member dropped since the live members were listed. */
+    private boolean changed;
+
     private Optional<Long> lastTick = Optional.empty();
 
     private record Entry(MemberNews news, long suspectSince, boolean dropped, long changedAt) {
@@ -64,7 +69,6 @@
         this.self = self.id();
         entries.put(this.self, new Entry(new MemberNews(self, 0, MemberState.ALIVE), 0, false, nowNanos));
         this.alive = List.of(self);
-        this.digest = digestOf(alive);
     }
 
     /** Returns the live members ordered by name, this process included. */
@@ -92,6 +96,10 @@
 
     /** Returns a number that is equal where the same members are alive. */
     public long digest() {
+        if (!digested) {
+            digested = true;
+            digest = digestOf(alive);
+        }
         return digest;
     }
 
@@ -105,7 +113,7 @@
      */
     public MemberNews announce(Member changed, MemberState state, long nowNanos) {
         MemberNews news = new MemberNews(changed, own().beat() + 1, state);
-        entries.put(self, new Entry(news, 0, false, nowNanos));
+        put(self, new Entry(news, 0, false, nowNanos));
         refresh();
         return news;
     }
@@ -186,7 +194,7 @@
             return Optional.empty();
         }
         MemberNews answer = new MemberNews(own.member(), item.beat() + 1, MemberState.ALIVE);
-        entries.put(self, new Entry(answer, 0, false, nowNanos));
+        put(self, new Entry(answer, 0, false, nowNanos));
         return Optional.of(answer);
     }
 
@@ -204,7 +212,7 @@
         }
         boolean left = item.state() == MemberState.LEFT;
         long suspectSince = item.state() == MemberState.SUSPECT ? nowNanos : 0;
-        entries.put(id, new Entry(item, suspectSince, left, nowNanos));
+        put(id, new Entry(item, suspectSince, left, nowNanos));
         if (item.state() == MemberState.ALIVE) {
             expected.computeIfPresent(id, (_id, _since) -> nowNanos);
             replaceEarlier(id, nowNanos);
@@ -238,10 +246,16 @@
         return Optional.of(news);
     }
 
-    private static Entry drop(Entry entry, long nowNanos) {
+    private void put(ProcessId id, Entry entry) {
+        entries.put(id, entry);
+        changed = true;
+    }
+
+    private Entry drop(Entry entry, long nowNanos) {
         boolean due = entry.news().state() == MemberState.SUSPECT
                 && !entry.dropped()
                 && nowNanos - entry.suspectSince() > CONTRADICT_NANOS;
+        changed |= due;
         return due ? new Entry(entry.news(), entry.suspectSince(), true, nowNanos) : entry;
     }
 
@@ -251,6 +265,10 @@
     }
 
     private void refresh() {
+        if (!changed) {
+            return;
+        }
+        changed = false;
         List<Member> now = entries.values().stream()
                 .filter(e -> !e.dropped())
                 .map(Entry::member)
@@ -258,7 +276,7 @@
                 .toList();
         if (!now.equals(alive)) {
             alive = now;
-            digest = digestOf(now);
+            digested = false;
         }
     }
 
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/Hubs.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/Hubs.java
@@ -42,11 +42,14 @@
      * @return the hubs, the one that counts first
      */
     public static List<ProcessId> choose(Task task, Collection<ProcessId> members) {
+        // Hashes are made once for each name, as members change hundreds of times when all hosts come back.
         return members.stream()
-                .sorted(Comparator.<ProcessId>comparingLong(id -> Hash.of(task + "/" + id.value()))
-                        .reversed()
-                        .thenComparing(Comparator.naturalOrder()))
+                .map(id -> new Candidate(id, Hash.of(task + "/" + id.value())))
+                .sorted(Comparator.comparingLong(Candidate::weight).reversed().thenComparing(Candidate::process))
                 .limit(HUBS)
+                .map(Candidate::process)
                 .toList();
     }
+
+    private record Candidate(ProcessId process, long weight) {}
 }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -40,6 +40,9 @@
     /** Milliseconds after which neighbours are told the version again that they were told before. */
     private static final long NEWS_MILLIS = 1_000;
 
+    /** Milliseconds between a change of the members and what follows from it; a process counts as lost only after seconds. */
+    private static final long GATHER_MILLIS = 100;
+
     /** Part of the live processes that a hub must have heard for its sums of calls in flight to count. */
     private static final double HEARD_SHARE = 0.7;
 
@@ -50,6 +53,7 @@
     private final UseSums sums = new UseSums();
     private final InFlightSums inFlight = new InFlightSums();
     private final PlanPull pull = new PlanPull();
+    private Optional<List<Member>> pending = Optional.empty();
     private Set<ProcessId> live = Set.of();
     private List<ProcessId> hubs = List.of();
     private StoreFollower follower;
@@ -161,7 +165,7 @@
     }
 
     private void subscribe() {
-        network.onMembers(members -> timer.after(() -> takeMembers(members), 0));
+        network.onMembers(members -> timer.after(() -> onMembers(members), 0));
         handle(PeerMessage.TeamUseShare.class, this::takeUse);
         handle(PeerMessage.OthersUse.class, this::takeOthers);
         handle(PeerMessage.StoreNews.class, (_from, news) -> follower.onTold(news));
@@ -179,6 +183,20 @@
         network.subscribe(type, (from, message) -> timer.after(() -> handler.accept(from, message), 0));
     }
 
+    /** Takes in members that come and go together at once; all hosts may come back in the same second. */
+    private void onMembers(List<Member> members) {
+        if (pending.isEmpty()) {
+            timer.after(this::takePending, GATHER_MILLIS);
+        }
+        pending = Optional.of(members);
+    }
+
+    private void takePending() {
+        List<Member> members = pending.orElseThrow();
+        pending = Optional.empty();
+        takeMembers(members);
+    }
+
     private void takeMembers(List<Member> members) {
         live = members.stream().map(Member::id).collect(Collectors.toSet());
         hubs = Hubs.choose(Hubs.Task.ADD_UP_USE, live);
