Let a process that starts unheard pass one request of a team at a time, and count the processes that the store lists

Each process that starts took half a second of a team's rate and its own 0.3 of the users' slack to be left, 15 requests and more, and shared a quota with the few processes that it had met. When all 95 come back at once while a team asks for several times its rate, they pass that much each before they hear of any sums.

Changes: a quota starts empty; while no sums are heard a request passes only if the process's even share is not in debt, and the share pays for it afterwards; the share is that of all processes that the store lists, which is read at once instead of after 400 ms.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
@@ -23,8 +23,8 @@
     private static final double NANOS_IN_SECOND = 1e9;
     private static final double MILLIS_IN_SECOND = 1e3;
 
-    /** Seconds of the rate that a process that has just started takes to be left; others may have used the rest. */
-    private static final double START_SECONDS = 0.5;
+    /** Milliseconds for which the processes that the store lists count as live; their leases hold for 12,000. */
+    private static final long LISTED_MILLIS = 15_000;
 
     /** Milliseconds after which a hub counts as not heard; it tells a few times a second. */
     private static final long HEARD_MILLIS = 700;
@@ -48,6 +48,8 @@
     private final Map<ProcessId, HubSums> sums = new HashMap<>();
     private List<ProcessId> hubs = List.of();
     private int processes = 1;
+    private int listed = 1;
+    private long listedNanos;
 
     private static final class Level {
         private double left;
@@ -96,6 +98,22 @@
         sums.keySet().retainAll(next);
     }
 
+    /**
+     * Takes in how many processes the store lists; a process that starts hears from some of them only after seconds.
+     *
+     * @param count the processes, those that ended lately included
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onListed(int count, long nowNanos) {
+        listed = count;
+        listedNanos = nowNanos;
+    }
+
+    private int fleet(long nowNanos) {
+        boolean recent = nowNanos - listedNanos < LISTED_MILLIS * Moment.NANOS_PER_MILLI;
+        return recent ? Math.max(processes, listed) : processes;
+    }
+
     /**
      * Takes in what all other processes let teams use.
      *
@@ -182,9 +200,10 @@
             return OptionalLong.empty();
         }
         Level level = refill(team, nowNanos);
-        if (level.left + slack < cost) {
+        double missing = missing(level, cost, nowNanos);
+        if (missing > 0) {
             double rate = Math.max(team.ratePerSecond(), 1e-3);
-            long wait = Math.round((cost - level.left - slack) / rate * MILLIS_IN_SECOND);
+            long wait = Math.round(missing / rate * MILLIS_IN_SECOND);
             return OptionalLong.of(Math.max(LEAST_RETRY_MILLIS, Math.min(MOST_RETRY_MILLIS, wait)));
         }
         level.left -= cost;
@@ -192,6 +211,20 @@
         return OptionalLong.empty();
     }
 
+    /**
+     * Returns the units that are missing for a request to pass.
+     *
+     * <p>While nobody tells what others use, the even share of a small process may never hold a whole request. One passes if the
+     * share is not in debt, and the share pays for it afterwards.
+     */
+    private double missing(Level level, long cost, long nowNanos) {
+        boolean alone = fleet(nowNanos) > 1 && counting(nowNanos).isEmpty();
+        if (alone) {
+            return level.left >= 0 ? 0 : -level.left;
+        }
+        return cost - level.left - slack;
+    }
+
     /**
      * Gives back what a request used that did not run.
      *
@@ -210,12 +243,13 @@
         Level level = levels.get(team.id());
         if (level == null) {
             level = new Level();
-            level.left = Math.min(team.burst(), START_SECONDS * team.ratePerSecond());
+            // Others may have used all of it.
+            level.left = 0;
             level.atNanos = nowNanos;
             levels.put(team.id(), level);
         }
         double seconds = Math.max(0, nowNanos - level.atNanos) / NANOS_IN_SECOND;
-        double share = (double) heard(nowNanos) / processes;
+        double share = (double) heard(nowNanos) / fleet(nowNanos);
         level.left = Math.min(team.burst(), level.left + team.ratePerSecond() * (1 + overrun) * share * seconds);
         level.left = Math.max(level.left, -MOST_DEBT * team.burst());
         level.atNanos = nowNanos;
@@ -225,6 +259,6 @@
     /** Processes whose use is known; the others are taken to use an even share each. */
     private int heard(long nowNanos) {
         int told = counting(nowNanos).map(hub -> sums.get(hub).heard).orElse(1);
-        return Math.max(1, Math.min(told, processes));
+        return Math.max(1, Math.min(told, fleet(nowNanos)));
     }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaBookTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaBookTest.java
@@ -5,9 +5,14 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Random;
 import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.relay.RelayTeam;
 import org.geraniumstand.model.relay.TeamUse;
 import org.junit.jupiter.api.Test;
 
@@ -145,6 +150,43 @@
         assertThat(book.total(), is(0L));
     }
 
+    /**
+     * All 95 processes come back at once and hear of no sums for two seconds, while a team asks for four times its rate. In the
+     * window of eight seconds the team has used its rate for six; with the users' overrun and slack this much is left.
+     */
+    @Test
+    void staysWithinTheUsersBoundWhileAllProcessesStartUnheard() {
+        RelayTeam team = new RelayTeam(new TeamId("hot"), List.of("k"), OptionalInt.empty(), true, 0, 150_000, 150_000);
+        double allowed = (150_000 * 8 + 150_000) * 1.1 + 110_000 - 150_000 * 6;
+        int cost = 9_190;
+        List<QuotaBook> books = new ArrayList<>();
+        for (int i = 0; i < 95; i++) {
+            QuotaBook one = new QuotaBook(110_000, 0.1);
+            one.onTeams(List.of(team), 0);
+            one.onListed(95, 0);
+            books.add(one);
+        }
+        Random random = new Random(7);
+        long passed = 0;
+        int requests = 4 * 150_000 * 2 / cost;
+        for (int i = 0; i < requests; i++) {
+            QuotaBook one = books.get(random.nextInt(books.size()));
+            passed += one.spend(team, cost, i * 2L * SECOND / requests).isEmpty() ? cost : 0;
+        }
+
+        assertThat((double) passed, lessThanOrEqualTo(allowed));
+    }
+
+    /** A process that starts alone among 95 must not refuse the few requests of a team within its quota. */
+    @Test
+    void letsARequestOfEachTeamPassWhileItHasHeardOfNoSums() {
+        book.onListed(95, 0);
+        filled();
+
+        assertThat(book.spend(Calls.TEAM, 500, SECOND).isEmpty(), is(true));
+        assertThat(book.spend(Calls.TEAM, 500, SECOND).isPresent(), is(true));
+    }
+
     private static List<TeamUse> use(long units) {
         return List.of(new TeamUse(Calls.TEAM.id(), units));
     }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/MemberRow.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/MemberRow.java
@@ -37,11 +37,6 @@
         this.peers = peers;
     }
 
-    void start() {
-        list();
-        open();
-    }
-
     /** Ends the registration. */
     void end() {
         if (lease != 0) {
@@ -49,7 +44,8 @@
         }
     }
 
-    private void open() {
+    /** Registers this process. */
+    void open() {
         store.openLease(LEASE_MILLIS, result -> result.fold(this::register, _error -> again(this::open)));
     }
 
@@ -84,7 +80,8 @@
         return false;
     }
 
-    private void list() {
+    /** Reads who is registered. */
+    void list() {
         store.list(
                 PREFIX,
                 result -> result.fold(
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -121,6 +121,7 @@
     /** Takes in the processes that the store lists. */
     void offerListed(List<Member> members) {
         network.offerListed(members);
+        desk.quotas().onListed(members.size(), System.nanoTime());
     }
 
     /** Tells the peers that this process stops. */
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -130,8 +130,10 @@
                 this::ready,
                 new RelayMetrics(metrics))));
         calls.schedule(usage::start, 0);
+        // How many processes share the quotas is known before the first requests.
+        calls.schedule(member::list, 0);
         // What callers do not wait for comes after what they do.
-        calls.schedule(member::start, LATER_MILLIS);
+        calls.schedule(member::open, LATER_MILLIS);
         calls.schedule(lease::start, LATER_MILLIS);
         calls.schedule(this::serveMetrics, LATER_MILLIS);
         calls.schedule(new ScaleTask(duties, lease, calls::schedule, decisions)::start, LATER_MILLIS);
