--- a/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
@@ -1,19 +1,12 @@
 package org.geraniumstand.entry.relay;
 
-import io.undertow.Undertow;
-import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
-import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -65,7 +58,7 @@
     public static void run() {
         Closer closer = new Closer();
         InetSocketAddress platform = address();
-        closer.add(serve(platform));
+        closer.add(RehearsalServer.start(platform));
         RelaySettings first = settings("rehearsal-1", platform, "");
         RelaySettings second = settings("rehearsal-2", platform, text(first.peers()));
         RelayProcess serving = closer.add(RelayProcess.start(first));
@@ -106,38 +99,6 @@
         }
     }
 
-    private static AutoCloseable serve(InetSocketAddress address) {
-        RehearsalPlatform platform = new RehearsalPlatform(address);
-        Undertow server = Undertow.builder()
-                .setIoThreads(1)
-                .setWorkerThreads(1)
-                .addHttpListener(address.getPort(), address.getHostString(), exchange -> answer(platform, exchange))
-                .build();
-        server.start();
-        return server::stop;
-    }
-
-    private static void answer(RehearsalPlatform platform, HttpServerExchange exchange) {
-        Map<String, String> query = new HashMap<>();
-        exchange.getQueryParameters().forEach((name, values) -> query.put(name, values.getFirst()));
-        RehearsalPlatform.Answer answer = platform.answer(
-                exchange.getRequestPath(),
-                query,
-                name -> exchange.getRequestHeaders().getFirst(name));
-        exchange.setStatusCode(answer.status());
-        answer.headers().forEach(h -> exchange.getResponseHeaders().put(HttpString.tryFromString(h.name()), h.value()));
-        if (answer.streamed()) {
-            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
-        }
-        exchange.dispatch(
-                SameThreadExecutor.INSTANCE,
-                () -> exchange.getIoThread()
-                        .executeAfter(
-                                () -> exchange.getResponseSender().send(answer.body()),
-                                answer.delayMillis(),
-                                TimeUnit.MILLISECONDS));
-    }
-
     private static RelaySettings settings(String name, InetSocketAddress platform, String seed) {
         String text = SETTINGS.replace("$name", name)
                 .replace("$platform", text(platform))
--- /dev/null
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RehearsalServer.java
@@ -0,0 +1,64 @@
+package org.geraniumstand.entry.relay;
+
+import io.undertow.Undertow;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import io.undertow.util.SameThreadExecutor;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.geraniumstand.platform.RehearsalPlatform;
+
+/** Listens on loopback with the answers of a {@link RehearsalPlatform}. */
+public final class RehearsalServer implements AutoCloseable {
+    private final RehearsalPlatform platform;
+    private final Undertow server;
+
+    private RehearsalServer(InetSocketAddress address) {
+        this.platform = new RehearsalPlatform(address);
+        this.server = Undertow.builder()
+                .setIoThreads(1)
+                .setWorkerThreads(1)
+                .addHttpListener(address.getPort(), address.getHostString(), this::answer)
+                .build();
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address where, on loopback
+     */
+    public static RehearsalServer start(InetSocketAddress address) {
+        RehearsalServer started = new RehearsalServer(address);
+        started.server.start();
+        return started;
+    }
+
+    @Override
+    public void close() {
+        server.stop();
+    }
+
+    private void answer(HttpServerExchange exchange) {
+        Map<String, String> query = new HashMap<>();
+        exchange.getQueryParameters().forEach((name, values) -> query.put(name, values.getFirst()));
+        RehearsalPlatform.Answer answer = platform.answer(
+                exchange.getRequestPath(),
+                query,
+                name -> exchange.getRequestHeaders().getFirst(name));
+        exchange.setStatusCode(answer.status());
+        answer.headers().forEach(h -> exchange.getResponseHeaders().put(HttpString.tryFromString(h.name()), h.value()));
+        if (answer.streamed()) {
+            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
+        }
+        exchange.dispatch(
+                SameThreadExecutor.INSTANCE,
+                () -> exchange.getIoThread()
+                        .executeAfter(
+                                () -> exchange.getResponseSender().send(answer.body()),
+                                answer.delayMillis(),
+                                TimeUnit.MILLISECONDS));
+    }
+}
--- a/proofs/src/test/java/org/geraniumstand/proofs/bench/StartBench.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/StartBench.java
@@ -1,10 +1,5 @@
 package org.geraniumstand.proofs.bench;
 
-import io.undertow.Undertow;
-import io.undertow.server.HttpServerExchange;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
-import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -20,10 +15,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.geraniumstand.entry.relay.RehearsalServer;
 import org.geraniumstand.platform.RehearsalPlatform;
 
 /**
@@ -83,12 +77,12 @@
         int calls = Integer.parseInt(args[1]);
         List<String> command = Arrays.asList(args).subList(2, args.length);
         InetSocketAddress platform = address();
-        Undertow server = serve(platform);
         List<long[]> times = new ArrayList<>();
-        for (int i = 0; i < runs; i++) {
-            times.add(new StartBench().run(platform, command, calls));
+        try (RehearsalServer _server = RehearsalServer.start(platform)) {
+            for (int i = 0; i < runs; i++) {
+                times.add(new StartBench().run(platform, command, calls));
+            }
         }
-        server.stop();
         String[] names = {"ready", "tenth answer", calls + " more answers", "resident at the end, in MB"};
         for (int i = 0; i < names.length; i++) {
             List<Long> values = new ArrayList<>();
@@ -193,38 +187,6 @@
                 .orElse(0);
     }
 
-    private static Undertow serve(InetSocketAddress address) {
-        RehearsalPlatform platform = new RehearsalPlatform(address);
-        Undertow server = Undertow.builder()
-                .setIoThreads(1)
-                .setWorkerThreads(1)
-                .addHttpListener(address.getPort(), address.getHostString(), exchange -> answer(platform, exchange))
-                .build();
-        server.start();
-        return server;
-    }
-
-    private static void answer(RehearsalPlatform platform, HttpServerExchange exchange) {
-        Map<String, String> query = new HashMap<>();
-        exchange.getQueryParameters().forEach((name, values) -> query.put(name, values.getFirst()));
-        RehearsalPlatform.Answer answer = platform.answer(
-                exchange.getRequestPath(),
-                query,
-                name -> exchange.getRequestHeaders().getFirst(name));
-        exchange.setStatusCode(answer.status());
-        answer.headers().forEach(h -> exchange.getResponseHeaders().put(HttpString.tryFromString(h.name()), h.value()));
-        if (answer.streamed()) {
-            exchange.getResponseHeaders().put(Headers.TRANSFER_ENCODING, "chunked");
-        }
-        exchange.dispatch(
-                SameThreadExecutor.INSTANCE,
-                () -> exchange.getIoThread()
-                        .executeAfter(
-                                () -> exchange.getResponseSender().send(answer.body()),
-                                answer.delayMillis(),
-                                TimeUnit.MILLISECONDS));
-    }
-
     private static String text(InetSocketAddress address) {
         return address.getHostString() + ":" + address.getPort();
     }
