End failures and events that a server sends without end

Cause: what is held of an answer had no bound. Bytes of a failure's body were kept until the deadline, and an event without end was copied whole for each part that came, so that one server held the I/O thread of a process for 20 s in the test.

Changes: a failure's body or an event of more than a megabyte ends the attempt as broken, with a log line; parts without a line feed are not searched again. Tests failed first (504 at the deadline; no answer in 20 s). Open: a head without end is bounded by the time for the first byte only, as the HTTP library reads heads by itself.

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventCutter.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventCutter.java
@@ -29,12 +29,21 @@
         return lastId;
     }
 
+    /** Returns how many bytes came after the last whole event. */
+    int openBytes() {
+        return open.size();
+    }
+
     /** Takes in bytes and returns those of the events that are whole now, none if none is. */
     byte[] accept(ByteBuffer bytes) {
         int from = open.size();
         byte[] part = new byte[bytes.remaining()];
         bytes.get(part);
         open.write(part, 0, part.length);
+        if (!hasLineFeed(part)) {
+            // Nothing can have ended; copying all that is open for each part would take ever longer.
+            return new byte[0];
+        }
         byte[] all = open.toByteArray();
         int whole = 0;
         for (int i = from; i < all.length; i++) {
@@ -45,6 +54,15 @@
         return whole == 0 ? new byte[0] : take(all, whole);
     }
 
+    private static boolean hasLineFeed(byte[] part) {
+        for (byte one : part) {
+            if (one == '\n') {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Returns the bytes after the last whole event and forgets them. */
     byte[] rest() {
         byte[] rest = open.toByteArray();
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -37,6 +37,9 @@
     /** Bytes of an answer that are held until it is whole, so that a broken one can be replaced. */
     private static final int HELD_BYTES = 256 * 1024;
 
+    /** Bytes of a failure's body, and of an event, after which a server is taken to send bytes without end. */
+    private static final int MOST_OPEN_BYTES = 1024 * 1024;
+
     private final HttpServerExchange exchange;
     private final RelayCall call;
     private final HttpBody body;
@@ -198,6 +201,7 @@
             }
             if (success && call.route().kind() == CallKind.STREAM) {
                 pass(events.accept(bytes));
+                endIfTooLong(events.openBytes());
                 return;
             }
             byte[] part = new byte[bytes.remaining()];
@@ -211,6 +215,21 @@
                 pass(held.toByteArray());
                 held.reset();
             }
+            endIfTooLong(held.size());
+        }
+
+        /** What is held of an answer takes memory and must be bounded, as servers in trouble may send without end. */
+        private void endIfTooLong(int openBytes) {
+            if (done || openBytes <= MOST_OPEN_BYTES) {
+                return;
+            }
+            LOG.warn(
+                    "answer-without-end",
+                    Field.of("request", call.head().attempt()),
+                    Field.of("status", head.status()),
+                    Field.of("bytes", openBytes));
+            attempt.cancel();
+            onEnd(AttemptEnd.BROKEN);
         }
 
         private void pass(byte[] bytes) {
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 import static org.hamcrest.Matchers.notNullValue;
 import static org.hamcrest.Matchers.nullValue;
@@ -20,6 +21,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDesk;
@@ -54,6 +56,14 @@
     /** Slots with which a server takes nothing, its queue included. */
     private static final int NO_ROOM = -6;
 
+    /** Bytes of a part of an answer without end, of all that a server would write, and that may be taken of it. */
+    private static final int PART_BYTES = 64 * 1024;
+
+    private static final long GIVE_UP_BYTES = 64 * 1024 * 1024;
+
+    /** The limit of a megabyte and what sockets on loopback hold. */
+    private static final long MOST_TAKEN_BYTES = 16 * 1024 * 1024;
+
     private static final String OURS = "attempt: a-1\r\nsigned: yes\r\n";
     private static final String HEAD = "attempt: a-1\r\nkey: right\r\nwait: 1500\r\n";
 
@@ -283,6 +293,47 @@
         }
     }
 
+    /** Writes until the other side closes and returns how many bytes it took. */
+    private static void writeWithoutEnd(FakeServer.Connection connection, AtomicLong written) throws IOException {
+        String part = "x".repeat(PART_BYTES);
+        while (written.get() < GIVE_UP_BYTES) {
+            chunk(connection, part);
+            written.addAndGet(PART_BYTES);
+        }
+    }
+
+    @Test
+    void endsAFailureWhoseBodyHasNoEnd() throws Exception {
+        AtomicLong written = new AtomicLong();
+        try (FakeServer server = FakeServer.start((_r, c) -> {
+            c.write("HTTP/1.1 500 Oops\r\n" + OURS + "Transfer-Encoding: chunked\r\n\r\n");
+            writeWithoutEnd(c, written);
+        })) {
+            list(server);
+            Caller.Answer answer = call("POST", "/unsafe/", HEAD, "x");
+
+            assertThat(answer.status(), is(502));
+            assertThat(written.get(), lessThan(MOST_TAKEN_BYTES));
+        }
+    }
+
+    @Test
+    void endsAStreamWhoseEventHasNoEnd() throws Exception {
+        AtomicLong written = new AtomicLong();
+        try (FakeServer server = FakeServer.start((_r, c) -> {
+            c.write("HTTP/1.1 200 OK\r\n" + OURS + "Transfer-Encoding: chunked\r\n\r\n");
+            chunk(c, "id: 1\ndata: a\n\ndata: ");
+            writeWithoutEnd(c, written);
+        })) {
+            list(server);
+            Caller.Answer answer = call("POST", "/once/", HEAD, "x");
+
+            assertThat(answer.whole(), is(false));
+            assertThat(answer.body(), is("id: 1\ndata: a\n\n"));
+            assertThat(written.get(), lessThan(MOST_TAKEN_BYTES));
+        }
+    }
+
     @Test
     void relaysAServersOwnFailureAsItIs() throws Exception {
         try (FakeServer server = FakeServer.start((_r, c) -> c.answer(500, OURS, "sorry"))) {
