Spread the first requests of many processes to a cold server, and count the listed processes for it

The pace of a process began with one request at once, which are 95 of 95 processes, and a process that has just started shared with the few that it had met. It showed once calls were held back for full servers, so that all processes have calls waiting when a server starts.

Change: where processes are more than a cold server bears a second, each begins at a random time within its interval; the number of processes is at least what the store lists. ColdPaceTest plays 95 processes over three seconds.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdPace.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdPace.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Random;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.time.Moment;
@@ -18,18 +19,35 @@
     private static final int KEPT_AT_MOST = 1_000;
 
     private final Map<ServerId, Long> nextNanos = new HashMap<>();
+    private final Random random;
 
-    /** Creates a pace at which nothing was sent yet. */
-    public ColdPace() {}
+    /**
+     * Creates a pace at which nothing was sent yet.
+     *
+     * @param random chooses when a process begins; each process has one of its own
+     */
+    public ColdPace(Random random) {
+        this.random = random;
+    }
 
     /**
      * Returns whether a request may go to a cold server now.
      *
+     * <p>Where there are more processes than a cold server bears requests a second, each begins at a time of its own, as their
+     * first requests alone would be too many.
+     *
      * @param server the server
+     * @param perSecond requests a second that it bears from all processes
+     * @param processes processes that may send to it
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public boolean allows(ServerId server, long nowNanos) {
+    public boolean allows(ServerId server, double perSecond, int processes, long nowNanos) {
         Long next = nextNanos.get(server);
+        if (next == null && processes > perSecond * USED_SHARE) {
+            forgetOld(nowNanos);
+            next = nowNanos + (long) (random.nextDouble() * intervalNanos(perSecond, processes));
+            nextNanos.put(server, next);
+        }
         return next == null || nowNanos - next >= 0;
     }
 
@@ -42,10 +60,18 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void onSent(ServerId server, double perSecond, int processes, long nowNanos) {
+        forgetOld(nowNanos);
+        nextNanos.put(server, nowNanos + Math.round(intervalNanos(perSecond, processes)));
+    }
+
+    private static double intervalNanos(double perSecond, int processes) {
+        double share = perSecond * USED_SHARE / Math.max(1, processes);
+        return NANOS_IN_SECOND / Math.max(share, 1e-3);
+    }
+
+    private void forgetOld(long nowNanos) {
         if (nextNanos.size() > KEPT_AT_MOST) {
             nextNanos.values().removeIf(next -> nowNanos - next > Moment.NANOS_PER_MILLI);
         }
-        double share = perSecond * USED_SHARE / Math.max(1, processes);
-        nextNanos.put(server, nowNanos + Math.round(NANOS_IN_SECOND / Math.max(share, 1e-3)));
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
@@ -109,7 +109,8 @@
         listedNanos = nowNanos;
     }
 
-    private int fleet(long nowNanos) {
+    /** Returns how many processes there are, the listed ones included while that is recent. */
+    int fleet(long nowNanos) {
         boolean recent = nowNanos - listedNanos < LISTED_MILLIS * Moment.NANOS_PER_MILLI;
         return recent ? Math.max(processes, listed) : processes;
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
@@ -81,9 +81,10 @@
      *
      * @param call the call
      * @param service its service
+     * @param processes processes that share what cold servers bear
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public Optional<Chosen> choose(RelayCall call, RelayService service, long nowNanos) {
+    public Optional<Chosen> choose(RelayCall call, RelayService service, int processes, long nowNanos) {
         List<ServerView> servers = fleet.takingWork(call.service());
         boolean othersAwake = anyAwake(servers, call, nowNanos);
         List<PromptPart> prompt = call.head().prompt();
@@ -93,7 +94,7 @@
         double bestCost = Double.POSITIVE_INFINITY;
         for (ServerView view : servers) {
             boolean passedOver = othersAwake && !awake(view, call, nowNanos);
-            if (passedOver || !hasRoom(view, service, nowNanos)) {
+            if (passedOver || !hasRoom(view, service, processes, nowNanos)) {
                 continue;
             }
             double unread = service.engine().isEmpty()
@@ -141,13 +142,14 @@
      * Returns how many calls the servers of a service have room for, as far as is known.
      *
      * @param service the service
+     * @param processes processes that share what cold servers bear
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public int places(RelayService service, long nowNanos) {
+    public int places(RelayService service, int processes, long nowNanos) {
         int places = 0;
         for (ServerView view : fleet.takingWork(service.id())) {
             if (paced(view, service, nowNanos)) {
-                places += pace.allows(view.server().id(), nowNanos) && room(view, service, nowNanos) > 0 ? 1 : 0;
+                places += allowed(view, service, processes, nowNanos) && room(view, service, nowNanos) > 0 ? 1 : 0;
             } else {
                 places += Math.max(0, room(view, service, nowNanos));
             }
@@ -155,13 +157,16 @@
         return places;
     }
 
+    private boolean allowed(ServerView view, RelayService service, int processes, long nowNanos) {
+        return pace.allows(view.server().id(), service.coldPerSecond(), processes, nowNanos);
+    }
+
     private static boolean paced(ServerView view, RelayService service, long nowNanos) {
         return view.cold(nowNanos) && service.coldPerSecond() > 0;
     }
 
-    private boolean hasRoom(ServerView view, RelayService service, long nowNanos) {
-        boolean heldBack =
-                paced(view, service, nowNanos) && !pace.allows(view.server().id(), nowNanos);
+    private boolean hasRoom(ServerView view, RelayService service, int processes, long nowNanos) {
+        boolean heldBack = paced(view, service, nowNanos) && !allowed(view, service, processes, nowNanos);
         return !heldBack && room(view, service, nowNanos) > 0;
     }
 
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
 import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ServiceId;
@@ -42,7 +43,7 @@
     private final RelayBounds bounds;
     private final RelayFleet fleet = new RelayFleet();
     private final PromptHomes prompts = new PromptHomes();
-    private final ColdPace pace = new ColdPace();
+    private final ColdPace pace = new ColdPace(new Random(Hash.mix(new Random().nextLong())));
     private final QuotaBook quotas;
     private final RelayChoice choice;
     private final Map<ServiceId, WaitingCalls> waiting = new HashMap<>();
@@ -302,7 +303,7 @@
             return;
         }
         // Each look at a call costs a look at each server, so none is taken once there is no room.
-        int places = choice.places(service.get(), nowNanos);
+        int places = choice.places(service.get(), fleet(nowNanos), nowNanos);
         int before = steps.size();
         line(id).offerWhile(
                         nowNanos,
@@ -322,13 +323,13 @@
         if (nowNanos - call.deadlineNanos() >= 0) {
             return false;
         }
-        Optional<RelayChoice.Chosen> chosen = choice.choose(call, service, nowNanos);
+        Optional<RelayChoice.Chosen> chosen = choice.choose(call, service, fleet(nowNanos), nowNanos);
         if (chosen.isEmpty()) {
             return false;
         }
         ServerView server = chosen.get().server();
         if (server.cold(nowNanos) && service.coldPerSecond() > 0) {
-            pace.onSent(server.server().id(), service.coldPerSecond(), processes, nowNanos);
+            pace.onSent(server.server().id(), service.coldPerSecond(), fleet(nowNanos), nowNanos);
         }
         call.send(server, chosen.get().unreadTokens(), nowNanos);
         if (service.engine().isPresent()) {
@@ -355,6 +356,11 @@
         return waiting.computeIfAbsent(service, _key -> new WaitingCalls());
     }
 
+    /** Processes that share what a cold server bears; one that has just started knows most of them from the store only. */
+    private int fleet(long nowNanos) {
+        return Math.max(processes, quotas.fleet(nowNanos));
+    }
+
     private WaitForecast forecast(ServiceId service) {
         return forecasts.computeIfAbsent(service, _key -> new WaitForecast());
     }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdPaceTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdPaceTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.util.Random;
 import org.geraniumstand.model.id.ServerId;
 import org.junit.jupiter.api.Test;
 
@@ -13,16 +14,16 @@
 
     @Test
     void allowsTheFirst() {
-        assertThat(new ColdPace().allows(SERVER, 0), is(true));
+        assertThat(new ColdPace(new Random(1)).allows(SERVER, 10, 1, 0), is(true));
     }
 
     @Test
     void holdsTheNextBackFromTheSameServerOnly() {
-        ColdPace pace = new ColdPace();
+        ColdPace pace = new ColdPace(new Random(1));
         pace.onSent(SERVER, 10, 1, 0);
 
-        assertThat(pace.allows(SERVER, 50 * Calls.MILLI), is(false));
-        assertThat(pace.allows(new ServerId("t"), 50 * Calls.MILLI), is(true));
+        assertThat(pace.allows(SERVER, 10, 1, 50 * Calls.MILLI), is(false));
+        assertThat(pace.allows(new ServerId("t"), 10, 1, 50 * Calls.MILLI), is(true));
     }
 
     /** A wave of calls meets a cold server through seven processes. */
@@ -30,9 +31,9 @@
     void keepsSevenProcessesWithinWhatTheServerBears() {
         int sent = 0;
         for (int process = 0; process < 7; process++) {
-            ColdPace pace = new ColdPace();
+            ColdPace pace = new ColdPace(new Random(process));
             for (long at = 0; at < 1_000; at++) {
-                if (pace.allows(SERVER, at * Calls.MILLI)) {
+                if (pace.allows(SERVER, 17, 7, at * Calls.MILLI)) {
                     pace.onSent(SERVER, 17, 7, at * Calls.MILLI);
                     sent++;
                 }
@@ -42,4 +43,25 @@
         assertThat(sent, lessThanOrEqualTo((int) (17 * 1.5 + 5)));
         assertThat(sent, greaterThan(7));
     }
+
+    /** Most servers are lost and all processes have calls waiting when one starts cold: 14 a second, 26 are let pass. */
+    @Test
+    void keepsTheFirstRequestsOfManyProcessesWithinWhatTheServerBears() {
+        int[] sent = new int[4];
+        Random seeds = new Random(3);
+        for (int process = 0; process < 95; process++) {
+            ColdPace pace = new ColdPace(new Random(seeds.nextLong()));
+            for (int at = 0; at < 3_500; at++) {
+                if (pace.allows(SERVER, 14, 95, at * Calls.MILLI)) {
+                    pace.onSent(SERVER, 14, 95, at * Calls.MILLI);
+                    sent[at / 1_000]++;
+                }
+            }
+        }
+
+        for (int second = 0; second < 3; second++) {
+            assertThat(sent[second], lessThanOrEqualTo((int) (14 * 1.5 + 5)));
+            assertThat(sent[second], greaterThan(3));
+        }
+    }
 }
