--- a/decisions/src/main/java/org/geraniumstand/decisions/membership/Rendezvous.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/membership/Rendezvous.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
 
 /**
  * Chooses candidates by highest random weight, so that a change of one candidate moves only its own share.
@@ -40,12 +41,39 @@
      * @param <T> type of the candidates
      */
     public static <T> List<T> top(String key, Collection<T> candidates, Function<T, String> name, int count) {
+        long seed = mix(hash(key));
+        return highest(
+                candidates,
+                candidate -> mix(seed ^ hash(name.apply(candidate))),
+                Comparator.comparing(name).reversed(),
+                count);
+    }
+
+    /**
+     * Returns the candidates with the highest weights, the highest in front.
+     *
+     * <p>Each weight is worked out once: hundreds of candidates are looked at anew with each change of one of them.
+     *
+     * @param candidates the candidates
+     * @param weight the weight of a candidate
+     * @param tie which one goes in front where weights are equal
+     * @param count how many to return at most
+     * @param <T> type of the candidates
+     */
+    public static <T> List<T> highest(
+            Collection<T> candidates, ToLongFunction<T> weight, Comparator<? super T> tie, int count) {
         return candidates.stream()
-                .sorted(byWeight(key, name).reversed())
+                .map(candidate -> new Weighed<>(candidate, weight.applyAsLong(candidate)))
+                .sorted(Comparator.<Weighed<T>>comparingLong(Weighed::weight)
+                        .reversed()
+                        .thenComparing(Weighed::candidate, tie))
                 .limit(count)
+                .map(Weighed::candidate)
                 .toList();
     }
 
+    private record Weighed<T>(T candidate, long weight) {}
+
     /**
      * Returns the weight of a candidate for a key, evenly spread over all values.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/Hubs.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/Hubs.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.decisions.Hash;
+import org.geraniumstand.decisions.membership.Rendezvous;
 import org.geraniumstand.model.id.ProcessId;
 
 /** Chooses the processes that do a task for all. */
@@ -42,14 +43,6 @@
      * @return the hubs, the one that counts first
      */
     public static List<ProcessId> choose(Task task, Collection<ProcessId> members) {
-        // Hashes are made once for each name, as members change hundreds of times when all hosts come back.
-        return members.stream()
-                .map(id -> new Candidate(id, Hash.of(task + "/" + id.value())))
-                .sorted(Comparator.comparingLong(Candidate::weight).reversed().thenComparing(Candidate::process))
-                .limit(HUBS)
-                .map(Candidate::process)
-                .toList();
+        return Rendezvous.highest(members, id -> Hash.of(task + "/" + id.value()), Comparator.naturalOrder(), HUBS);
     }
-
-    private record Candidate(ProcessId process, long weight) {}
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
@@ -110,7 +110,7 @@
     }
 
     /** Returns how many processes there are, the listed ones included while that is recent. */
-    int fleet(long nowNanos) {
+    int processCount(long nowNanos) {
         boolean recent = nowNanos - listedNanos < LISTED_MILLIS * Moment.NANOS_PER_MILLI;
         return recent ? Math.max(processes, listed) : processes;
     }
@@ -219,7 +219,7 @@
      * share is not in debt, and the share pays for it afterwards.
      */
     private double missing(Level level, long cost, long nowNanos) {
-        boolean alone = fleet(nowNanos) > 1 && counting(nowNanos).isEmpty();
+        boolean alone = processCount(nowNanos) > 1 && counting(nowNanos).isEmpty();
         if (alone) {
             return level.left >= 0 ? 0 : -level.left;
         }
@@ -250,7 +250,7 @@
             levels.put(team.id(), level);
         }
         double seconds = Math.max(0, nowNanos - level.atNanos) / NANOS_IN_SECOND;
-        double share = (double) heard(nowNanos) / fleet(nowNanos);
+        double share = (double) heard(nowNanos) / processCount(nowNanos);
         level.left = Math.min(team.burst(), level.left + team.ratePerSecond() * (1 + overrun) * share * seconds);
         level.left = Math.max(level.left, -MOST_DEBT * team.burst());
         level.atNanos = nowNanos;
@@ -260,6 +260,6 @@
     /** Processes whose use is known; the others are taken to use an even share each. */
     private int heard(long nowNanos) {
         int told = counting(nowNanos).map(hub -> sums.get(hub).heard).orElse(1);
-        return Math.max(1, Math.min(told, fleet(nowNanos)));
+        return Math.max(1, Math.min(told, processCount(nowNanos)));
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -43,7 +43,7 @@
     private final RelayBounds bounds;
     private final RelayFleet fleet = new RelayFleet();
     private final PromptHomes prompts = new PromptHomes();
-    private final ColdPace pace = new ColdPace(new Random(Hash.mix(new Random().nextLong())));
+    private final ColdPace pace;
     private final QuotaBook quotas;
     private final RelayChoice choice;
     private final Map<ServiceId, WaitingCalls> waiting = new HashMap<>();
@@ -57,11 +57,13 @@
      *
      * @param home the data centre of this process
      * @param bounds the bounds that must hold
+     * @param random differs between processes
      */
-    public RelayDesk(DataCentreId home, RelayBounds bounds) {
+    public RelayDesk(DataCentreId home, RelayBounds bounds, Random random) {
         this.bounds = bounds;
         this.processes = bounds.processesAssumed();
         this.quotas = new QuotaBook(bounds.quotaSlack(), bounds.quotaOverrun());
+        this.pace = new ColdPace(random);
         this.choice = new RelayChoice(home, fleet, prompts, pace);
     }
 
@@ -303,15 +305,13 @@
             return;
         }
         // Each look at a call costs a look at each server, so none is taken once there is no room.
-        int places = choice.places(service.get(), fleet(nowNanos), nowNanos);
+        int places = choice.places(service.get(), processCount(nowNanos), nowNanos);
         int before = steps.size();
         line(id).offerWhile(
                         nowNanos,
                         () -> steps.size() - before < places,
                         call -> place(call, service.get(), nowNanos, steps));
-        for (int i = before; i < steps.size(); i++) {
-            forecast.onPlaced();
-        }
+        forecast.onPlaced(steps.size() - before);
         if (line(id).size() == 0) {
             forecast.onRoom();
         } else {
@@ -323,13 +323,13 @@
         if (nowNanos - call.deadlineNanos() >= 0) {
             return false;
         }
-        Optional<RelayChoice.Chosen> chosen = choice.choose(call, service, fleet(nowNanos), nowNanos);
+        Optional<RelayChoice.Chosen> chosen = choice.choose(call, service, processCount(nowNanos), nowNanos);
         if (chosen.isEmpty()) {
             return false;
         }
         ServerView server = chosen.get().server();
         if (server.cold(nowNanos) && service.coldPerSecond() > 0) {
-            pace.onSent(server.server().id(), service.coldPerSecond(), fleet(nowNanos), nowNanos);
+            pace.onSent(server.server().id(), service.coldPerSecond(), processCount(nowNanos), nowNanos);
         }
         call.send(server, chosen.get().unreadTokens(), nowNanos);
         if (service.engine().isPresent()) {
@@ -357,8 +357,8 @@
     }
 
     /** Processes that share what a cold server bears; one that has just started knows most of them from the store only. */
-    private int fleet(long nowNanos) {
-        return Math.max(processes, quotas.fleet(nowNanos));
+    private int processCount(long nowNanos) {
+        return Math.max(processes, quotas.processCount(nowNanos));
     }
 
     private WaitForecast forecast(ServiceId service) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.decisions.relay;
 
+import java.util.Optional;
 import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.ServerLoad;
@@ -33,21 +34,23 @@
     private double pendingTokens;
     private long lastByteNanos;
     private long oweSinceNanos;
-    private int othersInFlight;
-    private long loadNanos;
-    private boolean loadKnown;
-    private int sharedInFlight;
-    private long sharedNanos;
-    private boolean sharedKnown;
+    private Optional<OthersCalls> toldByServer = Optional.empty();
+    private Optional<OthersCalls> toldByPeers = Optional.empty();
     private long pauseMillis;
     private long pausedUntilNanos;
 
+    /** Calls of other processes at the server, and when they were told. */
+    private record OthersCalls(int calls, long atNanos) {
+        boolean fresh(long nowNanos) {
+            return nowNanos - atNanos < LOAD_MILLIS * Moment.NANOS_PER_MILLI;
+        }
+    }
+
     ServerView(RelayServer server, long nowNanos) {
         list(server, nowNanos);
         this.hash = Hash.of(server.id().value());
         this.lastByteNanos = nowNanos;
         this.pausedUntilNanos = nowNanos;
-        this.loadNanos = nowNanos;
     }
 
     void list(RelayServer next, long nowNanos) {
@@ -83,11 +86,13 @@
 
     /** Returns the calls at the server, those of other processes as far as they are known. */
     public int load(long nowNanos) {
-        return inFlight + (loadFresh(nowNanos) ? othersInFlight : 0);
+        return inFlight + calls(toldByServer, nowNanos);
     }
 
-    private boolean loadFresh(long nowNanos) {
-        return loadKnown && nowNanos - loadNanos < LOAD_MILLIS * Moment.NANOS_PER_MILLI;
+    private static int calls(Optional<OthersCalls> told, long nowNanos) {
+        return told.filter(others -> others.fresh(nowNanos))
+                .map(OthersCalls::calls)
+                .orElse(0);
     }
 
     /** Returns the prompt tokens of this process that the server has yet to read. */
@@ -97,9 +102,7 @@
 
     /** Takes in what other processes have in flight at the server, as an aggregator told. */
     void onOthers(int calls, long nowNanos) {
-        sharedKnown = true;
-        sharedNanos = nowNanos;
-        sharedInFlight = calls;
+        toldByPeers = Optional.of(new OthersCalls(calls, nowNanos));
     }
 
     /**
@@ -110,9 +113,11 @@
      * and would all choose the server with the fewest until the next ones.
      */
     int occupied(long nowNanos) {
-        boolean sharedFresh = sharedKnown && nowNanos - sharedNanos < LOAD_MILLIS * Moment.NANOS_PER_MILLI;
-        boolean told = loadFresh(nowNanos) && (!sharedFresh || loadNanos - sharedNanos > 0);
-        return told || !sharedFresh ? load(nowNanos) : inFlight + sharedInFlight;
+        boolean serverLast = toldByPeers.isEmpty()
+                || toldByServer
+                        .filter(told -> told.atNanos() - toldByPeers.get().atNanos() > 0)
+                        .isPresent();
+        return inFlight + calls(serverLast ? toldByServer : toldByPeers, nowNanos);
     }
 
     /** Returns whether the server should be left alone for now. */
@@ -155,9 +160,7 @@
     }
 
     void onLoad(ServerLoad load, long nowNanos) {
-        loadKnown = true;
-        loadNanos = nowNanos;
-        othersInFlight = Math.max(0, load.running() + load.waiting() - inFlight);
+        toldByServer = Optional.of(new OthersCalls(Math.max(0, load.running() + load.waiting() - inFlight), nowNanos));
     }
 
     /** Leaves the server alone until its entry has surely lapsed, as another one has its address. */
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/WaitForecast.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/WaitForecast.java
@@ -43,10 +43,14 @@
         }
     }
 
-    /** Takes in that a call that waited got a place. */
-    public void onPlaced() {
+    /**
+     * Takes in that calls that waited got a place.
+     *
+     * @param calls how many
+     */
+    public void onPlaced(int calls) {
         if (full) {
-            placed++;
+            placed += calls;
         }
     }
 
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/LoadKnowledgeReplayTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/LoadKnowledgeReplayTest.java
@@ -58,7 +58,7 @@
         desks.clear();
         owner.clear();
         for (int i = 0; i < PROCESSES; i++) {
-            RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds());
+            RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(i));
             desk.onPlan(Calls.plan(1), 0);
             desk.onProcesses(PROCESSES);
             desks.add(desk);
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.CallKind;
@@ -26,7 +27,7 @@
     private static final RelayRoute UNSAFE = Calls.route(CallKind.UNSAFE, false, 1, 0);
     private static final RelayRoute STREAM = Calls.route(CallKind.STREAM, true, 2, 0);
 
-    private final RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds());
+    private final RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(1));
     private final List<RelayStep> steps = new ArrayList<>();
 
     @BeforeEach
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/WaitForecastTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/WaitForecastTest.java
@@ -26,7 +26,7 @@
     void countsThePlacesThatCameFree() {
         forecast.onFull(0);
         for (int i = 0; i < 10; i++) {
-            forecast.onPlaced();
+            forecast.onPlaced(1);
         }
 
         assertThat(forecast.waitMillis(0, 1_000 * Calls.MILLI), is(100L));
@@ -49,13 +49,13 @@
         for (int i = 0; i < 80; i++) {
             now += 50 * Calls.MILLI;
             forecast.onFull(now);
-            forecast.onPlaced();
+            forecast.onPlaced(1);
         }
         assertThat(forecast.waitMillis(0, now), lessThan(70L));
         for (int i = 0; i < 20; i++) {
             now += 200 * Calls.MILLI;
             forecast.onFull(now);
-            forecast.onPlaced();
+            forecast.onPlaced(1);
         }
 
         assertThat(forecast.waitMillis(0, now), greaterThan(130L));
--- a/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
+++ b/entry/src/main/java/org/geraniumstand/entry/Geraniumstand.java
@@ -7,13 +7,11 @@
 import org.geraniumstand.entry.relay.Rehearsal;
 import org.geraniumstand.entry.settings.RelaySettingsFile;
 import org.geraniumstand.entry.settings.Settings;
-import org.geraniumstand.entry.settings.SettingsError;
 import org.geraniumstand.entry.settings.SettingsFile;
 import org.geraniumstand.support.log.LogSetup;
 
 /** Binary {@code geraniumstand}: the entry process. */
 public final class Geraniumstand {
-    private static final int EXIT_USAGE = 2;
     private static final long STOP_TIMEOUT_MILLIS = 60_000;
 
     @Parameter(
@@ -54,7 +52,7 @@
             parser.parse(args);
         } catch (ParameterException e) {
             System.err.println(e.getMessage());
-            System.exit(EXIT_USAGE);
+            System.exit(RelayMain.EXIT_USAGE);
         }
         if (command.help) {
             parser.usage();
@@ -68,7 +66,7 @@
         }
         if (command.settingsFile == null) {
             System.err.println("The following option is required: [--settings | -s]");
-            System.exit(EXIT_USAGE);
+            System.exit(RelayMain.EXIT_USAGE);
         }
         if (command.relay) {
             RelaySettingsFile.read(Path.of(command.settingsFile))
@@ -76,11 +74,11 @@
                             settings -> command.check
                                     ? confirm(command.settingsFile)
                                     : RelayMain.start(settings, Path.of(command.settingsFile)),
-                            Geraniumstand::refuse);
+                            RelayMain::refuse);
             return;
         }
         SettingsFile.read(Path.of(command.settingsFile))
-                .fold(settings -> command.check ? confirm(command.settingsFile) : run(settings), Geraniumstand::refuse);
+                .fold(settings -> command.check ? confirm(command.settingsFile) : run(settings), RelayMain::refuse);
     }
 
     // The process is its own server, so no container could manage its shutdown.
@@ -102,11 +100,4 @@
         System.out.println(file + ": the settings are valid");
         return true;
     }
-
-    @SuppressWarnings("SystemOut")
-    private static boolean refuse(SettingsError error) {
-        System.err.println(error.text());
-        System.exit(EXIT_USAGE);
-        return false;
-    }
 }
--- a/entry/src/main/java/org/geraniumstand/entry/RelayMain.java
+++ b/entry/src/main/java/org/geraniumstand/entry/RelayMain.java
@@ -4,6 +4,7 @@
 import org.geraniumstand.entry.relay.RelayProcess;
 import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.entry.settings.RelaySettingsFile;
+import org.geraniumstand.entry.settings.SettingsError;
 import org.geraniumstand.support.log.LogSetup;
 
 /**
@@ -13,7 +14,8 @@
  * the parser's reflection takes a small host a tenth of its start.
  */
 public final class RelayMain {
-    private static final int EXIT_USAGE = 2;
+    /** Exit code where the command line or the settings are not valid. */
+    static final int EXIT_USAGE = 2;
 
     private RelayMain() {}
 
@@ -30,11 +32,15 @@
         }
         LogSetup.forProcess();
         Path file = Path.of(args[0]);
-        RelaySettingsFile.read(file).fold(settings -> start(settings, file), error -> {
-            System.err.println(error.text());
-            System.exit(EXIT_USAGE);
-            return false;
-        });
+        RelaySettingsFile.read(file).fold(settings -> start(settings, file), RelayMain::refuse);
+    }
+
+    /** Ends the process, as its settings are not valid. */
+    @SuppressWarnings("SystemOut")
+    static boolean refuse(SettingsError error) {
+        System.err.println(error.text());
+        System.exit(EXIT_USAGE);
+        return false;
     }
 
     // The process is its own server, so no container could manage its shutdown.
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -187,19 +187,14 @@
     /** Takes in members that come and go together at once; all hosts may come back in the same second. */
     private void onMembers(List<Member> members) {
         if (pending.isEmpty()) {
-            timer.after(this::takePending, GATHER_MILLIS);
+            timer.after(this::takeMembers, GATHER_MILLIS);
         }
         pending = Optional.of(members);
     }
 
-    private void takePending() {
-        List<Member> members = pending.orElseThrow();
+    private void takeMembers() {
+        live = pending.orElseThrow().stream().map(Member::id).collect(Collectors.toSet());
         pending = Optional.empty();
-        takeMembers(members);
-    }
-
-    private void takeMembers(List<Member> members) {
-        live = members.stream().map(Member::id).collect(Collectors.toSet());
         hubs = Hubs.choose(Hubs.Task.ADD_UP_USE, live);
         List<ProcessId> readers = Hubs.choose(Hubs.Task.READ_STORE, live);
         LOG.info(
--- a/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
@@ -1,10 +1,6 @@
 package org.geraniumstand.entry.relay;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
@@ -27,7 +23,6 @@
  */
 public final class Rehearsal {
     private static final Log LOG = Log.of(Rehearsal.class);
-    private static final String LOOPBACK = "127.0.0.1";
     private static final long CALL_MILLIS = 2_000;
     private static final int ROUNDS = 5;
 
@@ -57,7 +52,7 @@
     /** Runs it. */
     public static void run() {
         Closer closer = new Closer();
-        InetSocketAddress platform = address();
+        InetSocketAddress platform = RehearsalServer.freeAddress();
         closer.add(RehearsalServer.start(platform));
         RelaySettings first = settings("rehearsal-1", platform, "");
         RelaySettings second = settings("rehearsal-2", platform, text(first.peers()));
@@ -104,7 +99,7 @@
                 .replace("$platform", text(platform))
                 .replace("\"$seed\"", seed.isEmpty() ? "" : '"' + seed + '"');
         for (int i = 0; i < ADDRESSES; i++) {
-            text = text.replace("\"$" + i, "\"" + text(address()));
+            text = text.replace("\"$" + i, "\"" + text(RehearsalServer.freeAddress()));
         }
         return RelaySettingsFile.parse(name, text).fold(valid -> valid, error -> {
             throw new IllegalStateException(error.text());
@@ -115,14 +110,6 @@
         return address.getHostString() + ":" + address.getPort();
     }
 
-    private static InetSocketAddress address() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return InetSocketAddress.createUnresolved(LOOPBACK, socket.getLocalPort());
-        } catch (IOException e) {
-            throw new UncheckedIOException("no free port on loopback", e);
-        }
-    }
-
     private static void sleep(long millis) {
         try {
             TimeUnit.MILLISECONDS.sleep(millis);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RehearsalServer.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RehearsalServer.java
@@ -5,7 +5,11 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import io.undertow.util.SameThreadExecutor;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +17,8 @@
 
 /** Listens on loopback with the answers of a {@link RehearsalPlatform}. */
 public final class RehearsalServer implements AutoCloseable {
+    private static final String LOOPBACK = "127.0.0.1";
+
     private final RehearsalPlatform platform;
     private final Undertow server;
 
@@ -36,6 +42,15 @@
         return started;
     }
 
+    /** Returns an address on loopback that nobody listens on. */
+    public static InetSocketAddress freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return InetSocketAddress.createUnresolved(LOOPBACK, socket.getLocalPort());
+        } catch (IOException e) {
+            throw new UncheckedIOException("no free port on loopback", e);
+        }
+    }
+
     @Override
     public void close() {
         server.stop();
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -81,6 +81,8 @@
         closer.add(worker::shutdownNow);
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
         RelaySettings.Bounds bounds = settings.bounds();
+        ProcessId self = Incarnation.name(settings.name(), System.currentTimeMillis());
+        Random random = new Random(self.hashCode());
         RelayDesk decisions = new RelayDesk(
                 settings.dataCentre(),
                 new RelayBounds(
@@ -89,12 +91,11 @@
                         Math.round(bounds.repeatWindowSeconds() * MILLIS_IN_SECOND),
                         bounds.quotaSlack(),
                         bounds.quotaOverrun(),
-                        PROCESSES_ASSUMED));
+                        PROCESSES_ASSUMED),
+                random);
         HttpCalls calls = closer.add(HttpCalls.on(worker));
         PlatformStore store = new PlatformStore(calls, settings.store());
         PlatformDuties duties = new PlatformDuties(calls, settings.cloud());
-        ProcessId self = Incarnation.name(settings.name(), System.currentTimeMillis());
-        Random random = new Random(self.hashCode());
         this.lease = new DutyLease(store, calls::schedule, random, settings.name(), bounds.leaseMillis());
         this.usage = new UsageTask(
                 store,
--- a/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
@@ -15,16 +15,15 @@
 
 /** Writes the one answer of an exchange to its caller. */
 final class CallerAnswer {
-    /** Of the thread that answers, as each keeps the text of the current second. */
-    private static final ThreadLocal<HttpDate> DATE = ThreadLocal.withInitial(HttpDate::new);
-
     private final HttpServerExchange exchange;
+    private final HttpDate date;
     private final CallerOutput output;
     private boolean started;
     private boolean ended;
 
-    CallerAnswer(HttpServerExchange exchange) {
+    CallerAnswer(HttpServerExchange exchange, HttpDate date) {
         this.exchange = exchange;
+        this.date = date;
         this.output = new CallerOutput(exchange);
     }
 
@@ -92,7 +91,7 @@
 
     private void addDate() {
         if (!exchange.getResponseHeaders().contains(Headers.DATE)) {
-            exchange.getResponseHeaders().put(Headers.DATE, DATE.get().at(Instant.now()));
+            exchange.getResponseHeaders().put(Headers.DATE, date.at(Instant.now()));
         }
     }
 
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -90,7 +90,8 @@
                 new OpaqueProtocol(setup.dialect()),
                 new UpstreamClient(setup.buffers()),
                 setup.worker().getIoThread(0),
-                setup.observer());
+                setup.observer(),
+                new HttpDate());
         this.server = Undertow.builder()
                 .setWorker(setup.worker())
                 .setByteBufferPool(setup.buffers())
@@ -266,6 +267,6 @@
             // What is left of the request is not read, so the connection cannot carry another one.
             exchange.setPersistent(false);
         }
-        new CallerAnswer(exchange).refuse(rejection.refusal(), attempt, tools.dialect());
+        new CallerAnswer(exchange, tools.date()).refuse(rejection.refusal(), attempt, tools.dialect());
     }
 }
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -56,7 +56,7 @@
         this.call = call;
         this.body = body;
         this.tools = tools;
-        this.answer = new CallerAnswer(exchange);
+        this.answer = new CallerAnswer(exchange, tools.date());
         this.events = new EventCutter(call.head().lastEvent());
     }
 
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTools.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTools.java
@@ -13,6 +13,7 @@
  * @param upstream opens attempts
  * @param thread the I/O thread that owns all of it
  * @param observer told what becomes of calls
+ * @param date writes the time of answers
  */
 record OpaqueTools(
         DeskTask desk,
@@ -20,4 +21,5 @@
         OpaqueProtocol protocol,
         UpstreamClient upstream,
         XnioIoThread thread,
-        CallObserver observer) {}
+        CallObserver observer,
+        HttpDate date) {}
--- a/proofs/src/test/java/org/geraniumstand/proofs/bench/StartBench.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/StartBench.java
@@ -1,9 +1,7 @@
 package org.geraniumstand.proofs.bench;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -30,7 +28,6 @@
  * the rehearsal answers it.
  */
 public final class StartBench {
-    private static final String LOOPBACK = "127.0.0.1";
     private static final int FIRST_CALLS = 10;
     private static final long READY_MILLIS = 20_000;
 
@@ -76,7 +73,7 @@
         int runs = Integer.parseInt(args[0]);
         int calls = Integer.parseInt(args[1]);
         List<String> command = Arrays.asList(args).subList(2, args.length);
-        InetSocketAddress platform = address();
+        InetSocketAddress platform = RehearsalServer.freeAddress();
         List<long[]> times = new ArrayList<>();
         try (RehearsalServer _server = RehearsalServer.start(platform)) {
             for (int i = 0; i < runs; i++) {
@@ -96,16 +93,16 @@
 
     private long[] run(InetSocketAddress platform, List<String> command, int calls)
             throws IOException, InterruptedException {
-        InetSocketAddress callers = address();
-        InetSocketAddress readiness = address();
+        InetSocketAddress callers = RehearsalServer.freeAddress();
+        InetSocketAddress readiness = RehearsalServer.freeAddress();
         Path settings = Files.createTempFile("start-bench", ".yaml");
         Files.writeString(
                 settings,
                 SETTINGS.replace("$platform", text(platform))
                         .replace("$0", text(callers))
                         .replace("$1", text(readiness))
-                        .replace("$2", text(address()))
-                        .replace("$" + (ADDRESSES - 1), text(address())),
+                        .replace("$2", text(RehearsalServer.freeAddress()))
+                        .replace("$" + (ADDRESSES - 1), text(RehearsalServer.freeAddress())),
                 StandardCharsets.UTF_8);
         List<String> words = command.stream()
                 .map(word -> word.replace("SETTINGS", settings.toString()))
@@ -190,10 +187,4 @@
     private static String text(InetSocketAddress address) {
         return address.getHostString() + ":" + address.getPort();
     }
-
-    private static InetSocketAddress address() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return InetSocketAddress.createUnresolved(LOOPBACK, socket.getLocalPort());
-        }
-    }
 }
