--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -323,20 +323,22 @@
         if (nowNanos - call.deadlineNanos() >= 0) {
             return false;
         }
-        Optional<RelayChoice.Chosen> chosen = choice.choose(call, service, processCount(nowNanos), nowNanos);
+        int sharing = processCount(nowNanos);
+        Optional<RelayChoice.Chosen> chosen = choice.choose(call, service, sharing, nowNanos);
         if (chosen.isEmpty()) {
             return false;
         }
         ServerView server = chosen.get().server();
         if (server.cold(nowNanos) && service.coldPerSecond() > 0) {
-            pace.onSent(server.server().id(), service.coldPerSecond(), processCount(nowNanos), nowNanos);
+            pace.onSent(server.server().id(), service.coldPerSecond(), sharing, nowNanos);
         }
         call.send(server, chosen.get().unreadTokens(), nowNanos);
         if (service.engine().isPresent()) {
             prompts.onSent(call.head().prompt(), server.server().id(), nowNanos);
         }
         int urgency = Math.min(MOST_URGENCY, FIRST_URGENCY + Math.max(0, call.priority()));
-        steps.add(new RelayStep.Send(call, server.server(), urgency, firstByteMillis(call, nowNanos)));
+        steps.add(new RelayStep.Send(
+                call, server.server(), urgency, firstByteMillis(call, nowNanos), server.belief(sharing, nowNanos)));
         return true;
     }
 
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayStep.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayStep.java
@@ -15,8 +15,10 @@
      * @param server the server
      * @param urgency its rank among the server's requests, from 0 to 9
      * @param firstByteMillis silence allowed before the first byte of an answer, in milliseconds
+     * @param belief what the server was taken for
      */
-    record Send(RelayCall call, RelayServer server, int urgency, long firstByteMillis) implements RelayStep {}
+    record Send(RelayCall call, RelayServer server, int urgency, long firstByteMillis, ServerBelief belief)
+            implements RelayStep {}
 
     /**
      * End the call with a refusal.
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -29,6 +29,7 @@
     private RelayServer server;
     private String place;
     private long coldUntilNanos;
+    private long listedNanos;
     private int inFlight;
     private int unanswered;
     private double pendingTokens;
@@ -56,6 +57,7 @@
     void list(RelayServer next, long nowNanos) {
         server = next;
         place = next.address() + ":" + next.port();
+        listedNanos = nowNanos;
         coldUntilNanos = nowNanos + next.coldMillis() * Moment.NANOS_PER_MILLI;
     }
 
@@ -79,6 +81,16 @@
         return nowNanos - coldUntilNanos < 0;
     }
 
+    /** Returns what the server is taken for, where a number of processes share what it bears. */
+    ServerBelief belief(int processes, long nowNanos) {
+        // A part of a millisecond that is left still counts as cold.
+        long coldNanos = Math.max(0, coldUntilNanos - nowNanos);
+        return new ServerBelief(
+                (coldNanos + Moment.NANOS_PER_MILLI - 1) / Moment.NANOS_PER_MILLI,
+                (nowNanos - listedNanos) / Moment.NANOS_PER_MILLI,
+                processes);
+    }
+
     /** Returns the calls of this process at the server. */
     public int inFlight() {
         return inFlight;
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -205,6 +205,17 @@
         assertThat(desk.waiting(Calls.ENGINES), is(1));
     }
 
+    @Test
+    void tellsWhatAServerWasTakenForWithEachAttempt() {
+        desk.onProcesses(3);
+        list(Calls.server("cold", Calls.ENGINES, Calls.WEST, 3_000));
+        ServerBelief cold = ((RelayStep.Send) arrive(Calls.call(1, STREAM), 500 * Calls.MILLI)).belief();
+        ServerBelief warm = ((RelayStep.Send) arrive(Calls.call(2, STREAM), 3_000 * Calls.MILLI)).belief();
+
+        assertThat(cold, is(new ServerBelief(2_500, 500, 3)));
+        assertThat(warm, is(new ServerBelief(0, 3_000, 3)));
+    }
+
     @Test
     void leavesAServerAloneThatTakesNoConnections() {
         list(Calls.server("gone", Calls.DESK, Calls.WEST, 0));
--- a/entry/src/main/java/org/geraniumstand/entry/metrics/RelayMetrics.java
+++ b/entry/src/main/java/org/geraniumstand/entry/metrics/RelayMetrics.java
@@ -18,6 +18,7 @@
  */
 public final class RelayMetrics implements CallObserver {
     private final ProcessMetrics metrics;
+    private final Counter toColdServers;
     private final Map<String, Counter> outcomes = new HashMap<>();
     private final Map<AttemptEnd, Counter> ends = new EnumMap<>(AttemptEnd.class);
     private final Map<CallKind, Histogram> firstBytes = new EnumMap<>(CallKind.class);
@@ -30,6 +31,7 @@
      */
     public RelayMetrics(ProcessMetrics metrics) {
         this.metrics = metrics;
+        this.toColdServers = metrics.registry().counter("geraniumstand_attempts_at_cold_servers_total");
     }
 
     @Override
@@ -53,6 +55,13 @@
         outcome("caller-left");
     }
 
+    @Override
+    public void attemptStarted(boolean cold) {
+        if (cold) {
+            toColdServers.inc();
+        }
+    }
+
     @Override
     public void attemptEnded(AttemptEnd end) {
         ends.computeIfAbsent(end, key -> counter("geraniumstand_attempts_total", "end", Label.of(key)))
--- a/entry/src/test/java/org/geraniumstand/entry/metrics/RelayMetricsTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/metrics/RelayMetricsTest.java
@@ -31,6 +31,14 @@
         assertThat(metrics.text(), containsString("geraniumstand_attempts_total{end=\"not-connected\"} 1\n"));
     }
 
+    @Test
+    void countsAttemptsAtColdServersOnly() {
+        relay.attemptStarted(true);
+        relay.attemptStarted(false);
+
+        assertThat(metrics.text(), containsString("geraniumstand_attempts_at_cold_servers_total 1\n"));
+    }
+
     @Test
     void measuresTimesByKind() {
         relay.started(CallKind.STREAM, 90);
--- a/http/src/main/java/org/geraniumstand/http/opaque/CallObserver.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/CallObserver.java
@@ -32,6 +32,13 @@
     /** A caller left before its answer was whole. */
     void callerLeft();
 
+    /**
+     * An attempt at a server starts.
+     *
+     * @param cold whether the server is taken for cold
+     */
+    void attemptStarted(boolean cold);
+
     /**
      * An attempt at a server ended.
      *
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -115,7 +115,11 @@
                 Field.of("server", server.id()),
                 Field.of("attempt", call.attempts()),
                 Field.of("load", call.server() == null ? 0 : call.server().inFlight()),
+                Field.of("coldMillis", send.belief().coldMillis()),
+                Field.of("listedMillis", send.belief().listedMillis()),
+                Field.of("processes", send.belief().processes()),
                 Field.of("leftMillis", leftMillis));
+        tools.observer().attemptStarted(send.belief().cold());
         AttemptSpec spec = new AttemptSpec(
                 server.address(),
                 server.port(),
--- a/http/src/test/java/org/geraniumstand/http/opaque/ListObserver.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/ListObserver.java
@@ -35,6 +35,13 @@
         told.add("left");
     }
 
+    @Override
+    public void attemptStarted(boolean cold) {
+        if (cold) {
+            told.add("sent to a cold server");
+        }
+    }
+
     @Override
     public void attemptEnded(AttemptEnd end) {
         told.add("ended " + end);
