--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/Calls.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/Calls.java
@@ -105,10 +105,14 @@
     }
 
     static RelayPlan plan(long version) {
+        return plan(version, 10);
+    }
+
+    static RelayPlan plan(long version, double coldPerSecond) {
         return new RelayPlan(
                 version,
                 List.of(route(CallKind.SAFE, false, 2, 0), route(CallKind.STREAM, true, 2, 0)),
-                List.of(engines(10), desk()),
+                List.of(engines(coldPerSecond), desk()),
                 List.of(TEAM),
                 new CallerLimits(16_384, 1_000_000, 3_000, 15_000));
     }
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetModel.java
@@ -0,0 +1,306 @@
+package org.geraniumstand.decisions.relay;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.id.VersionId;
+import org.geraniumstand.model.relay.CallKind;
+import org.geraniumstand.model.relay.PromptPart;
+import org.geraniumstand.model.relay.RelayPlan;
+import org.geraniumstand.model.relay.RelayRoute;
+import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.RelayTeam;
+import org.geraniumstand.model.request.AttemptEnd;
+
+/**
+ * Many processes before engines that crash, start again and turn cold, in virtual time by milliseconds.
+ *
+ * <p>An engine is cold from the moment that {@link #turnCold} is called; processes hear of it only from {@link #list}.
+ */
+final class ColdFleetModel {
+    static final int PROCESSES = 78;
+    static final double COLD_PER_SECOND = 16;
+
+    /** Requests that a cold engine may get in any second: what it bears, half more, and 5. */
+    static final int MOST_IN_A_SECOND = 29;
+
+    private static final int ENGINES_A_DATA_CENTRE = 10;
+    private static final int SLOTS = 16;
+    private static final int CALLS_PER_SECOND = 870;
+    private static final int COLD_MILLIS = 3_000;
+    private static final int TOPICS = 40;
+    private static final int SHARE_EVERY_MILLIS = 200;
+    private static final RelayRoute STREAM = Calls.route(CallKind.STREAM, false, 2, 0);
+    private static final RelayTeam TEAM =
+            new RelayTeam(new TeamId("t"), List.of("key"), OptionalInt.empty(), true, 200, 0, 0);
+
+    private final List<RelayDesk> desks = new ArrayList<>();
+    private final List<ProcessId> processes = new ArrayList<>();
+    private final InFlightSums sums = new InFlightSums();
+    private final Map<ServerId, Engine> engines = new HashMap<>();
+    private final IdentityHashMap<RelayCall, RelayDesk> owner = new IdentityHashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Random random;
+    private double callsPerMilli = CALLS_PER_SECOND / 1_000.0;
+    private long number;
+    private long eventCount;
+    private long millis;
+    private int worst;
+
+    private static final class Engine {
+        private final DataCentreId dataCentre;
+        private final int port;
+        private EngineModel model = new EngineModel();
+        private long bornMillis = 1;
+        private boolean up = true;
+        private long coldUntilMillis;
+        private final Deque<Long> arrivals = new ArrayDeque<>();
+
+        private Engine(DataCentreId dataCentre, int port) {
+            this.dataCentre = dataCentre;
+            this.port = port;
+        }
+    }
+
+    private record Event(long atMillis, long order, Runnable action) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atMillis, other.atMillis);
+            return byTime == 0 ? Long.compare(order, other.order) : byTime;
+        }
+    }
+
+    ColdFleetModel(long seed) {
+        random = new Random(seed);
+        RelayPlan plan = Calls.plan(1, COLD_PER_SECOND);
+        for (int i = 0; i < PROCESSES; i++) {
+            RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(random.nextLong()));
+            desk.onPlan(plan, 0);
+            desk.onProcesses(PROCESSES);
+            desks.add(desk);
+            processes.add(new ProcessId("process-" + i));
+        }
+        int port = 1_000;
+        for (DataCentreId dataCentre : List.of(Calls.WEST, Calls.EAST, new DataCentreId("south"))) {
+            for (int i = 0; i < ENGINES_A_DATA_CENTRE; i++) {
+                ServerId id = new ServerId("engine-" + dataCentre.value() + "-" + i);
+                engines.put(id, new Engine(dataCentre, port++));
+                desks.forEach(desk -> list(desk, id, 0));
+            }
+        }
+    }
+
+    List<RelayDesk> desks() {
+        return desks;
+    }
+
+    List<ServerId> enginesOf(DataCentreId dataCentre) {
+        return engines.entrySet().stream()
+                .filter(entry -> entry.getValue().dataCentre.equals(dataCentre))
+                .map(Map.Entry::getKey)
+                .sorted((one, two) -> one.value().compareTo(two.value()))
+                .toList();
+    }
+
+    /** Sets by how much callers exceed their usual rate. */
+    void burst(double times) {
+        callsPerMilli = times * CALLS_PER_SECOND / 1_000.0;
+    }
+
+    /** Does something at a time, in milliseconds. */
+    void at(long atMillis, Runnable action) {
+        events.add(new Event(atMillis, eventCount++, action));
+    }
+
+    /** The engine crashes: its calls break, and it takes no connections. */
+    void crash(ServerId id) {
+        Engine engine = engines.get(id);
+        engine.up = false;
+        engine.model = new EngineModel();
+        for (RelayCall call : List.copyOf(owner.keySet())) {
+            if (call.server() != null && call.server().server().id().equals(id)) {
+                end(call, AttemptEnd.BROKEN);
+            }
+        }
+    }
+
+    /** The engine starts again under its name, cold. */
+    void startAgain(ServerId id) {
+        Engine engine = engines.get(id);
+        engine.up = true;
+        engine.bornMillis = 1 + millis;
+        turnCold(id);
+    }
+
+    /** The engine turns cold from now on. */
+    void turnCold(ServerId id) {
+        engines.get(id).coldUntilMillis = millis + COLD_MILLIS;
+    }
+
+    /** A process reads what the engine says of itself now. */
+    void list(RelayDesk desk, ServerId id) {
+        list(desk, id, Math.max(0, engines.get(id).coldUntilMillis - millis));
+    }
+
+    private void list(RelayDesk desk, ServerId id, long coldMillis) {
+        Engine engine = engines.get(id);
+        desk.fleet()
+                .onListed(
+                        new RelayServer(
+                                id,
+                                engine.bornMillis,
+                                Calls.ENGINES,
+                                "127.0.0.1",
+                                engine.port,
+                                engine.dataCentre,
+                                new VersionId("v1"),
+                                SLOTS,
+                                false,
+                                coldMillis,
+                                false),
+                        now());
+    }
+
+    /** All processes read the entries of engines after a heartbeat of up to 1,200 ms and up to 400 ms on the way. */
+    void listAfterHeartbeat(List<ServerId> ids) {
+        for (ServerId id : ids) {
+            long written = millis + random.nextInt(1_200);
+            for (RelayDesk desk : desks) {
+                at(written + random.nextInt(400), () -> list(desk, id));
+            }
+        }
+    }
+
+    /** Lets time pass until a time, in milliseconds. */
+    void runUntil(long untilMillis) {
+        for (; millis < untilMillis; millis++) {
+            while (!events.isEmpty() && events.peek().atMillis() <= millis) {
+                events.poll().action().run();
+            }
+            engines.values().forEach(this::endCalls);
+            double due = callsPerMilli;
+            while (random.nextDouble() < due) {
+                due -= 1;
+                arrive();
+            }
+            shareInFlight();
+            if (millis % 10 == 0) {
+                desks.forEach(this::look);
+            }
+        }
+    }
+
+    /** Each process hears a few times a second what the others have in flight, so that it waits where servers are full. */
+    private void shareInFlight() {
+        for (int i = 0; i < desks.size(); i++) {
+            if ((millis + 5L * i) % SHARE_EVERY_MILLIS == 0) {
+                RelayDesk desk = desks.get(i);
+                sums.onTold(processes.get(i), desk.fleet().inFlight(), now());
+                sums.retain(Set.copyOf(processes), now());
+                desk.fleet().onOthersInFlight(sums.without(processes.get(i)), now());
+            }
+        }
+    }
+
+    /** Returns the most requests that a cold engine got in any second. */
+    int worst() {
+        return worst;
+    }
+
+    private long now() {
+        return millis * Calls.MILLI;
+    }
+
+    private void endCalls(Engine engine) {
+        for (RelayCall call : engine.model.end(now())) {
+            if (owner.containsKey(call)) {
+                owner.get(call).onStarted(call, Optional.of(engine.model.load()), now());
+                end(call, AttemptEnd.ANSWERED);
+            }
+        }
+    }
+
+    private void end(RelayCall call, AttemptEnd end) {
+        RelayDesk desk = owner.get(call);
+        List<RelayStep> steps = new ArrayList<>();
+        desk.onEnded(call, end, now(), steps);
+        if (end == AttemptEnd.ANSWERED) {
+            owner.remove(call);
+        }
+        act(desk, steps);
+    }
+
+    private void look(RelayDesk desk) {
+        if (desk.anyWaiting()) {
+            List<RelayStep> steps = new ArrayList<>();
+            desk.onTick(now(), steps);
+            act(desk, steps);
+        }
+    }
+
+    private void arrive() {
+        number++;
+        RelayCall call = new RelayCall(
+                number,
+                Calls.head(
+                        "attempt-" + number,
+                        new PromptPart(1 + random.nextInt(TOPICS), 2_520),
+                        new PromptPart(1_000 + random.nextInt(1_174), 3_780),
+                        new PromptPart(10_000 + number, 2_890)),
+                STREAM,
+                Optional.of(TEAM),
+                now(),
+                now() + 5_000 * Calls.MILLI);
+        RelayDesk desk = desks.get(random.nextInt(desks.size()));
+        owner.put(call, desk);
+        List<RelayStep> steps = new ArrayList<>();
+        desk.arrive(call, now(), steps);
+        act(desk, steps);
+    }
+
+    private void act(RelayDesk desk, List<RelayStep> steps) {
+        for (RelayStep step : steps) {
+            if (step instanceof RelayStep.Send send) {
+                send(desk, send);
+            } else {
+                owner.remove(step.call());
+            }
+        }
+    }
+
+    private void send(RelayDesk desk, RelayStep.Send send) {
+        Engine engine = engines.get(send.server().id());
+        if (!engine.up) {
+            end(send.call(), AttemptEnd.NOT_CONNECTED);
+            return;
+        }
+        if (millis < engine.coldUntilMillis) {
+            count(engine);
+        }
+        if (!engine.model.take(send.call(), now())) {
+            desk.onStarted(send.call(), Optional.of(engine.model.load()), now());
+            end(send.call(), AttemptEnd.DECLINED);
+        }
+    }
+
+    private void count(Engine engine) {
+        engine.arrivals.add(millis);
+        while (engine.arrivals.peek() <= millis - 1_000) {
+            engine.arrivals.poll();
+        }
+        worst = Math.max(worst, engine.arrivals.size());
+    }
+}
