Let a process's turn at a cold server pass when it is not used

Each process has one request in some seconds at a cold server, from a random time on. A turn that was not used stayed valid for ever: while calls went elsewhere, turns added up, and when the other servers were full all were used at once. A server that turned cold a second time met 78 processes whose turns had all come long ago.

By call-sent, all 27 came from different processes that took it for cold and counted 78 processes; in the 0.8 s before, it had got one. That rules out the belief and the count for that server.

Change: a turn is valid for 250 ms; after that the next one is drawn anew. So is one that was drawn for more processes than there are now.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdPace.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdPace.java
@@ -15,6 +15,12 @@
     /** Part of what a cold server bears that is used, as requests bunch up on their way. */
     private static final double USED_SHARE = 0.8;
 
+    /**
+     * Milliseconds for which a process may use its turn at a cold server. Turns that were kept longer would add up while calls
+     * go elsewhere, and be used at once when the other servers are full. A call that waits looks every 10.
+     */
+    private static final long TURN_MILLIS = 250;
+
     private static final double NANOS_IN_SECOND = 1e9;
     private static final int KEPT_AT_MOST = 1_000;
 
@@ -33,8 +39,8 @@
     /**
      * Returns whether a request may go to a cold server now.
      *
-     * <p>Where there are more processes than a cold server bears requests a second, each begins at a time of its own, as their
-     * first requests alone would be too many.
+     * <p>Where there are more processes than a cold server bears requests a second, each has turns that begin at a random time, as
+     * the first requests of all would be too many at once. A turn that is not used passes, and the next one is drawn anew.
      *
      * @param server the server
      * @param perSecond requests a second that it bears from all processes
@@ -43,7 +49,7 @@
      */
     public boolean allows(ServerId server, double perSecond, int processes, long nowNanos) {
         Long next = nextNanos.get(server);
-        if (next == null && processes > perSecond * USED_SHARE) {
+        if (processes > perSecond * USED_SHARE && !isCurrent(next, perSecond, processes, nowNanos)) {
             forgetOld(nowNanos);
             next = nowNanos + (long) (random.nextDouble() * intervalNanos(perSecond, processes));
             nextNanos.put(server, next);
@@ -64,6 +70,13 @@
         nextNanos.put(server, nowNanos + Math.round(intervalNanos(perSecond, processes)));
     }
 
+    /** Returns whether a turn is neither over nor further off than one can be, as it was drawn for more processes. */
+    private static boolean isCurrent(Long next, double perSecond, int processes, long nowNanos) {
+        return next != null
+                && nowNanos - next <= TURN_MILLIS * Moment.NANOS_PER_MILLI
+                && next - nowNanos <= intervalNanos(perSecond, processes);
+    }
+
     private static double intervalNanos(double perSecond, int processes) {
         double share = perSecond * USED_SHARE / Math.max(1, processes);
         return NANOS_IN_SECOND / Math.max(share, 1e-3);
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdPaceTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdPaceTest.java
@@ -26,6 +26,20 @@
         assertThat(pace.allows(new ServerId("t"), 10, 1, 50 * Calls.MILLI), is(true));
     }
 
+    @Test
+    void turnsThatWereNotUsedDoNotAddUp() {
+        int allowed = 0;
+        for (int process = 0; process < 78; process++) {
+            ColdPace pace = new ColdPace(new Random(1_000L * process));
+            pace.allows(SERVER, 16, 78, 0);
+            if (pace.allows(SERVER, 16, 78, 20_000 * Calls.MILLI)) {
+                allowed++;
+            }
+        }
+
+        assertThat(allowed, is(0));
+    }
+
     /** A wave of calls meets a cold server through seven processes. */
     @Test
     void keepsSevenProcessesWithinWhatTheServerBears() {
