Share cold servers with processes that are no longer heard of

What a cold server bears was divided by the processes that are live as this one hears of them. A process that is cut off from the others drops them after 4 s and then counts itself alone, as does each of those that are cut off with it; one that starts and hears of one peer counted two.

Change: ProcessCount counts for all limits. Cold servers are shared by the most processes that were live at once in the last minute, or by 330, the size to design for, until any other is known. Quotas count as before: live processes and those that the store lists for 15 s after it was read. The retry budget counts the listed ones, too, for now.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
@@ -23,9 +23,6 @@
     private static final double NANOS_IN_SECOND = 1e9;
     private static final double MILLIS_IN_SECOND = 1e3;
 
-    /** Milliseconds for which the processes that the store lists count as live; their leases hold for 12,000. */
-    private static final long LISTED_MILLIS = 15_000;
-
     /** Milliseconds after which a hub counts as not heard; it tells a few times a second. */
     private static final long HEARD_MILLIS = 700;
 
@@ -46,10 +43,8 @@
     private final Map<TeamId, Long> used = new HashMap<>();
     private final Map<TeamId, Long> othersUsed = new HashMap<>();
     private final Map<ProcessId, HubSums> sums = new HashMap<>();
+    private final ProcessCount processes;
     private List<ProcessId> hubs = List.of();
-    private int processes = 1;
-    private int listed = 1;
-    private long listedNanos;
 
     private static final class Level {
         private double left;
@@ -70,10 +65,12 @@
      *
      * @param slack units by which quotas may be exceeded over all processes
      * @param overrun part by which rates may be exceeded
+     * @param processes counts the processes that share the quotas
      */
-    public QuotaBook(double slack, double overrun) {
+    public QuotaBook(double slack, double overrun, ProcessCount processes) {
         this.slack = slack * USED_SLACK;
         this.overrun = overrun * USED_SLACK;
+        this.processes = processes;
     }
 
     /**
@@ -87,34 +84,15 @@
     }
 
     /**
-     * Takes in which processes share the quotas.
+     * Takes in which processes add up what all let teams use.
      *
-     * @param next the processes that add up what all let teams use, the one that counts first
-     * @param count all live processes, this one included
+     * @param next the processes, the one that counts first
      */
-    public void onMembers(List<ProcessId> next, int count) {
+    public void onHubs(List<ProcessId> next) {
         hubs = List.copyOf(next);
-        processes = Math.max(1, count);
         sums.keySet().retainAll(next);
     }
 
-    /**
-     * Takes in how many processes the store lists; a process that starts hears from some of them only after seconds.
-     *
-     * @param count the processes, those that ended lately included
-     * @param nowNanos the monotonic time in nanoseconds
-     */
-    public void onListed(int count, long nowNanos) {
-        listed = count;
-        listedNanos = nowNanos;
-    }
-
-    /** Returns how many processes there are, the listed ones included while that is recent. */
-    int processCount(long nowNanos) {
-        boolean recent = nowNanos - listedNanos < LISTED_MILLIS * Moment.NANOS_PER_MILLI;
-        return recent ? Math.max(processes, listed) : processes;
-    }
-
     /**
      * Takes in what all other processes let teams use.
      *
@@ -219,7 +197,7 @@
      * share is not in debt, and the share pays for it afterwards.
      */
     private double missing(Level level, long cost, long nowNanos) {
-        boolean alone = processCount(nowNanos) > 1 && counting(nowNanos).isEmpty();
+        boolean alone = processes.live(nowNanos) > 1 && counting(nowNanos).isEmpty();
         if (alone) {
             return level.left >= 0 ? 0 : -level.left;
         }
@@ -250,7 +228,7 @@
             levels.put(team.id(), level);
         }
         double seconds = Math.max(0, nowNanos - level.atNanos) / NANOS_IN_SECOND;
-        double share = (double) heard(nowNanos) / processCount(nowNanos);
+        double share = (double) heard(nowNanos) / processes.live(nowNanos);
         level.left = Math.min(team.burst(), level.left + team.ratePerSecond() * (1 + overrun) * share * seconds);
         level.left = Math.max(level.left, -MOST_DEBT * team.burst());
         level.atNanos = nowNanos;
@@ -260,6 +238,6 @@
     /** Processes whose use is known; the others are taken to use an even share each. */
     private int heard(long nowNanos) {
         int told = counting(nowNanos).map(hub -> sums.get(hub).heard).orElse(1);
-        return Math.max(1, Math.min(told, processCount(nowNanos)));
+        return Math.max(1, Math.min(told, processes.live(nowNanos)));
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -43,6 +43,7 @@
     private final RelayBounds bounds;
     private final RelayFleet fleet = new RelayFleet();
     private final PromptHomes prompts = new PromptHomes();
+    private final ProcessCount processes;
     private final ColdPace pace;
     private final QuotaBook quotas;
     private final RelayChoice choice;
@@ -50,7 +51,6 @@
     private final Map<ServiceId, RepeatAllowance> allowances = new HashMap<>();
     private final Map<ServiceId, WaitForecast> forecasts = new HashMap<>();
     private Optional<RelayPlan> plan = Optional.empty();
-    private int processes;
 
     /**
      * Creates a desk without a plan.
@@ -58,11 +58,12 @@
      * @param home the data centre of this process
      * @param bounds the bounds that must hold
      * @param random differs between processes
+     * @param nowNanos the monotonic time in nanoseconds
      */
-    public RelayDesk(DataCentreId home, RelayBounds bounds, Random random) {
+    public RelayDesk(DataCentreId home, RelayBounds bounds, Random random, long nowNanos) {
         this.bounds = bounds;
-        this.processes = bounds.processesAssumed();
-        this.quotas = new QuotaBook(bounds.quotaSlack(), bounds.quotaOverrun());
+        this.processes = new ProcessCount(bounds.processesAssumed(), nowNanos);
+        this.quotas = new QuotaBook(bounds.quotaSlack(), bounds.quotaOverrun(), processes);
         this.pace = new ColdPace(random);
         this.choice = new RelayChoice(home, fleet, prompts, pace);
     }
@@ -100,6 +101,11 @@
                 : Optional.empty();
     }
 
+    /** Returns the count of processes that share limits. */
+    public ProcessCount processes() {
+        return processes;
+    }
+
     /** Returns the number of calls of a service that wait. */
     public int waiting(ServiceId service) {
         return line(service).size();
@@ -126,15 +132,6 @@
         return true;
     }
 
-    /**
-     * Takes in how many processes share limits.
-     *
-     * @param count the number, this process included
-     */
-    public void onProcesses(int count) {
-        processes = Math.max(1, count);
-    }
-
     /**
      * Takes in a call that passed the filters.
      *
@@ -219,7 +216,7 @@
     private void afterFailure(RelayCall call, AttemptEnd end, long nowNanos, List<RelayStep> steps) {
         boolean again = RepeatRule.test(call, end, nowNanos)
                 && choice.any(call.service())
-                && allowance(call.service()).spend(processes, nowNanos);
+                && allowance(call.service()).spend(processes.live(nowNanos), nowNanos);
         if (again) {
             line(call.service()).add(call);
             return;
@@ -305,7 +302,7 @@
             return;
         }
         // Each look at a call costs a look at each server, so none is taken once there is no room.
-        int places = choice.places(service.get(), processCount(nowNanos), nowNanos);
+        int places = choice.places(service.get(), processes.sending(nowNanos), nowNanos);
         int before = steps.size();
         line(id).offerWhile(
                         nowNanos,
@@ -323,7 +320,7 @@
         if (nowNanos - call.deadlineNanos() >= 0) {
             return false;
         }
-        int sharing = processCount(nowNanos);
+        int sharing = processes.sending(nowNanos);
         Optional<RelayChoice.Chosen> chosen = choice.choose(call, service, sharing, nowNanos);
         if (chosen.isEmpty()) {
             return false;
@@ -358,11 +355,6 @@
         return waiting.computeIfAbsent(service, _key -> new WaitingCalls());
     }
 
-    /** Processes that share what a cold server bears; one that has just started knows most of them from the store only. */
-    private int processCount(long nowNanos) {
-        return Math.max(processes, quotas.processCount(nowNanos));
-    }
-
     private WaitForecast forecast(ServiceId service) {
         return forecasts.computeIfAbsent(service, _key -> new WaitForecast());
     }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetModel.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetModel.java
@@ -87,9 +87,9 @@
         random = new Random(seed);
         RelayPlan plan = Calls.plan(1, COLD_PER_SECOND);
         for (int i = 0; i < PROCESSES; i++) {
-            RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(random.nextLong()));
+            RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(random.nextLong()), 0);
             desk.onPlan(plan, 0);
-            desk.onProcesses(PROCESSES);
+            desk.processes().onLive(PROCESSES, 0);
             desks.add(desk);
             processes.add(new ProcessId("process-" + i));
         }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdServerFloodTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdServerFloodTest.java
@@ -72,7 +72,9 @@
     void processesThatAreCutOffFromEachOtherShareColdServers(long seed) {
         ColdFleetModel fleet = new ColdFleetModel(seed);
         List<ServerId> crashed = fleet.enginesOf(Calls.EAST);
-        fleet.desks().subList(0, ColdFleetModel.PROCESSES / 3).forEach(desk -> desk.onProcesses(1));
+        fleet.desks()
+                .subList(0, ColdFleetModel.PROCESSES / 3)
+                .forEach(desk -> desk.processes().onLive(1, 0));
         fleet.at(1_000, () -> crashed.forEach(fleet::crash));
         fleet.at(2_500, () -> {
             fleet.burst(1.5);
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/LoadKnowledgeReplayTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/LoadKnowledgeReplayTest.java
@@ -58,9 +58,9 @@
         desks.clear();
         owner.clear();
         for (int i = 0; i < PROCESSES; i++) {
-            RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(i));
+            RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(i), 0);
             desk.onPlan(Calls.plan(1), 0);
-            desk.onProcesses(PROCESSES);
+            desk.processes().onLive(PROCESSES, 0);
             desks.add(desk);
         }
         for (int i = 0; i < count; i++) {
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ProcessCountTest.java
@@ -0,0 +1,55 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+final class ProcessCountTest {
+    private static final long SECOND = 1_000 * Calls.MILLI;
+
+    private final ProcessCount count = new ProcessCount(330, 0);
+
+    @Test
+    void assumesMostUntilAnotherIsKnown() {
+        count.onLive(1, SECOND);
+        assertThat(count.sending(2 * SECOND), is(330));
+
+        count.onLive(7, 3 * SECOND);
+        assertThat(count.sending(3 * SECOND), is(7));
+    }
+
+    @Test
+    void knowsFromTheStoreHowManyThereAre() {
+        count.onListed(78, SECOND);
+        count.onLive(2, 2 * SECOND);
+
+        assertThat(count.sending(2 * SECOND), is(78));
+        assertThat(count.live(2 * SECOND), is(78));
+    }
+
+    @Test
+    void isAloneWhereNoOtherIsHeardOfForLong() {
+        assertThat(count.sending(59 * SECOND), is(330));
+        assertThat(count.sending(61 * SECOND), is(1));
+    }
+
+    /** A process that is cut off from all others drops them, while they and it send on. */
+    @Test
+    void countsProcessesThatAreNoLongerHeardOf() {
+        count.onLive(78, 0);
+        count.onLive(1, 100 * SECOND);
+
+        assertThat(count.live(100 * SECOND), is(1));
+        assertThat(count.sending(159 * SECOND), is(78));
+        assertThat(count.sending(161 * SECOND), is(1));
+    }
+
+    @Test
+    void countsNewOnesAtOnce() {
+        count.onLive(7, 0);
+        count.onLive(9, SECOND);
+
+        assertThat(count.sending(SECOND), is(9));
+    }
+}
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaBookTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaBookTest.java
@@ -21,7 +21,8 @@
     private static final ProcessId HUB = new ProcessId("hub");
     private static final ProcessId SECOND_HUB = new ProcessId("second-hub");
 
-    private final QuotaBook book = new QuotaBook(0, 0);
+    private final ProcessCount processes = new ProcessCount(1, 0);
+    private final QuotaBook book = new QuotaBook(0, 0, processes);
 
     private QuotaBook filled() {
         book.onTeams(List.of(Calls.TEAM), 0);
@@ -43,7 +44,8 @@
 
     @Test
     void countsWhatOthersLetPass() {
-        filled().onMembers(List.of(HUB), 2);
+        processes.onLive(2, 0);
+        filled().onHubs(List.of(HUB));
         book.onOthers(HUB, use(0), 2, SECOND);
         book.spend(Calls.TEAM, 1, SECOND);
         book.onOthers(HUB, use(900), 2, SECOND);
@@ -62,7 +64,8 @@
 
     @Test
     void takesAnEvenShareWhileAnotherIsNotHeard() {
-        filled().onMembers(List.of(HUB), 2);
+        processes.onLive(2, 0);
+        filled().onHubs(List.of(HUB));
         book.spend(Calls.TEAM, 500, 2 * SECOND);
         long passed = 0;
         for (long at = 2 * SECOND; at < 12 * SECOND; at += SECOND / 10) {
@@ -75,15 +78,16 @@
     /** A team sends five times its quota through two processes that tell each other five times a second. */
     @Test
     void keepsATeamWithinItsQuotaOverTwoProcesses() {
-        QuotaBook first = new QuotaBook(0, 0);
-        QuotaBook second = new QuotaBook(0, 0);
+        processes.onLive(2, 0);
+        QuotaBook first = new QuotaBook(0, 0, processes);
+        QuotaBook second = new QuotaBook(0, 0, processes);
         UseSums sums = new UseSums();
         ProcessId one = new ProcessId("one");
         ProcessId two = new ProcessId("two");
         first.onTeams(List.of(Calls.TEAM), 0);
         second.onTeams(List.of(Calls.TEAM), 0);
-        first.onMembers(List.of(HUB), 2);
-        second.onMembers(List.of(HUB), 2);
+        first.onHubs(List.of(HUB));
+        second.onHubs(List.of(HUB));
         long passed = 0;
         for (int step = 0; step < 800; step++) {
             long now = step * SECOND / 100;
@@ -105,7 +109,8 @@
     @Test
     void countsWhatAllLetPass() {
         filled().spend(Calls.TEAM, 10, SECOND);
-        book.onMembers(List.of(HUB), 2);
+        processes.onLive(2, 0);
+        book.onHubs(List.of(HUB));
         book.onOthers(HUB, List.of(), 2, SECOND);
         book.onOthers(HUB, use(30), 2, SECOND);
 
@@ -114,7 +119,8 @@
 
     @Test
     void doesNotCountWhatWasUsedBeforeAHubWasHeardFirst() {
-        filled().onMembers(List.of(HUB), 2);
+        processes.onLive(2, 0);
+        filled().onHubs(List.of(HUB));
         book.onOthers(HUB, use(5_000), 2, SECOND);
 
         assertThat(book.spend(Calls.TEAM, 1_000, SECOND), is(OptionalLong.empty()));
@@ -122,7 +128,8 @@
 
     @Test
     void countsOnceWhatTwoHubsTell() {
-        filled().onMembers(List.of(HUB, SECOND_HUB), 3);
+        processes.onLive(3, 0);
+        filled().onHubs(List.of(HUB, SECOND_HUB));
         book.onOthers(HUB, use(100), 3, SECOND);
         book.onOthers(SECOND_HUB, use(40), 3, SECOND);
         book.onOthers(HUB, use(600), 3, SECOND);
@@ -133,7 +140,8 @@
 
     @Test
     void goesOnWithTheSecondHubOnceTheFirstIsNotHeard() {
-        filled().onMembers(List.of(HUB, SECOND_HUB), 3);
+        processes.onLive(3, 0);
+        filled().onHubs(List.of(HUB, SECOND_HUB));
         book.onOthers(HUB, use(100), 3, SECOND);
         book.onOthers(SECOND_HUB, use(40), 3, SECOND);
         book.onOthers(SECOND_HUB, use(240), 3, 2 * SECOND);
@@ -143,7 +151,8 @@
 
     @Test
     void ignoresSumsOfAProcessThatIsNoHub() {
-        filled().onMembers(List.of(HUB), 2);
+        processes.onLive(2, 0);
+        filled().onHubs(List.of(HUB));
         book.onOthers(SECOND_HUB, use(0), 2, SECOND);
         book.onOthers(SECOND_HUB, use(900), 2, SECOND);
 
@@ -161,9 +170,10 @@
         int cost = 9_190;
         List<QuotaBook> books = new ArrayList<>();
         for (int i = 0; i < 95; i++) {
-            QuotaBook one = new QuotaBook(110_000, 0.1);
+            ProcessCount starting = new ProcessCount(1, 0);
+            starting.onListed(95, 0);
+            QuotaBook one = new QuotaBook(110_000, 0.1, starting);
             one.onTeams(List.of(team), 0);
-            one.onListed(95, 0);
             books.add(one);
         }
         Random random = new Random(7);
@@ -180,7 +190,7 @@
     /** A process that starts alone among 95 must not refuse the few requests of a team within its quota. */
     @Test
     void letsARequestOfEachTeamPassWhileItHasHeardOfNoSums() {
-        book.onListed(95, 0);
+        processes.onListed(95, 0);
         filled();
 
         assertThat(book.spend(Calls.TEAM, 500, SECOND).isEmpty(), is(true));
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -27,7 +27,7 @@
     private static final RelayRoute UNSAFE = Calls.route(CallKind.UNSAFE, false, 1, 0);
     private static final RelayRoute STREAM = Calls.route(CallKind.STREAM, true, 2, 0);
 
-    private final RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(1));
+    private final RelayDesk desk = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(1), 0);
     private final List<RelayStep> steps = new ArrayList<>();
 
     @BeforeEach
@@ -207,7 +207,7 @@
 
     @Test
     void tellsWhatAServerWasTakenForWithEachAttempt() {
-        desk.onProcesses(3);
+        desk.processes().onLive(3, 0);
         list(Calls.server("cold", Calls.ENGINES, Calls.WEST, 3_000));
         ServerBelief cold = ((RelayStep.Send) arrive(Calls.call(1, STREAM), 500 * Calls.MILLI)).belief();
         ServerBelief warm = ((RelayStep.Send) arrive(Calls.call(2, STREAM), 3_000 * Calls.MILLI)).belief();
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -121,7 +121,7 @@
     /** Takes in the processes that the store lists. */
     void offerListed(List<Member> members) {
         network.offerListed(members);
-        desk.quotas().onListed(members.size(), System.nanoTime());
+        desk.processes().onListed(members.size(), System.nanoTime());
     }
 
     /** Tells the peers that this process stops. */
@@ -207,8 +207,8 @@
                 Hubs.choose(Hubs.Task.HOLD_DUTIES, live).contains(network.self().id()));
         usage.onGatherers(Hubs.choose(Hubs.Task.COUNT_REQUESTS, live));
         sums.retain(live);
-        desk.quotas().onMembers(hubs, live.size());
-        desk.onProcesses(live.size());
+        desk.quotas().onHubs(hubs);
+        desk.processes().onLive(live.size(), System.nanoTime());
     }
 
     private void takeUse(ProcessId from, PeerMessage.TeamUseShare share) {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -42,8 +42,8 @@
     private static final int BUFFER_BYTES = 8 * 1024;
     private static final double MILLIS_IN_SECOND = 1_000;
 
-    /** Processes taken to share limits until the others are known; the users' deployments have 7 and more. */
-    private static final int PROCESSES_ASSUMED = 8;
+    /** Processes taken to share what servers bear until any other is known; the largest deployment to design for has 330. */
+    private static final int PROCESSES_ASSUMED = 330;
 
     /**
      * Milliseconds for which a stopping process takes requests as before; the balancer asks every 1,000 and leaves
@@ -92,7 +92,8 @@
                         bounds.quotaSlack(),
                         bounds.quotaOverrun(),
                         PROCESSES_ASSUMED),
-                random);
+                random,
+                System.nanoTime());
         HttpCalls calls = closer.add(HttpCalls.on(worker));
         PlatformStore store = new PlatformStore(calls, settings.store());
         PlatformDuties duties = new PlatformDuties(calls, settings.cloud());
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -79,7 +79,7 @@
     void start() throws IOException {
         worker = Xnio.getInstance()
                 .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.WORKER_TASK_MAX_THREADS, 1));
-        desk = new RelayDesk(HERE, new RelayBounds(1, 50, 10_000, 0, 0, 1), new Random(1));
+        desk = new RelayDesk(HERE, new RelayBounds(1, 50, 10_000, 0, 0, 1), new Random(1), System.nanoTime());
         port = freePort();
         listener = OpaqueListener.start(new OpaqueListener.Setup(
                 InetSocketAddress.createUnresolved("127.0.0.1", port),
