Take servers for cold while their data centre has just been taken back in

A server may be cold as its data centre is taken back in, and its entry says so only with its next heartbeat, up to 1.2 s later. Until then all processes send at the warm rate, and the servers look empty, so that calls which wait elsewhere all come to them.

Change: ColdBelief decides whether a server counts as cold: while its entry says so, and for as long as a start takes after its data centre is taken back in. Orders of servers go by the entries alone, as before.

--- /dev/null
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdBelief.java
@@ -0,0 +1,68 @@
+package org.geraniumstand.decisions.relay;
+
+import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.time.Moment;
+
+/** Decides whether a server counts as cold; it belongs to one thread. */
+@Decision(
+        name = "cold-belief",
+        summary =
+                "A server counts as cold while its entry says so, and for as long as a start takes after the last moment at"
+                        + " which it may have turned cold unseen.")
+final class ColdBelief {
+    private long listedUntilNanos;
+    private long turnedNanos;
+    private boolean mayHaveTurned;
+
+    ColdBelief(long nowNanos) {
+        listedUntilNanos = nowNanos;
+    }
+
+    /**
+     * Takes in what the server's entry says.
+     *
+     * @param coldMillis how much longer the server is cold, in milliseconds
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    void onListed(long coldMillis, long nowNanos) {
+        listedUntilNanos = nowNanos + coldMillis * Moment.NANOS_PER_MILLI;
+    }
+
+    /**
+     * Takes in that the server's data centre takes work again. It did not serve in between, and its entry tells of that only with
+     * the next heartbeat.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    void onTakenBackIn(long nowNanos) {
+        mayHaveTurned(nowNanos);
+    }
+
+    private void mayHaveTurned(long atNanos) {
+        turnedNanos = atNanos;
+        mayHaveTurned = true;
+    }
+
+    /**
+     * Returns whether the server's entry says that it is cold.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    boolean listed(long nowNanos) {
+        return nowNanos - listedUntilNanos < 0;
+    }
+
+    /**
+     * Returns how much longer the server counts as cold, in nanoseconds, or zero.
+     *
+     * @param startMillis how long a server of its service is cold after its start, in milliseconds
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    long leftNanos(long startMillis, long nowNanos) {
+        long left = listedUntilNanos - nowNanos;
+        if (mayHaveTurned) {
+            left = Math.max(left, turnedNanos + startMillis * Moment.NANOS_PER_MILLI - nowNanos);
+        }
+        return Math.max(0, left);
+    }
+}
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayChoice.java
@@ -162,7 +162,7 @@
     }
 
     private static boolean paced(ServerView view, RelayService service, long nowNanos) {
-        return view.cold(nowNanos) && service.coldPerSecond() > 0;
+        return view.cold(service, nowNanos) && service.coldPerSecond() > 0;
     }
 
     private boolean hasRoom(ServerView view, RelayService service, int processes, long nowNanos) {
@@ -178,7 +178,7 @@
 
     private double cost(ServerView view, RelayService service, double unread, long nowNanos) {
         double cost = view.server().dataCentre().equals(home) ? 0 : FAR_MILLIS;
-        if (view.cold(nowNanos)) {
+        if (view.cold(service, nowNanos)) {
             cost += COLD_MILLIS;
         }
         if (service.engine().isPresent()) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -326,7 +326,7 @@
             return false;
         }
         ServerView server = chosen.get().server();
-        if (server.cold(nowNanos) && service.coldPerSecond() > 0) {
+        if (server.cold(service, nowNanos) && service.coldPerSecond() > 0) {
             pace.onSent(server.server().id(), service.coldPerSecond(), sharing, nowNanos);
         }
         call.send(server, chosen.get().unreadTokens(), nowNanos);
@@ -335,7 +335,11 @@
         }
         int urgency = Math.min(MOST_URGENCY, FIRST_URGENCY + Math.max(0, call.priority()));
         steps.add(new RelayStep.Send(
-                call, server.server(), urgency, firstByteMillis(call, nowNanos), server.belief(sharing, nowNanos)));
+                call,
+                server.server(),
+                urgency,
+                firstByteMillis(call, nowNanos),
+                server.belief(service, sharing, nowNanos)));
         return true;
     }
 
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -90,23 +90,32 @@
      *
      * @param dataCentre the data centre
      * @param isOut whether it takes none
+     * @param nowNanos the monotonic time in nanoseconds
      */
-    public void onDataCentre(DataCentreId dataCentre, boolean isOut) {
-        taking.clear();
+    public void onDataCentre(DataCentreId dataCentre, boolean isOut, long nowNanos) {
+        Set<DataCentreId> next = new HashSet<>(out);
         if (isOut) {
-            out.add(dataCentre);
+            next.add(dataCentre);
         } else {
-            out.remove(dataCentre);
+            next.remove(dataCentre);
         }
+        onDataCentresOut(next, nowNanos);
     }
 
     /**
      * Takes in which data centres take no new work, all of them.
      *
      * @param all the data centres that take none
+     * @param nowNanos the monotonic time in nanoseconds
      */
-    public void onDataCentresOut(Set<DataCentreId> all) {
+    public void onDataCentresOut(Set<DataCentreId> all, long nowNanos) {
         taking.clear();
+        for (ServerView view : servers.values()) {
+            DataCentreId dataCentre = view.server().dataCentre();
+            if (out.contains(dataCentre) && !all.contains(dataCentre)) {
+                view.onTakenBackIn(nowNanos);
+            }
+        }
         out.clear();
         out.addAll(all);
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.RelayService;
 import org.geraniumstand.model.relay.ServerLoad;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.time.Moment;
@@ -28,7 +29,7 @@
     private int brokenInRow;
     private RelayServer server;
     private String place;
-    private long coldUntilNanos;
+    private final ColdBelief coldBelief;
     private long listedNanos;
     private int inFlight;
     private int unanswered;
@@ -48,6 +49,7 @@
     }
 
     ServerView(RelayServer server, long nowNanos) {
+        this.coldBelief = new ColdBelief(nowNanos);
         list(server, nowNanos);
         this.hash = Hash.of(server.id().value());
         this.lastByteNanos = nowNanos;
@@ -58,7 +60,7 @@
         server = next;
         place = next.address() + ":" + next.port();
         listedNanos = nowNanos;
-        coldUntilNanos = nowNanos + next.coldMillis() * Moment.NANOS_PER_MILLI;
+        coldBelief.onListed(next.coldMillis(), nowNanos);
     }
 
     /** Returns the server as listed last. */
@@ -76,15 +78,25 @@
         return hash;
     }
 
-    /** Returns whether the server is cold. */
-    public boolean cold(long nowNanos) {
-        return nowNanos - coldUntilNanos < 0;
+    /** Returns whether the server's entry says that it is cold. */
+    public boolean listedCold(long nowNanos) {
+        return coldBelief.listed(nowNanos);
     }
 
-    /** Returns what the server is taken for, where a number of processes share what it bears. */
-    ServerBelief belief(int processes, long nowNanos) {
+    /** Returns whether the server, which offers a service, counts as cold. */
+    boolean cold(RelayService service, long nowNanos) {
+        return coldBelief.leftNanos(service.coldMillis(), nowNanos) > 0;
+    }
+
+    /** Takes in that the server's data centre takes work again. */
+    void onTakenBackIn(long nowNanos) {
+        coldBelief.onTakenBackIn(nowNanos);
+    }
+
+    /** Returns what the server, which offers a service, is taken for where a number of processes share what it bears. */
+    ServerBelief belief(RelayService service, int processes, long nowNanos) {
+        long coldNanos = coldBelief.leftNanos(service.coldMillis(), nowNanos);
         // A part of a millisecond that is left still counts as cold.
-        long coldNanos = Math.max(0, coldUntilNanos - nowNanos);
         return new ServerBelief(
                 (coldNanos + Moment.NANOS_PER_MILLI - 1) / Moment.NANOS_PER_MILLI,
                 (nowNanos - listedNanos) / Moment.NANOS_PER_MILLI,
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdBeliefTest.java
@@ -0,0 +1,37 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+final class ColdBeliefTest {
+    private static final long START_MILLIS = 3_000;
+    private static final long SECOND = 1_000 * Calls.MILLI;
+
+    private final ColdBelief belief = new ColdBelief(0);
+
+    private long leftMillis(long nowNanos) {
+        return belief.leftNanos(START_MILLIS, nowNanos) / Calls.MILLI;
+    }
+
+    @Test
+    void isWarmUnlessItsEntrySaysOtherwise() {
+        assertThat(leftMillis(0), is(0L));
+
+        belief.onListed(2_000, SECOND);
+        assertThat(leftMillis(2 * SECOND), is(1_000L));
+        assertThat(leftMillis(3 * SECOND), is(0L));
+    }
+
+    /** The entry of a server in a data centre that is taken back in may be a heartbeat old. */
+    @Test
+    void isColdAfterItsDataCentreIsTakenBackInWhateverItsEntrySaid() {
+        belief.onListed(0, 0);
+        belief.onTakenBackIn(10 * SECOND);
+
+        assertThat(leftMillis(10 * SECOND), is(START_MILLIS));
+        assertThat(belief.listed(10 * SECOND), is(false));
+        assertThat(leftMillis(13 * SECOND), is(0L));
+    }
+}
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetModel.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetModel.java
@@ -220,7 +220,8 @@
         return worst;
     }
 
-    private long now() {
+    /** Returns the time in nanoseconds. */
+    long now() {
         return millis * Calls.MILLI;
     }
 
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdServerFloodTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdServerFloodTest.java
@@ -35,12 +35,12 @@
     void dataCentreIsTakenBackInCold(long seed) {
         ColdFleetModel fleet = new ColdFleetModel(seed);
         List<ServerId> east = fleet.enginesOf(Calls.EAST);
-        fleet.desks().forEach(desk -> desk.fleet().onDataCentre(Calls.EAST, true));
+        fleet.desks().forEach(desk -> desk.fleet().onDataCentre(Calls.EAST, true, 0));
         fleet.at(2_000, () -> {
             fleet.burst(1.5);
             east.forEach(fleet::turnCold);
             fleet.listAfterHeartbeat(east);
-            fleet.desks().forEach(desk -> desk.fleet().onDataCentre(Calls.EAST, false));
+            fleet.desks().forEach(desk -> desk.fleet().onDataCentre(Calls.EAST, false, fleet.now()));
         });
         fleet.runUntil(6_000);
 
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -74,7 +74,7 @@
     @Test
     void sendsNothingToALeavingServerOrADataCentreThatIsOut() {
         list(Calls.server("out", Calls.DESK, Calls.EAST, 0));
-        desk.fleet().onDataCentre(Calls.EAST, true);
+        desk.fleet().onDataCentre(Calls.EAST, true, 0);
 
         assertThat(arrive(Calls.call(1, SAFE), 0), instanceOf(RelayStep.Refuse.class));
     }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
@@ -53,7 +53,7 @@
             desk().fleet().onGone(unreadable.server());
         } else if (fact instanceof StoreFact.DataCentreOut out) {
             LOG.info("data-centre-out", Field.of("dataCentre", out.dataCentre()));
-            desk().fleet().onDataCentre(out.dataCentre(), true);
+            desk().fleet().onDataCentre(out.dataCentre(), true, System.nanoTime());
         }
     }
 
@@ -76,7 +76,7 @@
             desk().fleet().onGone(server.server());
         } else if (removed instanceof StoreFact.Removed.DataCentreIn in) {
             LOG.info("data-centre-in", Field.of("dataCentre", in.dataCentre()));
-            desk().fleet().onDataCentre(in.dataCentre(), false);
+            desk().fleet().onDataCentre(in.dataCentre(), false, System.nanoTime());
         }
         task.look();
     }
@@ -93,7 +93,7 @@
             }
         }
         desk().fleet().retain(listed);
-        desk().fleet().onDataCentresOut(out);
+        desk().fleet().onDataCentresOut(out, System.nanoTime());
         facts.forEach(this::apply);
         task.look();
     }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -143,7 +143,7 @@
     private Map<DataCentreId, Count> serving(ServiceId service, long now) {
         Map<DataCentreId, Count> serving = new HashMap<>();
         for (ServerView view : desk.fleet().all()) {
-            if (view.server().service().equals(service) && !view.server().leaving() && !view.cold(now)) {
+            if (view.server().service().equals(service) && !view.server().leaving() && !view.listedCold(now)) {
                 Count one = view.server().reclaimable() ? new Count(0, 1) : new Count(1, 0);
                 serving.merge(
                         view.server().dataCentre(),
