Draw a process's turn anew when a server turns cold again

A server that turns cold a few seconds after its last cold time met two sets of turns: those that processes still had from their last request to it, and those drawn now. Together they were up to twice what was meant.

Change: a process with calls looks at a cold server all the time; without a look for a second, the server was warm, and the turn is drawn anew.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdPace.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdPace.java
@@ -21,12 +21,21 @@
      */
     private static final long TURN_MILLIS = 250;
 
+    /** Milliseconds without a look at a cold server after which it has been warm; a process with calls looks all the time. */
+    private static final long APART_MILLIS = 1_000;
+
     private static final double NANOS_IN_SECOND = 1e9;
     private static final int KEPT_AT_MOST = 1_000;
 
-    private final Map<ServerId, Long> nextNanos = new HashMap<>();
+    private final Map<ServerId, Turn> turns = new HashMap<>();
     private final Random random;
 
+    /** When this process may send to a cold server next. */
+    private static final class Turn {
+        private long atNanos;
+        private long lookedNanos;
+    }
+
     /**
      * Creates a pace at which nothing was sent yet.
      *
@@ -48,13 +57,30 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public boolean allows(ServerId server, double perSecond, int processes, long nowNanos) {
-        Long next = nextNanos.get(server);
-        if (processes > perSecond * USED_SHARE && !isCurrent(next, perSecond, processes, nowNanos)) {
-            forgetOld(nowNanos);
-            next = nowNanos + (long) (random.nextDouble() * intervalNanos(perSecond, processes));
-            nextNanos.put(server, next);
+        Turn turn = turn(server, nowNanos);
+        if (processes > perSecond * USED_SHARE && !isCurrent(turn, intervalNanos(perSecond, processes), nowNanos)) {
+            turn.atNanos = nowNanos + (long) (random.nextDouble() * intervalNanos(perSecond, processes));
         }
-        return next == null || nowNanos - next >= 0;
+        turn.lookedNanos = nowNanos;
+        return nowNanos - turn.atNanos >= 0;
+    }
+
+    /** Returns the turn at a server, which for a new one was over long ago. */
+    private Turn turn(ServerId server, long nowNanos) {
+        forgetOld(nowNanos);
+        return turns.computeIfAbsent(server, _key -> {
+            Turn turn = new Turn();
+            turn.atNanos = nowNanos - APART_MILLIS * Moment.NANOS_PER_MILLI;
+            turn.lookedNanos = nowNanos;
+            return turn;
+        });
+    }
+
+    /** Returns whether a turn was drawn while the server was cold this time, for so many processes, and is not over. */
+    private static boolean isCurrent(Turn turn, double intervalNanos, long nowNanos) {
+        return nowNanos - turn.lookedNanos <= APART_MILLIS * Moment.NANOS_PER_MILLI
+                && nowNanos - turn.atNanos <= TURN_MILLIS * Moment.NANOS_PER_MILLI
+                && turn.atNanos - nowNanos <= intervalNanos;
     }
 
     /**
@@ -66,15 +92,9 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void onSent(ServerId server, double perSecond, int processes, long nowNanos) {
-        forgetOld(nowNanos);
-        nextNanos.put(server, nowNanos + Math.round(intervalNanos(perSecond, processes)));
-    }
-
-    /** Returns whether a turn is neither over nor further off than one can be, as it was drawn for more processes. */
-    private static boolean isCurrent(Long next, double perSecond, int processes, long nowNanos) {
-        return next != null
-                && nowNanos - next <= TURN_MILLIS * Moment.NANOS_PER_MILLI
-                && next - nowNanos <= intervalNanos(perSecond, processes);
+        Turn turn = turn(server, nowNanos);
+        turn.atNanos = nowNanos + Math.round(intervalNanos(perSecond, processes));
+        turn.lookedNanos = nowNanos;
     }
 
     private static double intervalNanos(double perSecond, int processes) {
@@ -83,8 +103,8 @@
     }
 
     private void forgetOld(long nowNanos) {
-        if (nextNanos.size() > KEPT_AT_MOST) {
-            nextNanos.values().removeIf(next -> nowNanos - next > Moment.NANOS_PER_MILLI);
+        if (turns.size() > KEPT_AT_MOST) {
+            turns.values().removeIf(turn -> nowNanos - turn.lookedNanos > APART_MILLIS * Moment.NANOS_PER_MILLI);
         }
     }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdPaceTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdPaceTest.java
@@ -40,6 +40,36 @@
         assertThat(allowed, is(0));
     }
 
+    /** Servers are cold, warm for two seconds and cold again; turns of the first time must not add to those of the second. */
+    @Test
+    void startsAnewWhenAServerTurnsColdAgain() {
+        int servers = 50;
+        int sent = 0;
+        for (int process = 0; process < 78; process++) {
+            ColdPace pace = new ColdPace(new Random(1_000L * process));
+            for (int server = 0; server < servers; server++) {
+                ServerId id = new ServerId("s" + server);
+                send(pace, id, 0, 3_000);
+                sent += send(pace, id, 5_000, 8_000);
+            }
+        }
+
+        assertThat(sent / (3.0 * servers), lessThanOrEqualTo(16.0));
+        assertThat(sent / (3.0 * servers), greaterThan(8.0));
+    }
+
+    /** Calls always wait; returns how many go to a server from a time to another, in milliseconds. */
+    private static int send(ColdPace pace, ServerId server, int from, int until) {
+        int sent = 0;
+        for (int at = from; at < until; at += 10) {
+            if (pace.allows(server, 16, 78, at * Calls.MILLI)) {
+                pace.onSent(server, 16, 78, at * Calls.MILLI);
+                sent++;
+            }
+        }
+        return sent;
+    }
+
     /** A wave of calls meets a cold server through seven processes. */
     @Test
     void keepsSevenProcessesWithinWhatTheServerBears() {
