Share the retry budget's slack with processes that are no longer heard of

Of 78 that are cut off from each other but for two neighbours each, each took a third of the slack.

Change: retries are shared by the same count as cold servers.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
@@ -7,8 +7,8 @@
 @Decision(
         name = "process-count",
         summary =
-                "What backend servers bear is shared by as many processes as were live at once in the last minute, as one"
-                        + " that is not heard of may still send.")
+                "Retries and what cold servers bear are shared by as many processes as were live at once in the last minute, as"
+                        + " one that is not heard of may still send.")
 public final class ProcessCount {
     /** Milliseconds for which the processes that the store lists count as live; their leases hold for 12,000. */
     private static final long LISTED_MILLIS = 15_000;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -216,7 +216,7 @@
     private void afterFailure(RelayCall call, AttemptEnd end, long nowNanos, List<RelayStep> steps) {
         boolean again = RepeatRule.test(call, end, nowNanos)
                 && choice.any(call.service())
-                && allowance(call.service()).spend(processes.live(nowNanos), nowNanos);
+                && allowance(call.service()).spend(processes.sending(nowNanos), nowNanos);
         if (again) {
             line(call.service()).add(call);
             return;
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 import static org.hamcrest.Matchers.not;
 
 import java.util.ArrayList;
@@ -91,6 +92,33 @@
         assertThat(sentTo(steps.get(0)), is(not(first)));
     }
 
+    /** 78 processes are cut off from each other but for two neighbours each, and their servers break off every call. */
+    @Test
+    void keepsTheRetriesOfProcessesThatDoNotHearTheOthersWithinTheBudget() {
+        int retries = 0;
+        int calls = 0;
+        for (int process = 0; process < 78; process++) {
+            RelayDesk cutOff = new RelayDesk(Calls.WEST, Calls.bounds(), new Random(process), 0);
+            cutOff.onPlan(Calls.plan(1), 0);
+            cutOff.processes().onLive(78, 0);
+            cutOff.processes().onLive(3, Calls.MILLI);
+            cutOff.fleet().onListed(Calls.server("one", Calls.DESK, Calls.WEST, 0), 0);
+            cutOff.fleet().onListed(Calls.server("two", Calls.DESK, Calls.EAST, 0), 0);
+            for (int i = 1; i <= 4; i++) {
+                RelayCall call = Calls.call(i, SAFE);
+                calls++;
+                cutOff.arrive(call, 2 * Calls.MILLI, new ArrayList<>());
+                List<RelayStep> after = new ArrayList<>();
+                cutOff.onEnded(call, AttemptEnd.BROKEN, 3 * Calls.MILLI, after);
+                retries += (int) after.stream()
+                        .filter(step -> step instanceof RelayStep.Send)
+                        .count();
+            }
+        }
+
+        assertThat((double) retries, lessThanOrEqualTo(calls * 0.2 + 50));
+    }
+
     /** All servers of a data centre crash and start again under new names at their addresses, while old entries stay. */
     @Test
     void sendsNothingToAServerWhoseAddressANewerOneHas() {
