--- a/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
@@ -63,6 +63,7 @@
                 "server-listed",
                 Field.of("server", server.id()),
                 Field.of("service", server.service()),
+                Field.of("version", server.version()),
                 Field.of("dataCentre", server.dataCentre()),
                 Field.of("leaving", server.leaving()),
                 Field.of("coldMillis", server.coldMillis()),
