Give no work to a version that a service is ordered to move to, and take such orders back at once

Change: while an order stands, servers of its version take no work if others do (VersionHold). The holder of the duties answers each order with a move that was taken back (MoveOrders), as relaying processes make no moves yet: operators know at once, and the platform stops the new servers.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -10,6 +10,7 @@
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.ServerUse;
 
@@ -20,6 +21,9 @@
     private final Map<String, ServerView> newestAt = new HashMap<>();
     private final Set<DataCentreId> out = new HashSet<>();
 
+    /** Versions that services are ordered to move to. */
+    private final Map<ServiceId, VersionId> targets = new HashMap<>();
+
     /** Servers that may take work, until an entry or a data centre changes; each call asks for them. */
     private final Map<ServiceId, List<ServerView>> taking = new HashMap<>();
 
@@ -120,6 +124,37 @@
         out.addAll(all);
     }
 
+    /**
+     * Takes in that a service is ordered to move to a version.
+     *
+     * @param service the service
+     * @param target the version
+     */
+    public void onOrdered(ServiceId service, VersionId target) {
+        taking.clear();
+        targets.put(service, target);
+    }
+
+    /**
+     * Takes in that no move of a service is ordered any more.
+     *
+     * @param service the service
+     */
+    public void onOrderGone(ServiceId service) {
+        taking.clear();
+        targets.remove(service);
+    }
+
+    /**
+     * Takes in which services are ordered to move, all of them.
+     *
+     * @param ordered the services
+     */
+    public void retainOrders(Set<ServiceId> ordered) {
+        taking.clear();
+        targets.keySet().retainAll(ordered);
+    }
+
     /** Returns the data centres that take no new work. */
     public Set<DataCentreId> dataCentresOut() {
         return Set.copyOf(out);
@@ -176,6 +211,7 @@
                 found.add(view);
             }
         }
-        return List.copyOf(found);
+        VersionId target = targets.get(service);
+        return List.copyOf(target == null ? found : VersionHold.withhold(found, target));
     }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/Calls.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/Calls.java
@@ -79,6 +79,22 @@
         return server(id, bornMillis, service, WEST, 0);
     }
 
+    static RelayServer ofVersion(String id, String version) {
+        RelayServer base = server(id, ENGINES, WEST, 0);
+        return new RelayServer(
+                base.id(),
+                base.bornMillis(),
+                base.service(),
+                base.address(),
+                base.port(),
+                base.dataCentre(),
+                new VersionId(version),
+                base.slots(),
+                base.leaving(),
+                base.coldMillis(),
+                base.reclaimable());
+    }
+
     private static RelayServer server(
             String id, long bornMillis, ServiceId service, DataCentreId dataCentre, long coldMillis) {
         return new RelayServer(
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.relay.CallKind;
 import org.geraniumstand.model.relay.PromptPart;
 import org.geraniumstand.model.relay.RelayRoute;
@@ -146,6 +147,40 @@
         assertThat(sentTo(arrive(Calls.call(2, SAFE), 500 * Calls.MILLI)), is(new ServerId("here")));
     }
 
+    /** A slow version is ordered and many callers come at once, so that all servers of the old one are full. */
+    @Test
+    void sendsNothingToAVersionThatIsOrderedButNotProven() {
+        desk.fleet().onOrdered(Calls.ENGINES, new VersionId("v2"));
+        list(Calls.ofVersion("old", "v1"));
+        list(Calls.ofVersion("new", "v2"));
+        Set<ServerId> used = new HashSet<>();
+        for (int i = 1; i <= 20; i++) {
+            if (arrive(Calls.call(i, STREAM), 0) instanceof RelayStep.Send send) {
+                used.add(send.server().id());
+            }
+        }
+
+        assertThat(used, is(Set.of(new ServerId("old"))));
+    }
+
+    @Test
+    void sendsToTheOrderedVersionWhereThereIsNoOther() {
+        desk.fleet().onOrdered(Calls.ENGINES, new VersionId("v1"));
+        list(Calls.ofVersion("one", "v1"));
+
+        assertThat(sentTo(arrive(Calls.call(1, STREAM), 0)), is(new ServerId("one")));
+    }
+
+    @Test
+    void sendsToAllVersionsOnceTheOrderIsGone() {
+        list(Calls.ofVersion("old", "v1"));
+        list(Calls.ofVersion("new", "v2"));
+        desk.fleet().onOrdered(Calls.ENGINES, new VersionId("v2"));
+        desk.fleet().onOrderGone(Calls.ENGINES);
+
+        assertThat(desk.fleet().takingWork(Calls.ENGINES).size(), is(2));
+    }
+
     @Test
     void saysThatTheOutcomeIsUnknownWhenAnUnsafeCallBreaks() {
         list(Calls.server("one", Calls.DESK, Calls.WEST, 0));
--- a/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
@@ -7,8 +7,10 @@
 import org.geraniumstand.http.opaque.DeskTask;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.StoreFact;
+import org.geraniumstand.model.relay.VersionOrder;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
 
@@ -17,6 +19,7 @@
     private static final Log LOG = Log.of(DeskFacts.class);
 
     private final DeskTask task;
+    private final MoveOrders orders;
     private final PlanListener onPlan;
 
     /** Told a configuration that came into force. */
@@ -25,8 +28,9 @@
         void accept(long version, String text);
     }
 
-    DeskFacts(DeskTask task, PlanListener onPlan) {
+    DeskFacts(DeskTask task, MoveOrders orders, PlanListener onPlan) {
         this.task = task;
+        this.orders = orders;
         this.onPlan = onPlan;
     }
 
@@ -54,9 +58,17 @@
         } else if (fact instanceof StoreFact.DataCentreOut out) {
             LOG.info("data-centre-out", Field.of("dataCentre", out.dataCentre()));
             desk().fleet().onDataCentre(out.dataCentre(), true, System.nanoTime());
+        } else if (fact instanceof StoreFact.Ordered ordered) {
+            order(ordered.order());
         }
     }
 
+    private void order(VersionOrder order) {
+        LOG.info("move-ordered", Field.of("service", order.service()), Field.of("target", order.target()));
+        desk().fleet().onOrdered(order.service(), order.target());
+        orders.onOrdered(order);
+    }
+
     private void list(RelayServer server) {
         desk().fleet().onListed(server, System.nanoTime());
         LOG.info(
@@ -78,6 +90,10 @@
         } else if (removed instanceof StoreFact.Removed.DataCentreIn in) {
             LOG.info("data-centre-in", Field.of("dataCentre", in.dataCentre()));
             desk().fleet().onDataCentre(in.dataCentre(), false, System.nanoTime());
+        } else if (removed instanceof StoreFact.Removed.Order gone) {
+            LOG.info("move-order-gone", Field.of("service", gone.service()));
+            desk().fleet().onOrderGone(gone.service());
+            orders.onGone(gone.service());
         }
         task.look();
     }
@@ -86,14 +102,18 @@
     public void onWhole(List<StoreFact> facts) {
         Set<ServerId> listed = new HashSet<>();
         Set<DataCentreId> out = new HashSet<>();
+        Set<ServiceId> ordered = new HashSet<>();
         for (StoreFact fact : facts) {
             if (fact instanceof StoreFact.Listed server) {
                 listed.add(server.server().id());
             } else if (fact instanceof StoreFact.DataCentreOut dataCentre) {
                 out.add(dataCentre.dataCentre());
+            } else if (fact instanceof StoreFact.Ordered move) {
+                ordered.add(move.order().service());
             }
         }
         desk().fleet().retain(listed);
+        desk().fleet().retainOrders(ordered);
         desk().fleet().onDataCentresOut(out, System.nanoTime());
         facts.forEach(this::apply);
         task.look();
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -27,6 +27,7 @@
 import org.geraniumstand.platform.PlatformDialect;
 import org.geraniumstand.platform.PlatformDuties;
 import org.geraniumstand.platform.PlatformFacts;
+import org.geraniumstand.platform.PlatformMoveStatus;
 import org.geraniumstand.platform.PlatformStore;
 import org.geraniumstand.support.io.Closer;
 import org.geraniumstand.support.log.Log;
@@ -112,7 +113,8 @@
         AtomicReference<DeskFacts> facts = new AtomicReference<>();
         this.peers = closer.add(PeerTask.open(
                 settings, self, decisions, calls::schedule, text -> facts.get().onFact(reader.plan(text))));
-        facts.set(new DeskFacts(desk, this::onPlan));
+        MoveOrders orders = new MoveOrders(store, new PlatformMoveStatus(), lease, calls::schedule);
+        facts.set(new DeskFacts(desk, orders, this::onPlan));
         this.member = new MemberRow(store, calls::schedule, peers);
         StoreFollower follower = new StoreFollower(
                 store, reader, calls::schedule, System::nanoTime, facts.get(), DutyLease.KEY, lease::onRecord);
@@ -137,6 +139,7 @@
         // What callers do not wait for comes after what they do.
         calls.schedule(member::open, LATER_MILLIS);
         calls.schedule(lease::start, LATER_MILLIS);
+        calls.schedule(orders::start, LATER_MILLIS);
         calls.schedule(this::serveMetrics, LATER_MILLIS);
         calls.schedule(new ScaleTask(duties, lease, calls::schedule, decisions)::start, LATER_MILLIS);
     }
