Count listed processes for 15 s only, also for what servers bear

After a restart of all processes the store lists the ended ones beside the new ones for up to 12 s. The most of the last minute took them in, so that cold servers would have got half of their work for a minute. Only processes that were heard of are held.

Test: ProcessCountTest#forgetsListedProcessesThatAreNotHeardOf.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
@@ -72,9 +72,8 @@
     }
 
     private void hold(long nowNanos) {
-        int current = live(nowNanos);
-        if (current >= held || nowNanos - heldNanos >= HELD_MILLIS * Moment.NANOS_PER_MILLI) {
-            held = current;
+        if (live >= held || nowNanos - heldNanos >= HELD_MILLIS * Moment.NANOS_PER_MILLI) {
+            held = live;
             heldNanos = nowNanos;
         }
     }
@@ -88,6 +87,6 @@
     /** Returns how many processes may send to servers, those included that are no longer heard of. */
     int sending(long nowNanos) {
         hold(nowNanos);
-        return held;
+        return Math.max(held, live(nowNanos));
     }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ProcessCountTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ProcessCountTest.java
@@ -28,6 +28,16 @@
         assertThat(count.live(2 * SECOND), is(78));
     }
 
+    /** After a restart of all processes the store lists the ended ones, too, until their leases end. */
+    @Test
+    void forgetsListedProcessesThatAreNotHeardOf() {
+        count.onListed(156, 0);
+        count.onLive(78, SECOND);
+
+        assertThat(count.sending(14 * SECOND), is(156));
+        assertThat(count.sending(16 * SECOND), is(78));
+    }
+
     @Test
     void isAloneWhereNoOtherIsHeardOfForLong() {
         assertThat(count.sending(59 * SECOND), is(330));
