--- a/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
@@ -114,6 +114,7 @@
         }
         desk().fleet().retain(listed);
         desk().fleet().retainOrders(ordered);
+        orders.retain(ordered);
         desk().fleet().onDataCentresOut(out, System.nanoTime());
         facts.forEach(this::apply);
         task.look();
--- a/entry/src/main/java/org/geraniumstand/entry/relay/MoveOrders.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/MoveOrders.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.relay.VersionOrder;
@@ -55,6 +56,11 @@
         open.remove(service);
     }
 
+    /** Takes in which services are ordered to move, all of them. */
+    void retain(Set<ServiceId> ordered) {
+        open.keySet().retainAll(ordered);
+    }
+
     private void answer(VersionOrder order) {
         store.read(
                 format.key(order.service()),
--- a/entry/src/test/java/org/geraniumstand/entry/relay/MoveOrdersTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/MoveOrdersTest.java
@@ -5,6 +5,7 @@
 
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.relay.VersionOrder;
@@ -82,6 +83,16 @@
         assertThat(format.ended(store.value(key).orElseThrow(), ORDER.target()), is(true));
     }
 
+    @Test
+    void forgetsAnOrderThatIsNotAmongThoseReadAnew() {
+        takeDuty();
+        orders.onOrdered(ORDER);
+        orders.retain(Set.of());
+        orders.start();
+
+        assertThat(store.value(key), is(Optional.empty()));
+    }
+
     @Test
     void forgetsAnOrderThatIsGone() {
         takeDuty();
