--- a/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
@@ -83,9 +83,9 @@
     }
 
     @Override
-    public void onRemoved(StoreFact.Removed removed) {
+    public void onRemoved(StoreFact.Removed removed, long heldMillis) {
         if (removed instanceof StoreFact.Removed.Server server) {
-            LOG.info("server-gone", Field.of("server", server.server()));
+            LOG.info("server-gone", Field.of("server", server.server()), Field.of("heldMillis", heldMillis));
             desk().fleet().onGone(server.server());
         } else if (removed instanceof StoreFact.Removed.DataCentreIn in) {
             LOG.info("data-centre-in", Field.of("dataCentre", in.dataCentre()));
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -90,19 +90,29 @@
     private long seenRevision;
 
     private boolean read;
+
+    /** When all changes up to then were last known, on the monotonic clock in nanoseconds. */
+    private long informedNanos;
+
     private long toldRevision;
     private long toldNanos;
 
     /** The last entry of a server that vanished, and when it did, on the monotonic clock in nanoseconds. */
     private record Missing(StoreFact fact, long sinceNanos) {}
 
+    /** Where a change was heard. */
+    private enum Source {
+        STORE,
+        PEER
+    }
+
     /** Told what the store says; all calls come on one thread. */
     interface Listener {
         /** An entry is there or changed. */
         void onFact(StoreFact fact);
 
-        /** An entry was removed. */
-        void onRemoved(StoreFact.Removed removed);
+        /** An entry was removed, and was held back for some milliseconds as it might have lapsed only. */
+        void onRemoved(StoreFact.Removed removed, long heldMillis);
 
         /** All entries were read; nothing else stands in the store. */
         void onWhole(List<StoreFact> facts);
@@ -134,6 +144,7 @@
         this.timer = timer;
         this.clock = clock;
         this.toldNanos = clock.getAsLong();
+        this.informedNanos = toldNanos;
         this.listener = listener;
     }
 
@@ -169,9 +180,13 @@
         }
         asking.onTold(now);
         if (news.outage()) {
+            if (!outage.mayHaveLapsed(now)) {
+                LOG.info("store-outage-believed", Field.of("source", Source.PEER));
+            }
             outage.onToldOfOutage(now);
         }
-        takeNew(news.changes());
+        takeNew(news.changes(), Source.PEER);
+        informedNanos = now;
         revision = Math.max(revision, news.at());
     }
 
@@ -206,7 +221,7 @@
         }
         for (String key : List.copyOf(known.keySet())) {
             if (!keys.contains(key)) {
-                remove(key);
+                remove(key, revision, Source.STORE);
             }
         }
         // A server that is only missing for now stays among the listed ones.
@@ -227,7 +242,8 @@
                 asking.onAnswered();
                 List<Change> mattering =
                         ok.held().changes().stream().filter(this::matters).toList();
-                takeNew(mattering);
+                takeNew(mattering, Source.STORE);
+                informedNanos = clock.getAsLong();
                 revision = Math.max(revision, ok.held().revision());
                 seenRevision = Math.max(seenRevision, ok.held().revision());
                 if (asking.reader()) {
@@ -273,18 +289,18 @@
     }
 
     /** Takes in changes but for those that are known already. */
-    private void takeNew(List<Change> changes) {
+    private void takeNew(List<Change> changes, Source source) {
         long from = revision;
-        changes.stream().filter(change -> change.revision() > from).forEach(this::take);
+        changes.stream().filter(change -> change.revision() > from).forEach(change -> take(change, source));
     }
 
-    private void take(Change change) {
+    private void take(Change change, Source source) {
         if (change.key().equals(ownKey)) {
             onOwnKey.accept(change.value().isPresent());
             return;
         }
         if (change.value().isEmpty()) {
-            remove(change.key());
+            remove(change.key(), change.revision(), source);
             return;
         }
         StoreFact fact = read(change.key(), change.value().get());
@@ -297,7 +313,7 @@
         listener.onFact(fact);
     }
 
-    private void remove(String key) {
+    private void remove(String key, long removedAt, Source source) {
         StoreFact before = known.remove(key);
         StoreFact.Removed removed = reader.removed(key);
         if (removed instanceof StoreFact.Removed.Server server
@@ -306,19 +322,28 @@
                 && !listed.server().leaving()) {
             Missing vanished = new Missing(before, clock.getAsLong());
             missing.put(server.server(), vanished);
-            LOG.info("server-missing", Field.of("server", server.server()));
+            LOG.info(
+                    "server-missing",
+                    Field.of("server", server.server()),
+                    Field.of("revision", removedAt),
+                    Field.of("source", source),
+                    Field.of("informedMillis", millisSince(informedNanos)));
             timer.after(() -> giveUp(server, vanished), MISSING_MILLIS);
             return;
         }
-        listener.onRemoved(removed);
+        listener.onRemoved(removed, 0);
     }
 
     private void giveUp(StoreFact.Removed.Server server, Missing vanished) {
         if (missing.remove(server.server(), vanished)) {
-            listener.onRemoved(server);
+            listener.onRemoved(server, millisSince(vanished.sinceNanos()));
         }
     }
 
+    private long millisSince(long nanos) {
+        return (clock.getAsLong() - nanos) / Moment.NANOS_PER_MILLI;
+    }
+
     private StoreFact read(String key, String value) {
         StoreFact fact = reader.read(key, value);
         if (fact instanceof StoreFact.Unreadable unreadable) {
@@ -346,9 +371,13 @@
             start();
             return;
         }
+        boolean believed = outage.mayHaveLapsed(clock.getAsLong());
         if (outage.onFailed(clock.getAsLong())) {
             LOG.warn("store-lost", Field.of("error", error));
         }
+        if (!believed && outage.mayHaveLapsed(clock.getAsLong())) {
+            LOG.info("store-outage-believed", Field.of("source", Source.STORE));
+        }
         long pause = pauseMillis;
         pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
         timer.after(again, pause);
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -8,15 +8,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.geraniumstand.model.id.DataCentreId;
-import org.geraniumstand.model.id.ServerId;
-import org.geraniumstand.model.id.ServiceId;
-import org.geraniumstand.model.id.VersionId;
-import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.StoreFact;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.time.Moment;
-import org.geraniumstand.outside.relay.FactReader;
 import org.geraniumstand.outside.relay.RevisionStore.Change;
 import org.geraniumstand.outside.relay.RevisionStore.Changes;
 import org.geraniumstand.outside.store.StoreError;
@@ -35,7 +29,7 @@
     private final List<PeerMessage.StoreNews> news = new ArrayList<>();
     private final StoreFollower follower = new StoreFollower(
             store,
-            new Reader(),
+            new FakeFactReader(),
             timer,
             () -> nowNanos,
             new Told(),
@@ -43,40 +37,6 @@
             present -> ownKey.add(present ? "there" : "gone"));
     private long revision = 200;
 
-    /** Reads a server from an entry whose value is its state. */
-    private static final class Reader implements FactReader {
-        @Override
-        public StoreFact plan(String _text) {
-            return new StoreFact.Unrelated();
-        }
-
-        @Override
-        public StoreFact read(String key, String value) {
-            return new StoreFact.Listed(new RelayServer(
-                    new ServerId(key.substring(2)),
-                    0,
-                    new ServiceId("s"),
-                    "127.0.0.1",
-                    1,
-                    new DataCentreId("d"),
-                    new VersionId("v"),
-                    1,
-                    value.equals("leaving"),
-                    0,
-                    false));
-        }
-
-        @Override
-        public StoreFact.Removed removed(String key) {
-            return new StoreFact.Removed.Server(new ServerId(key.substring(2)));
-        }
-
-        @Override
-        public List<String> prefixes() {
-            return List.of("s/");
-        }
-    }
-
     private final class Told implements StoreFollower.Listener {
         @Override
         public void onFact(StoreFact fact) {
@@ -84,7 +44,7 @@
         }
 
         @Override
-        public void onRemoved(StoreFact.Removed removed) {
+        public void onRemoved(StoreFact.Removed removed, long _heldMillis) {
             told.add("gone " + ((StoreFact.Removed.Server) removed).server());
         }
 
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -176,10 +176,12 @@
         private AnswerHead head;
         private ServerAnswer facts;
         private boolean success;
+        private long unsentNanos = -1;
 
         /** Sends nothing for a caller that left, or whose time ended, while this thread was busy. */
         @Override
         public void onConnected() {
+            unsentNanos = System.nanoTime() - call.sentNanos();
             watch.ifPresent(CallerWatch::look);
             if (!done && System.nanoTime() - call.deadlineNanos() >= 0) {
                 onDeadline();
@@ -258,6 +260,7 @@
                     Field.of("attempt", call.attempts()),
                     Field.of("end", judged),
                     Field.of("status", head == null ? 0 : head.status()),
+                    Field.of("unsentMillis", unsentNanos < 0 ? -1 : unsentNanos / Moment.NANOS_PER_MILLI),
                     Field.of("millis", (System.nanoTime() - call.sentNanos()) / Moment.NANOS_PER_MILLI));
             boolean answered = judged == AttemptEnd.ANSWERED || ownFailure(judged);
             if (judged == AttemptEnd.BROKEN && head == null) {
