--- /dev/null
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/LeavingServersModel.java
@@ -0,0 +1,151 @@
+package org.geraniumstand.entry.relay;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.geraniumstand.decisions.relay.Hubs;
+import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.StoreFact;
+import org.geraniumstand.peer.PeerMessage;
+
+/** Entry processes that follow the servers in a store and tell each other what they saw, in virtual time. */
+final class LeavingServersModel {
+    private static final long NEWS_MILLIS = 1;
+
+    /** Milliseconds after which a process that ended is no longer among the live ones of the others. */
+    private static final long MEMBERS_MILLIS = 4_000;
+
+    private final VirtualTimer timer = new VirtualTimer();
+    private final StoreModel store = new StoreModel(timer);
+    private final List<Follower> processes = new ArrayList<>();
+
+    /** An entry process and the servers to which it sends requests. */
+    private final class Follower implements StoreFollower.Listener {
+        private final int number;
+        private final ProcessId id;
+        private final Set<ServerId> using = new HashSet<>();
+        private final StoreFollower follower;
+        private boolean alive = true;
+
+        private Follower(int number) {
+            this.number = number;
+            this.id = new ProcessId("process-" + number);
+            this.follower = new StoreFollower(
+                    store.seenBy(number),
+                    new FakeFactReader(),
+                    (step, delay) -> timer.after(() -> ifAlive(step), delay),
+                    timer::nanos,
+                    this,
+                    "own/x",
+                    _present -> {});
+            follower.onNews(this::tell);
+        }
+
+        private void ifAlive(Runnable step) {
+            if (alive) {
+                step.run();
+            }
+        }
+
+        private void tell(PeerMessage.StoreNews news) {
+            if (!alive) {
+                return;
+            }
+            for (Follower other : processes) {
+                if (other != this) {
+                    timer.after(() -> other.ifAlive(() -> other.follower.onTold(news)), NEWS_MILLIS);
+                }
+            }
+        }
+
+        @Override
+        public void onFact(StoreFact fact) {
+            RelayServer server = ((StoreFact.Listed) fact).server();
+            if (server.leaving()) {
+                using.remove(server.id());
+            } else {
+                using.add(server.id());
+            }
+        }
+
+        @Override
+        public void onRemoved(StoreFact.Removed removed, long _heldMillis) {
+            if (removed instanceof StoreFact.Removed.Server server) {
+                using.remove(server.server());
+            }
+        }
+
+        @Override
+        public void onWhole(List<StoreFact> facts) {
+            using.clear();
+            facts.forEach(this::onFact);
+        }
+    }
+
+    LeavingServersModel(int processCount, int serverCount) {
+        for (int i = 0; i < serverCount; i++) {
+            store.addServer("server-" + i, 37L * i);
+        }
+        for (int i = 0; i < processCount; i++) {
+            processes.add(new Follower(i));
+        }
+        processes.forEach(process -> process.follower.start());
+        chooseReaders();
+    }
+
+    StoreModel store() {
+        return store;
+    }
+
+    /** Runs a step at a time. */
+    void at(long millis, Runnable step) {
+        timer.at(millis, step);
+    }
+
+    void runUntil(long millis) {
+        timer.runUntil(millis);
+    }
+
+    /** Returns the numbers of the processes that ask the store for all. */
+    List<Integer> readers() {
+        Map<ProcessId, Integer> numbers = new HashMap<>();
+        processes.stream().filter(p -> p.alive).forEach(process -> numbers.put(process.id, process.number));
+        return Hubs.choose(Hubs.Task.READ_STORE, numbers.keySet()).stream()
+                .map(numbers::get)
+                .toList();
+    }
+
+    /** Ends processes; the others notice later. */
+    void kill(List<Integer> numbers) {
+        numbers.forEach(number -> processes.get(number).alive = false);
+        timer.after(this::chooseReaders, MEMBERS_MILLIS);
+    }
+
+    private void chooseReaders() {
+        List<Integer> readers = readers();
+        processes.stream().filter(p -> p.alive).forEach(p -> p.follower.onReader(readers.contains(p.number)));
+    }
+
+    /** Returns the numbers of the live processes that send requests to a server. */
+    Set<Integer> using(String server) {
+        return processes.stream()
+                .filter(process -> process.alive && process.using.contains(new ServerId(server)))
+                .map(process -> process.number)
+                .collect(Collectors.toSet());
+    }
+
+    /** Returns the fewest servers that any live process sends requests to. */
+    int fewestUsed() {
+        return processes.stream()
+                .filter(process -> process.alive)
+                .mapToInt(process -> process.using.size())
+                .min()
+                .orElse(0);
+    }
+}
