End a process's belief in an outage, and drop servers that vanished 2 s after the store's return

What callers saw: requests were sent to a server up to 3,355 ms after its entry was removed, where 3,000 ms are allowed (DRAIN).

Cause: a server whose entry vanished was held for 1,800 ms from when each process heard of it, if the process believed in an outage of the store within the last 4 s. The class of fault: a belief with a time limit that is passed on without its age. The hold then added to the time that the news took, and nothing bounded the sum.

Evidence: RequestsToLeavingServersTest#isLeftInTimeWhenReadersEndLongAfterAnOutage, #isLeftAtOnceLongAfterAnOutage and #isLeftAtOnceByOthersWhenOneReaderIsCutOff failed before (10 of 10, 12 of 12 and 12 of 12 processes used the server) and pass now.

Why it works: an outage counts only if this process's own calls failed for 1.5 s while no peer reached the store; it ends when either reaches it; all entries that vanished are dropped 2 s later, when the platform takes them for gone, or bounds.drainMillis later if that is less. A removal that the store acknowledges while it is stable comes after that, so it is never held. No process tells its belief. livingServersStayInUseAroundAnOutage keeps all living servers in use through 4.5 s of refusals and of silence, as before.

The field of the message stays as an unused one, as processes of both versions talk during a roll-out.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreOutage.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreOutage.java
@@ -6,72 +6,84 @@
 /** Decides whether an entry that vanished may have lapsed in an outage of the store; belongs to one thread. */
 @Decision(
         name = "store-outage",
-        summary =
-                "An entry that vanishes during or soon after an outage may belong to a server that lives, if the outage was"
-                        + " long enough for entries to lapse.")
+        summary = "An entry that vanishes may belong to a server that lives only from an outage in which this process's own"
+                + " calls failed and no peer reached the store, until live servers have written theirs again.")
 public final class StoreOutage {
     /**
      * Shortest outage that counts, in milliseconds: entries lapse after three heartbeats of about 1,200 are missing, so a
-     * shorter one loses none; a single call that fails is none either.
+     * shorter one loses none.
      */
     private static final long LEAST_MILLIS = 1_500;
 
-    /** Milliseconds after an outage in which entries may still vanish because of it. */
-    private static final long AFTER_MILLIS = 4_000;
+    /** Milliseconds after the store's return within which live servers have written their entries again (platform). */
+    private static final long RETURN_MILLIS = 2_000;
 
-    private boolean out;
-    private long sinceNanos;
+    private final long holdNanos;
+    private boolean failing;
+    private long failingSinceNanos;
     private boolean counts;
-    private long lastNanos;
-
-    /** Creates a store that was not out. */
-    public StoreOutage() {}
+    private long reachedNanos;
+    private boolean ended;
+    private long endedNanos;
 
     /**
-     * Takes in that a call failed.
+     * Creates a store that was not out.
      *
+     * @param drainMillis time for which a server that leaves may still get requests, in milliseconds
      * @param nowNanos the monotonic time in nanoseconds
-     * @return whether the store was not out before
      */
-    public boolean onFailed(long nowNanos) {
-        boolean first = !out;
-        if (first) {
-            out = true;
-            sinceNanos = nowNanos;
-        }
-        if (nowNanos - sinceNanos >= LEAST_MILLIS * Moment.NANOS_PER_MILLI) {
-            onToldOfOutage(nowNanos);
-        }
-        return first;
+    public StoreOutage(long drainMillis, long nowNanos) {
+        this.holdNanos = Math.min(RETURN_MILLIS, drainMillis) * Moment.NANOS_PER_MILLI;
+        this.reachedNanos = nowNanos;
     }
 
     /**
-     * Takes in that a call was answered.
+     * Takes in that an own call failed.
      *
-     * @return whether the store was out before
+     * @param askedNanos when the call was made, on the monotonic clock in nanoseconds
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return whether the outage counts from now on
      */
-    public boolean onAnswered() {
-        boolean before = out;
-        out = false;
-        return before;
+    public boolean onFailed(long askedNanos, long nowNanos) {
+        if (!failing) {
+            failing = true;
+            // A peer may have reached the store while the call went on.
+            failingSinceNanos = Math.max(askedNanos, reachedNanos);
+        }
+        boolean before = counts;
+        counts = nowNanos - failingSinceNanos >= LEAST_MILLIS * Moment.NANOS_PER_MILLI;
+        return counts && !before;
     }
 
     /**
-     * Takes in that a peer saw an outage that counts.
+     * Takes in that the store answered this process, or a peer that tells of it.
      *
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public void onToldOfOutage(long nowNanos) {
-        counts = true;
-        lastNanos = nowNanos;
+    public void onReached(long nowNanos) {
+        if (counts) {
+            ended = true;
+            endedNanos = nowNanos;
+        }
+        failing = false;
+        counts = false;
+        reachedNanos = nowNanos;
     }
 
     /**
-     * Returns whether an entry that vanishes now may have lapsed in an outage.
+     * Returns for how long an entry that vanishes now may be missing only, in milliseconds; zero if its server is gone.
      *
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public boolean mayHaveLapsed(long nowNanos) {
-        return counts && nowNanos - lastNanos < AFTER_MILLIS * Moment.NANOS_PER_MILLI;
+    public long holdMillis(long nowNanos) {
+        if (counts) {
+            return holdNanos / Moment.NANOS_PER_MILLI;
+        }
+        if (!ended) {
+            return 0;
+        }
+        // A part of a millisecond that is left counts as a whole one.
+        long leftNanos = holdNanos - (nowNanos - endedNanos);
+        return Math.max(0, (leftNanos + Moment.NANOS_PER_MILLI - 1) / Moment.NANOS_PER_MILLI);
     }
 }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -117,7 +117,14 @@
         facts.set(new DeskFacts(desk, orders, this::onPlan));
         this.member = new MemberRow(store, calls::schedule, peers);
         StoreFollower follower = new StoreFollower(
-                store, reader, calls::schedule, System::nanoTime, facts.get(), DutyLease.KEY, lease::onRecord);
+                store,
+                reader,
+                calls::schedule,
+                System::nanoTime,
+                bounds.drainMillis(),
+                facts.get(),
+                DutyLease.KEY,
+                lease::onRecord);
         peers.follow(follower);
         peers.tellFirst(lease);
         peers.count(usage);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -59,12 +59,6 @@
 
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
-    /**
-     * Milliseconds for which a server stays in use whose entry vanished around an outage of the store; live servers
-     * write theirs again within about 2,000, and a leaving one serves for as long.
-     */
-    private static final long MISSING_MILLIS = 1_800;
-
     private final RevisionStore store;
     private final FactReader reader;
     private final Timer timer;
@@ -80,7 +74,14 @@
 
     private final Map<ServerId, Missing> missing = new HashMap<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
-    private final StoreOutage outage = new StoreOutage();
+    private final StoreOutage outage;
+
+    /** Whether the last call failed. */
+    private boolean lost;
+
+    /** When the last call was made, on the monotonic clock in nanoseconds. */
+    private long askedNanos;
+
     private Consumer<PeerMessage.StoreNews> onNews = _news -> {};
 
     /** Revision up to which all changes are known. */
@@ -125,6 +126,7 @@
      * @param reader reads its entries
      * @param timer waits
      * @param clock the monotonic time in nanoseconds
+     * @param drainMillis time for which a server that leaves may still get requests, in milliseconds
      * @param listener told what the store says
      * @param ownKey a key of the processes' own whose changes matter
      * @param onOwnKey told whether it is there after a change
@@ -134,6 +136,7 @@
             FactReader reader,
             Timer timer,
             LongSupplier clock,
+            long drainMillis,
             Listener listener,
             String ownKey,
             Consumer<Boolean> onOwnKey) {
@@ -145,6 +148,7 @@
         this.clock = clock;
         this.toldNanos = clock.getAsLong();
         this.informedNanos = toldNanos;
+        this.outage = new StoreOutage(drainMillis, toldNanos);
         this.listener = listener;
     }
 
@@ -173,18 +177,13 @@
         if (!read) {
             return;
         }
+        outage.onReached(now);
         boolean missed = news.at() > revision && (news.since() > revision || news.withheld());
         if (missed) {
             asking.onMissed();
             return;
         }
         asking.onTold(now);
-        if (news.outage()) {
-            if (!outage.mayHaveLapsed(now)) {
-                LOG.info("store-outage-believed", Field.of("source", Source.PEER));
-            }
-            outage.onToldOfOutage(now);
-        }
         takeNew(news.changes(), Source.PEER);
         informedNanos = now;
         revision = Math.max(revision, news.at());
@@ -202,6 +201,7 @@
             return;
         }
         String prefix = prefixes.remove(0);
+        askedNanos = clock.getAsLong();
         store.list(prefix, orRestart(listing -> {
             items.addAll(listing.items());
             readAll(prefixes, items, Math.min(from, listing.revision()));
@@ -236,6 +236,7 @@
             return;
         }
         long since = asking.reader() ? seenRevision : revision;
+        askedNanos = clock.getAsLong();
         store.watch("", since, asking.reader() ? READER_WATCH_MILLIS : WATCH_MILLIS, result -> {
             if (result instanceof Result.Ok<RevisionStore.Changes, StoreError> ok) {
                 answered();
@@ -283,7 +284,7 @@
                 .sum();
         boolean large = size > MOST_TOLD;
         onNews.accept(new PeerMessage.StoreNews(
-                toldRevision, seenRevision, outage.mayHaveLapsed(now), large, large ? List.of() : changes));
+                toldRevision, seenRevision, large, large ? List.of() : changes));
         toldRevision = seenRevision;
         toldNanos = now;
     }
@@ -316,8 +317,9 @@
     private void remove(String key, long removedAt, Source source) {
         StoreFact before = known.remove(key);
         StoreFact.Removed removed = reader.removed(key);
+        long holdMillis = outage.holdMillis(clock.getAsLong());
         if (removed instanceof StoreFact.Removed.Server server
-                && outage.mayHaveLapsed(clock.getAsLong())
+                && holdMillis > 0
                 && before instanceof StoreFact.Listed listed
                 && !listed.server().leaving()) {
             Missing vanished = new Missing(before, clock.getAsLong());
@@ -327,15 +329,20 @@
                     Field.of("server", server.server()),
                     Field.of("revision", removedAt),
                     Field.of("source", source),
-                    Field.of("informedMillis", millisSince(informedNanos)));
-            timer.after(() -> giveUp(server, vanished), MISSING_MILLIS);
+                    Field.of("informedMillis", millisSince(informedNanos)),
+                    Field.of("holdMillis", holdMillis));
+            timer.after(() -> giveUp(server, vanished), holdMillis);
             return;
         }
         listener.onRemoved(removed, 0);
     }
 
     private void giveUp(StoreFact.Removed.Server server, Missing vanished) {
-        if (missing.remove(server.server(), vanished)) {
+        long holdMillis = outage.holdMillis(clock.getAsLong());
+        if (holdMillis > 0) {
+            // Another outage came, in which its entry could not be written again.
+            timer.after(() -> giveUp(server, vanished), holdMillis);
+        } else if (missing.remove(server.server(), vanished)) {
             listener.onRemoved(server, millisSince(vanished.sinceNanos()));
         }
     }
@@ -371,12 +378,12 @@
             start();
             return;
         }
-        boolean believed = outage.mayHaveLapsed(clock.getAsLong());
-        if (outage.onFailed(clock.getAsLong())) {
+        if (!lost) {
+            lost = true;
             LOG.warn("store-lost", Field.of("error", error));
         }
-        if (!believed && outage.mayHaveLapsed(clock.getAsLong())) {
-            LOG.info("store-outage-believed", Field.of("source", Source.STORE));
+        if (outage.onFailed(askedNanos, clock.getAsLong())) {
+            LOG.info("store-outage", Field.of("informedMillis", millisSince(informedNanos)));
         }
         long pause = pauseMillis;
         pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
@@ -385,7 +392,9 @@
 
     private void answered() {
         pauseMillis = FIRST_PAUSE_MILLIS;
-        if (outage.onAnswered()) {
+        outage.onReached(clock.getAsLong());
+        if (lost) {
+            lost = false;
             LOG.info("store-regained");
         }
     }
--- a/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettings.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettings.java
@@ -52,6 +52,7 @@
      * @param repeatWindowSeconds window in which repeats are counted, in seconds
      * @param quotaSlack units by which a team may exceed its quota
      * @param quotaOverrun part by which a team may exceed its quota
+     * @param drainMillis time for which a server that leaves may still get requests, in milliseconds
      * @param leaseMillis time that a duty's lease holds, in milliseconds
      * @param usageWindowSeconds length of a window of usage, in seconds
      * @param usageLateSeconds time after a window in which its usage is due, in seconds
@@ -63,6 +64,7 @@
             double repeatWindowSeconds,
             double quotaSlack,
             double quotaOverrun,
+            int drainMillis,
             int leaseMillis,
             double usageWindowSeconds,
             double usageLateSeconds) {}
--- a/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettingsFile.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettingsFile.java
@@ -9,6 +9,9 @@
 
 /** Reads the settings of a process that relays calls as they are. */
 public final class RelaySettingsFile {
+    /** Least time in which news of a server can reach all processes, in milliseconds; some round trips to the store. */
+    private static final int LEAST_DRAIN_MILLIS = 100;
+
     private static final int MOST_MILLIS = 60_000;
 
     /** All entries; {@code docs/SETTINGS.md} lists them too. */
@@ -29,6 +32,10 @@
             Setting.required("bounds.repeatWindowSeconds", SettingForms.DECIMAL_FORM, "Window of repeats, in seconds"),
             Setting.required("bounds.quotaSlack", SettingForms.DECIMAL_FORM, "Units by which a quota may be exceeded"),
             Setting.required("bounds.quotaOverrun", SettingForms.DECIMAL_FORM, "Part by which a quota may be exceeded"),
+            Setting.required(
+                    "bounds.drainMillis",
+                    SettingForms.between(LEAST_DRAIN_MILLIS, MOST_MILLIS),
+                    "Time for which a server that leaves may still get requests, in milliseconds"),
             Setting.required(
                     "bounds.leaseMillis",
                     SettingForms.between(1, MOST_MILLIS),
@@ -84,6 +91,7 @@
                         values.decimal("bounds.repeatWindowSeconds"),
                         values.decimal("bounds.quotaSlack"),
                         values.decimal("bounds.quotaOverrun"),
+                        values.number("bounds.drainMillis"),
                         values.number("bounds.leaseMillis"),
                         values.decimal("bounds.usageWindowSeconds"),
                         values.decimal("bounds.usageLateSeconds")));
--- a/entry/src/test/java/org/geraniumstand/entry/relay/RelaySettingsTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/RelaySettingsTest.java
@@ -28,6 +28,7 @@
                 .replace("{{ip}}", "10.1.0.14")
                 .replace("{{internalPortRange.0}}", "7600")
                 .replaceAll("\\{\\{(platform|cloudApi)\\.address}}", "10.200.0.35:8225")
+                .replace("{{bounds.drainMs}}", "2000")
                 .replace("{{bounds.leaseMs}}", "3000")
                 .replaceAll("\\{\\{bounds\\.[a-zA-Z]+}}", "0.2");
     }
@@ -44,6 +45,7 @@
 
         assertThat(settings.callers().getPort(), is(8_221));
         assertThat(settings.seeds().size(), is(1));
+        assertThat(settings.bounds().drainMillis(), is(2_000));
         assertThat(settings.bounds().leaseMillis(), is(3_000));
     }
 
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -255,12 +255,10 @@
      *
      * @param since revision after which these are all changes that matter
      * @param at revision up to which they are
-     * @param outage whether the store was lately out of the sender's reach, so that entries may have lapsed
      * @param withheld whether changes were left out because they are large
      * @param changes the changes in order
      */
-    record StoreNews(long since, long at, boolean outage, boolean withheld, List<RevisionStore.Change> changes)
-            implements PeerMessage {
+    record StoreNews(long since, long at, boolean withheld, List<RevisionStore.Change> changes) implements PeerMessage {
         /** Copies the list. */
         public StoreNews {
             changes = List.copyOf(changes);
--- a/peer/src/main/java/org/geraniumstand/peer/codec/StoreNewsCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/StoreNewsCodec.java
@@ -6,6 +6,9 @@
 
 /** Codec of {@link PeerMessage.StoreNews}. */
 final class StoreNewsCodec implements MessageCodec<PeerMessage.StoreNews> {
+    /** A field that earlier processes of the same protocol level read and write as the sender's belief in an outage. */
+    private static final boolean UNUSED = false;
+
     @Override
     public int number() {
         return 23;
@@ -21,15 +24,17 @@
         out.fields(5)
                 .number(message.since())
                 .number(message.at())
-                .flag(message.outage())
+                .flag(UNUSED)
                 .flag(message.withheld())
                 .list(message.changes(), StoreNewsCodec::writeChange);
     }
 
     @Override
     public PeerMessage.StoreNews read(FieldReader in) {
-        return new PeerMessage.StoreNews(
-                in.number(), in.number(), in.flag(), in.flag(), in.list(StoreNewsCodec::readChange));
+        long since = in.number();
+        long at = in.number();
+        in.flag();
+        return new PeerMessage.StoreNews(since, at, in.flag(), in.list(StoreNewsCodec::readChange));
     }
 
     private static void writeChange(FieldWriter out, Change change) {
