Bound the way of a server's removal to a process by the time in which it must be known

What callers saw: after the store dropped its history, 55 of 78 processes sent 55 requests to a removed server, the last 3.90 s after the removal was to be heard.

Cause: a process that knew that it had missed changes asked for them in a watch of 4,000 ms, longer than drainMs (2,000 or 3,000), and a watch across the end of the history hears nothing until its wait is over. It also took any answer for all that it had missed. The class of fault: a step on the way of the news with a fixed time that the bound of the whole way was not divided into.

Why it works: both times of StoreAsking follow from bounds.drainMillis, at most 1,200 and 500 ms, so that losing both readers and waiting in vain for one call take 0.85 of it at most. A process counts as behind until the store has told it the revision that a peer named, and reads all entries anew if a watch does not.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreAsking.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreAsking.java
@@ -10,19 +10,36 @@
                 "Two processes ask the store for changes and tell the others, who ask it themselves once they have heard"
                         + " neither for a moment or have missed a change.")
 public final class StoreAsking {
-    /**
-     * Milliseconds after which readers that were not heard count as lost; each tells at least every 750, and a server
-     * that leaves must be known to all within 2,000.
-     */
-    private static final long HEARD_MILLIS = 1_200;
+    /** Most milliseconds after which readers that were not heard count as lost; each tells at least every 750. */
+    private static final long MOST_HEARD_MILLIS = 1_200;
+
+    /** The same as a part of the time in which all must know of a server that leaves; the rest is for asking and reading. */
+    private static final double HEARD_SHARE = 0.6;
 
+    /** Most milliseconds that a call waits for changes; a reader is taken for lost soon after. */
+    private static final long MOST_WATCH_MILLIS = 500;
+
+    /** The same as a part of the time in which all must know, as what is told meanwhile may be lost with the call. */
+    private static final double WATCH_SHARE = 0.25;
+
+    private final long heardLimitNanos;
+    private final long watchMillis;
     private boolean reader;
-    private boolean behind = true;
+    private long missedRevision;
+    private boolean behind;
     private boolean heard;
     private long heardNanos;
 
-    /** Creates a process that asks itself, as it knows of no other. */
-    public StoreAsking() {}
+    /**
+     * Creates a process that asks itself, as it knows of no other.
+     *
+     * @param drainMillis time for which a server that leaves may still get requests, in milliseconds
+     */
+    public StoreAsking(long drainMillis) {
+        this.heardLimitNanos =
+                Math.min(MOST_HEARD_MILLIS, Math.round(HEARD_SHARE * drainMillis)) * Moment.NANOS_PER_MILLI;
+        this.watchMillis = Math.min(MOST_WATCH_MILLIS, Math.round(WATCH_SHARE * drainMillis));
+    }
 
     /**
      * Takes in whether this process is one of those that ask for all.
@@ -48,22 +65,46 @@
         heardNanos = nowNanos;
     }
 
-    /** Takes in that changes were missed. */
-    public void onMissed() {
+    /**
+     * Takes in that changes were missed.
+     *
+     * @param revision the revision up to which there are any
+     */
+    public void onMissed(long revision) {
         behind = true;
+        missedRevision = Math.max(missedRevision, revision);
+    }
+
+    /**
+     * Takes in that the store itself told all changes up to a revision.
+     *
+     * @param revision the revision
+     */
+    public void onAnswered(long revision) {
+        behind = behind && revision < missedRevision;
     }
 
-    /** Takes in that the store itself told all changes up to now. */
-    public void onAnswered() {
+    /** Takes in that all entries were read. */
+    public void onWhole() {
         behind = false;
     }
 
+    /** Returns whether changes were missed that the store did not tell since. */
+    public boolean behind() {
+        return behind;
+    }
+
+    /** Returns for how long a call may wait for changes, in milliseconds. */
+    public long watchMillis() {
+        return watchMillis;
+    }
+
     /**
      * Returns whether this process asks the store.
      *
      * @param nowNanos the monotonic time in nanoseconds
      */
     public boolean asks(long nowNanos) {
-        return reader || behind || !heard || nowNanos - heardNanos > HEARD_MILLIS * Moment.NANOS_PER_MILLI;
+        return reader || behind || !heard || nowNanos - heardNanos > heardLimitNanos;
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreOutage.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreOutage.java
@@ -6,8 +6,9 @@
 /** Decides whether an entry that vanished may have lapsed in an outage of the store; belongs to one thread. */
 @Decision(
         name = "store-outage",
-        summary = "An entry that vanishes may belong to a server that lives only from an outage in which this process's own"
-                + " calls failed and no peer reached the store, until live servers have written theirs again.")
+        summary =
+                "An entry that vanishes may belong to a server that lives only from an outage in which this process's own"
+                        + " calls failed and no peer reached the store, until live servers have written theirs again.")
 public final class StoreOutage {
     /**
      * Shortest outage that counts, in milliseconds: entries lapse after three heartbeats of about 1,200 are missing, so a
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/StoreAskingTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/StoreAskingTest.java
@@ -6,21 +6,23 @@
 import org.junit.jupiter.api.Test;
 
 final class StoreAskingTest {
-    private final StoreAsking asking = new StoreAsking();
+    private static final long DRAIN_MILLIS = 3_000;
+
+    private final StoreAsking asking = new StoreAsking(DRAIN_MILLIS);
 
     private static long at(long millis) {
         return millis * Calls.MILLI;
     }
 
     private StoreAsking following() {
-        asking.onAnswered();
+        asking.onAnswered(100);
         asking.onTold(at(0));
         return asking;
     }
 
     @Test
     void asksAsLongAsItKnowsOfNoReader() {
-        asking.onAnswered();
+        asking.onAnswered(100);
 
         assertThat(asking.asks(at(0)), is(true));
     }
@@ -37,13 +39,35 @@
 
     @Test
     void asksOnceItMissedAChangeUntilTheStoreAnswered() {
-        following().onMissed();
+        following().onMissed(120);
         assertThat(asking.asks(at(100)), is(true));
-        asking.onAnswered();
+        asking.onAnswered(120);
 
         assertThat(asking.asks(at(100)), is(false));
     }
 
+    /** Watches hear nothing for a second before the store drops its history. */
+    @Test
+    void isBehindUntilTheStoreToldWhatAPeerSaw() {
+        following().onMissed(120);
+        asking.onAnswered(110);
+        assertThat(asking.behind(), is(true));
+        asking.onWhole();
+
+        assertThat(asking.behind(), is(false));
+    }
+
+    @Test
+    void asksAndWaitsWithinTheTimeInWhichAServerLeaves() {
+        StoreAsking brief = new StoreAsking(1_000);
+        brief.onTold(at(0));
+
+        assertThat(brief.asks(at(600)), is(false));
+        assertThat(brief.asks(at(601)), is(true));
+        assertThat(brief.watchMillis(), is(250L));
+        assertThat(asking.watchMillis(), is(500L));
+    }
+
     @Test
     void asksWhileItIsAReaderItself() {
         following().onReader(true);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -33,12 +33,6 @@
 final class StoreFollower {
     private static final Log LOG = Log.of(StoreFollower.class);
 
-    /** Milliseconds that a call waits for changes; a connection that went silent is noticed after this. */
-    private static final long WATCH_MILLIS = 4_000;
-
-    /** The same where others rely on the answers; they take this process for lost soon after. */
-    private static final long READER_WATCH_MILLIS = 500;
-
     /**
      * Milliseconds between a change and the next call, so that changes that come together cost one call: each server
      * writes its entry about once a second, and changes must be known to all within 2,000.
@@ -66,7 +60,7 @@
     private final Listener listener;
     private final String ownKey;
     private final Consumer<Boolean> onOwnKey;
-    private final StoreAsking asking = new StoreAsking();
+    private final StoreAsking asking;
     private final Map<String, StoreFact> known = new TreeMap<>();
 
     /** What this process saw itself while it asks for all, without what peers told. */
@@ -148,6 +142,7 @@
         this.clock = clock;
         this.toldNanos = clock.getAsLong();
         this.informedNanos = toldNanos;
+        this.asking = new StoreAsking(drainMillis);
         this.outage = new StoreOutage(drainMillis, toldNanos);
         this.listener = listener;
     }
@@ -180,7 +175,7 @@
         outage.onReached(now);
         boolean missed = news.at() > revision && (news.since() > revision || news.withheld());
         if (missed) {
-            asking.onMissed();
+            asking.onMissed(news.at());
             return;
         }
         asking.onTold(now);
@@ -197,6 +192,7 @@
             seenRevision = from;
             toldRevision = from;
             takeAll(items);
+            asking.onWhole();
             watch();
             return;
         }
@@ -237,10 +233,10 @@
         }
         long since = asking.reader() ? seenRevision : revision;
         askedNanos = clock.getAsLong();
-        store.watch("", since, asking.reader() ? READER_WATCH_MILLIS : WATCH_MILLIS, result -> {
+        store.watch("", since, asking.watchMillis(), result -> {
             if (result instanceof Result.Ok<RevisionStore.Changes, StoreError> ok) {
                 answered();
-                asking.onAnswered();
+                asking.onAnswered(ok.held().revision());
                 List<Change> mattering =
                         ok.held().changes().stream().filter(this::matters).toList();
                 takeNew(mattering, Source.STORE);
@@ -250,6 +246,12 @@
                 if (asking.reader()) {
                     tell(mattering.stream().filter(this::isNews).toList());
                 }
+                if (asking.behind()) {
+                    // A peer saw changes that the store tells no watch of.
+                    LOG.info("store-changes-missed", Field.of("revision", revision));
+                    start();
+                    return;
+                }
                 timer.after(this::watch, ok.held().changes().isEmpty() ? 0 : GATHER_MILLIS);
             } else {
                 onError(result.error().orElse(StoreError.MALFORMED), this::watch);
@@ -283,8 +285,7 @@
                 .mapToInt(c -> c.key().length() + c.value().map(String::length).orElse(0))
                 .sum();
         boolean large = size > MOST_TOLD;
-        onNews.accept(new PeerMessage.StoreNews(
-                toldRevision, seenRevision, large, large ? List.of() : changes));
+        onNews.accept(new PeerMessage.StoreNews(toldRevision, seenRevision, large, large ? List.of() : changes));
         toldRevision = seenRevision;
         toldNanos = now;
     }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/LeavingServersModel.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/LeavingServersModel.java
@@ -24,6 +24,7 @@
     private final VirtualTimer timer = new VirtualTimer();
     private final StoreModel store = new StoreModel(timer);
     private final List<Follower> processes = new ArrayList<>();
+    private final long drainMillis;
 
     /** An entry process and the servers to which it sends requests. */
     private final class Follower implements StoreFollower.Listener {
@@ -90,6 +91,7 @@
     }
 
     LeavingServersModel(int processCount, int serverCount, long drainMillis) {
+        this.drainMillis = drainMillis;
         for (int i = 0; i < serverCount; i++) {
             store.addServer("server-" + i, 37L * i);
         }
@@ -109,6 +111,16 @@
         timer.at(millis, step);
     }
 
+    /** Runs a step after a delay. */
+    void after(long millis, Runnable step) {
+        timer.after(step, millis);
+    }
+
+    /** Returns the time in milliseconds. */
+    long millis() {
+        return timer.millis();
+    }
+
     void runUntil(long millis) {
         timer.runUntil(millis);
     }
@@ -128,6 +140,23 @@
         timer.after(this::chooseReaders, MEMBERS_MILLIS);
     }
 
+    /** Starts a process under a new name; the others notice at once. */
+    int start() {
+        Follower next = new Follower(processes.size(), drainMillis);
+        processes.add(next);
+        next.follower.start();
+        chooseReaders();
+        return next.number;
+    }
+
+    /** Returns the numbers of the live processes. */
+    List<Integer> live() {
+        return processes.stream()
+                .filter(process -> process.alive)
+                .map(process -> process.number)
+                .toList();
+    }
+
     private void chooseReaders() {
         List<Integer> readers = readers();
         processes.stream().filter(p -> p.alive).forEach(p -> p.follower.onReader(readers.contains(p.number)));
