Let a hold of vanished servers end before a process counts as in touch again

What callers would see: a process that was cut off from the store twice within 5 s uses a server 7.3 s after it left, and others up to 5.1 s, where 2.0 s are allowed.

Cause: the hold was counted from the moment at which a process noticed the store's return, which is up to 2.3 s after it when calls are silent (1.5 s until a call is given up and 0.8 s of pause). 2.3 s and 2.0 s of holding are more than the 3.0 s after a disruption from which the bounds hold again.

Why it works: the hold ends at the latest bounds.contactMillis after the last call was made that got no answer, and the store's return is not before that. Calls made while others fail wait 100 ms for changes instead of 500, the pause counts from when a call was made, and a call whose answer is overdue when a peer tells of the store is a failure, so that living servers stay in use in spite of it: livingServersStayInUseAroundAnOutage now has outages of 2.5 to 7.2 s, refused and silent. Silence of peers is a part of the outage. bounds.contactMillis is a new setting.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreAsking.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreAsking.java
@@ -33,9 +33,10 @@
     /**
      * Creates a process that asks itself, as it knows of no other.
      *
-     * @param drainMillis time for which a server that leaves may still get requests, in milliseconds
+     * @param bounds the times to keep
      */
-    public StoreAsking(long drainMillis) {
+    public StoreAsking(StoreBounds bounds) {
+        long drainMillis = bounds.drainMillis();
         this.heardLimitNanos =
                 Math.min(MOST_HEARD_MILLIS, Math.round(HEARD_SHARE * drainMillis)) * Moment.NANOS_PER_MILLI;
         this.watchMillis = Math.min(MOST_WATCH_MILLIS, Math.round(WATCH_SHARE * drainMillis));
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreOutage.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreOutage.java
@@ -20,39 +20,36 @@
     private static final long RETURN_MILLIS = 2_000;
 
     private final long holdNanos;
-    private boolean failing;
-    private long failingSinceNanos;
+    private final long contactNanos;
+    private long lastAskedNanos;
     private boolean counts;
     private long reachedNanos;
-    private boolean ended;
-    private long endedNanos;
+    private long heldUntilNanos;
 
     /**
      * Creates a store that was not out.
      *
-     * @param drainMillis time for which a server that leaves may still get requests, in milliseconds
+     * @param bounds the times to keep
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public StoreOutage(long drainMillis, long nowNanos) {
-        this.holdNanos = Math.min(RETURN_MILLIS, drainMillis) * Moment.NANOS_PER_MILLI;
+    public StoreOutage(StoreBounds bounds, long nowNanos) {
+        this.holdNanos = Math.min(RETURN_MILLIS, bounds.drainMillis()) * Moment.NANOS_PER_MILLI;
+        this.contactNanos = bounds.contactMillis() * Moment.NANOS_PER_MILLI;
         this.reachedNanos = nowNanos;
+        this.heldUntilNanos = nowNanos;
     }
 
     /**
-     * Takes in that an own call failed.
+     * Takes in that an own call failed, or that its answer is overdue.
      *
      * @param askedNanos when the call was made, on the monotonic clock in nanoseconds
      * @param nowNanos the monotonic time in nanoseconds
      * @return whether the outage counts from now on
      */
     public boolean onFailed(long askedNanos, long nowNanos) {
-        if (!failing) {
-            failing = true;
-            // A peer may have reached the store while the call went on.
-            failingSinceNanos = Math.max(askedNanos, reachedNanos);
-        }
+        lastAskedNanos = askedNanos;
         boolean before = counts;
-        counts = nowNanos - failingSinceNanos >= LEAST_MILLIS * Moment.NANOS_PER_MILLI;
+        counts = nowNanos - reachedNanos >= LEAST_MILLIS * Moment.NANOS_PER_MILLI;
         return counts && !before;
     }
 
@@ -63,10 +60,9 @@
      */
     public void onReached(long nowNanos) {
         if (counts) {
-            ended = true;
-            endedNanos = nowNanos;
+            // The store may have been back since just after the last call was made that failed.
+            heldUntilNanos = Math.min(nowNanos + holdNanos, lastAskedNanos + contactNanos);
         }
-        failing = false;
         counts = false;
         reachedNanos = nowNanos;
     }
@@ -80,11 +76,7 @@
         if (counts) {
             return holdNanos / Moment.NANOS_PER_MILLI;
         }
-        if (!ended) {
-            return 0;
-        }
         // A part of a millisecond that is left counts as a whole one.
-        long leftNanos = holdNanos - (nowNanos - endedNanos);
-        return Math.max(0, (leftNanos + Moment.NANOS_PER_MILLI - 1) / Moment.NANOS_PER_MILLI);
+        return Math.max(0, (heldUntilNanos - nowNanos + Moment.NANOS_PER_MILLI - 1) / Moment.NANOS_PER_MILLI);
     }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/StoreAskingTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/StoreAskingTest.java
@@ -6,9 +6,9 @@
 import org.junit.jupiter.api.Test;
 
 final class StoreAskingTest {
-    private static final long DRAIN_MILLIS = 3_000;
+    private static final StoreBounds BOUNDS = new StoreBounds(3_000, 4_000);
 
-    private final StoreAsking asking = new StoreAsking(DRAIN_MILLIS);
+    private final StoreAsking asking = new StoreAsking(BOUNDS);
 
     private static long at(long millis) {
         return millis * Calls.MILLI;
@@ -59,7 +59,7 @@
 
     @Test
     void asksAndWaitsWithinTheTimeInWhichAServerLeaves() {
-        StoreAsking brief = new StoreAsking(1_000);
+        StoreAsking brief = new StoreAsking(new StoreBounds(1_000, 4_000));
         brief.onTold(at(0));
 
         assertThat(brief.asks(at(600)), is(false));
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/StoreOutageTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/StoreOutageTest.java
@@ -7,9 +7,9 @@
 import org.junit.jupiter.api.Test;
 
 final class StoreOutageTest {
-    private static final long DRAIN_MILLIS = 3_000;
+    private static final StoreBounds BOUNDS = new StoreBounds(3_000, 4_000);
 
-    private final StoreOutage outage = new StoreOutage(DRAIN_MILLIS, 0);
+    private final StoreOutage outage = new StoreOutage(BOUNDS, 0);
 
     private static long at(long millis) {
         return millis * Calls.MILLI;
@@ -56,7 +56,7 @@
 
     @Test
     void holdsNoLongerThanALeavingServerMayGetRequests() {
-        StoreOutage brief = new StoreOutage(1_200, 0);
+        StoreOutage brief = new StoreOutage(new StoreBounds(1_200, 4_000), 0);
         brief.onFailed(at(0), at(0));
         brief.onFailed(at(2_000), at(2_000));
         brief.onReached(at(3_000));
@@ -64,6 +64,16 @@
         assertThat(brief.holdMillis(at(3_000)), is(1_200L));
     }
 
+    /** The call that was silent was made at 2,000, so that the store may have been back since then. */
+    @Test
+    void holdsNothingOnceTheStoreMayHaveBeenBackForTheTimeOfContact() {
+        outage.onFailed(at(0), at(1_500));
+        outage.onFailed(at(2_000), at(3_500));
+        outage.onReached(at(4_500));
+
+        assertThat(outage.holdMillis(at(4_500)), is(1_500L));
+    }
+
     /** One process is cut off from the store, or its connection has gone silent, and a peer goes on to tell what it sees. */
     @Test
     void isNoOutageWhileAPeerReachesTheStore() {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/Rehearsal.java
@@ -38,7 +38,7 @@
             "store: {url: \"http://$platform\"}",
             "cloud: {url: \"http://$platform\"}",
             "bounds: {stopSeconds: 4, repeatRatio: 0.2, repeatSlack: 50, repeatWindowSeconds: 10, quotaSlack: 100000,",
-            "  quotaOverrun: 0.1, drainMillis: 2000, leaseMillis: 3000, usageWindowSeconds: 1, usageLateSeconds: 10}",
+            "  quotaOverrun: 0.1, drainMillis: 2000, contactMillis: 3000, leaseMillis: 3000, usageWindowSeconds: 1, usageLateSeconds: 10}",
             "");
 
     private static final int ADDRESSES = 4;
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -14,6 +14,7 @@
 import org.geraniumstand.decisions.membership.Incarnation;
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDesk;
+import org.geraniumstand.decisions.relay.StoreBounds;
 import org.geraniumstand.decisions.relay.UsageBook;
 import org.geraniumstand.entry.metrics.ProcessMetrics;
 import org.geraniumstand.entry.metrics.RelayMetrics;
@@ -121,7 +122,7 @@
                 reader,
                 calls::schedule,
                 System::nanoTime,
-                bounds.drainMillis(),
+                new StoreBounds(bounds.drainMillis(), bounds.contactMillis()),
                 facts.get(),
                 DutyLease.KEY,
                 lease::onRecord);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.geraniumstand.decisions.relay.StoreAsking;
+import org.geraniumstand.decisions.relay.StoreBounds;
 import org.geraniumstand.decisions.relay.StoreOutage;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.id.ServerId;
@@ -48,11 +49,18 @@
     /** Most characters of changes that are told to all peers; a small host's link takes a megabyte a second. */
     private static final int MOST_TOLD = 16_000;
 
-    /** First and longest pause after a failed call; entries must be back in use within seconds of the store's return. */
+    /** Shortest pause after a failed call. */
     private static final long FIRST_PAUSE_MILLIS = 100;
 
+    /** Longest time between two calls that fail; entries must be back in use within seconds of the store's return. */
     private static final long LONGEST_PAUSE_MILLIS = 800;
 
+    /** Milliseconds that a call waits for changes while calls fail, as then it only asks whether the store answers. */
+    private static final long PROBE_MILLIS = 100;
+
+    /** Milliseconds beyond its wait after which a call's answer is overdue; the store answers in a few. */
+    private static final long OVERDUE_MILLIS = 250;
+
     private final RevisionStore store;
     private final FactReader reader;
     private final Timer timer;
@@ -76,6 +84,11 @@
     /** When the last call was made, on the monotonic clock in nanoseconds. */
     private long askedNanos;
 
+    /** Milliseconds that the call waits for changes. */
+    private long waitMillis;
+
+    private boolean asked;
+
     private Consumer<PeerMessage.StoreNews> onNews = _news -> {};
 
     /** Revision up to which all changes are known. */
@@ -120,7 +133,7 @@
      * @param reader reads its entries
      * @param timer waits
      * @param clock the monotonic time in nanoseconds
-     * @param drainMillis time for which a server that leaves may still get requests, in milliseconds
+     * @param bounds the times to keep
      * @param listener told what the store says
      * @param ownKey a key of the processes' own whose changes matter
      * @param onOwnKey told whether it is there after a change
@@ -130,7 +143,7 @@
             FactReader reader,
             Timer timer,
             LongSupplier clock,
-            long drainMillis,
+            StoreBounds bounds,
             Listener listener,
             String ownKey,
             Consumer<Boolean> onOwnKey) {
@@ -142,8 +155,8 @@
         this.clock = clock;
         this.toldNanos = clock.getAsLong();
         this.informedNanos = toldNanos;
-        this.asking = new StoreAsking(drainMillis);
-        this.outage = new StoreOutage(drainMillis, toldNanos);
+        this.asking = new StoreAsking(bounds);
+        this.outage = new StoreOutage(bounds, toldNanos);
         this.listener = listener;
     }
 
@@ -172,6 +185,9 @@
         if (!read) {
             return;
         }
+        if (asked && millisSince(askedNanos) > waitMillis + OVERDUE_MILLIS) {
+            outage.onFailed(askedNanos, now);
+        }
         outage.onReached(now);
         boolean missed = news.at() > revision && (news.since() > revision || news.withheld());
         if (missed) {
@@ -197,7 +213,7 @@
             return;
         }
         String prefix = prefixes.remove(0);
-        askedNanos = clock.getAsLong();
+        onAsk(0);
         store.list(prefix, orRestart(listing -> {
             items.addAll(listing.items());
             readAll(prefixes, items, Math.min(from, listing.revision()));
@@ -232,8 +248,8 @@
             return;
         }
         long since = asking.reader() ? seenRevision : revision;
-        askedNanos = clock.getAsLong();
-        store.watch("", since, asking.watchMillis(), result -> {
+        onAsk(lost ? PROBE_MILLIS : asking.watchMillis());
+        store.watch("", since, waitMillis, result -> {
             if (result instanceof Result.Ok<RevisionStore.Changes, StoreError> ok) {
                 answered();
                 asking.onAnswered(ok.held().revision());
@@ -259,6 +275,12 @@
         });
     }
 
+    private void onAsk(long nextWaitMillis) {
+        askedNanos = clock.getAsLong();
+        waitMillis = nextWaitMillis;
+        asked = true;
+    }
+
     private boolean matters(Change change) {
         return change.key().equals(ownKey) || reader.prefixes().stream().anyMatch(change.key()::startsWith);
     }
@@ -374,6 +396,7 @@
     }
 
     private void onError(StoreError error, Runnable again) {
+        asked = false;
         if (error == StoreError.HISTORY_GONE) {
             LOG.info("store-history-gone");
             start();
@@ -386,12 +409,13 @@
         if (outage.onFailed(askedNanos, clock.getAsLong())) {
             LOG.info("store-outage", Field.of("informedMillis", millisSince(informedNanos)));
         }
-        long pause = pauseMillis;
+        long pause = Math.max(FIRST_PAUSE_MILLIS, pauseMillis - millisSince(askedNanos));
         pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
         timer.after(again, pause);
     }
 
     private void answered() {
+        asked = false;
         pauseMillis = FIRST_PAUSE_MILLIS;
         outage.onReached(clock.getAsLong());
         if (lost) {
--- a/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettings.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettings.java
@@ -53,6 +53,7 @@
      * @param quotaSlack units by which a team may exceed its quota
      * @param quotaOverrun part by which a team may exceed its quota
      * @param drainMillis time for which a server that leaves may still get requests, in milliseconds
+     * @param contactMillis time after a disruption from which the other bounds hold again, in milliseconds
      * @param leaseMillis time that a duty's lease holds, in milliseconds
      * @param usageWindowSeconds length of a window of usage, in seconds
      * @param usageLateSeconds time after a window in which its usage is due, in seconds
@@ -65,6 +66,7 @@
             double quotaSlack,
             double quotaOverrun,
             int drainMillis,
+            int contactMillis,
             int leaseMillis,
             double usageWindowSeconds,
             double usageLateSeconds) {}
--- a/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettingsFile.java
+++ b/entry/src/main/java/org/geraniumstand/entry/settings/RelaySettingsFile.java
@@ -36,6 +36,10 @@
                     "bounds.drainMillis",
                     SettingForms.between(LEAST_DRAIN_MILLIS, MOST_MILLIS),
                     "Time for which a server that leaves may still get requests, in milliseconds"),
+            Setting.required(
+                    "bounds.contactMillis",
+                    SettingForms.between(1, MOST_MILLIS),
+                    "Time after a disruption from which the other bounds hold again, in milliseconds"),
             Setting.required(
                     "bounds.leaseMillis",
                     SettingForms.between(1, MOST_MILLIS),
@@ -92,6 +96,7 @@
                         values.decimal("bounds.quotaSlack"),
                         values.decimal("bounds.quotaOverrun"),
                         values.number("bounds.drainMillis"),
+                        values.number("bounds.contactMillis"),
                         values.number("bounds.leaseMillis"),
                         values.decimal("bounds.usageWindowSeconds"),
                         values.decimal("bounds.usageLateSeconds")));
--- a/entry/src/test/java/org/geraniumstand/entry/relay/LeavingServersModel.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/LeavingServersModel.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.geraniumstand.decisions.relay.Hubs;
+import org.geraniumstand.decisions.relay.StoreBounds;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.RelayServer;
@@ -24,7 +25,7 @@
     private final VirtualTimer timer = new VirtualTimer();
     private final StoreModel store = new StoreModel(timer);
     private final List<Follower> processes = new ArrayList<>();
-    private final long drainMillis;
+    private final StoreBounds bounds;
 
     /** An entry process and the servers to which it sends requests. */
     private final class Follower implements StoreFollower.Listener {
@@ -34,7 +35,7 @@
         private final StoreFollower follower;
         private boolean alive = true;
 
-        private Follower(int number, long drainMillis) {
+        private Follower(int number) {
             this.number = number;
             this.id = new ProcessId("process-" + number);
             this.follower = new StoreFollower(
@@ -42,7 +43,7 @@
                     new FakeFactReader(),
                     (step, delay) -> timer.after(() -> ifAlive(step), delay),
                     timer::nanos,
-                    drainMillis,
+                    bounds,
                     this,
                     "own/x",
                     _present -> {});
@@ -90,13 +91,13 @@
         }
     }
 
-    LeavingServersModel(int processCount, int serverCount, long drainMillis) {
-        this.drainMillis = drainMillis;
+    LeavingServersModel(int processCount, int serverCount, StoreBounds bounds) {
+        this.bounds = bounds;
         for (int i = 0; i < serverCount; i++) {
             store.addServer("server-" + i, 37L * i);
         }
         for (int i = 0; i < processCount; i++) {
-            processes.add(new Follower(i, drainMillis));
+            processes.add(new Follower(i));
         }
         processes.forEach(process -> process.follower.start());
         chooseReaders();
@@ -142,7 +143,7 @@
 
     /** Starts a process under a new name; the others notice at once. */
     int start() {
-        Follower next = new Follower(processes.size(), drainMillis);
+        Follower next = new Follower(processes.size());
         processes.add(next);
         next.follower.start();
         chooseReaders();
--- a/entry/src/test/java/org/geraniumstand/entry/relay/RelaySettingsTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/RelaySettingsTest.java
@@ -29,6 +29,7 @@
                 .replace("{{internalPortRange.0}}", "7600")
                 .replaceAll("\\{\\{(platform|cloudApi)\\.address}}", "10.200.0.35:8225")
                 .replace("{{bounds.drainMs}}", "2000")
+                .replace("{{bounds.contactMs}}", "4000")
                 .replace("{{bounds.leaseMs}}", "3000")
                 .replaceAll("\\{\\{bounds\\.[a-zA-Z]+}}", "0.2");
     }
@@ -46,6 +47,7 @@
         assertThat(settings.callers().getPort(), is(8_221));
         assertThat(settings.seeds().size(), is(1));
         assertThat(settings.bounds().drainMillis(), is(2_000));
+        assertThat(settings.bounds().contactMillis(), is(4_000));
         assertThat(settings.bounds().leaseMillis(), is(3_000));
     }
 
--- a/entry/src/test/java/org/geraniumstand/entry/relay/RequestsToLeavingServersTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/RequestsToLeavingServersTest.java
@@ -6,8 +6,10 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.List;
+import org.geraniumstand.decisions.relay.StoreBounds;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** Requests reached servers for longer than allowed after their entries were removed from the store. */
@@ -18,12 +20,16 @@
     /** Milliseconds for which a server that leaves goes on, the {@code drainMs} of the smaller deployments. */
     private static final long DRAIN_MILLIS = 2_000;
 
+    /** Milliseconds after a disruption from which the bound holds, the {@code contactMs} of the same deployments. */
+    private static final long CONTACT_MILLIS = 3_000;
+
     /** Milliseconds for a request on its way. */
     private static final long WAY_MILLIS = 50;
 
     private static final String LEAVING = "server-3";
 
-    private final LeavingServersModel model = new LeavingServersModel(PROCESSES, SERVERS, DRAIN_MILLIS);
+    private final LeavingServersModel model =
+            new LeavingServersModel(PROCESSES, SERVERS, new StoreBounds(DRAIN_MILLIS, CONTACT_MILLIS));
 
     private void outage(long fromMillis, long untilMillis, StoreModel.Service how) {
         model.at(fromMillis, () -> model.store().treatAll(how));
@@ -96,10 +102,21 @@
     }
 
     @ParameterizedTest
-    @EnumSource(names = {"REFUSES", "SILENT"})
-    void livingServersStayInUseAroundAnOutage(StoreModel.Service how) {
-        outage(3_000, 7_500, how);
-        for (long millis = 3_000; millis <= 12_000; millis += 50) {
+    @CsvSource({
+        "REFUSES, 2500",
+        "REFUSES, 3300",
+        "REFUSES, 4500",
+        "REFUSES, 5900",
+        "REFUSES, 7200",
+        "SILENT, 2500",
+        "SILENT, 3300",
+        "SILENT, 4500",
+        "SILENT, 5900",
+        "SILENT, 7200"
+    })
+    void livingServersStayInUseAroundAnOutage(StoreModel.Service how, long lengthMillis) {
+        outage(3_000, 3_000 + lengthMillis, how);
+        for (long millis = 3_000; millis <= 9_000 + lengthMillis; millis += 50) {
             model.runUntil(millis);
             assertThat("servers in use at " + millis, model.fewestUsed(), is(SERVERS));
         }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.geraniumstand.decisions.relay.StoreBounds;
 import org.geraniumstand.model.relay.StoreFact;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.time.Moment;
@@ -18,7 +19,7 @@
 import org.junit.jupiter.api.Test;
 
 final class StoreFollowerTest {
-    private static final long DRAIN_MILLIS = 3_000;
+    private static final StoreBounds BOUNDS = new StoreBounds(3_000, 4_000);
     private static final long SOON = 1_000;
     private static final long LATER = 3_000;
 
@@ -33,7 +34,7 @@
             new FakeFactReader(),
             timer,
             () -> nowNanos,
-            DRAIN_MILLIS,
+            BOUNDS,
             new Told(),
             "own/x",
             present -> ownKey.add(present ? "there" : "gone"));
--- a/proofs/src/test/java/org/geraniumstand/proofs/bench/StartBench.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/bench/StartBench.java
@@ -51,7 +51,7 @@
             "store: {url: \"http://$platform\"}",
             "cloud: {url: \"http://$platform\"}",
             "bounds: {stopSeconds: 1, repeatRatio: 0.2, repeatSlack: 50, repeatWindowSeconds: 10, quotaSlack: 100000,",
-            "  quotaOverrun: 0.1, drainMillis: 2000, leaseMillis: 3000, usageWindowSeconds: 5, usageLateSeconds: 10}",
+            "  quotaOverrun: 0.1, drainMillis: 2000, contactMillis: 3000, leaseMillis: 3000, usageWindowSeconds: 5, usageLateSeconds: 10}",
             "");
 
     private static final int ADDRESSES = 4;
