Ask whether a server still takes work just before a call is sent to it

What callers would see: a call that was decided for a server goes out after the news that the server leaves, by the time that its connection takes to be opened (500 ms at most, or as long as the process is busy), and may meet a server that is ending.

Cause: a server is chosen before the connection is opened, and nothing was asked again when it was.

Evidence: OpaqueListenerTest#sendsNothingToAServerThatLeftWhileItsConnectionWasOpened and #refusesACallWhoseOnlyServerLeftBeforeItWasSent fail without the check (the leaving server answers 200) and pass with it.

Why it works: the check runs on the thread that takes in the news, right before the first byte. A call that is taken back has not run and costs no attempt and no retry; it goes to another server or is refused at once as not run. Data centres that are taken out and addresses that another server has taken over are covered by the same question (RelayFleet.takes).

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
@@ -146,6 +146,12 @@
         }
     }
 
+    /** Takes the call back from its server, which was not sent any part of it. */
+    void withdraw() {
+        attempts--;
+        release(false);
+    }
+
     /** Takes the call back from its server. */
     void release(boolean ran) {
         if (server != null) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -193,6 +193,30 @@
         }
     }
 
+    /**
+     * Takes a call back if its server takes no more work; to be asked just before the call is sent, as a connection may
+     * have been opened meanwhile.
+     *
+     * @param call the call, of which no part was sent
+     * @param nowNanos the monotonic time in nanoseconds
+     * @param steps filled with what is to be done
+     * @return whether the call must not be sent
+     */
+    public boolean withdraw(RelayCall call, long nowNanos, List<RelayStep> steps) {
+        if (call.server() == null || fleet.takes(call.server())) {
+            return false;
+        }
+        call.withdraw();
+        if (choice.any(call.service())) {
+            line(call.service()).add(call);
+        } else {
+            refuse(call, refusal(call, AttemptEnd.NOT_CONNECTED), steps);
+        }
+        drain(call.service(), nowNanos, steps);
+        refuseHopeless(call.service(), nowNanos, steps);
+        return true;
+    }
+
     /**
      * Takes in the end of an attempt.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -204,14 +204,23 @@
     }
 
     private List<ServerView> findTaking(ServiceId service) {
-        List<ServerView> found = new ArrayList<>();
-        for (ServerView view : byService.getOrDefault(service, List.of())) {
-            boolean here = !out.contains(view.server().dataCentre());
-            if (here && !view.server().leaving() && !replaced(view)) {
-                found.add(view);
-            }
-        }
+        List<ServerView> found = byService.getOrDefault(service, List.of()).stream()
+                .filter(this::takes)
+                .toList();
         VersionId target = targets.get(service);
         return List.copyOf(target == null ? found : VersionHold.withhold(found, target));
     }
+
+    /**
+     * Returns whether a server takes work, as far as its entry and its data centre are concerned.
+     *
+     * @param view the server, which may be gone
+     */
+    public boolean takes(ServerView view) {
+        RelayServer server = view.server();
+        return servers.get(server.id()) == view
+                && !server.leaving()
+                && !out.contains(server.dataCentre())
+                && !replaced(view);
+    }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayDeskTest.java
@@ -73,6 +73,34 @@
         assertThat(sentTo(arrive(Calls.call(1, SAFE), 0)), is(new ServerId("near")));
     }
 
+    /** The news comes between the choice of the server and the sending of the call. */
+    @Test
+    void takesACallBackWhoseServerLeavesBeforeItIsSent() {
+        list(Calls.server("near", Calls.DESK, Calls.WEST, 0));
+        RelayCall call = Calls.call(1, UNSAFE);
+        arrive(call, 0);
+        steps.clear();
+        assertThat(desk.withdraw(call, 0, steps), is(false));
+        desk.fleet().onGone(new ServerId("near"));
+        list(Calls.server("far", Calls.DESK, Calls.EAST, 0));
+
+        assertThat(desk.withdraw(call, 0, steps), is(true));
+        assertThat(sentTo(steps.get(0)), is(new ServerId("far")));
+        assertThat(call.attempts(), is(1));
+    }
+
+    @Test
+    void refusesACallAsNotRunWhoseOnlyServerIsOutBeforeItIsSent() {
+        list(Calls.server("near", Calls.DESK, Calls.WEST, 0));
+        RelayCall call = Calls.call(1, UNSAFE);
+        arrive(call, 0);
+        desk.fleet().onDataCentre(Calls.WEST, true, 0);
+        steps.clear();
+
+        assertThat(desk.withdraw(call, 0, steps), is(true));
+        assertThat(((RelayStep.Refuse) steps.get(0)).refusal().outcome(), is(Outcome.NOT_RUN));
+    }
+
     @Test
     void sendsNothingToALeavingServerOrADataCentreThatIsOut() {
         list(Calls.server("out", Calls.DESK, Calls.EAST, 0));
--- a/http/src/main/java/org/geraniumstand/http/opaque/DeskTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DeskTask.java
@@ -71,6 +71,14 @@
         call.team().ifPresent(team -> onBegan.accept(team.id()));
     }
 
+    /** Finds another server for a call whose server takes no more work; returns whether the call must not be sent. */
+    boolean withdrawn(RelayCall call) {
+        List<RelayStep> steps = new ArrayList<>();
+        boolean withdrawn = desk.withdraw(call, System.nanoTime(), steps);
+        run(steps);
+        return withdrawn;
+    }
+
     void ended(RelayCall call, AttemptEnd end) {
         List<RelayStep> steps = new ArrayList<>();
         desk.onEnded(call, end, System.nanoTime(), steps);
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -178,7 +178,10 @@
         private boolean success;
         private long unsentNanos = -1;
 
-        /** Sends nothing for a caller that left, or whose time ended, while this thread was busy. */
+        /**
+         * Sends nothing for a caller that left, or whose time ended, while this thread was busy, and nothing to a server that
+         * left meanwhile.
+         */
         @Override
         public void onConnected() {
             unsentNanos = System.nanoTime() - call.sentNanos();
@@ -186,6 +189,24 @@
             if (!done && System.nanoTime() - call.deadlineNanos() >= 0) {
                 onDeadline();
             }
+            if (!done) {
+                withdrawIfServerLeft();
+            }
+        }
+
+        private void withdrawIfServerLeft() {
+            Attempt own = attempt;
+            RelayServer server = call.server().server();
+            if (!tools.desk().withdrawn(call)) {
+                return;
+            }
+            own.cancel();
+            tools.observer().attemptEnded(AttemptEnd.CANCELLED);
+            LOG.info(
+                    "attempt-withdrawn",
+                    Field.of("request", call.head().attempt()),
+                    Field.of("server", server.id()),
+                    Field.of("unsentMillis", unsentNanos / Moment.NANOS_PER_MILLI));
         }
 
         @Override
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -142,7 +142,12 @@
     }
 
     private void list(String id, int serverPort, int slots) throws InterruptedException {
-        RelayServer server = new RelayServer(
+        RelayServer server = server(id, serverPort, slots);
+        onThread(() -> desk.fleet().onListed(server, System.nanoTime()));
+    }
+
+    private static RelayServer server(String id, int serverPort, int slots) {
+        return new RelayServer(
                 new ServerId(id),
                 1,
                 SERVICE,
@@ -154,7 +159,6 @@
                 false,
                 0,
                 false);
-        onThread(() -> desk.fleet().onListed(server, System.nanoTime()));
     }
 
     private void onThread(Runnable task) throws InterruptedException {
@@ -500,6 +504,42 @@
         }
     }
 
+    /** Runs a task between the choice of the first server and the connection to it. */
+    private void beforeConnecting(Runnable task) {
+        beforeSend.set(() -> {
+            beforeSend.set(() -> {});
+            worker.getIoThread(0).execute(task);
+        });
+    }
+
+    /** A connection takes up to half a second to be opened, and the server may leave meanwhile. */
+    @Test
+    void sendsNothingToAServerThatLeftWhileItsConnectionWasOpened() throws Exception {
+        try (FakeServer leaving = FakeServer.start((_r, c) -> c.answer(200, OURS, "late"));
+                FakeServer other = FakeServer.start((_r, c) -> c.answer(200, OURS, "whole"))) {
+            list(leaving);
+            RelayServer next = server("s1", other.port(), 8);
+            beforeConnecting(() -> {
+                desk.fleet().onGone(new ServerId("s0"));
+                desk.fleet().onListed(next, System.nanoTime());
+            });
+
+            assertThat(call("POST", "/unsafe/", HEAD, "x").body(), is("whole"));
+            assertThat(leaving.requests(), empty());
+        }
+    }
+
+    @Test
+    void refusesACallWhoseOnlyServerLeftBeforeItWasSent() throws Exception {
+        try (FakeServer leaving = FakeServer.start((_r, c) -> c.answer(200, OURS, "late"))) {
+            list(leaving);
+            beforeConnecting(() -> desk.fleet().onGone(new ServerId("s0")));
+
+            assertThat(call("POST", "/unsafe/", HEAD, "x").status(), is(503));
+            assertThat(leaving.requests(), empty());
+        }
+    }
+
     private static void await(CountDownLatch latch) {
         try {
             assertThat(latch.await(5, TimeUnit.SECONDS), is(true));
