Tell all processes which servers any of them lost while the store is away

Cause: what processes know of such a server is its entry of before the crash, so each sends at the warm rate. A process by itself meets a server only every few seconds, so that most see nothing of the crash.

Why it works: a process that hears nothing of the store tells the aggregators which servers it lost itself, and how long ago; they tell all within 0.8 s. Such servers count as cold until 1.6 s after the silence or until their entries say something new. While the store is heard of nothing is told and nothing is suspected, so that refused connections cost no server its calls. A loss that is told again keeps its age (LostServersTest).

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdBelief.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdBelief.java
@@ -17,8 +17,15 @@
 
     private long turnedNanos;
 
-    ColdBelief(long nowNanos) {
-        listedUntilNanos = nowNanos;
+    /** Whether a process lost the server since its entry was heard, and when one did last. */
+    private boolean lost;
+
+    private long lostNanos;
+    private final StoreSilence silence;
+
+    ColdBelief(StoreSilence silence, long nowNanos) {
+        this.silence = silence;
+        this.listedUntilNanos = nowNanos;
     }
 
     /**
@@ -31,6 +38,21 @@
         listedUntilNanos = nowNanos + coldMillis * Moment.NANOS_PER_MILLI;
     }
 
+    /** Takes in that the server's entry says something new, so that the server wrote it after it was lost. */
+    void onNews() {
+        lost = false;
+    }
+
+    /**
+     * Takes in that a process could no longer reach the server.
+     *
+     * @param atNanos when it noticed, on the monotonic clock in nanoseconds
+     */
+    void onLost(long atNanos) {
+        lostNanos = lost && lostNanos - atNanos > 0 ? lostNanos : atNanos;
+        lost = true;
+    }
+
     /**
      * Takes in that the server's data centre takes work again. It did not serve in between, and its entry tells of that only with
      * the next heartbeat.
@@ -62,6 +84,9 @@
         if (mayHaveTurned) {
             left = Math.max(left, turnedNanos + startMillis * Moment.NANOS_PER_MILLI - nowNanos);
         }
+        if (lost && silence.mayHaveStarted(lostNanos, nowNanos)) {
+            left = Math.max(left, startMillis * Moment.NANOS_PER_MILLI);
+        }
         return Math.max(0, left);
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -12,7 +12,9 @@
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.relay.RelayServer;
+import org.geraniumstand.model.relay.ServerLoss;
 import org.geraniumstand.model.relay.ServerUse;
+import org.geraniumstand.model.time.Moment;
 
 /** The backend servers that stand in the store, and the data centres that are out. */
 public final class RelayFleet {
@@ -20,6 +22,7 @@
     private final Map<ServiceId, List<ServerView>> byService = new HashMap<>();
     private final Map<String, ServerView> newestAt = new HashMap<>();
     private final Set<DataCentreId> out = new HashSet<>();
+    private final StoreSilence silence = new StoreSilence();
 
     /** Versions that services are ordered to move to. */
     private final Map<ServiceId, VersionId> targets = new HashMap<>();
@@ -47,7 +50,7 @@
             return;
         }
         onGone(listed.id());
-        ServerView view = new ServerView(listed, nowNanos);
+        ServerView view = new ServerView(listed, silence, nowNanos);
         servers.put(listed.id(), view);
         byService.computeIfAbsent(listed.service(), _key -> new ArrayList<>()).add(view);
         newestAt.merge(
@@ -194,6 +197,49 @@
         }
     }
 
+    /**
+     * Takes in that all changes in the store up to now are known.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onStoreInformed(long nowNanos) {
+        silence.onInformed(nowNanos);
+    }
+
+    /**
+     * Returns the servers that this process lost and whose entries may tell of a new start too late; empty while the store is heard
+     * of.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public List<ServerLoss> lost(long nowNanos) {
+        if (!silence.silent(nowNanos)) {
+            return List.of();
+        }
+        List<ServerLoss> losses = new ArrayList<>();
+        for (ServerView view : servers.values()) {
+            view.lostHereNanos()
+                    .ifPresent(at ->
+                            losses.add(new ServerLoss(view.server().id(), (nowNanos - at) / Moment.NANOS_PER_MILLI)));
+        }
+        return losses;
+    }
+
+    /**
+     * Takes in which servers any process lost.
+     *
+     * @param losses the losses
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onLostByOthers(List<ServerLoss> losses, long nowNanos) {
+        for (ServerLoss loss : losses) {
+            ServerView view = servers.get(loss.server());
+            if (view != null) {
+                view.onLostByOther(nowNanos - loss.ageMillis() * Moment.NANOS_PER_MILLI);
+            }
+        }
+    }
+
     /**
      * Returns the servers of a service that may take new work.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.decisions.relay;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.geraniumstand.decisions.Hash;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.RelayService;
@@ -40,6 +41,7 @@
     private Optional<OthersCalls> toldByPeers = Optional.empty();
     private long pauseMillis;
     private long pausedUntilNanos;
+    private OptionalLong lostHereNanos = OptionalLong.empty();
 
     /** Calls of other processes at the server, and when they were told. */
     private record OthersCalls(int calls, long atNanos) {
@@ -48,8 +50,8 @@
         }
     }
 
-    ServerView(RelayServer server, long nowNanos) {
-        this.coldBelief = new ColdBelief(nowNanos);
+    ServerView(RelayServer server, StoreSilence silence, long nowNanos) {
+        this.coldBelief = new ColdBelief(silence, nowNanos);
         list(server, nowNanos);
         this.hash = Hash.of(server.id().value());
         this.lastByteNanos = nowNanos;
@@ -57,6 +59,10 @@
     }
 
     void list(RelayServer next, long nowNanos) {
+        if (!next.equals(server)) {
+            coldBelief.onNews();
+            lostHereNanos = OptionalLong.empty();
+        }
         server = next;
         place = next.address() + ":" + next.port();
         listedNanos = nowNanos;
@@ -202,8 +208,20 @@
         return gone || (end == AttemptEnd.BROKEN && brokenInRow >= BROKEN_IN_ROW);
     }
 
+    /** Takes in that another process could no longer reach the server. */
+    void onLostByOther(long atNanos) {
+        coldBelief.onLost(atNanos);
+    }
+
+    /** Returns when this process lost the server, on the monotonic clock in nanoseconds, if it did since the entry said anything new. */
+    OptionalLong lostHereNanos() {
+        return lostHereNanos;
+    }
+
     /** Leaves the server alone for a while that doubles with each failure in a row. */
     void pause(long nowNanos) {
+        coldBelief.onLost(nowNanos);
+        lostHereNanos = OptionalLong.of(nowNanos);
         pauseMillis = pauseMillis == 0 ? FIRST_PAUSE_MILLIS : Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
         pausedUntilNanos = nowNanos + pauseMillis * Moment.NANOS_PER_MILLI;
     }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdBeliefTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdBeliefTest.java
@@ -9,7 +9,8 @@
     private static final long START_MILLIS = 3_000;
     private static final long SECOND = 1_000 * Calls.MILLI;
 
-    private final ColdBelief belief = new ColdBelief(0);
+    private final StoreSilence silence = new StoreSilence();
+    private final ColdBelief belief = new ColdBelief(silence, 0);
 
     private long leftMillis(long nowNanos) {
         return belief.leftNanos(START_MILLIS, nowNanos) / Calls.MILLI;
@@ -34,4 +35,32 @@
         assertThat(belief.listed(10 * SECOND), is(false));
         assertThat(leftMillis(13 * SECOND), is(0L));
     }
+
+    /** Nobody hears of the store while the server crashes and starts again under its name. */
+    @Test
+    void isColdAfterItWasLostWhileTheStoreIsSilent() {
+        silence.onInformed(0);
+        belief.onLost(2 * SECOND);
+
+        assertThat(leftMillis(3 * SECOND), is(START_MILLIS));
+    }
+
+    @Test
+    void isWarmOnceItsEntrySaysSomethingNew() {
+        silence.onInformed(0);
+        belief.onLost(2 * SECOND);
+        belief.onNews();
+
+        assertThat(leftMillis(3 * SECOND), is(0L));
+    }
+
+    @Test
+    void isWarmAfterItWasLostWhileTheStoreIsHeardOf() {
+        for (long millis = 0; millis <= 3_000; millis += 300) {
+            silence.onInformed(millis * Calls.MILLI);
+        }
+        belief.onLost(2 * SECOND);
+
+        assertThat(leftMillis(3 * SECOND), is(0L));
+    }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetModel.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetModel.java
@@ -43,6 +43,7 @@
     private static final int COLD_MILLIS = 3_000;
     private static final int TOPICS = 40;
     private static final int SHARE_EVERY_MILLIS = 200;
+    private static final int INFORMED_EVERY_MILLIS = 300;
     private static final RelayRoute STREAM = Calls.route(CallKind.STREAM, false, 2, 0);
     private static final RelayTeam TEAM =
             new RelayTeam(new TeamId("t"), List.of("key"), OptionalInt.empty(), true, 200, 0, 0);
@@ -50,6 +51,8 @@
     private final List<RelayDesk> desks = new ArrayList<>();
     private final List<ProcessId> processes = new ArrayList<>();
     private final InFlightSums sums = new InFlightSums();
+    private final LostServers lost = new LostServers();
+    private boolean storeAway;
     private final Map<ServerId, Engine> engines = new HashMap<>();
     private final IdentityHashMap<RelayCall, RelayDesk> owner = new IdentityHashMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
@@ -125,6 +128,11 @@
         events.add(new Event(atMillis, eventCount++, action));
     }
 
+    /** Sets whether nobody hears of the store. */
+    void storeAway(boolean away) {
+        storeAway = away;
+    }
+
     /** The engine crashes: its calls break, and it takes no connections. */
     void crash(ServerId id) {
         Engine engine = engines.get(id);
@@ -201,6 +209,9 @@
                 arrive();
             }
             shareInFlight();
+            if (!storeAway && millis % INFORMED_EVERY_MILLIS == 0) {
+                desks.forEach(desk -> desk.fleet().onStoreInformed(now()));
+            }
             if (millis % 10 == 0) {
                 desks.forEach(this::look);
             }
@@ -213,6 +224,8 @@
             if ((millis + 5L * i) % SHARE_EVERY_MILLIS == 0) {
                 RelayDesk desk = desks.get(i);
                 sums.onTold(processes.get(i), desk.fleet().inFlight(), now());
+                lost.onTold(desk.fleet().lost(now()), now());
+                desk.fleet().onLostByOthers(lost.lately(now()), now());
                 sums.retain(Set.copyOf(processes), now());
                 desk.fleet().onOthersInFlight(sums.without(processes.get(i)), now());
             }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdServerFloodTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdServerFloodTest.java
@@ -62,8 +62,12 @@
     void serversStartAgainWhileTheStoreIsAway(long seed) {
         ColdFleetModel fleet = new ColdFleetModel(seed);
         List<ServerId> east = fleet.enginesOf(Calls.EAST);
+        fleet.at(900, () -> fleet.storeAway(true));
         restartInABurst(fleet, east);
-        fleet.at(5_500, () -> fleet.listAfterHeartbeat(east));
+        fleet.at(5_500, () -> {
+            fleet.storeAway(false);
+            fleet.listAfterHeartbeat(east);
+        });
         fleet.runUntil(7_000);
 
         assertBorne(fleet);
--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/LostServersTest.java
@@ -0,0 +1,39 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+
+import java.util.List;
+import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.relay.ServerLoss;
+import org.junit.jupiter.api.Test;
+
+final class LostServersTest {
+    private static final ServerId SERVER = new ServerId("s");
+
+    private final LostServers lost = new LostServers();
+
+    private static long at(long millis) {
+        return millis * Calls.MILLI;
+    }
+
+    @Test
+    void tellsTheNewestLossWithItsAge() {
+        lost.onTold(List.of(new ServerLoss(SERVER, 500)), at(1_000));
+        lost.onTold(List.of(new ServerLoss(SERVER, 900)), at(1_100));
+
+        assertThat(lost.lately(at(1_200)), contains(new ServerLoss(SERVER, 700)));
+    }
+
+    /** What is told again and again must not stay new. */
+    @Test
+    void forgetsALossThatIsOldThoughItIsToldAgain() {
+        lost.onTold(List.of(new ServerLoss(SERVER, 0)), at(0));
+        for (long millis = 400; millis <= 10_400; millis += 400) {
+            lost.onTold(lost.lately(at(millis)), at(millis));
+        }
+
+        assertThat(lost.lately(at(10_400)), empty());
+    }
+}
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RepeatRuleTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RepeatRuleTest.java
@@ -12,7 +12,7 @@
     private static RelayCall sent(RelayRoute route, int attempts) {
         RelayCall call = Calls.call(1, route);
         for (int i = 0; i < attempts; i++) {
-            call.send(new ServerView(Calls.server("s" + i, Calls.DESK, Calls.WEST, 0), 0), 0, 0);
+            call.send(new ServerView(Calls.server("s" + i, Calls.DESK, Calls.WEST, 0), new StoreSilence(), 0), 0, 0);
             call.release(true);
         }
         return call;
--- a/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/DeskFacts.java
@@ -98,6 +98,11 @@
         task.look();
     }
 
+    @Override
+    public void onInformed() {
+        desk().fleet().onStoreInformed(System.nanoTime());
+    }
+
     @Override
     public void onWhole(List<StoreFact> facts) {
         Set<ServerId> listed = new HashSet<>();
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -8,6 +8,7 @@
 import java.util.stream.Collectors;
 import org.geraniumstand.decisions.relay.Hubs;
 import org.geraniumstand.decisions.relay.InFlightSums;
+import org.geraniumstand.decisions.relay.LostServers;
 import org.geraniumstand.decisions.relay.PlanPull;
 import org.geraniumstand.decisions.relay.RelayDesk;
 import org.geraniumstand.decisions.relay.UseSums;
@@ -52,6 +53,7 @@
     private final PlanListener onPlan;
     private final UseSums sums = new UseSums();
     private final InFlightSums inFlight = new InFlightSums();
+    private final LostServers lost = new LostServers();
     private final PlanPull pull = new PlanPull();
     private Optional<List<Member>> pending = Optional.empty();
     private Set<ProcessId> live = Set.of();
@@ -215,17 +217,22 @@
         long now = System.nanoTime();
         sums.onTold(from, share.uses(), now);
         inFlight.onTold(from, share.inFlight(), now);
+        lost.onTold(share.lost(), now);
         // One of the two tells what is in flight; the other has the same figures.
         boolean first = !hubs.isEmpty() && hubs.get(0).equals(network.self().id());
         network.send(
                 from,
                 new PeerMessage.OthersUse(
-                        sums.without(from), sums.heard(now), first ? inFlight.without(from) : List.of()));
+                        sums.without(from),
+                        sums.heard(now),
+                        first ? inFlight.without(from) : List.of(),
+                        lost.lately(now)));
     }
 
     private void takeOthers(ProcessId hub, PeerMessage.OthersUse use) {
         long now = System.nanoTime();
         desk.quotas().onOthers(hub, use.uses(), use.heard(), now);
+        desk.fleet().onLostByOthers(use.lost(), now);
         // A hub that has just begun knows only a part of what is in flight.
         if (!use.inFlight().isEmpty() && use.heard() >= HEARD_SHARE * live.size()) {
             desk.fleet().onOthersInFlight(use.inFlight(), now);
@@ -261,9 +268,10 @@
         timer.after(this::share, pause);
         ask();
         tellVersion();
-        PeerMessage.TeamUseShare own =
-                new PeerMessage.TeamUseShare(desk.quotas().own(), desk.fleet().inFlight());
-        inFlight.retain(live, System.nanoTime());
+        long now = System.nanoTime();
+        PeerMessage.TeamUseShare own = new PeerMessage.TeamUseShare(
+                desk.quotas().own(), desk.fleet().inFlight(), desk.fleet().lost(now));
+        inFlight.retain(live, now);
         // What this process sends to itself comes back to it like any other message.
         hubs.forEach(hub -> network.send(hub, own));
     }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -124,6 +124,9 @@
 
         /** All entries were read; nothing else stands in the store. */
         void onWhole(List<StoreFact> facts);
+
+        /** All changes up to now are known. */
+        void onInformed();
     }
 
     /**
@@ -196,7 +199,7 @@
         }
         asking.onTold(now);
         takeNew(news.changes(), Source.PEER);
-        informedNanos = now;
+        onInformed(now);
         revision = Math.max(revision, news.at());
     }
 
@@ -209,6 +212,7 @@
             toldRevision = from;
             takeAll(items);
             asking.onWhole();
+            onInformed(clock.getAsLong());
             watch();
             return;
         }
@@ -256,7 +260,7 @@
                 List<Change> mattering =
                         ok.held().changes().stream().filter(this::matters).toList();
                 takeNew(mattering, Source.STORE);
-                informedNanos = clock.getAsLong();
+                onInformed(clock.getAsLong());
                 revision = Math.max(revision, ok.held().revision());
                 seenRevision = Math.max(seenRevision, ok.held().revision());
                 if (asking.reader()) {
@@ -281,6 +285,11 @@
         asked = true;
     }
 
+    private void onInformed(long nowNanos) {
+        informedNanos = nowNanos;
+        listener.onInformed();
+    }
+
     private boolean matters(Change change) {
         return change.key().equals(ownKey) || reader.prefixes().stream().anyMatch(change.key()::startsWith);
     }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/LeavingServersModel.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/LeavingServersModel.java
@@ -84,6 +84,9 @@
             }
         }
 
+        @Override
+        public void onInformed() {}
+
         @Override
         public void onWhole(List<StoreFact> facts) {
             using.clear();
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -51,6 +51,9 @@
             told.add("gone " + ((StoreFact.Removed.Server) removed).server());
         }
 
+        @Override
+        public void onInformed() {}
+
         @Override
         public void onWhole(List<StoreFact> facts) {
             told.add("whole " + facts.size());
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -11,6 +11,7 @@
 import org.geraniumstand.model.limits.Grant;
 import org.geraniumstand.model.member.Confirmation;
 import org.geraniumstand.model.member.MemberNews;
+import org.geraniumstand.model.relay.ServerLoss;
 import org.geraniumstand.model.relay.ServerUse;
 import org.geraniumstand.model.relay.TeamUse;
 import org.geraniumstand.model.relay.WindowCounts;
@@ -188,12 +189,14 @@
      *
      * @param uses a use a team
      * @param inFlight its calls in flight by server; servers without any are left out
+     * @param lost servers that it lost while it hears nothing of the store
      */
-    record TeamUseShare(List<TeamUse> uses, List<ServerUse> inFlight) implements PeerMessage {
+    record TeamUseShare(List<TeamUse> uses, List<ServerUse> inFlight, List<ServerLoss> lost) implements PeerMessage {
         /** Copies the lists. */
         public TeamUseShare {
             uses = List.copyOf(uses);
             inFlight = List.copyOf(inFlight);
+            lost = List.copyOf(lost);
         }
     }
 
@@ -203,12 +206,15 @@
      * @param uses a use a team, since the sender began to add up
      * @param heard processes that told the sender lately
      * @param inFlight what they have in flight by server; empty if the sender does not tell the receiver
+     * @param lost servers that any process lost lately while it heard nothing of the store
      */
-    record OthersUse(List<TeamUse> uses, int heard, List<ServerUse> inFlight) implements PeerMessage {
+    record OthersUse(List<TeamUse> uses, int heard, List<ServerUse> inFlight, List<ServerLoss> lost)
+            implements PeerMessage {
         /** Copies the lists. */
         public OthersUse {
             uses = List.copyOf(uses);
             inFlight = List.copyOf(inFlight);
+            lost = List.copyOf(lost);
         }
     }
 
--- a/peer/src/main/java/org/geraniumstand/peer/codec/OthersUseCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/OthersUseCodec.java
@@ -16,15 +16,19 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.OthersUse message) {
-        out.fields(3)
+        out.fields(4)
                 .list(message.uses(), TeamUseShareCodec::writeUse)
                 .number(message.heard())
-                .list(message.inFlight(), TeamUseShareCodec::writeServer);
+                .list(message.inFlight(), TeamUseShareCodec::writeServer)
+                .list(message.lost(), TeamUseShareCodec::writeLoss);
     }
 
     @Override
     public PeerMessage.OthersUse read(FieldReader in) {
         return new PeerMessage.OthersUse(
-                in.list(TeamUseShareCodec::readUse), in.smallNumber(), in.list(TeamUseShareCodec::readServer));
+                in.list(TeamUseShareCodec::readUse),
+                in.smallNumber(),
+                in.list(TeamUseShareCodec::readServer),
+                in.list(TeamUseShareCodec::readLoss));
     }
 }
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -35,6 +35,7 @@
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.member.MemberNews;
 import org.geraniumstand.model.member.MemberState;
+import org.geraniumstand.model.relay.ServerLoss;
 import org.geraniumstand.model.relay.ServerUse;
 import org.geraniumstand.model.relay.TeamUse;
 import org.geraniumstand.model.relay.WindowCounts;
@@ -127,8 +128,8 @@
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamTaken::new),
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamAsk::new),
                 fleet().map(PeerMessage.FleetNews::new),
-                Combinators.combine(uses(), serverUses()).as(PeerMessage.TeamUseShare::new),
-                Combinators.combine(uses(), small(), serverUses()).as(PeerMessage.OthersUse::new),
+                Combinators.combine(uses(), serverUses(), losses()).as(PeerMessage.TeamUseShare::new),
+                Combinators.combine(uses(), small(), serverUses(), losses()).as(PeerMessage.OthersUse::new),
                 windows().map(PeerMessage.UsageShare::new),
                 Combinators.combine(numbers(), numbers())
                         .as(WindowTotal::new)
@@ -157,6 +158,13 @@
                 .as(MemberNews::new);
     }
 
+    private static Arbitrary<List<ServerLoss>> losses() {
+        return Combinators.combine(names(), numbers())
+                .as((server, age) -> new ServerLoss(new ServerId(server), age))
+                .list()
+                .ofMaxSize(4);
+    }
+
     private static Arbitrary<List<ServerUse>> serverUses() {
         return Combinators.combine(names(), small())
                 .as((server, calls) -> new ServerUse(new ServerId(server), calls))
