Keep a reader's link free: tell no countdowns, and leave large changes to the store

The class of fault: work of one process that grows with the number of processes and of servers, on the path that a bound depends on.

Evidence: StoreFollowerTest#tellsNobodyOfServersThatCountDownUntilTheyAreWarm told 3 changes before and tells 1; NewsLimitTest fails with the limit of 16,000 characters whatever the number of peers, which let 0.98 s of link pass.

Why it works: an entry is news only if its server is warm at another time than it said before (EntryNews). News take 0.2 s of such a link at most over all peers (NewsLimit); what is larger, each peer asks the store for, which carries it in a tenth of that.

--- /dev/null
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/NewsLimitTest.java
@@ -0,0 +1,29 @@
+package org.geraniumstand.decisions.relay;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import org.junit.jupiter.api.Test;
+
+final class NewsLimitTest {
+    /** About what a server's entry takes. */
+    private static final int ENTRY_BYTES = 300;
+
+    @Test
+    void tellsAFewServersToManyPeers() {
+        assertThat(NewsLimit.test(2 * ENTRY_BYTES, 329), is(true));
+        assertThat(NewsLimit.test(10 * ENTRY_BYTES, 77), is(true));
+    }
+
+    @Test
+    void tellsAllServersToFewPeers() {
+        assertThat(NewsLimit.test(60 * ENTRY_BYTES, 6), is(true));
+    }
+
+    /** Forty servers of a data centre say at once that they leave. */
+    @Test
+    void leavesManyServersToTheStoreWhereThereAreManyPeers() {
+        assertThat(NewsLimit.test(40 * ENTRY_BYTES, 77), is(false));
+        assertThat(NewsLimit.test(40 * ENTRY_BYTES, 329), is(false));
+    }
+}
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -204,7 +204,7 @@
                 Field.of("count", live.size() - 1),
                 Field.of("quotaHubs", hubs),
                 Field.of("storeReaders", readers));
-        follower.onReader(readers.contains(network.self().id()));
+        follower.onReader(readers.contains(network.self().id()), live.size() - 1);
         lease.onFirst(
                 Hubs.choose(Hubs.Task.HOLD_DUTIES, live).contains(network.self().id()));
         usage.onGatherers(Hubs.choose(Hubs.Task.COUNT_REQUESTS, live));
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -9,6 +9,8 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.geraniumstand.decisions.relay.EntryNews;
+import org.geraniumstand.decisions.relay.NewsLimit;
 import org.geraniumstand.decisions.relay.StoreAsking;
 import org.geraniumstand.decisions.relay.StoreBounds;
 import org.geraniumstand.decisions.relay.StoreOutage;
@@ -46,9 +48,6 @@
     /** Milliseconds after which peers are told that nothing changed. */
     private static final long QUIET_MILLIS = 300;
 
-    /** Most characters of changes that are told to all peers; a small host's link takes a megabyte a second. */
-    private static final int MOST_TOLD = 16_000;
-
     /** Shortest pause after a failed call. */
     private static final long FIRST_PAUSE_MILLIS = 100;
 
@@ -69,10 +68,10 @@
     private final String ownKey;
     private final Consumer<Boolean> onOwnKey;
     private final StoreAsking asking;
-    private final Map<String, StoreFact> known = new TreeMap<>();
+    private final Map<String, EntryNews.Heard> known = new TreeMap<>();
 
     /** What this process saw itself while it asks for all, without what peers told. */
-    private final Map<String, StoreFact> seen = new HashMap<>();
+    private final Map<String, EntryNews.Heard> seen = new HashMap<>();
 
     private final Map<ServerId, Missing> missing = new HashMap<>();
     private long pauseMillis = FIRST_PAUSE_MILLIS;
@@ -98,6 +97,7 @@
     private long seenRevision;
 
     private boolean read;
+    private int peers;
 
     /** When all changes up to then were last known, on the monotonic clock in nanoseconds. */
     private long informedNanos;
@@ -172,8 +172,9 @@
         onNews = next;
     }
 
-    /** Takes in whether this process asks for all. */
-    void onReader(boolean reader) {
+    /** Takes in whether this process asks for all, and how many other processes it tells then. */
+    void onReader(boolean reader, int others) {
+        peers = others;
         if (reader && !asking.reader()) {
             seenRevision = revision;
             toldRevision = revision;
@@ -230,10 +231,10 @@
         seen.clear();
         for (Item item : items) {
             keys.add(item.key());
-            StoreFact fact = read(item.key(), item.value());
-            facts.add(fact);
-            known.put(item.key(), fact);
-            seen.put(item.key(), fact);
+            EntryNews.Heard heard = heard(read(item.key(), item.value()));
+            facts.add(heard.fact());
+            known.put(item.key(), heard);
+            seen.put(item.key(), heard);
         }
         for (String key : List.copyOf(known.keySet())) {
             if (!keys.contains(key)) {
@@ -303,8 +304,8 @@
             seen.remove(change.key());
             return true;
         }
-        StoreFact fact = reader.read(change.key(), change.value().get());
-        return !fact.equals(seen.put(change.key(), fact));
+        EntryNews.Heard heard = heard(reader.read(change.key(), change.value().get()));
+        return keepIfNews(seen, change.key(), heard);
     }
 
     private void tell(List<Change> changes) {
@@ -315,7 +316,7 @@
         int size = changes.stream()
                 .mapToInt(c -> c.key().length() + c.value().map(String::length).orElse(0))
                 .sum();
-        boolean large = size > MOST_TOLD;
+        boolean large = !NewsLimit.test(size, peers);
         onNews.accept(new PeerMessage.StoreNews(toldRevision, seenRevision, large, large ? List.of() : changes));
         toldRevision = seenRevision;
         toldNanos = now;
@@ -337,7 +338,7 @@
             return;
         }
         StoreFact fact = read(change.key(), change.value().get());
-        if (fact.equals(known.put(change.key(), fact))) {
+        if (!keepIfNews(known, change.key(), heard(fact))) {
             return;
         }
         if (fact instanceof StoreFact.Listed listed) {
@@ -347,14 +348,15 @@
     }
 
     private void remove(String key, long removedAt, Source source) {
-        StoreFact before = known.remove(key);
+        EntryNews.Heard before = known.remove(key);
         StoreFact.Removed removed = reader.removed(key);
         long holdMillis = outage.holdMillis(clock.getAsLong());
         if (removed instanceof StoreFact.Removed.Server server
                 && holdMillis > 0
-                && before instanceof StoreFact.Listed listed
+                && before != null
+                && before.fact() instanceof StoreFact.Listed listed
                 && !listed.server().leaving()) {
-            Missing vanished = new Missing(before, clock.getAsLong());
+            Missing vanished = new Missing(before.fact(), clock.getAsLong());
             missing.put(server.server(), vanished);
             LOG.info(
                     "server-missing",
@@ -383,6 +385,19 @@
         return (clock.getAsLong() - nanos) / Moment.NANOS_PER_MILLI;
     }
 
+    private EntryNews.Heard heard(StoreFact fact) {
+        return new EntryNews.Heard(fact, clock.getAsLong());
+    }
+
+    /** Keeps what an entry says and returns true if it says anything new. */
+    private static boolean keepIfNews(Map<String, EntryNews.Heard> entries, String key, EntryNews.Heard next) {
+        boolean news = EntryNews.test(entries.get(key), next);
+        if (news) {
+            entries.put(key, next);
+        }
+        return news;
+    }
+
     private StoreFact read(String key, String value) {
         StoreFact fact = reader.read(key, value);
         if (fact instanceof StoreFact.Unreadable unreadable) {
--- a/entry/src/test/java/org/geraniumstand/entry/relay/FakeFactReader.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/FakeFactReader.java
@@ -9,12 +9,15 @@
 import org.geraniumstand.model.relay.StoreFact;
 import org.geraniumstand.outside.relay.FactReader;
 
-/** Reads a server from an entry whose value is its state. */
+/** Reads a server from an entry whose value is its state, or how much longer it is cold. */
 final class FakeFactReader implements FactReader {
     static final String PREFIX = "s/";
     static final String READY = "ready";
     static final String LEAVING = "leaving";
 
+    /** Stands before the milliseconds for which a server is cold. */
+    private static final String COLD = "cold ";
+
     @Override
     public StoreFact plan(String _text) {
         return new StoreFact.Unrelated();
@@ -32,7 +35,7 @@
                 new VersionId("v"),
                 1,
                 value.equals(LEAVING),
-                0,
+                value.startsWith(COLD) ? Long.parseLong(value.substring(COLD.length())) : 0,
                 false));
     }
 
--- a/entry/src/test/java/org/geraniumstand/entry/relay/LeavingServersModel.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/LeavingServersModel.java
@@ -163,7 +163,9 @@
 
     private void chooseReaders() {
         List<Integer> readers = readers();
-        processes.stream().filter(p -> p.alive).forEach(p -> p.follower.onReader(readers.contains(p.number)));
+        processes.stream()
+                .filter(p -> p.alive)
+                .forEach(p -> p.follower.onReader(readers.contains(p.number), live().size() - 1));
     }
 
     /** Returns the numbers of the live processes that send requests to a server. */
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -20,6 +20,7 @@
 
 final class StoreFollowerTest {
     private static final StoreBounds BOUNDS = new StoreBounds(3_000, 4_000);
+    private static final int PEERS = 77;
     private static final long SOON = 1_000;
     private static final long LATER = 3_000;
 
@@ -102,7 +103,7 @@
     void tellsNobodyOfEntriesThatSayNothingNew() {
         store.write("s/a", "ready");
         follower.start();
-        follower.onReader(true);
+        follower.onReader(true, PEERS);
         follower.onNews(news::add);
         change("s/a", Optional.of("ready"));
         change("s/a", Optional.of("ready"));
@@ -119,12 +120,28 @@
                 contains("ready", "leaving"));
     }
 
+    /** A link of 10 Mbit/s that carries news to 77 processes was full of servers that counted down. */
+    @Test
+    void tellsNobodyOfServersThatCountDownUntilTheyAreWarm() {
+        follower.onNews(news::add);
+        follower.start();
+        follower.onReader(true, PEERS);
+        change("s/a", Optional.of("cold 3000"));
+        nowNanos += 1_200 * Moment.NANOS_PER_MILLI;
+        change("s/a", Optional.of("cold 1800"));
+        nowNanos += 1_200 * Moment.NANOS_PER_MILLI;
+        change("s/a", Optional.of("cold 600"));
+
+        assertThat(told, contains("whole 0", "fact a"));
+        assertThat(news.stream().mapToInt(n -> n.changes().size()).sum(), is(1));
+    }
+
     /** Two processes ask for all; one hears a change from the other first, but those that it tells may not have. */
     @Test
     void tellsAChangeThatAnotherReaderToldItBefore() {
         store.write("s/a", "ready");
         follower.start();
-        follower.onReader(true);
+        follower.onReader(true, PEERS);
         follower.onNews(news::add);
         follower.onTold(told(101, revision + 1, new Change("s/a", Optional.of("leaving"), revision + 1)));
         change("s/a", Optional.of("leaving"));
@@ -308,7 +325,7 @@
     void tellsPeersWhatMattersWhileItAsksForAll() {
         follower.onNews(news::add);
         follower.start();
-        follower.onReader(true);
+        follower.onReader(true, PEERS);
         change("usage/1", Optional.of("{}"));
         change("s/a", Optional.of("ready"));
 
@@ -320,7 +337,7 @@
     void tellsPeersOnlyWhatComesAfterItReadAnew() {
         follower.onNews(news::add);
         follower.start();
-        follower.onReader(true);
+        follower.onReader(true, PEERS);
         store.write("s/a", "ready");
         store.tell(Result.err(StoreError.HISTORY_GONE));
         change("s/b", Optional.of("ready"));
@@ -331,7 +348,7 @@
     @Test
     void tellsPeersOnlyWhatComesAfterItsFirstRead() {
         follower.onNews(news::add);
-        follower.onReader(true);
+        follower.onReader(true, PEERS);
         follower.start();
         change("s/a", Optional.of("ready"));
 
@@ -343,7 +360,7 @@
     void tellsPeersNoMoreThanItSawItself() {
         follower.onNews(news::add);
         follower.start();
-        follower.onReader(true);
+        follower.onReader(true, PEERS);
         follower.onTold(told(100, 150, ready("s/a", 140)));
         store.tell(Result.ok(new Changes(List.of(ready("s/b", 120)), 120)));
         timer.run(SOON);
@@ -356,7 +373,7 @@
     void withholdsFromPeersWhatIsLarge() {
         follower.onNews(news::add);
         follower.start();
-        follower.onReader(true);
+        follower.onReader(true, PEERS);
         change("s/a", Optional.of("x".repeat(20_000)));
 
         assertThat(news, contains(new PeerMessage.StoreNews(100, 201, true, List.of())));
--- a/model/src/main/java/org/geraniumstand/model/relay/RelayServer.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/RelayServer.java
@@ -32,6 +32,16 @@
         boolean leaving,
         long coldMillis,
         boolean reclaimable) {
+    /**
+     * Returns the same server that is cold for another time.
+     *
+     * @param millis how much longer it is cold, in milliseconds
+     */
+    public RelayServer withColdMillis(long millis) {
+        return new RelayServer(
+                id, bornMillis, service, address, port, dataCentre, version, slots, leaving, millis, reclaimable);
+    }
+
     // The methods that the compiler generates are linked at run time, which costs each start some milliseconds a type.
     @Override
     public boolean equals(Object other) {
