Split the reachability of the store and the servers kept as missing from the store's follower

StoreReachability follows whether the store can be reached and paces the calls, MissingServers keeps servers whose entries may have lapsed.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -13,9 +13,7 @@
 import org.geraniumstand.decisions.relay.NewsLimit;
 import org.geraniumstand.decisions.relay.StoreAsking;
 import org.geraniumstand.decisions.relay.StoreBounds;
-import org.geraniumstand.decisions.relay.StoreOutage;
 import org.geraniumstand.entry.task.Timer;
-import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.StoreFact;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.time.Moment;
@@ -48,18 +46,6 @@
     /** Milliseconds after which peers are told that nothing changed. */
     private static final long QUIET_MILLIS = 300;
 
-    /** Shortest pause after a failed call. */
-    private static final long FIRST_PAUSE_MILLIS = 100;
-
-    /** Longest time between two calls that fail; entries must be back in use within seconds of the store's return. */
-    private static final long LONGEST_PAUSE_MILLIS = 800;
-
-    /** Milliseconds that a call waits for changes while calls fail, as then it only asks whether the store answers. */
-    private static final long PROBE_MILLIS = 100;
-
-    /** Milliseconds beyond its wait after which a call's answer is overdue; the store answers in a few. */
-    private static final long OVERDUE_MILLIS = 250;
-
     private final RevisionStore store;
     private final FactReader reader;
     private final Timer timer;
@@ -73,20 +59,8 @@
     /** What this process saw itself while it asks for all, without what peers told. */
     private final Map<String, EntryNews.Heard> seen = new HashMap<>();
 
-    private final Map<ServerId, Missing> missing = new HashMap<>();
-    private long pauseMillis = FIRST_PAUSE_MILLIS;
-    private final StoreOutage outage;
-
-    /** Whether the last call failed. */
-    private boolean lost;
-
-    /** When the last call was made, on the monotonic clock in nanoseconds. */
-    private long askedNanos;
-
-    /** Milliseconds that the call waits for changes. */
-    private long waitMillis;
-
-    private boolean asked;
+    private final StoreReachability reach;
+    private final MissingServers missing;
 
     private Consumer<PeerMessage.StoreNews> onNews = _news -> {};
 
@@ -99,15 +73,9 @@
     private boolean read;
     private int peers;
 
-    /** When all changes up to then were last known, on the monotonic clock in nanoseconds. */
-    private long informedNanos;
-
     private long toldRevision;
     private long toldNanos;
 
-    /** The last entry of a server that vanished, and when it did, on the monotonic clock in nanoseconds. */
-    private record Missing(StoreFact fact, long sinceNanos) {}
-
     /** Where a change was heard. */
     private enum Source {
         STORE,
@@ -157,9 +125,9 @@
         this.timer = timer;
         this.clock = clock;
         this.toldNanos = clock.getAsLong();
-        this.informedNanos = toldNanos;
         this.asking = new StoreAsking(bounds);
-        this.outage = new StoreOutage(bounds, toldNanos);
+        this.reach = new StoreReachability(bounds, clock);
+        this.missing = new MissingServers(timer, clock, reach::holdMillis, listener::onRemoved);
         this.listener = listener;
     }
 
@@ -189,10 +157,7 @@
         if (!read) {
             return;
         }
-        if (asked && millisSince(askedNanos) > waitMillis + OVERDUE_MILLIS) {
-            outage.onFailed(askedNanos, now);
-        }
-        outage.onReached(now);
+        reach.onPeerReached();
         boolean missed = news.at() > revision && (news.since() > revision || news.withheld());
         if (missed) {
             asking.onMissed(news.at());
@@ -200,7 +165,7 @@
         }
         asking.onTold(now);
         takeNew(news.changes(), Source.PEER);
-        onInformed(now);
+        onInformed();
         revision = Math.max(revision, news.at());
     }
 
@@ -213,12 +178,12 @@
             toldRevision = from;
             takeAll(items);
             asking.onWhole();
-            onInformed(clock.getAsLong());
+            onInformed();
             watch();
             return;
         }
         String prefix = prefixes.remove(0);
-        onAsk(0);
+        reach.onAsk(0);
         store.list(prefix, orRestart(listing -> {
             items.addAll(listing.items());
             readAll(prefixes, items, Math.min(from, listing.revision()));
@@ -242,8 +207,8 @@
             }
         }
         // A server that is only missing for now stays among the listed ones.
-        missing.values().forEach(server -> facts.add(server.fact()));
-        LOG.info("store-read", Field.of("entries", items.size()), Field.of("missing", missing.size()));
+        facts.addAll(missing.entries());
+        LOG.info("store-read", Field.of("entries", items.size()), Field.of("missing", facts.size() - items.size()));
         listener.onWhole(facts);
     }
 
@@ -253,15 +218,14 @@
             return;
         }
         long since = asking.reader() ? seenRevision : revision;
-        onAsk(lost ? PROBE_MILLIS : asking.watchMillis());
-        store.watch("", since, waitMillis, result -> {
+        store.watch("", since, reach.onAsk(asking.watchMillis()), result -> {
             if (result instanceof Result.Ok<RevisionStore.Changes, StoreError> ok) {
-                answered();
+                reach.onAnswered();
                 asking.onAnswered(ok.held().revision());
                 List<Change> mattering =
                         ok.held().changes().stream().filter(this::matters).toList();
                 takeNew(mattering, Source.STORE);
-                onInformed(clock.getAsLong());
+                onInformed();
                 revision = Math.max(revision, ok.held().revision());
                 seenRevision = Math.max(seenRevision, ok.held().revision());
                 if (asking.reader()) {
@@ -280,14 +244,8 @@
         });
     }
 
-    private void onAsk(long nextWaitMillis) {
-        askedNanos = clock.getAsLong();
-        waitMillis = nextWaitMillis;
-        asked = true;
-    }
-
-    private void onInformed(long nowNanos) {
-        informedNanos = nowNanos;
+    private void onInformed() {
+        reach.onInformed();
         listener.onInformed();
     }
 
@@ -342,7 +300,7 @@
             return;
         }
         if (fact instanceof StoreFact.Listed listed) {
-            missing.remove(listed.server().id());
+            missing.onBack(listed.server().id());
         }
         listener.onFact(fact);
     }
@@ -350,41 +308,22 @@
     private void remove(String key, long removedAt, Source source) {
         EntryNews.Heard before = known.remove(key);
         StoreFact.Removed removed = reader.removed(key);
-        long holdMillis = outage.holdMillis(clock.getAsLong());
         if (removed instanceof StoreFact.Removed.Server server
-                && holdMillis > 0
                 && before != null
                 && before.fact() instanceof StoreFact.Listed listed
-                && !listed.server().leaving()) {
-            Missing vanished = new Missing(before.fact(), clock.getAsLong());
-            missing.put(server.server(), vanished);
+                && missing.keep(server, listed)) {
             LOG.info(
                     "server-missing",
                     Field.of("server", server.server()),
                     Field.of("revision", removedAt),
                     Field.of("source", source),
-                    Field.of("informedMillis", millisSince(informedNanos)),
-                    Field.of("holdMillis", holdMillis));
-            timer.after(() -> giveUp(server, vanished), holdMillis);
+                    Field.of("informedMillis", reach.informedMillis()),
+                    Field.of("holdMillis", reach.holdMillis()));
             return;
         }
         listener.onRemoved(removed, 0);
     }
 
-    private void giveUp(StoreFact.Removed.Server server, Missing vanished) {
-        long holdMillis = outage.holdMillis(clock.getAsLong());
-        if (holdMillis > 0) {
-            // Another outage came, in which its entry could not be written again.
-            timer.after(() -> giveUp(server, vanished), holdMillis);
-        } else if (missing.remove(server.server(), vanished)) {
-            listener.onRemoved(server, millisSince(vanished.sinceNanos()));
-        }
-    }
-
-    private long millisSince(long nanos) {
-        return (clock.getAsLong() - nanos) / Moment.NANOS_PER_MILLI;
-    }
-
     private EntryNews.Heard heard(StoreFact fact) {
         return new EntryNews.Heard(fact, clock.getAsLong());
     }
@@ -411,7 +350,7 @@
     private <T> Consumer<Result<T, StoreError>> orRestart(Consumer<T> onValue) {
         return result -> {
             if (result instanceof Result.Ok<T, StoreError> ok) {
-                answered();
+                reach.onAnswered();
                 onValue.accept(ok.held());
             } else {
                 onError(result.error().orElse(StoreError.MALFORMED), this::start);
@@ -420,31 +359,11 @@
     }
 
     private void onError(StoreError error, Runnable again) {
-        asked = false;
         if (error == StoreError.HISTORY_GONE) {
             LOG.info("store-history-gone");
             start();
             return;
         }
-        if (!lost) {
-            lost = true;
-            LOG.warn("store-lost", Field.of("error", error));
-        }
-        if (outage.onFailed(askedNanos, clock.getAsLong())) {
-            LOG.info("store-outage", Field.of("informedMillis", millisSince(informedNanos)));
-        }
-        long pause = Math.max(FIRST_PAUSE_MILLIS, pauseMillis - millisSince(askedNanos));
-        pauseMillis = Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
-        timer.after(again, pause);
-    }
-
-    private void answered() {
-        asked = false;
-        pauseMillis = FIRST_PAUSE_MILLIS;
-        outage.onReached(clock.getAsLong());
-        if (lost) {
-            lost = false;
-            LOG.info("store-regained");
-        }
+        timer.after(again, reach.onFailed(error));
     }
 }
