Read all entries anew only if a watch that was asked after the miss does not tell them

Two processes ask the store for all. When one tells the other of changes that it left to the store, the answer on its way to the other may be older than they are; since that process then read all entries anew. It now asks once more first. StoreFollowerTest#asksAgainBeforeItReadsAllAnew failed before (whole read twice).

--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreFollower.java
@@ -218,6 +218,7 @@
             return;
         }
         long since = asking.reader() ? seenRevision : revision;
+        boolean wasBehind = asking.behind();
         store.watch("", since, reach.onAsk(asking.watchMillis()), result -> {
             if (result instanceof Result.Ok<RevisionStore.Changes, StoreError> ok) {
                 reach.onAnswered();
@@ -231,8 +232,8 @@
                 if (asking.reader()) {
                     tell(mattering.stream().filter(this::isNews).toList());
                 }
-                if (asking.behind()) {
-                    // A peer saw changes that the store tells no watch of.
+                if (wasBehind && asking.behind()) {
+                    // A peer saw changes that the store does not tell in a watch.
                     LOG.info("store-changes-missed", Field.of("revision", revision));
                     start();
                     return;
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -282,6 +282,21 @@
         assertThat(store.watching(), is(1));
     }
 
+    /** Two processes ask for all; one is told of a change that the answer on its way to it does not have yet. */
+    @Test
+    void asksAgainBeforeItReadsAllAnew() {
+        follower.start();
+        follower.onReader(true, PEERS);
+        follower.onTold(new PeerMessage.StoreNews(100, 120, true, List.of()));
+        store.tell(Result.ok(new Changes(List.of(), 110)));
+        timer.run(SOON);
+        assertThat(told, contains("whole 0"));
+        assertThat(store.watching(), is(1));
+        store.tell(Result.ok(new Changes(List.of(), 110)));
+
+        assertThat(told, contains("whole 0", "whole 0"));
+    }
+
     /** A watch that was asked before a peer's news came answers with what is older than them. */
     @Test
     void doesNotGoBackToWhatIsOlder() {
