--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/NewsLimit.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/NewsLimit.java
@@ -9,8 +9,8 @@
                 "Changes are told to all peers only if that takes a fifth of a second of a small host's link at most; otherwise"
                         + " each peer asks the store, whose link carries more.")
 public final class NewsLimit {
-    /** Bytes that news may take over all peers: 0.2 s of the smallest link in use, 10 Mbit/s. */
-    private static final int MOST_BYTES = 250_000;
+    /** Bytes that news may take over all peers: 0.2 s of the smallest link in use, 7 Mbit/s. */
+    private static final int MOST_BYTES = 175_000;
 
     private NewsLimit() {}
 
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/NewsLimitTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/NewsLimitTest.java
@@ -11,8 +11,8 @@
 
     @Test
     void tellsAFewServersToManyPeers() {
-        assertThat(NewsLimit.test(2 * ENTRY_BYTES, 329), is(true));
-        assertThat(NewsLimit.test(10 * ENTRY_BYTES, 77), is(true));
+        assertThat(NewsLimit.test(ENTRY_BYTES, 329), is(true));
+        assertThat(NewsLimit.test(7 * ENTRY_BYTES, 77), is(true));
     }
 
     @Test
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreFollowerTest.java
@@ -120,7 +120,7 @@
                 contains("ready", "leaving"));
     }
 
-    /** A link of 10 Mbit/s that carries news to 77 processes was full of servers that counted down. */
+    /** The link of a small host that carries news to 77 processes was full of servers that counted down. */
     @Test
     void tellsNobodyOfServersThatCountDownUntilTheyAreWarm() {
         follower.onNews(news::add);
