Suspect fewer servers of an unseen start while the store is away

Now a loss is a refused connection or two that broke in a row; an answer clears it unless the store was silent by then; and a loss that is told counts only if it is newer than the last sign of life.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdBelief.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ColdBelief.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.decisions.relay;
 
+import java.util.OptionalLong;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.time.Moment;
 
@@ -17,15 +18,18 @@
 
     private long turnedNanos;
 
-    /** Whether a process lost the server since its entry was heard, and when one did last. */
+    /** Whether a process lost the server since it was known to be up, and when one did last. */
     private boolean lost;
 
     private long lostNanos;
+    private OptionalLong lostHereNanos = OptionalLong.empty();
+    private long upNanos;
     private final StoreSilence silence;
 
     ColdBelief(StoreSilence silence, long nowNanos) {
         this.silence = silence;
         this.listedUntilNanos = nowNanos;
+        this.upNanos = nowNanos;
     }
 
     /**
@@ -38,21 +42,56 @@
         listedUntilNanos = nowNanos + coldMillis * Moment.NANOS_PER_MILLI;
     }
 
-    /** Takes in that the server's entry says something new, so that the server wrote it after it was lost. */
-    void onNews() {
+    /**
+     * Takes in that the server's entry says something new, so that the server wrote it after it was lost.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    void onNews(long nowNanos) {
         lost = false;
+        lostHereNanos = OptionalLong.empty();
+        upNanos = nowNanos;
+    }
+
+    /**
+     * Takes in that the server answered. While the store is silent that may be after a start that nobody heard of.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    void onAnswered(long nowNanos) {
+        if (!silence.silent(nowNanos)) {
+            onNews(nowNanos);
+        }
+    }
+
+    /**
+     * Takes in that this process could no longer reach the server.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    void onLost(long nowNanos) {
+        lostHereNanos = OptionalLong.of(nowNanos);
+        onLostByAny(nowNanos);
     }
 
     /**
-     * Takes in that a process could no longer reach the server.
+     * Takes in that some process could no longer reach the server.
      *
      * @param atNanos when it noticed, on the monotonic clock in nanoseconds
      */
-    void onLost(long atNanos) {
+    void onLostByAny(long atNanos) {
+        if (atNanos - upNanos <= 0) {
+            return;
+        }
         lostNanos = lost && lostNanos - atNanos > 0 ? lostNanos : atNanos;
         lost = true;
     }
 
+    /** Returns when this process lost the server, on the monotonic clock in nanoseconds, if it did since the server was known to be up. */
+    OptionalLong lostHereNanos() {
+        return lostHereNanos;
+    }
+
     /**
      * Takes in that the server's data centre takes work again. It did not serve in between, and its entry tells of that only with
      * the next heartbeat.
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDesk.java
@@ -230,6 +230,10 @@
         call.release(end != AttemptEnd.CANCELLED && RepeatRule.mayHaveRun(end));
         if (server != null && server.unwell(end)) {
             server.pause(nowNanos);
+            if (end != AttemptEnd.SILENT) {
+                // A server that is silent is busy more often than gone.
+                server.onLost(nowNanos);
+            }
         }
         if (end != AttemptEnd.ANSWERED && end != AttemptEnd.CANCELLED) {
             afterFailure(call, end, nowNanos, steps);
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -41,7 +41,6 @@
     private Optional<OthersCalls> toldByPeers = Optional.empty();
     private long pauseMillis;
     private long pausedUntilNanos;
-    private OptionalLong lostHereNanos = OptionalLong.empty();
 
     /** Calls of other processes at the server, and when they were told. */
     private record OthersCalls(int calls, long atNanos) {
@@ -60,8 +59,7 @@
 
     void list(RelayServer next, long nowNanos) {
         if (!next.equals(server)) {
-            coldBelief.onNews();
-            lostHereNanos = OptionalLong.empty();
+            coldBelief.onNews(nowNanos);
         }
         server = next;
         place = next.address() + ":" + next.port();
@@ -176,6 +174,7 @@
         onBytes(nowNanos);
         pauseMillis = 0;
         brokenInRow = 0;
+        coldBelief.onAnswered(nowNanos);
     }
 
     /** Notes that bytes came from the server. */
@@ -208,20 +207,23 @@
         return gone || (end == AttemptEnd.BROKEN && brokenInRow >= BROKEN_IN_ROW);
     }
 
+    /** Takes in that this process could no longer reach the server. */
+    void onLost(long nowNanos) {
+        coldBelief.onLost(nowNanos);
+    }
+
     /** Takes in that another process could no longer reach the server. */
     void onLostByOther(long atNanos) {
-        coldBelief.onLost(atNanos);
+        coldBelief.onLostByAny(atNanos);
     }
 
-    /** Returns when this process lost the server, on the monotonic clock in nanoseconds, if it did since the entry said anything new. */
+    /** Returns when this process lost the server, on the monotonic clock in nanoseconds, if it did since the server was known to be up. */
     OptionalLong lostHereNanos() {
-        return lostHereNanos;
+        return coldBelief.lostHereNanos();
     }
 
     /** Leaves the server alone for a while that doubles with each failure in a row. */
     void pause(long nowNanos) {
-        coldBelief.onLost(nowNanos);
-        lostHereNanos = OptionalLong.of(nowNanos);
         pauseMillis = pauseMillis == 0 ? FIRST_PAUSE_MILLIS : Math.min(LONGEST_PAUSE_MILLIS, 2 * pauseMillis);
         pausedUntilNanos = nowNanos + pauseMillis * Moment.NANOS_PER_MILLI;
     }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdBeliefTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdBeliefTest.java
@@ -49,7 +49,26 @@
     void isWarmOnceItsEntrySaysSomethingNew() {
         silence.onInformed(0);
         belief.onLost(2 * SECOND);
-        belief.onNews();
+        belief.onNews(2 * SECOND);
+
+        assertThat(leftMillis(3 * SECOND), is(0L));
+    }
+
+    /** Refused connections of a busy server before the store went away. */
+    @Test
+    void isWarmIfItAnsweredAfterItWasLostAndBeforeTheStoreWasSilent() {
+        silence.onInformed(0);
+        belief.onLost(SECOND / 2);
+        belief.onAnswered(SECOND);
+
+        assertThat(leftMillis(3 * SECOND), is(0L));
+    }
+
+    @Test
+    void isWarmIfItsEntryIsNewerThanALossThatIsTold() {
+        silence.onInformed(0);
+        belief.onNews(SECOND);
+        belief.onLostByAny(SECOND / 2);
 
         assertThat(leftMillis(3 * SECOND), is(0L));
     }
