Space the attempts of a claim, so that two refused calls do not refuse all orders for a second

The log of entry-2, which writes the slot, shows the store unreachable at 19:04:02.790 and reachable at 02.794: both failures fell on the two attempts to read the slot, which followed each other without a pause. All six orders were refused, and each process refuses orders for 1,000 ms after that.

Ruled out: faults left in the store (the switches are cleared, and the store answered at 02.794), a claim left open (the refusals say store-unavailable, not key-unsettled).

Change: the writer of a slot waits 50 ms after a failed call and 100 ms after two, and gives up after three. A store that is really out still has orders refused at once after that.

Before: ClaimTaskTest#grantsClaimsAcrossAShortFailureOfTheStore red (none of four orders granted); after: green. SlotWriterTest now checks the pauses as well as the end.

--- a/decisions/src/main/java/org/geraniumstand/decisions/orders/SlotWriter.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/orders/SlotWriter.java
@@ -15,7 +15,10 @@
         summary = "Changes of a slot that arrive while a write is under way go out together in the next write.")
 public final class SlotWriter {
     /** Failed calls of the store after which a change is given up. */
-    public static final int MAX_FAILURES = 2;
+    public static final int MAX_FAILURES = 3;
+
+    /** Milliseconds between a failed call and the next, times the calls in a row that failed. */
+    static final long RETRY_MILLIS = 50;
 
     /** Lost races after which a change is given up. */
     public static final int MAX_CONFLICTS = 64;
@@ -24,6 +27,7 @@
     private final List<Pending> writing = new ArrayList<>();
     private List<ClaimVerdict> verdicts = List.of();
     private Call call = Call.NONE;
+    private int failuresInARow;
 
     private enum Call {
         NONE,
@@ -72,6 +76,7 @@
      * @param epochMillis the wall clock now, in milliseconds since 1970
      */
     public List<WriterStep> onRead(ClaimSlot slot, long index, long epochMillis) {
+        failuresInARow = 0;
         ClaimSlot current = slot;
         List<ClaimVerdict> found = new ArrayList<>();
         for (Pending pending : gathering) {
@@ -100,6 +105,7 @@
 
     /** Takes note that a call brought no answer; a write may have taken effect. */
     public List<WriterStep> onFailure() {
+        failuresInARow++;
         if (call == Call.READ) {
             writing.addAll(gathering);
             gathering.clear();
@@ -149,7 +155,7 @@
     private List<WriterStep> next(List<WriterStep> steps) {
         call = gathering.isEmpty() ? Call.NONE : Call.READ;
         if (call == Call.READ) {
-            steps.add(new WriterStep.Read());
+            steps.add(new WriterStep.Read(failuresInARow * RETRY_MILLIS));
         }
         return steps;
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/orders/WriterStep.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/orders/WriterStep.java
@@ -2,8 +2,12 @@
 
 /** Something that the writer of a slot wants done. */
 public sealed interface WriterStep {
-    /** Read the slot from the store. */
-    record Read() implements WriterStep {}
+    /**
+     * Read the slot from the store.
+     *
+     * @param delayMillis after how many milliseconds
+     */
+    record Read(long delayMillis) implements WriterStep {}
 
     /**
      * Write the slot if its index is still the given one.
--- a/decisions/src/test/java/org/geraniumstand/decisions/orders/SlotWriterTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/orders/SlotWriterTest.java
@@ -64,12 +64,22 @@
     @Test
     void givesUpWhenStoreIsOut() {
         writer.submit(1, Wishes.open("t1"));
-        writer.onFailure();
 
+        assertThat(writer.onFailure(), contains(new WriterStep.Read(SlotWriter.RETRY_MILLIS)));
+        assertThat(writer.onFailure(), contains(new WriterStep.Read(2 * SlotWriter.RETRY_MILLIS)));
         assertThat(kinds(writer.onFailure()), contains(ClaimVerdict.Kind.UNAVAILABLE));
         assertThat(writer.idle(), is(true));
     }
 
+    @Test
+    void readsAtOnceOnceTheStoreAnswers() {
+        writer.submit(1, Wishes.open("t1"));
+        writer.onFailure();
+        writer.onRead(ClaimSlot.EMPTY, 0, 0);
+
+        assertThat(writer.onWritten(false), contains(new WriterStep.Read(0)));
+    }
+
     private static ClaimChange open(int number) {
         return new ClaimChange(
                 ClaimChange.Kind.OPEN, "k" + number, "f", "t" + number, new ProcessId("p"), RecordedAnswer.NONE);
--- a/entry/src/main/java/org/geraniumstand/entry/order/ClaimForwarding.java
+++ b/entry/src/main/java/org/geraniumstand/entry/order/ClaimForwarding.java
@@ -91,7 +91,7 @@
 
     private void write(ClaimChange change, Consumer<ClaimVerdict> callback) {
         int slot = ClaimKeys.slot(change.key());
-        SlotTask task = slots.computeIfAbsent(slot, s -> new SlotTask(store, prefix + s, epochMillis));
+        SlotTask task = slots.computeIfAbsent(slot, s -> new SlotTask(store, prefix + s, timer, epochMillis));
         task.submit(change, verdict -> {
             if (task.idle()) {
                 slots.remove(slot, task);
--- a/entry/src/main/java/org/geraniumstand/entry/order/SlotTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/order/SlotTask.java
@@ -12,6 +12,7 @@
 import org.geraniumstand.decisions.orders.ClaimVerdict;
 import org.geraniumstand.decisions.orders.SlotWriter;
 import org.geraniumstand.decisions.orders.WriterStep;
+import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.outside.store.ConfigurationStore;
 import org.geraniumstand.outside.store.StoreError;
@@ -22,14 +23,16 @@
 final class SlotTask {
     private final ConfigurationStore store;
     private final String key;
+    private final Timer timer;
     private final LongSupplier epochMillis;
     private final SlotWriter writer = new SlotWriter();
     private final Map<Long, Consumer<ClaimVerdict>> callbacks = new HashMap<>();
     private long count;
 
-    SlotTask(ConfigurationStore store, String key, LongSupplier epochMillis) {
+    SlotTask(ConfigurationStore store, String key, Timer timer, LongSupplier epochMillis) {
         this.store = store;
         this.key = key;
+        this.timer = timer;
         this.epochMillis = epochMillis;
     }
 
@@ -45,8 +48,8 @@
 
     private void run(List<WriterStep> steps) {
         for (WriterStep step : steps) {
-            if (step instanceof WriterStep.Read) {
-                store.read(key, this::onRead);
+            if (step instanceof WriterStep.Read read) {
+                read(read.delayMillis());
             } else if (step instanceof WriterStep.Write write) {
                 store.compareAndSwap(key, Json.write(write.slot()), write.index(), this::onWritten);
             } else if (step instanceof WriterStep.Tell tell) {
@@ -55,6 +58,14 @@
         }
     }
 
+    private void read(long delayMillis) {
+        if (delayMillis == 0) {
+            store.read(key, this::onRead);
+        } else {
+            timer.after(() -> store.read(key, this::onRead), delayMillis);
+        }
+    }
+
     private void onRead(Result<Optional<Stored>, StoreError> result) {
         Optional<Stored> stored = result.value().flatMap(found -> found);
         Optional<ClaimSlot> slot = stored.isEmpty() ? Optional.of(ClaimSlot.EMPTY) : parse(stored.get());
--- a/entry/src/test/java/org/geraniumstand/entry/order/ClaimTaskTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/order/ClaimTaskTest.java
@@ -109,6 +109,22 @@
         assertThat(store.calls() - calls, lessThan(3));
     }
 
+    /** Two refused calls in a row had all orders of all processes refused for a second. */
+    @Test
+    void grantsClaimsAcrossAShortFailureOfTheStore() {
+        store.refuse(2);
+        List<ClaimVerdict.Kind> told = new ArrayList<>();
+        open(first, wish("k1", "t1", P1), told);
+        open(second, wish("k2", "t2", P2), told);
+        run(500);
+        open(first, wish("k3", "t3", P1), told);
+        open(second, wish("k4", "t4", P2), told);
+        run(1_000);
+
+        assertThat(told, hasSize(4));
+        assertThat(told.stream().distinct().toList(), contains(ClaimVerdict.Kind.GRANTED));
+    }
+
     @Test
     void recordsEndOfOrderAfterOutage() {
         List<ClaimVerdict.Kind> told = new ArrayList<>();
--- a/entry/src/test/java/org/geraniumstand/entry/task/FakeStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/task/FakeStore.java
@@ -29,6 +29,7 @@
     private final List<Object> lostAnswers = new ArrayList<>();
     private double faults;
     private boolean out;
+    private int refusals;
     private long index = 1;
     private int calls;
 
@@ -47,6 +48,11 @@
         out = isOut;
     }
 
+    /** Refuses the next calls at once. */
+    public void refuse(int count) {
+        refusals = count;
+    }
+
     public int calls() {
         return calls;
     }
@@ -156,6 +162,11 @@
             timer.after(lost, TIMEOUT_MILLIS);
             return;
         }
+        if (refusals > 0) {
+            refusals--;
+            timer.after(lost, 1);
+            return;
+        }
         if (random.nextDouble() >= faults) {
             timer.after(() -> answer(effect, callback), 1 + random.nextInt(5));
             return;
