--- a/http/src/test/java/org/geraniumstand/http/caller/OrderTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/OrderTest.java
@@ -47,6 +47,23 @@
         }
     }
 
+    @Test
+    void repeatWhileTheOrderRunsGetsItsAnswer() throws IOException, InterruptedException {
+        FakeServer.Script slow = (_request, connection) -> {
+            Thread.sleep(300);
+            connection.answer(201, "", "made");
+        };
+        try (Stand stand = new Stand(slow);
+                Caller first = new Caller(stand.listener().port())) {
+            first.send("POST", "/orders", KEY, "one board");
+            Eventually.await(
+                    "the order arrives", () -> stand.server(0).requests().size() == 1);
+
+            assertThat(stand.call("POST", "/orders", KEY, "one board").body(), is("made"));
+            assertThat(stand.server(0).requests(), hasSize(1));
+        }
+    }
+
     @Test
     void tellsThatLargeAnswerIsNotKept() throws IOException {
         String large = "x".repeat(RecordedAnswer.MAX_BODY_BYTES + 1);
