Release no servers before the demand was measured after a loss of all hosts

It ordered 2 reclaimable servers in each data centre where 17 and 18 served, so that 47 of 53 left. Until demand is measured, as many servers are kept as were seen, but only those that are not reclaimable counted, and a running deployment has none of these.

Change: servers of both kinds count, as many as are left after the loss of one data centre's reclaimable ones, which is what an order is computed from. Cold ones count too. ScaleTask takes its clock from outside, so that a test can drive it.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServersNeeded.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServersNeeded.java
@@ -11,7 +11,7 @@
         name = "relay-servers-needed",
         summary =
                 "A service needs a server for each part of the measured demand and one to spare; until demand has been"
-                        + " measured for a while, no fewer than the most lasting ones that were seen.")
+                        + " measured for a while, no fewer than the servers that were seen leave after a loss.")
 public final class RelayServersNeeded {
     /**
      * Tokens a second of measured demand that a server bears with first tokens in good time: it reads 93,600, and about half
@@ -26,7 +26,7 @@
     /** Milliseconds of demand after which it counts as measured; its rise is averaged over 2,000. */
     private static final long MEASURED_MILLIS = 5_000;
 
-    private final Map<ServiceId, Integer> mostLasting = new HashMap<>();
+    private final Map<ServiceId, Integer> mostSeen = new HashMap<>();
     private boolean demanded;
     private long demandedNanos;
 
@@ -51,17 +51,17 @@
      *
      * @param service the service
      * @param tokensPerSecond tokens that callers ask for a second
-     * @param lasting its servers that serve now and stay until they are given back
+     * @param standing its servers that are left now if a data centre loses its reclaimable ones
      * @param dataCentres data centres in which it may have servers; each has one at least
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public int decide(ServiceId service, double tokensPerSecond, int lasting, int dataCentres, long nowNanos) {
+    public int decide(ServiceId service, double tokensPerSecond, int standing, int dataCentres, long nowNanos) {
         int needed = SPARE_SERVERS + Math.max(dataCentres, (int) Math.ceil(tokensPerSecond / TOKENS_PER_SERVER));
         if (measured(nowNanos)) {
             return needed;
         }
         // Entries are read one after the other, so that the first look may show a few of the servers only.
-        return Math.max(needed, mostLasting.merge(service, lasting, Math::max));
+        return Math.max(needed, mostSeen.merge(service, standing, Math::max));
     }
 
     private boolean measured(long nowNanos) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServersWanted.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServersWanted.java
@@ -138,20 +138,31 @@
     }
 
     private static int usable(Input input, Map<DataCentreId, Count> wanted) {
-        return wanted.entrySet().stream()
-                .filter(e -> !input.out().contains(e.getKey()))
-                .mapToInt(e -> e.getValue().total())
-                .sum();
+        return inUse(wanted, input.out()).stream().mapToInt(Count::total).sum();
     }
 
-    /** Returns the usable servers that are left once the data centre with the most reclaimable ones has lost them. */
     private static int afterLoss(Input input, Map<DataCentreId, Count> wanted) {
-        List<Count> inUse = wanted.entrySet().stream()
-                .filter(e -> !input.out().contains(e.getKey()))
-                .map(Map.Entry::getValue)
-                .toList();
+        return afterLoss(wanted, input.out());
+    }
+
+    /**
+     * Returns the usable servers that are left once the data centre with the most reclaimable ones has lost them.
+     *
+     * @param servers servers by data centre
+     * @param out data centres that take no new work
+     */
+    public static int afterLoss(Map<DataCentreId, Count> servers, Set<DataCentreId> out) {
+        List<Count> inUse = inUse(servers, out);
+        int total = inUse.stream().mapToInt(Count::total).sum();
         int loss = inUse.stream().mapToInt(Count::reclaimable).max().orElse(0);
         // A single data centre's loss could be covered by lasting servers only.
-        return usable(input, wanted) - (inUse.size() < 2 ? 0 : loss);
+        return total - (inUse.size() < 2 ? 0 : loss);
+    }
+
+    private static List<Count> inUse(Map<DataCentreId, Count> servers, Set<DataCentreId> out) {
+        return servers.entrySet().stream()
+                .filter(e -> !out.contains(e.getKey()))
+                .map(Map.Entry::getValue)
+                .toList();
     }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayServersNeededTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayServersNeededTest.java
@@ -12,9 +12,9 @@
 
     private final RelayServersNeeded needed = new RelayServersNeeded();
 
-    private int decide(double tokensPerSecond, int lasting, long atMillis) {
+    private int decide(double tokensPerSecond, int standing, long atMillis) {
         needed.onDemand(tokensPerSecond, atMillis * Calls.MILLI);
-        return needed.decide(MODEL, tokensPerSecond, lasting, DATA_CENTRES, atMillis * Calls.MILLI);
+        return needed.decide(MODEL, tokensPerSecond, standing, DATA_CENTRES, atMillis * Calls.MILLI);
     }
 
     /** The entries of 19 servers arrive while the process starts; callers come 11 s later. */
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -149,7 +149,7 @@
         calls.schedule(lease::start, LATER_MILLIS);
         calls.schedule(orders::start, LATER_MILLIS);
         calls.schedule(this::serveMetrics, LATER_MILLIS);
-        calls.schedule(new ScaleTask(duties, lease, calls::schedule, decisions)::start, LATER_MILLIS);
+        calls.schedule(new ScaleTask(duties, lease, calls::schedule, System::nanoTime, decisions)::start, LATER_MILLIS);
     }
 
     /**
--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.geraniumstand.decisions.relay.DemandMeter;
 import org.geraniumstand.decisions.relay.LastingKept;
@@ -43,6 +45,7 @@
     private final DutyDesk duties;
     private final DutyLease lease;
     private final Timer timer;
+    private final LongSupplier clock;
     private final RelayDesk desk;
     private final DemandMeter demand = new DemandMeter();
     private final RelayServersNeeded needs = new RelayServersNeeded();
@@ -54,10 +57,20 @@
 
     private record Ordered(int count, long atNanos) {}
 
-    ScaleTask(DutyDesk duties, DutyLease lease, Timer timer, RelayDesk desk) {
+    /**
+     * Creates a task that was not started.
+     *
+     * @param duties takes orders
+     * @param lease tells whether this process holds the duty
+     * @param timer waits
+     * @param clock the monotonic time in nanoseconds
+     * @param desk knows the servers and what is asked of them
+     */
+    ScaleTask(DutyDesk duties, DutyLease lease, Timer timer, LongSupplier clock, RelayDesk desk) {
         this.duties = duties;
         this.lease = lease;
         this.timer = timer;
+        this.clock = clock;
         this.desk = desk;
     }
 
@@ -67,7 +80,7 @@
     }
 
     private void look() {
-        long now = System.nanoTime();
+        long now = clock.getAsLong();
         demand.onReading(desk.quotas().total(), now);
         needs.onDemand(demand.perSecond(), now);
         Optional<DutyDesk.Claim> claim = lease.claim();
@@ -83,7 +96,7 @@
     }
 
     private void plan(DutyDesk.Claim claim, RelayService service, ScalingBounds bounds, long now) {
-        Map<DataCentreId, Count> serving = serving(service.id(), now);
+        Map<DataCentreId, Count> serving = count(service.id(), view -> !view.listedCold(now));
         int served = serving.values().stream().mapToInt(Count::total).sum();
         if (served > 0) {
             seen.add(service.id());
@@ -91,9 +104,10 @@
             // The entries of its servers were not read yet.
             return;
         }
-        int lasting = serving.values().stream().mapToInt(Count::lasting).sum();
+        int standing = ServersWanted.afterLoss(
+                count(service.id(), _view -> true), desk.fleet().dataCentresOut());
         int needed = needs.decide(
-                service.id(), demand.perSecond(), lasting, bounds.prices().size(), now);
+                service.id(), demand.perSecond(), standing, bounds.prices().size(), now);
         ServersWanted.Input input = new ServersWanted.Input(
                 bounds,
                 needed,
@@ -140,18 +154,19 @@
         return present;
     }
 
-    private Map<DataCentreId, Count> serving(ServiceId service, long now) {
-        Map<DataCentreId, Count> serving = new HashMap<>();
+    /** Counts the servers of a service that do not leave. */
+    private Map<DataCentreId, Count> count(ServiceId service, Predicate<ServerView> which) {
+        Map<DataCentreId, Count> counts = new HashMap<>();
         for (ServerView view : desk.fleet().all()) {
-            if (view.server().service().equals(service) && !view.server().leaving() && !view.listedCold(now)) {
+            if (view.server().service().equals(service) && !view.server().leaving() && which.test(view)) {
                 Count one = view.server().reclaimable() ? new Count(0, 1) : new Count(1, 0);
-                serving.merge(
+                counts.merge(
                         view.server().dataCentre(),
                         one,
                         (a, b) -> new Count(a.lasting() + b.lasting(), a.reclaimable() + b.reclaimable()));
             }
         }
-        return serving;
+        return counts;
     }
 
     private void order(DutyDesk.Claim claim, Lot lot, int wanted, int serving, long now) {
@@ -185,7 +200,7 @@
                 Field.of("demand", Math.round(demand.perSecond())),
                 Field.of("outcome", outcome));
         if (outcome == DutyDesk.Outcome.REFUSED && lot.reclaimable()) {
-            noneUntilNanos.put(lot, System.nanoTime() + NONE_MILLIS * Moment.NANOS_PER_MILLI);
+            noneUntilNanos.put(lot, clock.getAsLong() + NONE_MILLIS * Moment.NANOS_PER_MILLI);
             // What stands in for these is ordered at once, as it takes seconds to boot.
             timer.after(this::look, 0);
         } else if (outcome == DutyDesk.Outcome.REFUSED) {
