Leave the measured demand as it was while no sums of other processes are heard

The demand that servers are ordered by is read from what all processes let pass. While the processes that add it up are not heard of (they were killed, or this process is cut off from them), the sum grows by this process's own calls only, and what the others let pass meanwhile is never added.

Change: such readings are left out, and the meter begins anew at the next one.

Before: ScaleTaskTest#releasesNoServersWhileItHearsOfNoOtherProcess red (servers released within 12 s of silence), after: green.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/DemandMeter.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/DemandMeter.java
@@ -5,7 +5,9 @@
 /** Measures the tokens a second that callers of all processes ask for. */
 @Decision(
         name = "demand-meter",
-        summary = "Demand follows a rise at once and a fall slowly, so that servers are there before a second wave.")
+        summary =
+                "Demand follows a rise at once and a fall slowly, so that servers are there before a second wave, and stays"
+                        + " as it was while other processes are not heard of.")
 public final class DemandMeter {
     private static final double NANOS_IN_SECOND = 1e9;
 
@@ -48,6 +50,11 @@
         lastNanos = nowNanos;
     }
 
+    /** Takes in that what callers of other processes ask for is not known; the demand is taken to stay as it was. */
+    public void onUnknown() {
+        started = false;
+    }
+
     /** Returns the tokens a second. */
     public double perSecond() {
         return perSecond;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
@@ -140,6 +140,15 @@
         return uses;
     }
 
+    /**
+     * Returns whether what other processes let teams use is known up to a moment ago.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public boolean hearsOthers(long nowNanos) {
+        return processes.live(nowNanos) <= 1 || counting(nowNanos).isPresent();
+    }
+
     /** Returns the units that all processes let all teams use since they started, as far as they told. */
     public long total() {
         long sum = 0;
@@ -197,7 +206,7 @@
      * share is not in debt, and the share pays for it afterwards.
      */
     private double missing(Level level, long cost, long nowNanos) {
-        boolean alone = processes.live(nowNanos) > 1 && counting(nowNanos).isEmpty();
+        boolean alone = !hearsOthers(nowNanos);
         if (alone) {
             return level.left >= 0 ? 0 : -level.left;
         }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -81,7 +81,11 @@
 
     private void look() {
         long now = clock.getAsLong();
-        demand.onReading(desk.quotas().total(), now);
+        if (desk.quotas().hearsOthers(now)) {
+            demand.onReading(desk.quotas().total(), now);
+        } else {
+            demand.onUnknown();
+        }
         needs.onDemand(demand.perSecond(), now);
         Optional<DutyDesk.Claim> claim = lease.claim();
         if (claim.isEmpty()) {
--- a/entry/src/test/java/org/geraniumstand/entry/relay/ScaleTaskTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/ScaleTaskTest.java
@@ -17,6 +17,7 @@
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDesk;
 import org.geraniumstand.model.id.DataCentreId;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.TeamId;
@@ -29,6 +30,7 @@
 import org.geraniumstand.model.relay.RelayService;
 import org.geraniumstand.model.relay.RelayTeam;
 import org.geraniumstand.model.relay.ScalingBounds;
+import org.geraniumstand.model.relay.TeamUse;
 import org.geraniumstand.model.time.Moment;
 import org.geraniumstand.outside.relay.DutyDesk;
 import org.junit.jupiter.api.Test;
@@ -40,6 +42,7 @@
             List.of(new DataCentreId("a"), new DataCentreId("b"), new DataCentreId("c"));
     private static final int SERVERS_EACH = 18;
     private static final long TICK_MILLIS = 500;
+    private static final ProcessId HUB = new ProcessId("hub");
     private static final RelayTeam TEAM =
             new RelayTeam(new TeamId("shops"), List.of(), OptionalInt.empty(), true, 0, 0, 0);
 
@@ -50,6 +53,7 @@
     private final DutyLease lease = new DutyLease(new FakeRevisionStore(), timer, new Random(1), "one", 3_000);
     private final ScaleTask task = new ScaleTask(new Desk(), lease, timer, this::nanos, desk);
     private long nowMillis;
+    private long othersUsed;
 
     private final class Desk implements DutyDesk {
         @Override
@@ -128,6 +132,23 @@
         assertThat(orders.stream().filter(order -> order.count() < SERVERS_EACH).toList(), is(empty()));
     }
 
+    /** The process that orders was cut off from the others and took what its own callers asked for as all there was. */
+    @Test
+    void releasesNoServersWhileItHearsOfNoOtherProcess() {
+        startWithReclaimableServers();
+        desk.processes().onLive(8, nanos());
+        desk.quotas().onHubs(List.of(HUB));
+        for (long passed = 0; passed < 10_000; passed += TICK_MILLIS) {
+            othersUsed += 2_300_000 * TICK_MILLIS / 1_000;
+            desk.quotas().onOthers(HUB, List.of(new TeamUse(TEAM.id(), othersUsed)), 7, nanos());
+            pass(TICK_MILLIS, 100_000);
+        }
+        orders.clear();
+        pass(12_000, 100_000);
+
+        assertThat(orders.stream().filter(order -> order.count() < SERVERS_EACH).toList(), is(empty()));
+    }
+
     @Test
     void releasesServersOnceLittleDemandWasMeasured() {
         startWithReclaimableServers();
