Give no servers back before all of them can have written their entries

The process that took the duty had seen 11 of them when it first ordered, and stated that number for the on-demand ones, so that the platform stopped those whose entries came a moment later.

Cause: an order states a total, and the process computed it from the entries that it had read so far. Servers write theirs about once in 1,200 ms.

Change: within 3 s of the first server of a service that is seen, only orders for more servers than are listed are given.

Before: ScaleTaskTest#releasesNoServersWhoseEntriesComeLate red (an order for 3 of 6 servers), after: green.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -1,7 +1,6 @@
 package org.geraniumstand.entry.relay;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -42,6 +41,12 @@
     /** Milliseconds for which servers that were ordered count as coming; they boot for some 4,000 and start cold. */
     private static final long COMING_MILLIS = 7_500;
 
+    /**
+     * Milliseconds after the first server of a service was seen in which no servers are given back: others may not have
+     * written their entries yet, which they do once in some 1,200.
+     */
+    private static final long LISTING_MILLIS = 3_000;
+
     private final DutyDesk duties;
     private final DutyLease lease;
     private final Timer timer;
@@ -51,7 +56,9 @@
     private final RelayServersNeeded needs = new RelayServersNeeded();
     private final Map<Lot, Ordered> ordered = new HashMap<>();
     private final Map<Lot, Long> noneUntilNanos = new HashMap<>();
-    private final Set<ServiceId> seen = new HashSet<>();
+
+    /** When servers of a service were first seen, on the monotonic clock in nanoseconds. */
+    private final Map<ServiceId, Long> seenNanos = new HashMap<>();
 
     private record Lot(ServiceId service, DataCentreId dataCentre, boolean reclaimable) {}
 
@@ -103,8 +110,8 @@
         Map<DataCentreId, Count> serving = count(service.id(), view -> !view.listedCold(now));
         int served = serving.values().stream().mapToInt(Count::total).sum();
         if (served > 0) {
-            seen.add(service.id());
-        } else if (!seen.contains(service.id())) {
+            seenNanos.putIfAbsent(service.id(), now);
+        } else if (!seenNanos.containsKey(service.id())) {
             // The entries of its servers were not read yet.
             return;
         }
@@ -174,6 +181,10 @@
     }
 
     private void order(DutyDesk.Claim claim, Lot lot, int wanted, int serving, long now) {
+        boolean allListed = now - seenNanos.get(lot.service()) >= LISTING_MILLIS * Moment.NANOS_PER_MILLI;
+        if (!allListed && wanted <= serving) {
+            return;
+        }
         Ordered last = ordered.get(lot);
         boolean fresh = last != null && now - last.atNanos() < REPEAT_MILLIS * Moment.NANOS_PER_MILLI;
         boolean same = last != null && last.count() == wanted;
--- a/entry/src/test/java/org/geraniumstand/entry/relay/ScaleTaskTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/ScaleTaskTest.java
@@ -73,6 +73,14 @@
     }
 
     private void startWithReclaimableServers() {
+        plan();
+        for (DataCentreId dataCentre : DATA_CENTRES) {
+            list(dataCentre, 0, SERVERS_EACH, true);
+        }
+        takeTheDuty();
+    }
+
+    private void plan() {
         ScalingBounds bounds = new ScalingBounds(
                 1,
                 60,
@@ -85,26 +93,21 @@
                 new RelayPlan(
                         1, List.of(), List.of(service), List.of(TEAM), new CallerLimits(8_192, 100_000, 1_000, 1_000)),
                 nanos());
-        for (DataCentreId dataCentre : DATA_CENTRES) {
-            for (int i = 0; i < SERVERS_EACH; i++) {
-                ServerId id = new ServerId(dataCentre + "-" + i);
-                desk.fleet()
-                        .onListed(
-                                new RelayServer(
-                                        id,
-                                        1,
-                                        MODEL,
-                                        "10.0.0.1",
-                                        i,
-                                        dataCentre,
-                                        new VersionId("v1"),
-                                        32,
-                                        false,
-                                        0,
-                                        true),
-                                nanos());
-            }
+    }
+
+    private void list(DataCentreId dataCentre, int from, int to, boolean reclaimable) {
+        for (int i = from; i < to; i++) {
+            ServerId id = new ServerId(dataCentre + "-" + i);
+            VersionId version = new VersionId("v1");
+            desk.fleet()
+                    .onListed(
+                            new RelayServer(
+                                    id, 1, MODEL, "10.0.0.1", i, dataCentre, version, 32, false, 0, reclaimable),
+                            nanos());
         }
+    }
+
+    private void takeTheDuty() {
         lease.start();
         timer.run(300);
         task.start();
@@ -149,6 +152,19 @@
         assertThat(orders.stream().filter(order -> order.count() < SERVERS_EACH).toList(), is(empty()));
     }
 
+    /** The process that orders read a part of the entries and gave back the servers that had not written theirs yet. */
+    @Test
+    void releasesNoServersWhoseEntriesComeLate() {
+        plan();
+        list(DATA_CENTRES.get(0), 0, 3, false);
+        takeTheDuty();
+        pass(500, 0);
+        list(DATA_CENTRES.get(0), 3, 6, false);
+        pass(2_000, 0);
+
+        assertThat(orders.stream().filter(order -> !order.reclaimable()).toList(), is(empty()));
+    }
+
     @Test
     void releasesServersOnceLittleDemandWasMeasured() {
         startWithReclaimableServers();
