Keep the servers that are found, as far as the quotas allow, until demand is measured

What is found is now what stands before the process's first order, and the on-demand servers; and no more are kept than the teams' quotas allow to use, as a deployment may start with more servers than its callers can ask for.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBook.java
@@ -45,6 +45,7 @@
     private final Map<ProcessId, HubSums> sums = new HashMap<>();
     private final ProcessCount processes;
     private List<ProcessId> hubs = List.of();
+    private double allowedPerSecond = Double.POSITIVE_INFINITY;
 
     private static final class Level {
         private double left;
@@ -81,6 +82,14 @@
      */
     public void onTeams(List<RelayTeam> teams, long nowNanos) {
         teams.forEach(team -> refill(team, nowNanos));
+        boolean bounded = !teams.isEmpty() && teams.stream().allMatch(t -> t.countsTokens() && t.ratePerSecond() > 0);
+        allowedPerSecond =
+                bounded ? teams.stream().mapToDouble(RelayTeam::ratePerSecond).sum() : Double.POSITIVE_INFINITY;
+    }
+
+    /** Returns the tokens a second that the quotas of all teams allow together; infinite if any of them is not bound. */
+    public double allowedPerSecond() {
+        return allowedPerSecond;
     }
 
     /**
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServersNeeded.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServersNeeded.java
@@ -11,7 +11,7 @@
         name = "relay-servers-needed",
         summary =
                 "A service needs a server for each part of the measured demand and one to spare; until demand has been"
-                        + " measured for a while, no fewer than the servers that were seen leave after a loss.")
+                        + " measured for a while, no fewer than were found, as far as the teams' quotas allow to use them.")
 public final class RelayServersNeeded {
     /**
      * Tokens a second of measured demand that a server bears with first tokens in good time: it reads 93,600, and about half
@@ -26,7 +26,7 @@
     /** Milliseconds of demand after which it counts as measured; its rise is averaged over 2,000. */
     private static final long MEASURED_MILLIS = 5_000;
 
-    private final Map<ServiceId, Integer> mostSeen = new HashMap<>();
+    private final Map<ServiceId, Integer> mostFound = new HashMap<>();
     private boolean demanded;
     private long demandedNanos;
 
@@ -51,17 +51,29 @@
      *
      * @param service the service
      * @param tokensPerSecond tokens that callers ask for a second
-     * @param standing its servers that are left now if a data centre loses its reclaimable ones
+     * @param found its servers that were found and are left if a data centre loses its reclaimable ones
+     * @param allowedPerSecond tokens a second that the teams' quotas allow
      * @param dataCentres data centres in which it may have servers; each has one at least
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public int decide(ServiceId service, double tokensPerSecond, int standing, int dataCentres, long nowNanos) {
-        int needed = SPARE_SERVERS + Math.max(dataCentres, (int) Math.ceil(tokensPerSecond / TOKENS_PER_SERVER));
+    public int decide(
+            ServiceId service,
+            double tokensPerSecond,
+            int found,
+            double allowedPerSecond,
+            int dataCentres,
+            long nowNanos) {
+        int needed = (int) forDemand(tokensPerSecond, dataCentres);
         if (measured(nowNanos)) {
             return needed;
         }
         // Entries are read one after the other, so that the first look may show a few of the servers only.
-        return Math.max(needed, mostSeen.merge(service, standing, Math::max));
+        int kept = (int) Math.min(mostFound.merge(service, found, Math::max), forDemand(allowedPerSecond, dataCentres));
+        return Math.max(needed, kept);
+    }
+
+    private static double forDemand(double tokensPerSecond, int dataCentres) {
+        return SPARE_SERVERS + Math.max(dataCentres, Math.ceil(tokensPerSecond / TOKENS_PER_SERVER));
     }
 
     private boolean measured(long nowNanos) {
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayServersNeededTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayServersNeededTest.java
@@ -12,9 +12,11 @@
 
     private final RelayServersNeeded needed = new RelayServersNeeded();
 
-    private int decide(double tokensPerSecond, int standing, long atMillis) {
+    private double allowedPerSecond = Double.POSITIVE_INFINITY;
+
+    private int decide(double tokensPerSecond, int found, long atMillis) {
         needed.onDemand(tokensPerSecond, atMillis * Calls.MILLI);
-        return needed.decide(MODEL, tokensPerSecond, standing, DATA_CENTRES, atMillis * Calls.MILLI);
+        return needed.decide(MODEL, tokensPerSecond, found, allowedPerSecond, DATA_CENTRES, atMillis * Calls.MILLI);
     }
 
     /** The entries of 19 servers arrive while the process starts; callers come 11 s later. */
@@ -26,6 +28,21 @@
         assertThat(decide(0, 3, 11_000), is(19));
     }
 
+    @Test
+    void keepsNoMoreThanTheTeamsMayUse() {
+        allowedPerSecond = 600_000;
+
+        assertThat(decide(0, 19, 0), is(11));
+    }
+
+    @Test
+    void keepsWhatItFoundUntilDemandIsMeasured() {
+        decide(16_000, 35, 0);
+
+        assertThat(decide(900_000, 0, 4_000), is(35));
+        assertThat(decide(900_000, 0, 5_500), is(16));
+    }
+
     @Test
     void followsTheDemandOnceItIsMeasured() {
         decide(0, 19, 0);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -115,10 +115,14 @@
             // The entries of its servers were not read yet.
             return;
         }
-        int standing = ServersWanted.afterLoss(
-                count(service.id(), _view -> true), desk.fleet().dataCentresOut());
+        int lasting = serving.values().stream().mapToInt(Count::lasting).sum();
         int needed = needs.decide(
-                service.id(), demand.perSecond(), standing, bounds.prices().size(), now);
+                service.id(),
+                demand.perSecond(),
+                Math.max(lasting, found(service.id())),
+                desk.quotas().allowedPerSecond(),
+                bounds.prices().size(),
+                now);
         ServersWanted.Input input = new ServersWanted.Input(
                 bounds,
                 needed,
@@ -135,6 +139,16 @@
         });
     }
 
+    /** Returns the servers that a loss leaves of those that stood before this process gave orders, whose servers come on top. */
+    private int found(ServiceId service) {
+        boolean gaveOrders =
+                ordered.keySet().stream().anyMatch(lot -> lot.service().equals(service));
+        return gaveOrders
+                ? 0
+                : ServersWanted.afterLoss(
+                        count(service, _view -> true), desk.fleet().dataCentresOut());
+    }
+
     private Map<DataCentreId, Integer> lastingOrdered(ServiceId service, Map<DataCentreId, Count> serving) {
         Map<DataCentreId, Integer> lasting = new HashMap<>();
         serving.forEach((dc, count) -> lasting.put(dc, count.lasting()));
