Log server, shared prompt parts and age of the answer at the end of each attempt

Cause of the blindness: attempt-ended named the request only, so the server had to be joined from call-sent, and the prompt parts and the time since the answer's head were nowhere. Change: three fields of that line. No decision changes.

--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.geraniumstand.decisions.Action;
 import org.geraniumstand.decisions.relay.RelayCall;
 import org.geraniumstand.decisions.relay.RelayStep;
@@ -13,6 +14,7 @@
 import org.geraniumstand.http.upstream.Attempt;
 import org.geraniumstand.http.upstream.AttemptListener;
 import org.geraniumstand.http.upstream.AttemptSpec;
+import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.CallKind;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.RelayTeam;
@@ -40,6 +42,8 @@
     /** Maximum size of an error body or of an event in bytes; a server that sends more is assumed never to end. */
     private static final int MAX_INCOMPLETE_BYTES = 1024 * 1024;
 
+    private static final int MAX_LOGGED_PARTS = 8;
+
     private final HttpServerExchange exchange;
     private final RelayCall call;
     private final HttpBody body;
@@ -176,7 +180,9 @@
         private AnswerHead head;
         private ServerHead serverAnswer;
         private boolean success;
+        private final ServerId server = call.server().server().id();
         private long sendDelayNanos = -1;
+        private long headNanos;
 
         /**
          * Sends nothing if the caller disconnected or the deadline passed while this thread was busy, or if the server
@@ -212,6 +218,7 @@
         @Override
         public void onHead(AnswerHead answerHead) {
             head = answerHead;
+            headNanos = System.nanoTime();
             serverAnswer = context.protocol().read(answerHead);
             success = head.status() / STATUS_CLASS_DIVISOR == SUCCESS_CLASS && serverAnswer.signed();
             context.dispatcherTask().onAnswerStarted(call, serverAnswer);
@@ -279,9 +286,12 @@
                     "attempt-ended",
                     Field.of("request", call.head().attempt()),
                     Field.of("attempt", call.attempts()),
+                    Field.of("server", server),
+                    Field.of("parts", partsText()),
                     Field.of("end", classified),
                     Field.of("status", head == null ? 0 : head.status()),
                     Field.of("unsentMillis", sendDelayNanos < 0 ? -1 : sendDelayNanos / Timestamp.NANOS_PER_MILLI),
+                    Field.of("answerMillis", answerMillis()),
                     Field.of("millis", (System.nanoTime() - call.sentNanos()) / Timestamp.NANOS_PER_MILLI));
             boolean answered = classified == AttemptEnd.ANSWERED || isFinalFailure(classified);
             if (classified == AttemptEnd.BROKEN && head == null) {
@@ -294,6 +304,18 @@
             context.dispatcherTask().onAttemptEnded(call, answered ? AttemptEnd.ANSWERED : classified);
         }
 
+        /** Returns the time since the head of the answer arrived in milliseconds, or -1 if none did. */
+        private long answerMillis() {
+            return head == null ? -1 : (System.nanoTime() - headNanos) / Timestamp.NANOS_PER_MILLI;
+        }
+
+        private String partsText() {
+            return call.head().sharedParts().stream()
+                    .limit(MAX_LOGGED_PARTS)
+                    .map(part -> Long.toHexString(part.id()))
+                    .collect(Collectors.joining(","));
+        }
+
         private AttemptEnd classify(AttemptEnd end) {
             if (end != AttemptEnd.ANSWERED && end != AttemptEnd.SERVER_ERROR) {
                 return end;
--- a/model/src/main/java/org/geraniumstand/model/relay/CallerHead.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/CallerHead.java
@@ -30,6 +30,11 @@
         promptParts = List.copyOf(promptParts);
     }
 
+    /** Returns the parts of the prompt that other requests may share, which are all but the last. */
+    public List<PromptPart> sharedParts() {
+        return promptParts.isEmpty() ? promptParts : promptParts.subList(0, promptParts.size() - 1);
+    }
+
     /** Omits the API key. */
     @Override
     public String toString() {
