Refuse requests whose prompt parts crash servers

Cause: a server's crash was a fact about the server only. Nothing connected it with the request that it was answering, so every request with the part, each retry and each of the callers' own repeats went to the next server, at processes that had seen none of the crashes. The class of fault: work that fails is sent on to the next server without asking whether the work is the reason. Change: each process records the requests whose answers broke off within 500 ms after they began (CrashSuspicion), and reports them with the usage reports to the two aggregators. A part is blamed if four independent crashes at different servers and moments have it, no answer with it succeeded since, and chance is an unlikely explanation (CrashCorrelation). Prompts with all blamed parts are refused until a sound answer or a single trial at growing intervals ends it (PromptQuarantine). A call at which two servers crashed as they began to answer it is not retried. Conclusion: the cause is mended where at least one process lives on; what all processes forget in a restart comes next.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
@@ -25,6 +26,9 @@
     private double pendingTokens;
     private boolean mayHaveRun;
     private boolean relayed;
+    private OptionalLong beganNanos = OptionalLong.empty();
+    private boolean sound;
+    private int suspiciousEnds;
 
     /**
      * Creates a call without attempts.
@@ -134,18 +138,44 @@
         attempts++;
         sentNanos = nowNanos;
         pendingTokens = tokens;
+        beganNanos = OptionalLong.empty();
+        sound = false;
         tried.add(next.server().id());
         next.onSent(tokens, nowNanos);
     }
 
     /** Records the first sign that the server has started to process the call. */
     void onStarted(long nowNanos) {
+        beganNanos = OptionalLong.of(nowNanos);
         if (server != null) {
             server.onStarted(pendingTokens, nowNanos);
             pendingTokens = 0;
         }
     }
 
+    /** Returns when the answer of the last attempt began, on the monotonic clock in nanoseconds, if it did. */
+    OptionalLong beganNanos() {
+        return beganNanos;
+    }
+
+    /** Returns whether the last attempt has shown that the call does not crash its server. */
+    boolean sound() {
+        return sound;
+    }
+
+    void onSound() {
+        sound = true;
+    }
+
+    /** Returns the number of attempts after which the call may have crashed its server. */
+    int suspiciousEnds() {
+        return suspiciousEnds;
+    }
+
+    void onSuspiciousEnd() {
+        suspiciousEnds++;
+    }
+
     /** Cancels the current attempt before any part of it was sent to the server. */
     void withdraw() {
         attempts--;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -53,6 +53,7 @@
     private final ProcessCount processes;
     private final ColdServerRateLimiter coldLimiter;
     private final QuotaLimiter quotas;
+    private final CrashingPrompts crashingPrompts;
     private final RelayServerSelector selector;
     private final Map<ServiceId, CallQueue> queues = new HashMap<>();
     private final Map<ServiceId, RelayRetryBudget> retryBudgets = new HashMap<>();
@@ -72,6 +73,7 @@
         this.processes = new ProcessCount(bounds.assumedProcesses(), nowNanos);
         this.quotas = new QuotaLimiter(bounds.quotaSlack(), bounds.quotaOverrun(), processes);
         this.coldLimiter = new ColdServerRateLimiter(random);
+        this.crashingPrompts = new CrashingPrompts(random);
         this.selector = new RelayServerSelector(localDataCentre, fleet, prefixCaches, coldLimiter);
     }
 
@@ -90,6 +92,11 @@
         return quotas;
     }
 
+    /** Returns the prompts that crash servers. */
+    public CrashingPrompts crashingPrompts() {
+        return crashingPrompts;
+    }
+
     /**
      * Charges a call to its team's quota, or refuses the call if the quota is exhausted.
      *
@@ -150,6 +157,11 @@
         ServiceId service = selectService(call);
         call.setService(service);
         retryBudget(service).onRequest(nowNanos);
+        OptionalLong blockedMillis = crashingPrompts.blockedMillis(call, nowNanos);
+        if (blockedMillis.isPresent()) {
+            refuse(call, quarantineRefusal(call, blockedMillis.getAsLong()), steps);
+            return;
+        }
         if (configuration.flatMap(c -> c.service(service)).isEmpty() || !selector.hasEligibleServer(service)) {
             refuse(call, Refusal.notRun(RefusalReason.NO_SERVER, retryAfterMillis(call)), steps);
             return;
@@ -190,6 +202,26 @@
         }
     }
 
+    /**
+     * Records that a part of a successful answer arrived.
+     *
+     * @param call the call that is being answered
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onProgress(RelayCall call, long nowNanos) {
+        crashingPrompts.onProgress(call, nowNanos);
+    }
+
+    /**
+     * Records that a successful answer is complete.
+     *
+     * @param call the call that was answered
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onSucceeded(RelayCall call, long nowNanos) {
+        crashingPrompts.onSound(call, nowNanos);
+    }
+
     /**
      * Records that another server answered at the address of the server that the call was sent to.
      *
@@ -236,6 +268,7 @@
      */
     public void onEnded(RelayCall call, AttemptEnd end, long nowNanos, List<RelayStep> steps) {
         ServerView server = call.server();
+        crashingPrompts.onEnded(call, end, nowNanos);
         call.release(end != AttemptEnd.CANCELLED && RelayRetryRule.mayHaveRun(end));
         if (server != null && server.recordEnd(end)) {
             server.eject(nowNanos);
@@ -252,6 +285,7 @@
 
     private void retryOrRefuse(RelayCall call, AttemptEnd end, long nowNanos, List<RelayStep> steps) {
         boolean retry = RelayRetryRule.mayRetry(call, end, nowNanos)
+                && crashingPrompts.blockedMillis(call, nowNanos).isEmpty()
                 && selector.hasEligibleServer(call.service())
                 && retryBudget(call.service()).tryAcquire(processes.senderCount(nowNanos), nowNanos);
         if (retry) {
@@ -316,16 +350,29 @@
             long remainingMillis = (call.deadlineNanos() - nowNanos) / Timestamp.NANOS_PER_MILLI;
             // A refusal discards what has already been relayed, so such a call waits until its deadline.
             boolean tooLong = !call.relayed() && waitEstimate.waitMillis(ahead, nowNanos) > remainingMillis;
-            return noServer || remainingMillis <= 0 || tooLong;
+            boolean blocked = crashingPrompts.blockedMillis(call, nowNanos).isPresent();
+            return noServer || remainingMillis <= 0 || tooLong || blocked;
         });
         for (RelayCall call : unservable) {
-            Refusal refusal = call.mayHaveRun()
-                    ? Refusal.unknown(RefusalReason.DEADLINE)
-                    : Refusal.notRun(RefusalReason.NO_SERVER, retryAfterMillis(call));
+            OptionalLong blockedMillis = crashingPrompts.blockedMillis(call, nowNanos);
+            Refusal refusal;
+            if (blockedMillis.isPresent()) {
+                refusal = quarantineRefusal(call, blockedMillis.getAsLong());
+            } else {
+                refusal = call.mayHaveRun()
+                        ? Refusal.unknown(RefusalReason.DEADLINE)
+                        : Refusal.notRun(RefusalReason.NO_SERVER, retryAfterMillis(call));
+            }
             refuse(call, refusal, steps);
         }
     }
 
+    private static Refusal quarantineRefusal(RelayCall call, long blockedMillis) {
+        return call.mayHaveRun()
+                ? Refusal.unknown(RefusalReason.SERVER_FAILED)
+                : Refusal.notRun(RefusalReason.PROMPT_QUARANTINED, blockedMillis + retryAfterMillis(call));
+    }
+
     /**
      * Returns the retry delay of a refused call. The delays are spread over twice the minimum, because callers that are
      * refused together would otherwise retry together.
@@ -358,7 +405,8 @@
     }
 
     private boolean dispatch(RelayCall call, RelayService service, long nowNanos, List<RelayStep> steps) {
-        if (nowNanos - call.deadlineNanos() >= 0) {
+        if (nowNanos - call.deadlineNanos() >= 0
+                || crashingPrompts.blockedMillis(call, nowNanos).isPresent()) {
             return false;
         }
         int senders = processes.senderCount(nowNanos);
@@ -371,6 +419,7 @@
             coldLimiter.onSent(server.server().id(), service.coldPerSecond(), senders, nowNanos);
         }
         call.send(server, selection.get().uncachedTokens(), nowNanos);
+        crashingPrompts.onSent(call, nowNanos);
         if (service.engineCapacity().isPresent()) {
             prefixCaches.onSent(call.head().promptParts(), server.server().id(), nowNanos);
         }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryRule.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryRule.java
@@ -8,8 +8,9 @@
 /** Decides whether a failed call may be retried at another server. */
 @Decision(
         name = "repeat-rule",
-        summary = "A call is retried at another server if it certainly did not run or is safe to retry, and if its"
-                + " route and its deadline allow another attempt.")
+        summary =
+                "A call is retried at another server if it certainly did not run or is safe to retry, and if its"
+                        + " route and its deadline allow another attempt, unless two servers crashed as they began to answer it.")
 public final class RelayRetryRule {
     /** Minimum time before the deadline for a retry to be useful, in milliseconds; a plain answer takes about 20 ms. */
     private static final long MIN_REMAINING_MILLIS = 30;
@@ -20,6 +21,9 @@
      */
     private static final int MAX_NOT_RUN_ATTEMPTS = 4;
 
+    /** Servers that may crash shortly after they began to answer a call before the call itself counts as the cause. */
+    private static final int MAX_SUSPICIOUS_ENDS = 1;
+
     private RelayRetryRule() {}
 
     /**
@@ -45,6 +49,9 @@
         if (call.attempts() >= call.route().maxAttempts() && !notRun) {
             return false;
         }
+        if (call.suspiciousEnds() > MAX_SUSPICIOUS_ENDS) {
+            return false;
+        }
         if (call.attempts() > call.route().maxAttempts() + MAX_NOT_RUN_ATTEMPTS) {
             return false;
         }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/CrashingPartSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/CrashingPartSimulation.java
@@ -11,10 +11,13 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.CallKind;
+import org.geraniumstand.model.relay.CrashEvidence;
 import org.geraniumstand.model.relay.PromptPart;
 import org.geraniumstand.model.relay.RelayRoute;
+import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.request.AttemptEnd;
 
 /** Simulates entry processes before servers that crash shortly after they begin to answer certain prompt parts. */
@@ -27,6 +30,7 @@
     private static final long PREFILL_MILLIS = 150;
     private static final long CRASH_MILLIS = 100;
     private static final long RESTART_MILLIS = 3_000;
+    private static final long EXCHANGE_MILLIS = 200;
     private static final int SUBJECTS = 60;
 
     private final Random random;
@@ -36,8 +40,10 @@
     private final Map<Long, Long> sends = new HashMap<>();
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private final Set<Long> crashing = new HashSet<>();
+    private final Set<Long> everCrashing = new TreeSet<>();
     private final List<Long> crashMillis = new ArrayList<>();
     private final List<Long> crashingSendMillis = new ArrayList<>();
+    private final List<CrashingPrompts.Change> changes = new ArrayList<>();
     private int servedSound;
     private int refusedSound;
     private int eventCount;
@@ -62,9 +68,7 @@
     CrashingPartSimulation(long seed, int processCount, int serverCount) {
         random = new Random(seed);
         for (int i = 0; i < processCount; i++) {
-            RelayDispatcher dispatcher = new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(seed + i), 0);
-            dispatcher.onConfiguration(Calls.configuration(1), 0);
-            processes.add(dispatcher);
+            processes.add(startProcess());
         }
         for (int i = 0; i < serverCount; i++) {
             startServer();
@@ -89,6 +93,11 @@
         return crashingSendMillis.stream().filter(at -> at > from).count();
     }
 
+    /** Returns the changes of the quarantine that a process found by itself, in order. */
+    List<CrashingPrompts.Change> changes() {
+        return changes;
+    }
+
     int servedSound() {
         return servedSound;
     }
@@ -105,9 +114,36 @@
         events.add(new Event(atMillis, eventCount++, action));
     }
 
+    /** Replaces a process by one that knows nothing; its calls in flight are lost. */
+    void restart(int process) {
+        owners.forEach((number, owner) -> {
+            if (owner == process) {
+                sends.remove(number);
+            }
+        });
+        processes.set(process, startProcess());
+    }
+
+    private RelayDispatcher startProcess() {
+        RelayDispatcher dispatcher =
+                new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(random.nextLong()), nowNanos());
+        dispatcher.onConfiguration(Calls.configuration(1), nowNanos());
+        servers.forEach((id, _server) -> dispatcher.fleet().onListed(listed(id), nowNanos()));
+        return dispatcher;
+    }
+
+    private static RelayServer listed(ServerId id) {
+        return Calls.server(id.value(), Calls.ENGINE_SERVICE, Calls.WEST, 0);
+    }
+
+    void removeCrashingPart(long part) {
+        crashing.remove(part);
+    }
+
     /** Makes servers crash on a part from now on. */
     void addCrashingPart(long part) {
         crashing.add(part);
+        everCrashing.add(part);
     }
 
     /** Lets callers send requests until some time; a share of them carries one of the crashing parts. */
@@ -157,7 +193,7 @@
             parts.add(1_000L + random.nextInt(1_000));
         }
         if (crashes) {
-            List<Long> ids = List.copyOf(new TreeSet<>(crashing));
+            List<Long> ids = List.copyOf(everCrashing);
             parts.add(random.nextInt(parts.size() + 1), ids.get(random.nextInt(ids.size())));
         }
         return parts;
@@ -184,7 +220,28 @@
         execute(steps);
     }
 
+    /** Lets all processes exchange evidence by way of the first one, as entry processes do by way of an aggregator. */
+    private void exchange() {
+        int count = processes.size();
+        for (int i = 0; i < count; i++) {
+            CrashingPrompts prompts = processes.get(i).crashingPrompts();
+            changes.addAll(prompts.evaluate(count, nowNanos()));
+            CrashEvidence report = prompts.report(nowNanos());
+            CrashEvidence aggregate = processes.get(0).crashingPrompts().aggregate(nowNanos());
+            int sender = i;
+            at(nowMillis + 5, () -> {
+                if (sender > 0) {
+                    processes.get(0).crashingPrompts().merge(new ProcessId("p" + sender), report, count, nowNanos());
+                    processes.get(sender).crashingPrompts().merge(new ProcessId("p0"), aggregate, count, nowNanos());
+                }
+            });
+        }
+    }
+
     private void tick() {
+        if (nowMillis % EXCHANGE_MILLIS == 0) {
+            exchange();
+        }
         for (RelayDispatcher process : processes) {
             if (process.hasQueuedCalls()) {
                 List<RelayStep> steps = new ArrayList<>();
@@ -244,6 +301,7 @@
                 if (isCurrent(call, attempt)) {
                     servers.get(id).calls.remove(call.number());
                     servedSound++;
+                    processes.get(owners.get(call.number())).onSucceeded(call, nowNanos());
                     end(call, attempt, AttemptEnd.ANSWERED);
                 }
             });
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryRuleTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryRuleTest.java
@@ -30,6 +30,17 @@
         assertThat(mayRetry(Calls.route(CallKind.SAFE, false, 2, 0), 1, AttemptEnd.BROKEN), is(true));
     }
 
+    @Test
+    void stopsRetryingACallAfterTwoServersCrashedAsTheyBeganToAnswerIt() {
+        RelayRoute route = Calls.route(CallKind.SAFE, false, 5, 0);
+        RelayCall call = sent(route, 1);
+        call.onSuspiciousEnd();
+
+        assertThat(RelayRetryRule.mayRetry(call, AttemptEnd.BROKEN, 0), is(true));
+        call.onSuspiciousEnd();
+        assertThat(RelayRetryRule.mayRetry(call, AttemptEnd.BROKEN, 0), is(false));
+    }
+
     @Test
     void neverRetriesUnsafeCallThatMayHaveRun() {
         RelayRoute route = Calls.route(CallKind.UNSAFE, false, 3, 0);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -60,6 +60,7 @@
     private final QuotaUsageSums quotaUsage = new QuotaUsageSums();
     private final InFlightSums inFlightCalls = new InFlightSums();
     private final LostServers lostServers = new LostServers();
+    private final CrashEvidenceExchange crashEvidence;
     private final ConfigurationPullTiming configurationPull = new ConfigurationPullTiming();
     private Optional<List<Member>> pendingMembers = Optional.empty();
     private Set<ProcessId> liveProcesses = Set.of();
@@ -84,6 +85,7 @@
             ConfigurationListener onPeerConfiguration) {
         this.network = network;
         this.dispatcher = dispatcher;
+        this.crashEvidence = new CrashEvidenceExchange(network.self().id(), dispatcher);
         this.timer = timer;
         this.onPeerConfiguration = onPeerConfiguration;
     }
@@ -236,6 +238,7 @@
         quotaUsage.onReport(from, report.usages(), now);
         inFlightCalls.onReport(from, report.inFlight(), now);
         lostServers.onReport(report.lostServers(), now);
+        crashEvidence.onEvidence(from, report.evidence(), now);
         // Only the first of the two aggregators sends the sums of calls in flight, because the second has the same
         // figures.
         boolean firstAggregator = !aggregators.isEmpty()
@@ -246,13 +249,15 @@
                         quotaUsage.sumExcluding(from),
                         quotaUsage.reportingProcesses(now),
                         firstAggregator ? inFlightCalls.sumExcluding(from) : List.of(),
-                        lostServers.recentLosses(now)));
+                        lostServers.recentLosses(now),
+                        crashEvidence.aggregate()));
     }
 
     private void onAggregatedUsage(ProcessId aggregator, PeerMessage.AggregateQuotaUsage aggregate) {
         long now = System.nanoTime();
         dispatcher.quotas().onRemoteUsage(aggregator, aggregate.usages(), aggregate.reportingProcesses(), now);
         dispatcher.fleet().onRemoteLosses(aggregate.lostServers(), now);
+        crashEvidence.onEvidence(aggregator, aggregate.evidence(), now);
         // An aggregator that has just started has received reports of only some of the calls in flight.
         if (!aggregate.inFlight().isEmpty()
                 && aggregate.reportingProcesses() >= MIN_REPORTING_FRACTION * liveProcesses.size()) {
@@ -302,7 +307,8 @@
         PeerMessage.QuotaUsageReport report = new PeerMessage.QuotaUsageReport(
                 dispatcher.quotas().localUsage(),
                 dispatcher.fleet().inFlight(),
-                dispatcher.fleet().lostServers(now));
+                dispatcher.fleet().lostServers(now),
+                crashEvidence.evaluate(liveProcesses, now));
         inFlightCalls.retain(liveProcesses, now);
         // A report to this process itself is delivered like any other message.
         aggregators.forEach(aggregator -> network.send(aggregator, report));
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -195,6 +195,8 @@
     private void serveMetrics() {
         RelayDispatcher dispatcher = dispatcherTask.dispatcher();
         metrics.gauge("geraniumstand_calls_open", dispatcherTask::openCalls);
+        metrics.gauge(
+                "geraniumstand_prompts_quarantined", dispatcherTask.dispatcher().crashingPrompts()::quarantined);
         metrics.gauge(
                 "geraniumstand_servers_listed", () -> dispatcher.fleet().all().size());
         metrics.gauge(
--- a/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
@@ -66,6 +66,14 @@
         }
     }
 
+    void onProgress(RelayCall call) {
+        dispatcher.onProgress(call, System.nanoTime());
+    }
+
+    void onSucceeded(RelayCall call) {
+        dispatcher.onSucceeded(call, System.nanoTime());
+    }
+
     /** Reports the team of a call that a server ran or most likely ran. */
     void reportRun(RelayCall call) {
         call.team().ifPresent(team -> runListener.accept(team.id()));
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -233,6 +233,9 @@
             if (call.server() != null) {
                 call.server().onBytes(System.nanoTime());
             }
+            if (success) {
+                context.dispatcherTask().onProgress(call);
+            }
             if (success && call.route().kind() == CallKind.STREAM) {
                 relay(splitter.accept(bytes));
                 abortIfTooLarge(splitter.incompleteBytes());
@@ -345,6 +348,7 @@
                 answer.sendComplete(head, buffered.toByteArray());
                 return;
             }
+            context.dispatcherTask().onSucceeded(call);
             if (call.route().kind() == CallKind.STREAM) {
                 relay(splitter.takeIncomplete());
             }
--- a/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
+++ b/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
@@ -30,6 +30,8 @@
     DEADLINE("deadline", 503, "No backend server can answer before the deadline."),
     /** No backend server of the service can accept the request at present. */
     NO_SERVER("no-server", 503, "No backend server of the service may take the request now."),
+    /** Backend servers crashed when they began to answer a part of the prompt. */
+    PROMPT_QUARANTINED("prompt-quarantined", 503, "Backend servers crash when they answer a part of this prompt."),
     /** The claim of an order cannot be recorded in the store at present. */
     STORE_UNAVAILABLE("store-unavailable", 503, "The claim of the order cannot be recorded now."),
     /** The process is shutting down. */
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -11,6 +11,7 @@
 import org.geraniumstand.model.limits.Grant;
 import org.geraniumstand.model.member.AppliedGeneration;
 import org.geraniumstand.model.member.MemberUpdate;
+import org.geraniumstand.model.relay.CrashEvidence;
 import org.geraniumstand.model.relay.LostServer;
 import org.geraniumstand.model.relay.ServerInFlight;
 import org.geraniumstand.model.relay.TeamUsage;
@@ -194,8 +195,10 @@
      * @param usages quota usage, one entry per team
      * @param inFlight the sender's calls in flight, one entry per server; servers without calls are omitted
      * @param lostServers servers that became unreachable for the sender while the store is unavailable to it
+     * @param evidence the sender's evidence of prompts that crash servers
      */
-    record QuotaUsageReport(List<TeamUsage> usages, List<ServerInFlight> inFlight, List<LostServer> lostServers)
+    record QuotaUsageReport(
+            List<TeamUsage> usages, List<ServerInFlight> inFlight, List<LostServer> lostServers, CrashEvidence evidence)
             implements PeerMessage {
         /** Copies the lists. */
         public QuotaUsageReport {
@@ -213,9 +216,14 @@
      * @param inFlight calls in flight of those processes, one entry per server; empty if the sender does not share them
      *     with the receiver
      * @param lostServers servers that recently became unreachable for any process while the store was unavailable to it
+     * @param evidence evidence of all processes of prompts that crash servers
      */
     record AggregateQuotaUsage(
-            List<TeamUsage> usages, int reportingProcesses, List<ServerInFlight> inFlight, List<LostServer> lostServers)
+            List<TeamUsage> usages,
+            int reportingProcesses,
+            List<ServerInFlight> inFlight,
+            List<LostServer> lostServers,
+            CrashEvidence evidence)
             implements PeerMessage {
         /** Copies the lists. */
         public AggregateQuotaUsage {
--- a/peer/src/main/java/org/geraniumstand/peer/codec/AggregateQuotaUsageCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/AggregateQuotaUsageCodec.java
@@ -16,11 +16,12 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.AggregateQuotaUsage message) {
-        out.fields(4)
+        out.fields(4 + CrashEvidenceFields.COUNT)
                 .list(message.usages(), QuotaUsageReportCodec::writeTeamUsage)
                 .number(message.reportingProcesses())
                 .list(message.inFlight(), QuotaUsageReportCodec::writeServerInFlight)
                 .list(message.lostServers(), QuotaUsageReportCodec::writeLostServer);
+        CrashEvidenceFields.write(out, message.evidence());
     }
 
     @Override
@@ -29,6 +30,7 @@
                 in.list(QuotaUsageReportCodec::readTeamUsage),
                 in.smallNumber(),
                 in.list(QuotaUsageReportCodec::readServerInFlight),
-                in.list(QuotaUsageReportCodec::readLostServer));
+                in.list(QuotaUsageReportCodec::readLostServer),
+                CrashEvidenceFields.read(in));
     }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
@@ -21,10 +21,11 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.QuotaUsageReport message) {
-        out.fields(3)
+        out.fields(3 + CrashEvidenceFields.COUNT)
                 .list(message.usages(), QuotaUsageReportCodec::writeTeamUsage)
                 .list(message.inFlight(), QuotaUsageReportCodec::writeServerInFlight)
                 .list(message.lostServers(), QuotaUsageReportCodec::writeLostServer);
+        CrashEvidenceFields.write(out, message.evidence());
     }
 
     @Override
@@ -32,7 +33,8 @@
         return new PeerMessage.QuotaUsageReport(
                 in.list(QuotaUsageReportCodec::readTeamUsage),
                 in.list(QuotaUsageReportCodec::readServerInFlight),
-                in.list(QuotaUsageReportCodec::readLostServer));
+                in.list(QuotaUsageReportCodec::readLostServer),
+                CrashEvidenceFields.read(in));
     }
 
     static void writeTeamUsage(FieldWriter out, TeamUsage usage) {
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -35,8 +35,13 @@
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.member.MemberState;
 import org.geraniumstand.model.member.MemberUpdate;
+import org.geraniumstand.model.relay.CrashEvidence;
+import org.geraniumstand.model.relay.CrashReport;
 import org.geraniumstand.model.relay.LostServer;
+import org.geraniumstand.model.relay.QuarantinedPrompt;
 import org.geraniumstand.model.relay.ServerInFlight;
+import org.geraniumstand.model.relay.ServicePart;
+import org.geraniumstand.model.relay.SoundPart;
 import org.geraniumstand.model.relay.TeamUsage;
 import org.geraniumstand.model.relay.WindowCounts;
 import org.geraniumstand.model.relay.WindowTotal;
@@ -129,9 +134,9 @@
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamHandoverAck::new),
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamLookup::new),
                 fleetChanges().map(PeerMessage.FleetUpdate::new),
-                Combinators.combine(teamUsages(), inFlightCounts(), lostServers())
+                Combinators.combine(teamUsages(), inFlightCounts(), lostServers(), crashEvidence())
                         .as(PeerMessage.QuotaUsageReport::new),
-                Combinators.combine(teamUsages(), integers(), inFlightCounts(), lostServers())
+                Combinators.combine(teamUsages(), integers(), inFlightCounts(), lostServers(), crashEvidence())
                         .as(PeerMessage.AggregateQuotaUsage::new),
                 windows().map(PeerMessage.RequestCountReport::new),
                 Combinators.combine(numbers(), numbers())
@@ -182,6 +187,32 @@
                 .ofMaxSize(4);
     }
 
+    private static Arbitrary<CrashEvidence> crashEvidence() {
+        Arbitrary<List<ServicePart>> parts = serviceParts().list().ofMaxSize(3);
+        return Combinators.combine(
+                        Combinators.combine(names(), numbers(), parts, numbers())
+                                .as((server, request, shared, age) ->
+                                        new CrashReport(new ServerId(server), request, shared, age))
+                                .list()
+                                .ofMaxSize(3),
+                        parts,
+                        Combinators.combine(serviceParts(), numbers())
+                                .as(SoundPart::new)
+                                .list()
+                                .ofMaxSize(3),
+                        Combinators.combine(parts, numbers(), numbers(), integers())
+                                .as(QuarantinedPrompt::new)
+                                .list()
+                                .ofMaxSize(3),
+                        numbers())
+                .as(CrashEvidence::new);
+    }
+
+    private static Arbitrary<ServicePart> serviceParts() {
+        return Combinators.combine(names(), numbers())
+                .as((service, part) -> new ServicePart(new ServiceId(service), part));
+    }
+
     private static Arbitrary<List<ServerInFlight>> inFlightCounts() {
         return Combinators.combine(names(), integers())
                 .as((server, calls) -> new ServerInFlight(new ServerId(server), calls))
