Keep the quarantine of prompts in the store

Cause: what crashes servers was known in the memory of the processes only, and all of them forgot it together. Change: the first aggregator writes each change of the quarantine to one key of the store; each process reads it once after its start and repeats the read until the store answers. Conclusion: what all processes learned outlasts them while the store does.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashingPrompts.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashingPrompts.java
@@ -15,6 +15,7 @@
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.relay.CrashEvidence;
 import org.geraniumstand.model.relay.CrashReport;
+import org.geraniumstand.model.relay.QuarantinedPrompt;
 import org.geraniumstand.model.relay.ServicePart;
 import org.geraniumstand.model.relay.SoundPart;
 import org.geraniumstand.model.request.AttemptEnd;
@@ -181,8 +182,20 @@
             remoteSuspects.remove(remoteSuspects.iterator().next());
         }
         remoteAnswers.put(from, new RemoteAnswers(evidence.answered(), nowNanos));
+        return restore(evidence.quarantined(), processes, nowNanos);
+    }
+
+    /**
+     * Adds prompts that are in quarantine elsewhere, unless they are known to be sound.
+     *
+     * @param prompts the prompts
+     * @param processes number of processes that may send a trial
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return the changes of the quarantine
+     */
+    public List<Change> restore(List<QuarantinedPrompt> prompts, int processes, long nowNanos) {
         List<Change> changes = new ArrayList<>();
-        evidence.quarantined().forEach(prompt -> {
+        prompts.forEach(prompt -> {
             boolean sinceSound = prompt.parts().stream()
                     .anyMatch(part ->
                             sound.isSoundSince(part, nowNanos - prompt.crashAgeMillis() * Timestamp.NANOS_PER_MILLI));
--- a/entry/src/main/java/org/geraniumstand/entry/relay/CrashEvidenceExchange.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/CrashEvidenceExchange.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.geraniumstand.decisions.relay.CrashingPrompts;
@@ -18,6 +19,7 @@
 
     private final ProcessId self;
     private final RelayDispatcher dispatcher;
+    private Optional<QuarantineStore> store = Optional.empty();
     private int processes = 1;
     private CrashEvidence aggregate = CrashEvidence.NONE;
 
@@ -26,14 +28,30 @@
         this.dispatcher = dispatcher;
     }
 
-    /** Looks for prompts that crash servers and returns what to report to the aggregators. */
-    CrashEvidence evaluate(Set<ProcessId> live, long nowNanos) {
+    /** Sets the store that keeps the quarantine, and continues the quarantine that it has. */
+    void setStore(QuarantineStore next) {
+        store = Optional.of(next);
+        next.read(prompts -> log(dispatcher.crashingPrompts().restore(prompts, processes, System.nanoTime()), self));
+    }
+
+    /**
+     * Looks for prompts that crash servers and returns what to report to the aggregators.
+     *
+     * @param live the processes that run
+     * @param writes whether this process writes the quarantine to the store
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    CrashEvidence evaluate(Set<ProcessId> live, boolean writes, long nowNanos) {
         CrashingPrompts prompts = dispatcher.crashingPrompts();
         processes = live.size();
         prompts.retain(live);
         log(prompts.evaluate(processes, nowNanos), self);
         aggregate = prompts.aggregate(nowNanos);
-        return prompts.report(nowNanos);
+        CrashEvidence report = prompts.report(nowNanos);
+        if (writes) {
+            store.ifPresent(known -> known.write(report.quarantined()));
+        }
+        return report;
     }
 
     /** Merges the evidence of another process. */
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -159,6 +159,11 @@
         leaderElection = next;
     }
 
+    /** Sets the store that keeps the prompts in quarantine. */
+    void setQuarantineStore(QuarantineStore next) {
+        crashEvidence.setStore(next);
+    }
+
     /** Sets the task that counts requests, and lets it send messages to the other processes. */
     void setUsageTask(UsageTask next) {
         usageTask = next;
@@ -239,20 +244,22 @@
         inFlightCalls.onReport(from, report.inFlight(), now);
         lostServers.onReport(report.lostServers(), now);
         crashEvidence.onEvidence(from, report.evidence(), now);
-        // Only the first of the two aggregators sends the sums of calls in flight, because the second has the same
-        // figures.
-        boolean firstAggregator = !aggregators.isEmpty()
-                && aggregators.get(0).equals(network.self().id());
         network.send(
                 from,
                 new PeerMessage.AggregateQuotaUsage(
                         quotaUsage.sumExcluding(from),
                         quotaUsage.reportingProcesses(now),
-                        firstAggregator ? inFlightCalls.sumExcluding(from) : List.of(),
+                        // The second aggregator has the same figures.
+                        isFirstAggregator() ? inFlightCalls.sumExcluding(from) : List.of(),
                         lostServers.recentLosses(now),
                         crashEvidence.aggregate()));
     }
 
+    private boolean isFirstAggregator() {
+        return !aggregators.isEmpty()
+                && aggregators.get(0).equals(network.self().id());
+    }
+
     private void onAggregatedUsage(ProcessId aggregator, PeerMessage.AggregateQuotaUsage aggregate) {
         long now = System.nanoTime();
         dispatcher.quotas().onRemoteUsage(aggregator, aggregate.usages(), aggregate.reportingProcesses(), now);
@@ -308,7 +315,7 @@
                 dispatcher.quotas().localUsage(),
                 dispatcher.fleet().inFlight(),
                 dispatcher.fleet().lostServers(now),
-                crashEvidence.evaluate(liveProcesses, now));
+                crashEvidence.evaluate(liveProcesses, isFirstAggregator(), now));
         inFlightCalls.retain(liveProcesses, now);
         // A report to this process itself is delivered like any other message.
         aggregators.forEach(aggregator -> network.send(aggregator, report));
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -152,6 +152,8 @@
         calls.schedule(usageTask::start, 0);
         // The number of processes that share the quotas must be known before the first requests.
         calls.schedule(registration::readMembers, 0);
+        QuarantineStore quarantineStore = new QuarantineStore(store, calls::schedule, System::currentTimeMillis);
+        calls.schedule(() -> peers.setQuarantineStore(quarantineStore), 0);
         // Tasks that callers do not depend on start later.
         calls.schedule(registration::register, DEFERRED_START_MILLIS);
         calls.schedule(leaderElection::start, DEFERRED_START_MILLIS);
