Check entries of other writers completely before they are used

Cause: an entry was parsed by recursion without a bound on its depth, so an entry nested 999 deep or more ended the reading of the store with a StackOverflowError on the 256 KB stack of the I/O thread, and no later change was followed. The class of fault: input of others is trusted as soon as it parses.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/MemberDocument.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/MemberDocument.java
@@ -6,9 +6,11 @@
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.support.json.JsonTree;
+import org.geraniumstand.support.net.IpAddresses;
 
 /** Converts a member to and from the JSON text that is kept in the store, in the same form as the object mapper writes. */
 final class MemberDocument {
+    private static final int MAX_PORT = 65_535;
     private static final String ID = "id";
     private static final String DATA_CENTRE = "dataCentre";
     private static final String ADDRESS = "address";
@@ -35,17 +37,17 @@
     /**
      * Parses a member.
      *
-     * @throws IOException if a text field is missing or a number is not an integer
+     * @throws IOException if a text field is missing, the address is not an IP address or a number is out of range
      */
     static Member read(String text) throws IOException {
         JsonNode node = JsonTree.read(text);
         return new Member(
                 new ProcessId(text(node, ID)),
                 new DataCentreId(text(node, DATA_CENTRE)),
-                text(node, ADDRESS),
-                number(node, CALLER_PORT),
-                number(node, PEER_PORT),
-                number(node, OPERATOR_PORT),
+                address(node),
+                port(node, CALLER_PORT),
+                port(node, PEER_PORT),
+                port(node, OPERATOR_PORT),
                 number(node, LEVEL),
                 node.path(STOPPING).asBoolean());
     }
@@ -58,6 +60,22 @@
         return text;
     }
 
+    private static String address(JsonNode node) throws IOException {
+        String address = text(node, ADDRESS);
+        if (!IpAddresses.isAddress(address)) {
+            throw new IOException(ADDRESS + " is not an IP address");
+        }
+        return address;
+    }
+
+    private static int port(JsonNode node, String name) throws IOException {
+        int port = number(node, name);
+        if (port < 0 || port > MAX_PORT) {
+            throw new IOException(name + " is out of range");
+        }
+        return port;
+    }
+
     private static int number(JsonNode node, String name) throws IOException {
         if (!node.path(name).canConvertToInt()) {
             throw new IOException(name + " is not an integer");
--- a/entry/src/test/java/org/geraniumstand/entry/relay/MemberDocumentTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/MemberDocumentTest.java
@@ -31,4 +31,20 @@
         assertThrows(IOException.class, () -> MemberDocument.read("7"));
         assertThrows(IOException.class, () -> MemberDocument.read("{\"id\":"));
     }
+
+    /** An address or a port that no connection can be opened to would end the thread that connects to members. */
+    @Test
+    void rejectsAddressAndPortOutOfRange() {
+        String text = MemberDocument.write(MEMBER);
+
+        assertThrows(
+                IOException.class,
+                () -> MemberDocument.read(text.replaceFirst("\"peerPort\":\\d+", "\"peerPort\":65536")));
+        assertThrows(
+                IOException.class,
+                () -> MemberDocument.read(text.replaceFirst("\"callerPort\":\\d+", "\"callerPort\":-1")));
+        assertThrows(
+                IOException.class,
+                () -> MemberDocument.read(text.replaceFirst("\"address\":\"[^\"]*\"", "\"address\":\"a b\"")));
+    }
 }
--- a/support/src/main/java/org/geraniumstand/support/json/JsonTree.java
+++ b/support/src/main/java/org/geraniumstand/support/json/JsonTree.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -21,7 +22,13 @@
  * when a process starts under load on a small host.
  */
 public final class JsonTree {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    /** Deepest nesting of a document; parsing recurses, and threads have small stacks. */
+    private static final int MAX_DEPTH = 64;
+
+    private static final JsonFactory FACTORY = JsonFactory.builder()
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxNestingDepth(MAX_DEPTH).build())
+            .build();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private JsonTree() {}
