Limit what a server may send besides a body, and the size of a platform's document

Cause: bodies and events had limits, each where it is read, but the HTTP client has none for a status line, a header, the number of headers, a chunk's extension or trailers, and documents of the store and the cloud had none at all. The class of fault: a limit at some of the places that read foreign input. Change: all limits stand in AnswerLimits. Conclusion: a server without end costs its own call only.

--- a/http/src/main/java/org/geraniumstand/http/caller/AnswerRelay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/AnswerRelay.java
@@ -10,18 +10,17 @@
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.Outcome;
 import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.support.net.AnswerLimits;
 import org.geraniumstand.support.net.HttpBody;
 
 /**
  * Relays an answer that is not an event stream.
  *
  * <p>The answer to an idempotent request is buffered until it is complete, so that another attempt can replace a broken
- * one. An answer that is larger than {@link #MAX_BUFFERED_BYTES}, or that answers a request that must not be retried,
+ * one. An answer that is larger than {@link AnswerLimits#MAX_BUFFERED_BYTES}, or that answers a request that must not be retried,
  * is relayed as it arrives.
  */
 final class AnswerRelay implements Relay {
-    /** Maximum size of a buffered answer in bytes. */
-    static final int MAX_BUFFERED_BYTES = 256 * 1024;
 
     private final HttpServerExchange exchange;
     private final String callerRequestId;
@@ -73,7 +72,7 @@
             output.send(ByteBuffer.wrap(part));
             return;
         }
-        if (buffered.size() + part.length <= MAX_BUFFERED_BYTES) {
+        if (buffered.size() + part.length <= AnswerLimits.MAX_BUFFERED_BYTES) {
             buffered.write(part, 0, part.length);
             return;
         }
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -26,6 +26,7 @@
 import org.geraniumstand.model.time.Timestamp;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
+import org.geraniumstand.support.net.AnswerLimits;
 import org.geraniumstand.support.net.HttpBody;
 import org.xnio.XnioExecutor;
 
@@ -36,12 +37,6 @@
     private static final int STATUS_CLASS_DIVISOR = 100;
     private static final int SERVER_ERROR = 500;
 
-    /** Maximum number of bytes of an answer that are buffered, so that another attempt can replace a broken answer. */
-    private static final int MAX_BUFFERED_BYTES = 256 * 1024;
-
-    /** Maximum size of an error body or of an event in bytes; a server that sends more is assumed never to end. */
-    private static final int MAX_INCOMPLETE_BYTES = 1024 * 1024;
-
     private static final int MAX_LOGGED_PARTS = 8;
 
     private final HttpServerExchange exchange;
@@ -248,7 +243,7 @@
                 return;
             }
             buffered.write(part, 0, part.length);
-            if (success && buffered.size() > MAX_BUFFERED_BYTES) {
+            if (success && buffered.size() > AnswerLimits.MAX_BUFFERED_BYTES) {
                 relay(buffered.toByteArray());
                 buffered.reset();
             }
@@ -257,7 +252,7 @@
 
         /** Aborts an answer that needs too much buffer memory, because a faulty server may send without end. */
         private void abortIfTooLarge(int incompleteBytes) {
-            if (done || incompleteBytes <= MAX_INCOMPLETE_BYTES) {
+            if (done || incompleteBytes <= AnswerLimits.MAX_INCOMPLETE_BYTES) {
                 return;
             }
             LOG.warn(
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -1,10 +1,8 @@
 package org.geraniumstand.http.upstream;
 
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
@@ -14,19 +12,24 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.support.log.Log;
 import org.geraniumstand.support.net.BodyWriter;
 import org.geraniumstand.support.net.Callbacks;
 import org.geraniumstand.support.net.ConnectionPool;
 import org.geraniumstand.support.net.Connections;
+import org.geraniumstand.support.net.FramingLimit;
+import org.geraniumstand.support.net.ServerConnection;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSourceChannel;
 
 /** Sends a request to a backend server once and reads the answer; confined to one I/O thread. */
 public final class Attempt implements FlowControl {
+    private static final Log LOG = Log.of(Attempt.class);
+
     /** Maximum idle time of a pooled connection for attempts that require a recently used one, in milliseconds. */
     private static final long MAX_IDLE_RECENT_MILLIS = 300;
 
@@ -45,7 +48,7 @@
     private final ByteBufferPool buffers;
     private final ConnectionPool pool;
     private final AttemptListener listener;
-    private ClientConnection connection;
+    private ServerConnection connection;
     private StreamSourceChannel answer;
     private AnswerHead head;
     private BodyWriter writer;
@@ -93,7 +96,7 @@
     public void cancel() {
         if (!done) {
             finish();
-            Connections.closeNow(connection);
+            closeNow();
         }
     }
 
@@ -118,36 +121,31 @@
     }
 
     private void connect() {
-        UndertowClient.getInstance()
-                .connect(
-                        Callbacks.of(this::sendRequestOn, _e -> fail(AttemptEnd.NOT_CONNECTED)),
-                        origin.uri(),
-                        thread,
-                        buffers,
-                        OptionMap.EMPTY);
+        ServerConnection.open(origin.uri(), thread, buffers, this::sendRequestOn, _e -> fail(AttemptEnd.NOT_CONNECTED));
     }
 
-    private void sendRequestOn(ClientConnection established) {
+    private void sendRequestOn(ServerConnection established) {
         if (done) {
-            IoUtils.safeClose(established);
+            IoUtils.safeClose(established.client());
             return;
         }
         listener.onConnected();
         if (done) {
-            IoUtils.safeClose(established);
+            IoUtils.safeClose(established.client());
             return;
         }
         connection = established;
+        connection.framing().onProgress();
         ClientRequest request =
                 new ClientRequest().setMethod(Methods.fromString(spec.method())).setPath(spec.path());
         HeaderMap headers = request.getRequestHeaders();
         headers.put(Headers.CONTENT_LENGTH, spec.body().size());
         spec.protocol().writeHead(headers, origin.authority(), spec);
-        established.sendRequest(request, Callbacks.of(this::writeBody, _e -> fail(AttemptEnd.BROKEN)));
+        established.client().sendRequest(request, Callbacks.of(this::writeBody, _e -> fail(AttemptEnd.BROKEN)));
     }
 
     private void writeBody(ClientExchange exchange) {
-        exchange.setResponseListener(Callbacks.of(this::readHead, _e -> fail(AttemptEnd.BROKEN)));
+        exchange.setResponseListener(Callbacks.of(this::readHead, this::failReading));
         writer = new BodyWriter(exchange.getRequestChannel(), spec.body(), () -> fail(AttemptEnd.BROKEN));
         writer.start();
     }
@@ -186,11 +184,12 @@
                     return;
                 }
                 lastByteNanos = System.nanoTime();
+                connection.framing().onProgress();
                 buffer.flip();
                 listener.onBytes(buffer);
             }
-        } catch (IOException _e) {
-            fail(AttemptEnd.BROKEN);
+        } catch (IOException e) {
+            failReading(e);
         }
     }
 
@@ -200,7 +199,7 @@
             pool.release(origin.uri(), connection);
         } else {
             // The server answered before it read the whole request body, so the connection cannot be reused.
-            IoUtils.safeClose(connection);
+            IoUtils.safeClose(connection.client());
         }
         if (spec.protocol().declaresNotRun(head)) {
             listener.onEnd(AttemptEnd.DECLINED);
@@ -209,12 +208,27 @@
         }
     }
 
+    private void closeNow() {
+        Connections.closeNow(connection == null ? null : connection.client());
+    }
+
+    private void failReading(IOException reason) {
+        if (reason instanceof FramingLimit.ExceededException) {
+            LOG.warn(
+                    "answer-without-end",
+                    Field.of("request", spec.attemptId()),
+                    Field.of("server", origin.authority()),
+                    Field.of("reason", reason.getMessage()));
+        }
+        fail(AttemptEnd.BROKEN);
+    }
+
     private void fail(AttemptEnd end) {
         if (done) {
             return;
         }
         finish();
-        Connections.closeNow(connection);
+        closeNow();
         listener.onEnd(end);
     }
 
--- a/http/src/main/java/org/geraniumstand/http/upstream/EventStreamParser.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/EventStreamParser.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.function.Consumer;
+import org.geraniumstand.support.net.AnswerLimits;
 
 /**
  * Extracts the data of the events from a server-sent event stream; not thread-safe.
@@ -11,9 +12,6 @@
  * <p>Source: WHATWG HTML, "Server-sent events".
  */
 public final class EventStreamParser {
-    /** Maximum size of an event in bytes. */
-    public static final int MAX_EVENT_BYTES = 1024 * 1024;
-
     private static final int INITIAL_LINE_BYTES = 512;
     private static final String DATA = "data:";
 
@@ -32,7 +30,7 @@
         this.onData = onData;
     }
 
-    /** Returns whether an event exceeded {@link #MAX_EVENT_BYTES}; the parser then ignores all further bytes. */
+    /** Returns whether an event exceeded {@link AnswerLimits#MAX_INCOMPLETE_BYTES}; the parser then ignores all further bytes. */
     public boolean tooLarge() {
         return tooLarge;
     }
@@ -55,7 +53,7 @@
 
     private void append(byte next) {
         if (length == line.length) {
-            if (length + data.length() >= MAX_EVENT_BYTES) {
+            if (length + data.length() >= AnswerLimits.MAX_INCOMPLETE_BYTES) {
                 tooLarge = true;
                 return;
             }
@@ -82,7 +80,7 @@
         }
         int start = text.startsWith(" ", DATA.length()) ? DATA.length() + 1 : DATA.length();
         data.append(text, start, text.length());
-        tooLarge = data.length() > MAX_EVENT_BYTES;
+        tooLarge = data.length() > AnswerLimits.MAX_INCOMPLETE_BYTES;
     }
 
     private void endEvent() {
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -45,6 +45,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -342,6 +344,55 @@
         }
     }
 
+    /** The bytes of each of these belong to no answer, and a process that keeps them runs out of memory. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 ",
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\nname: ",
+                "HTTP/1.1 500 Oops\r\nattempt: a-1\r\nsigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+                "HTTP/1.1 500 Oops\r\nattempt: a-1\r\nsigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nname: ",
+                "HTTP/1.1 500 Oops\r\nattempt: a-1\r\nsigned: yes\r\n\r\n"
+            })
+    void abortsAnswerWhoseFramingNeverEnds(String start) throws Exception {
+        AtomicLong written = new AtomicLong();
+        try (FakeServer server = FakeServer.start((_r, c) -> {
+            c.write(start);
+            String part = "x".repeat(PART_BYTES);
+            while (written.get() < MAX_WRITTEN_BYTES) {
+                c.write(part);
+                written.addAndGet(PART_BYTES);
+            }
+        })) {
+            register(server);
+            Caller.Answer answer = call("POST", "/unsafe/", CALL_HEADERS, "x");
+
+            assertThat(answer.status(), is(502));
+            assertThat(written.get(), lessThan(MAX_READ_BYTES));
+        }
+    }
+
+    /** Each header is short, and there is no end to their number. */
+    @Test
+    void abortsAnswerWithEndlessHeaders() throws Exception {
+        AtomicLong written = new AtomicLong();
+        try (FakeServer server = FakeServer.start((_r, c) -> {
+            c.write("HTTP/1.1 200 OK\r\n");
+            String part = "name: value\r\n".repeat(PART_BYTES / 13);
+            while (written.get() < MAX_WRITTEN_BYTES) {
+                c.write(part);
+                written.addAndGet(part.length());
+            }
+        })) {
+            register(server);
+            Caller.Answer answer = call("POST", "/unsafe/", CALL_HEADERS, "x");
+
+            assertThat(answer.status(), is(502));
+            assertThat(written.get(), lessThan(MAX_READ_BYTES));
+        }
+    }
+
     @Test
     void relaysServerErrorUnchanged() throws Exception {
         try (FakeServer server = FakeServer.start((_r, c) -> c.answer(500, SIGNED_HEADERS, "sorry"))) {
--- a/support/src/main/java/org/geraniumstand/support/net/ConnectionPool.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ConnectionPool.java
@@ -1,6 +1,5 @@
 package org.geraniumstand.support.net;
 
-import io.undertow.client.ClientConnection;
 import java.net.URI;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -16,7 +15,7 @@
 
     private final Map<URI, Deque<IdleConnection>> idleByOrigin = new HashMap<>();
 
-    private record IdleConnection(ClientConnection connection, long idleSinceNanos) {}
+    private record IdleConnection(ServerConnection connection, long idleSinceNanos) {}
 
     /**
      * Removes and returns an open connection that was used recently, if there is one; connections that do not qualify
@@ -25,15 +24,15 @@
      * @param origin origin of the server
      * @param withinMillis maximum time since the last use, in milliseconds
      */
-    public Optional<ClientConnection> acquire(URI origin, long withinMillis) {
+    public Optional<ServerConnection> acquire(URI origin, long withinMillis) {
         Deque<IdleConnection> connections = idleByOrigin.get(origin);
         while (connections != null && !connections.isEmpty()) {
             IdleConnection last = connections.pollLast();
-            if (last.connection().isOpen()
+            if (last.connection().client().isOpen()
                     && System.nanoTime() - last.idleSinceNanos() < TimeUnit.MILLISECONDS.toNanos(withinMillis)) {
                 return Optional.of(last.connection());
             }
-            IoUtils.safeClose(last.connection());
+            IoUtils.safeClose(last.connection().client());
         }
         return Optional.empty();
     }
@@ -44,14 +43,14 @@
      * @param origin origin of the server
      * @param connection the idle connection
      */
-    public void release(URI origin, ClientConnection connection) {
-        if (!connection.isOpen()) {
+    public void release(URI origin, ServerConnection connection) {
+        if (!connection.client().isOpen()) {
             return;
         }
         Deque<IdleConnection> connections = idleByOrigin.computeIfAbsent(origin, _key -> new ArrayDeque<>());
         long now = System.nanoTime();
         while (!connections.isEmpty() && now - connections.peekFirst().idleSinceNanos() >= MAX_IDLE_NANOS) {
-            IoUtils.safeClose(connections.pollFirst().connection());
+            IoUtils.safeClose(connections.pollFirst().connection().client());
         }
         connections.addLast(new IdleConnection(connection, now));
     }
--- /dev/null
+++ b/support/src/main/java/org/geraniumstand/support/net/FramingLimitConduit.java
@@ -0,0 +1,45 @@
+package org.geraniumstand.support.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** Reports the bytes that are read from a connection to its limit. */
+final class FramingLimitConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    private final FramingLimit limit;
+
+    FramingLimitConduit(StreamSourceConduit next, FramingLimit limit) {
+        super(next);
+        this.limit = limit;
+    }
+
+    @Override
+    public int read(ByteBuffer target) throws IOException {
+        int count = next.read(target);
+        limit.onRead(count);
+        return count;
+    }
+
+    @Override
+    public long read(ByteBuffer[] targets, int offset, int length) throws IOException {
+        return counted(next.read(targets, offset, length));
+    }
+
+    @Override
+    public long transferTo(long position, long count, FileChannel target) throws IOException {
+        return counted(next.transferTo(position, count, target));
+    }
+
+    @Override
+    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target) throws IOException {
+        return counted(next.transferTo(count, throughBuffer, target));
+    }
+
+    private long counted(long count) throws IOException {
+        limit.onRead(count);
+        return count;
+    }
+}
--- a/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
+++ b/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
@@ -1,10 +1,8 @@
 package org.geraniumstand.support.net;
 
-import io.undertow.client.ClientConnection;
 import io.undertow.client.ClientExchange;
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
-import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
 import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
@@ -17,15 +15,17 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.geraniumstand.model.result.Result;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.support.log.Log;
 import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.channels.StreamSourceChannel;
 
 /** Executes one request on its I/O thread, from connecting to the complete response. */
 final class HttpExchange {
+    private static final Log LOG = Log.of(HttpExchange.class);
     private static final long MAX_REUSE_IDLE_MILLIS = 2_000;
 
     private final HttpRequest request;
@@ -34,7 +34,7 @@
     private final ByteBufferPool buffers;
     private final ConnectionPool idleConnections;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
-    private ClientConnection connection;
+    private ServerConnection connection;
     private XnioExecutor.Key timeout;
     private boolean done;
 
@@ -54,27 +54,23 @@
     void start() {
         timeout =
                 thread.executeAfter(() -> fail(HttpFailure.TIMED_OUT), request.timeoutMillis(), TimeUnit.MILLISECONDS);
-        Optional<ClientConnection> idle =
+        Optional<ServerConnection> idle =
                 request.reuse() ? idleConnections.acquire(request.origin(), MAX_REUSE_IDLE_MILLIS) : Optional.empty();
         idle.ifPresentOrElse(this::sendRequestOn, this::connect);
     }
 
     private void connect() {
-        UndertowClient.getInstance()
-                .connect(
-                        Callbacks.of(this::sendRequestOn, _e -> fail(HttpFailure.NOT_CONNECTED)),
-                        request.origin(),
-                        thread,
-                        buffers,
-                        OptionMap.EMPTY);
+        ServerConnection.open(
+                request.origin(), thread, buffers, this::sendRequestOn, _e -> fail(HttpFailure.NOT_CONNECTED));
     }
 
-    private void sendRequestOn(ClientConnection openConnection) {
+    private void sendRequestOn(ServerConnection openConnection) {
         if (done) {
-            IoUtils.safeClose(openConnection);
+            IoUtils.safeClose(openConnection.client());
             return;
         }
         connection = openConnection;
+        connection.framing().onProgress();
         ClientRequest clientRequest =
                 new ClientRequest().setMethod(new HttpString(request.method())).setPath(request.path());
         clientRequest.getRequestHeaders().put(Headers.HOST, request.origin().getAuthority());
@@ -84,7 +80,9 @@
         request.headers()
                 .forEach(
                         header -> clientRequest.getRequestHeaders().put(new HttpString(header.name()), header.value()));
-        openConnection.sendRequest(clientRequest, Callbacks.of(this::writeBody, _e -> fail(HttpFailure.BROKEN)));
+        openConnection
+                .client()
+                .sendRequest(clientRequest, Callbacks.of(this::writeBody, _e -> fail(HttpFailure.BROKEN)));
     }
 
     private void writeBody(ClientExchange exchange) {
@@ -112,6 +110,15 @@
                     succeed(exchange.getResponse());
                     return;
                 }
+                connection.framing().onProgress();
+                if (body.size() + count > AnswerLimits.MAX_DOCUMENT_BYTES) {
+                    LOG.warn(
+                            "document-too-large",
+                            Field.of("origin", request.origin()),
+                            Field.of("path", request.path()));
+                    fail(HttpFailure.BROKEN);
+                    return;
+                }
                 buffer.flip();
                 byte[] chunk = new byte[count];
                 buffer.get(chunk);
@@ -140,7 +147,7 @@
             return;
         }
         finish();
-        Connections.closeNow(connection);
+        Connections.closeNow(connection == null ? null : connection.client());
         callback.accept(Result.err(failure));
     }
 
--- /dev/null
+++ b/support/src/main/java/org/geraniumstand/support/net/LimitedIoThread.java
@@ -0,0 +1,56 @@
+package org.geraniumstand.support.net;
+
+import java.net.SocketAddress;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.XnioIoThread;
+
+/**
+ * Opens connections on another I/O thread and limits what is read from them.
+ *
+ * <p>Undertow's HTTP client has no limit on a response's head and opens its connections by way of the I/O thread that it is
+ * given, which is the only place to add one. This thread itself is never started.
+ */
+final class LimitedIoThread extends XnioIoThread {
+    private final XnioIoThread delegate;
+    private final FramingLimit limit;
+
+    LimitedIoThread(XnioIoThread delegate, FramingLimit limit) {
+        super(delegate.getWorker(), delegate.getNumber());
+        this.delegate = delegate;
+        this.limit = limit;
+    }
+
+    @Override
+    public IoFuture<StreamConnection> openStreamConnection(
+            SocketAddress destination, ChannelListener<? super StreamConnection> openListener, OptionMap options) {
+        return delegate.openStreamConnection(
+                destination,
+                connection -> {
+                    connection
+                            .getSourceChannel()
+                            .setConduit(new FramingLimitConduit(
+                                    connection.getSourceChannel().getConduit(), limit));
+                    openListener.handleEvent(connection);
+                },
+                options);
+    }
+
+    @Override
+    public void execute(Runnable task) {
+        delegate.execute(task);
+    }
+
+    @Override
+    public Key executeAfter(Runnable task, long delay, TimeUnit unit) {
+        return delegate.executeAfter(task, delay, unit);
+    }
+
+    @Override
+    public Key executeAtInterval(Runnable task, long interval, TimeUnit unit) {
+        return delegate.executeAtInterval(task, interval, unit);
+    }
+}
--- /dev/null
+++ b/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
@@ -0,0 +1,43 @@
+package org.geraniumstand.support.net;
+
+import io.undertow.client.ClientConnection;
+import io.undertow.client.UndertowClient;
+import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
+import java.net.URI;
+import java.util.function.Consumer;
+import org.xnio.OptionMap;
+import org.xnio.XnioIoThread;
+
+/**
+ * Holds a connection to a server and the limit on what the server may send besides bodies.
+ *
+ * @param client the connection
+ * @param framing counts the bytes that are no part of a body
+ */
+public record ServerConnection(ClientConnection client, FramingLimit framing) {
+    /**
+     * Opens a connection.
+     *
+     * @param origin scheme, IP address and port of the server
+     * @param thread the calling I/O thread, which will own the connection
+     * @param buffers pool of the read buffers
+     * @param onConnected called with the connection
+     * @param onFailed called with the reason if there is none
+     */
+    public static void open(
+            URI origin,
+            XnioIoThread thread,
+            ByteBufferPool buffers,
+            Consumer<ServerConnection> onConnected,
+            Consumer<IOException> onFailed) {
+        FramingLimit limit = new FramingLimit();
+        UndertowClient.getInstance()
+                .connect(
+                        Callbacks.of(client -> onConnected.accept(new ServerConnection(client, limit)), onFailed),
+                        origin,
+                        new LimitedIoThread(thread, limit),
+                        buffers,
+                        OptionMap.EMPTY);
+    }
+}
