Answer every call before a stopping process ends, and take none late in its shutdown

Cause: new requests are refused from 2.9 s after the stop began, but a request whose head had come before was passed on whenever its body was complete, up to the route's timeout; and calls that waited or ran when the process ended had their connections closed without an answer. The class of fault: the end of a process is a deadline of its calls that nothing applied to them. Change: a request whose body is complete only after new requests are refused gets 503, not run. Before the process ends, calls that were not sent get 503, not run, and the others 502 'stopped', which promises nothing. Test: OpaqueListenerTest#refusesRequestWhoseBodyIsCompleteOnlyDuringTheShutdown was red (200 instead of 503, and the server got the request); answersCallsThatAreOpenWhenTheProcessEnds and refusesWaitingCallsWhenTheProcessEnds need the new call. Conclusion: a stopping process gives each caller an answer. The own interface hands its streams over and was not changed.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -244,6 +244,7 @@
                 TimeUnit.MILLISECONDS.sleep(POLL_MILLIS);
                 clean = openCalls() == 0;
             }
+            listener.answerOpenCalls();
             worker.getIoThread(0).execute(usageTask::flush);
             TimeUnit.MILLISECONDS.sleep(FLUSH_MILLIS);
             LOG.info("process-stopped", Field.of("process", settings.name()), Field.of("clean", clean));
--- a/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
@@ -107,6 +107,11 @@
         return RelayRetryRule.mayRetry(call, end, System.nanoTime());
     }
 
+    /** Answers all calls that are not answered yet, as this process cannot relay their answers any more. */
+    void answerOpenCalls() {
+        List.copyOf(tasks.values()).forEach(OpaqueTask::onProcessStopping);
+    }
+
     /** Checks whether waiting calls can be sent or must be refused, because servers or the configuration changed. */
     public void recheckWaitingCalls() {
         List<RelayStep> steps = new ArrayList<>();
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -126,7 +126,12 @@
         context.thread().execute(() -> keepAliveDisabled = true);
     }
 
-    /** Refuses all further requests and closes the connections on which none is in progress. */
+    /** Answers all calls that are still open, because the process is about to end. */
+    public void answerOpenCalls() {
+        context.thread().execute(context.dispatcherTask()::answerOpenCalls);
+    }
+
+    /** Refuses all further requests, also those whose body is not complete yet, and closes the connections on which none is in progress. */
     public void refuseNewRequests() {
         context.thread().execute(() -> {
             refusingRequests = true;
@@ -155,16 +160,19 @@
             exchange.setPersistent(false);
         }
         if (refusingRequests) {
-            reject(
-                    exchange,
-                    new Rejection(
-                            Refusal.notRun(RefusalReason.STOPPING, STOPPING_RETRY_MILLIS),
-                            "the process is shutting down"));
+            rejectStopping(exchange);
             return;
         }
         awaitConfiguration(exchange, arrivedNanos);
     }
 
+    private void rejectStopping(HttpServerExchange exchange) {
+        reject(
+                exchange,
+                new Rejection(
+                        Refusal.notRun(RefusalReason.STOPPING, STOPPING_RETRY_MILLIS), "the process is shutting down"));
+    }
+
     // A process that has just started usually reads its first configuration within a few milliseconds.
     private void awaitConfiguration(HttpServerExchange exchange, long arrivedNanos) {
         Optional<RelayConfiguration> configuration =
@@ -222,6 +230,11 @@
     }
 
     private void serve(HttpServerExchange exchange, OpaqueRequest request, HttpBody body, long arrivedNanos) {
+        if (refusingRequests) {
+            // The head arrived before the shutdown, but there is no longer enough time for an answer.
+            rejectStopping(exchange);
+            return;
+        }
         Optional<Refusal> refusal =
                 context.dispatcherTask().dispatcher().chargeQuota(request.head(), request.team(), System.nanoTime());
         if (refusal.isPresent()) {
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -39,6 +39,9 @@
 
     private static final int MAX_LOGGED_PARTS = 8;
 
+    /** Retry delay of a call that a stopping process did not send, in milliseconds; other processes can take it at once. */
+    private static final long STOPPING_RETRY_MILLIS = 50;
+
     private final HttpServerExchange exchange;
     private final RelayCall call;
     private final HttpBody body;
@@ -97,8 +100,23 @@
         if (done) {
             return;
         }
-        boolean mayHaveRun = (call.server() != null && attempt.sent()) || call.mayHaveRun();
-        refuse(mayHaveRun ? Refusal.unknown(RefusalReason.TIMED_OUT) : Refusal.notRun(RefusalReason.DEADLINE, 0));
+        refuse(mayHaveRun() ? Refusal.unknown(RefusalReason.TIMED_OUT) : Refusal.notRun(RefusalReason.DEADLINE, 0));
+        context.dispatcherTask().onCallAbandoned(call);
+    }
+
+    private boolean mayHaveRun() {
+        return (call.server() != null && attempt.sent()) || call.mayHaveRun();
+    }
+
+    /** Gives the call a final answer; an answer that has begun ends incomplete. */
+    void onProcessStopping() {
+        if (done) {
+            return;
+        }
+        refuse(
+                mayHaveRun()
+                        ? Refusal.unknown(RefusalReason.STOPPED)
+                        : Refusal.notRun(RefusalReason.STOPPING, STOPPING_RETRY_MILLIS));
         context.dispatcherTask().onCallAbandoned(call);
     }
 
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -481,6 +481,57 @@
         }
     }
 
+    /** A call that is sent late in a shutdown would be cut at its end, and may not be repeated. */
+    @Test
+    void refusesRequestWhoseBodyIsCompleteOnlyDuringTheShutdown() throws Exception {
+        try (FakeServer server = FakeServer.start((_r, c) -> c.answer(200, SIGNED_HEADERS, "x"));
+                Caller caller = new Caller(port)) {
+            register(server);
+            caller.write("POST /unsafe/ HTTP/1.1\r\nHost: x\r\n" + CALL_HEADERS + "Content-Length: 2\r\n\r\n1");
+            Thread.sleep(100);
+            listener.disableKeepAlive();
+            listener.refuseNewRequests();
+            Thread.sleep(100);
+            caller.write("2");
+
+            assertThat(caller.read("POST").status(), is(503));
+            assertThat(server.requests(), is(empty()));
+        }
+    }
+
+    /** At the end of a shutdown a call gets an answer, not a closed connection. */
+    @Test
+    void answersCallsThatAreOpenWhenTheProcessEnds() throws Exception {
+        try (FakeServer server = FakeServer.start((_r, _c) -> Thread.sleep(10_000));
+                Caller caller = new Caller(port)) {
+            register(server);
+            caller.send("POST", "/unsafe/", CALL_HEADERS, "x");
+            for (int i = 0; i < 100 && server.requests().isEmpty(); i++) {
+                Thread.sleep(10);
+            }
+            listener.answerOpenCalls();
+
+            assertThat(caller.read("POST").status(), is(502));
+        }
+    }
+
+    @Test
+    void refusesWaitingCallsWhenTheProcessEnds() throws Exception {
+        try (FakeServer server = FakeServer.start((_r, _c) -> Thread.sleep(10_000));
+                Caller caller = new Caller(port)) {
+            register(server);
+            for (int i = 0; i < 40; i++) {
+                new Caller(port).send("POST", "/unsafe/", CALL_HEADERS, "x");
+            }
+            Thread.sleep(200);
+            caller.send("POST", "/unsafe/", CALL_HEADERS, "x");
+            Thread.sleep(200);
+            listener.answerOpenCalls();
+
+            assertThat(caller.read("POST").status(), is(503));
+        }
+    }
+
     @Test
     void cancelsAttemptWhenCallerDisconnectsBeforeAnswer() throws Exception {
         CountDownLatch arrived = new CountDownLatch(1);
--- a/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
+++ b/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
@@ -36,6 +36,8 @@
     STORE_UNAVAILABLE("store-unavailable", 503, "The claim of the order cannot be recorded now."),
     /** The process is shutting down. */
     STOPPING("stopping", 503, "The process is stopping."),
+    /** The process stopped before the backend server had answered. */
+    STOPPED("stopped", 502, "The process stopped before the backend server answered."),
     /** The backend server failed and the request must not be retried. */
     SERVER_FAILED("server-failed", 502, "The backend server failed and the request may not be repeated."),
     /** The route's timeout has expired. */
