Treat a stream that ends inside an event as broken off

Callers got the beginning of an event as the end of a complete stream when a server's answer had neither a length nor chunks and its connection ended there. Cause: the end of the connection is the end of such an answer, and the bytes after the last complete event were relayed with it. Change: a successful stream with bytes after its last complete event counts as broken, so it is resumed where the route allows that and ends incomplete where not. EventSplitter.takeIncomplete is gone with its only use; EventSplitterTest checks the number of these bytes instead, which the same event decides. Test: OpaqueListenerTest#resumesUnframedStreamThatEndsInsideAnEvent and #neverCompletesStreamThatEndsInsideAnEvent, both red before. Conclusion: an answer that ends early no longer looks complete.

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
@@ -64,13 +64,6 @@
         return false;
     }
 
-    /** Returns and discards the bytes after the last complete event. */
-    byte[] takeIncomplete() {
-        byte[] rest = incomplete.toByteArray();
-        discardIncomplete();
-        return rest;
-    }
-
     /** Discards the bytes after the last complete event. */
     void discardIncomplete() {
         incomplete.reset();
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -344,6 +344,10 @@
                 // A success without the server's signature is not trusted.
                 return AttemptEnd.BROKEN;
             }
+            if (success && call.route().kind() == CallKind.STREAM && splitter.incompleteBytes() > 0) {
+                // A stream without length and chunks ends with its connection, so the server may have been cut off.
+                return AttemptEnd.BROKEN;
+            }
             return head.status() >= SERVER_ERROR ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED;
         }
 
@@ -362,9 +366,6 @@
                 return;
             }
             context.dispatcherTask().onSucceeded(call);
-            if (call.route().kind() == CallKind.STREAM) {
-                relay(splitter.takeIncomplete());
-            }
             if (answer.started()) {
                 answer.end();
             } else {
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
@@ -52,7 +52,7 @@
     void returnsTheRestOfAnAnswerThatEndsWithoutAnEmptyLine() {
         accept("id: 4\ndata: a");
 
-        assertThat(new String(splitter.takeIncomplete(), StandardCharsets.UTF_8), is("id: 4\ndata: a"));
+        assertThat(splitter.incompleteBytes(), is("id: 4\ndata: a".length()));
     }
 
     @Test
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -438,6 +438,37 @@
         }
     }
 
+    /** An answer without length and chunks ends with its connection, also when the server is cut off. */
+    @Test
+    void resumesUnframedStreamThatEndsInsideAnEvent() throws Exception {
+        FakeServer.Script script = (request, c) -> {
+            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "\r\n");
+            boolean resumed = "1".equals(request.headers().get("after"));
+            c.write(resumed ? "id: 2\ndata: b\n\n" : "id: 1\ndata: a\n\nid: 2\nda");
+            throw new IOException("end of the connection");
+        };
+        try (FakeServer one = FakeServer.start(script);
+                FakeServer two = FakeServer.start(script)) {
+            register(one, two);
+            Caller.Answer answer = call("POST", "/stream/", CALL_HEADERS, "x");
+
+            assertThat(answer.body(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+            assertThat(answer.complete(), is(true));
+        }
+    }
+
+    @Test
+    void neverCompletesStreamThatEndsInsideAnEvent() throws Exception {
+        try (FakeServer server = FakeServer.start((_r, c) -> {
+            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "\r\nid: 1\ndata: a\n\nid: 2\nda");
+            throw new IOException("end of the connection");
+        })) {
+            register(server);
+
+            assertThat(call("POST", "/once/", CALL_HEADERS, "x").complete(), is(false));
+        }
+    }
+
     @Test
     void closesConnectionOfBrokenStreamThatIsNotResumable() throws Exception {
         try (FakeServer server = FakeServer.start((_r, c) -> {
