Blame the most specific prompt parts that explain crashes

Cause: of parts in equally many crashes the one in most requests was blamed. One sound request with the common part broke at a server that crashed anyway, so the common part had one request more, and the parts that all causes share shrank to it. Change: of parts that explain as many crashes, or one less, the one in fewest requests is blamed; crashes that a set in quarantine explains count for nothing else, and a set is reduced only after two crashes with a part of it and without the rest.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashCorrelation.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashCorrelation.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.decisions.relay;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -26,6 +27,9 @@
     /** Fewest crashes that convict a part. */
     private static final int MIN_CRASHES = 4;
 
+    /** Fewest crashes with a part of a known set and without the rest of it that reduce the set to that part. */
+    private static final int MIN_CRASHES_TO_REDUCE = 2;
+
     /** Most crashes that one request counts for, so that an unlucky request and its retries do not convict its parts. */
     private static final int MAX_CRASHES_PER_REQUEST = 2;
 
@@ -72,10 +76,12 @@
      *
      * @param records the requests whose answers broke off shortly after they began
      * @param sound parts that are known to be sound
+     * @param known sets of parts that are known to crash servers
      * @param answered number of recent answers to other requests
      * @param nowNanos the monotonic time in nanoseconds
      */
-    static List<Finding> find(List<CrashRecord> records, SoundParts sound, long answered, long nowNanos) {
+    static List<Finding> find(
+            List<CrashRecord> records, SoundParts sound, Set<Set<ServicePart>> known, long answered, long nowNanos) {
         if (records.size() < MIN_CRASHES || answered < MIN_ANSWERED) {
             return List.of();
         }
@@ -88,6 +94,10 @@
         }
         unexplained.sort(Comparator.comparingLong(crash -> crash.atNanos() - nowNanos));
         List<Finding> findings = new ArrayList<>();
+        for (Set<ServicePart> parts : known) {
+            reduced(unexplained, parts).ifPresent(findings::add);
+        }
+        known.forEach(parts -> removeExplained(unexplained, parts));
         while (findings.size() < MAX_FINDINGS) {
             Optional<Finding> next = strongest(unexplained, answered, nowNanos);
             if (next.isEmpty()) {
@@ -99,6 +109,33 @@
         return findings;
     }
 
+    /** Returns the parts of a known set that crash servers without the rest of the set, if there are any. */
+    private static Optional<Finding> reduced(List<CrashRecord> records, Set<ServicePart> known) {
+        List<CrashRecord> others = new ArrayList<>(records);
+        removeExplained(others, known);
+        List<CrashRecord> best = List.of();
+        int most = MIN_CRASHES_TO_REDUCE - 1;
+        for (ServicePart part : known) {
+            List<CrashRecord> candidate = others.stream()
+                    .filter(crash -> crash.parts().contains(part))
+                    .toList();
+            int crashes = independentCrashes(candidate);
+            if (crashes > most) {
+                most = crashes;
+                best = candidate;
+            }
+        }
+        if (best.isEmpty()) {
+            return Optional.empty();
+        }
+        Set<ServicePart> common = new LinkedHashSet<>(known);
+        best.forEach(crash -> common.retainAll(crash.parts()));
+        return common.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new Finding(
+                        List.copyOf(common), most, 0, best.get(best.size() - 1).atNanos()));
+    }
+
     private static Optional<Finding> strongest(List<CrashRecord> records, long answered, long nowNanos) {
         Map<ServicePart, List<CrashRecord>> byPart = new HashMap<>();
         for (CrashRecord crash : records) {
@@ -110,11 +147,12 @@
         int most = MIN_CRASHES - 1;
         for (List<CrashRecord> candidate : byPart.values()) {
             int crashes = independentCrashes(candidate);
-            if (crashes > most || (crashes == most && candidate.size() > best.size() && !best.isEmpty())) {
+            if (crashes > most) {
                 most = crashes;
                 best = candidate;
             }
         }
+        best = mostSpecific(best, most, byPart.values());
         if (best.isEmpty() || nowNanos - best.get(0).atNanos() < MIN_AGE_MILLIS * Timestamp.NANOS_PER_MILLI) {
             return Optional.empty();
         }
@@ -130,6 +168,23 @@
                 new Finding(parts, most, background, best.get(best.size() - 1).atNanos()));
     }
 
+    /**
+     * Returns the smallest part of some records that explains as many crashes but one. A part that is in many prompts also
+     * occurs in a crash that another part caused.
+     */
+    private static List<CrashRecord> mostSpecific(
+            List<CrashRecord> records, int crashes, Collection<List<CrashRecord>> candidates) {
+        List<CrashRecord> best = records;
+        for (List<CrashRecord> candidate : candidates) {
+            if (candidate.size() < best.size()
+                    && records.containsAll(candidate)
+                    && independentCrashes(candidate) >= Math.max(MIN_CRASHES, crashes - 1)) {
+                best = candidate;
+            }
+        }
+        return best;
+    }
+
     private static long recent(List<CrashRecord> records, long nowNanos) {
         return records.stream()
                 .filter(crash -> nowNanos - crash.atNanos() <= RECENT_MILLIS * Timestamp.NANOS_PER_MILLI)
@@ -161,7 +216,7 @@
         return List.copyOf(common);
     }
 
-    private static void removeExplained(List<CrashRecord> records, List<ServicePart> parts) {
+    private static void removeExplained(List<CrashRecord> records, Collection<ServicePart> parts) {
         List<CrashRecord> causes = records.stream()
                 .filter(crash -> crash.parts().containsAll(parts))
                 .toList();
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashingPrompts.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashingPrompts.java
@@ -217,7 +217,7 @@
         List<Change> changes = new ArrayList<>();
         quarantine.expire(sound, nowNanos).forEach(parts -> changes.add(new Change(parts, false, 0, 0)));
         crashes.values().removeIf(crash -> nowNanos - crash.atNanos() > RETENTION_MILLIS * Timestamp.NANOS_PER_MILLI);
-        CrashCorrelation.find(List.copyOf(crashes.values()), sound, answered(nowNanos), nowNanos)
+        CrashCorrelation.find(List.copyOf(crashes.values()), sound, quarantine.sets(), answered(nowNanos), nowNanos)
                 .forEach(finding -> {
                     if (quarantine.add(finding.parts(), finding.lastNanos(), processes, nowNanos)) {
                         changes.add(new Change(finding.parts(), true, finding.crashes(), finding.background()));
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptQuarantine.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptQuarantine.java
@@ -191,6 +191,11 @@
         return ended;
     }
 
+    /** Returns the sets of parts of all entries. */
+    Set<Set<ServicePart>> sets() {
+        return Set.copyOf(entries.keySet());
+    }
+
     /** Returns the parts of all entries. */
     Set<ServicePart> parts() {
         Set<ServicePart> parts = new HashSet<>();
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/CrashCorrelationTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/CrashCorrelationTest.java
@@ -7,7 +7,9 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.ServicePart;
 import org.junit.jupiter.api.Test;
@@ -18,6 +20,7 @@
 
     private final List<CrashRecord> records = new ArrayList<>();
     private final SoundParts sound = new SoundParts();
+    private final Set<Set<ServicePart>> known = new HashSet<>();
 
     private static ServicePart part(long id) {
         return new ServicePart(Calls.ENGINE_SERVICE, id);
@@ -32,7 +35,7 @@
     }
 
     private List<CrashCorrelation.Finding> find(long answered) {
-        return CrashCorrelation.find(records, sound, answered, NOW * Calls.MILLI);
+        return CrashCorrelation.find(records, sound, known, answered, NOW * Calls.MILLI);
     }
 
     private void crashFourServers(long... parts) {
@@ -152,4 +155,49 @@
 
         assertThat(find(ANSWERED), empty());
     }
+
+    /** A sound request with the first part of the prompts breaks beside a request that crashes the server. */
+    @Test
+    void blamesNoPartOfASoundRequestThatBreaksBesideTheCause() {
+        crashFourServers(1, 2, 3);
+        crash("s3", 100, 4_000, 1, 9);
+
+        assertThat(find(ANSWERED).get(0).parts(), containsInAnyOrder(part(1), part(2), part(3)));
+    }
+
+    /** A server crashes for another reason under a sound request with the first part of the prompts. */
+    @Test
+    void blamesNoPartOfASoundRequestThatBreaksInAnotherCrash() {
+        crashFourServers(1, 2, 3);
+        crash("t", 100, 6_000, 1, 9);
+
+        assertThat(find(ANSWERED).get(0).parts(), containsInAnyOrder(part(1), part(2), part(3)));
+    }
+
+    @Test
+    void keepsASetAfterOneCrashWithAPartOfIt() {
+        crashFourServers(1, 2);
+        crash("t", 100, 6_000, 2, 9);
+        known.add(Set.of(part(1), part(2)));
+
+        assertThat(find(ANSWERED), empty());
+    }
+
+    @Test
+    void reducesASetAfterTwoCrashesWithAPartOfIt() {
+        crashFourServers(1, 2);
+        crash("t", 100, 6_000, 2, 9);
+        crash("u", 100, 6_500, 2, 9);
+        known.add(Set.of(part(1), part(2)));
+
+        assertThat(find(ANSWERED).get(0).parts(), containsInAnyOrder(part(2)));
+    }
+
+    @Test
+    void findsNothingInCrashesThatAKnownSetExplains() {
+        crashFourServers(1, 2);
+        known.add(Set.of(part(2)));
+
+        assertThat(find(ANSWERED), empty());
+    }
 }
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
@@ -49,7 +49,7 @@
     }
 
     @Test
-    void returnsTheRestOfAnAnswerThatEndsWithoutAnEmptyLine() {
+    void countsTheRestOfAnAnswerThatEndsWithoutAnEmptyLine() {
         accept("id: 4\ndata: a");
 
         assertThat(splitter.incompleteBytes(), is("id: 4\ndata: a".length()));
