Send nothing new to a server that announces that it leaves or asks for a pause

Cause: neither Server-Leaving nor a server's Retry-After was read; leaving was known from the store's entry only. Leaving takes the server out of selection like a leaving entry; a pause takes it out for that time, and when all servers pause, calls wait or are refused with the true time. Server-Leaving is not relayed to callers. OpaqueListenerTest #sendsNothingToAServerThatAnnouncedThatItLeaves over real connections.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -244,7 +244,8 @@
      * @return whether the call must not be sent
      */
     public boolean withdraw(RelayCall call, long nowNanos, List<RelayStep> steps) {
-        if (call.server() == null || fleet.isEligible(call.server())) {
+        if (call.server() == null
+                || (fleet.isEligible(call.server()) && fleet.pauseMillis(call.server(), nowNanos) == 0)) {
             return false;
         }
         call.withdraw();
@@ -345,13 +346,15 @@
             return;
         }
         boolean noServer = !selector.hasEligibleServer(service);
+        long pauseMillis = selector.pauseMillis(service, nowNanos);
         QueueWaitEstimate waitEstimate = waitEstimate(service);
         List<RelayCall> unservable = queue.removeIf((ahead, call) -> {
             long remainingMillis = (call.deadlineNanos() - nowNanos) / Timestamp.NANOS_PER_MILLI;
             // A refusal discards what has already been relayed, so such a call waits until its deadline.
             boolean tooLong = !call.relayed() && waitEstimate.waitMillis(ahead, nowNanos) > remainingMillis;
             boolean blocked = crashingPrompts.blockedMillis(call, nowNanos).isPresent();
-            return noServer || remainingMillis <= 0 || tooLong || blocked;
+            boolean paused = !call.relayed() && pauseMillis > remainingMillis;
+            return noServer || remainingMillis <= 0 || tooLong || blocked || paused;
         });
         for (RelayCall call : unservable) {
             OptionalLong blockedMillis = crashingPrompts.blockedMillis(call, nowNanos);
@@ -361,7 +364,7 @@
             } else {
                 refusal = call.mayHaveRun()
                         ? Refusal.unknown(RefusalReason.DEADLINE)
-                        : Refusal.notRun(RefusalReason.NO_SERVER, retryAfterMillis(call));
+                        : Refusal.notRun(RefusalReason.NO_SERVER, Math.max(pauseMillis, retryAfterMillis(call)));
             }
             refuse(call, refusal, steps);
         }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ServerId;
@@ -33,6 +34,8 @@
      */
     private final Map<ServiceId, List<ServerView>> eligibleByService = new HashMap<>();
 
+    private final ServerNotices notices = new ServerNotices();
+
     /** Creates a fleet without servers. */
     public RelayFleet() {}
 
@@ -246,6 +249,29 @@
         }
     }
 
+    /**
+     * Records what a server announces in an answer.
+     *
+     * @param view the server that answered
+     * @param leaving whether it announces that it leaves
+     * @param pauseMillis length of the pause that it asks for, in milliseconds, if it does
+     * @param nowNanos the monotonic time in nanoseconds
+     * @return whether the server announces for the first time that it leaves
+     */
+    public boolean onNotice(ServerView view, boolean leaving, OptionalLong pauseMillis, long nowNanos) {
+        pauseMillis.ifPresent(millis -> notices.onPause(view.server(), millis, nowNanos));
+        boolean first = leaving && notices.onLeaving(view.server());
+        if (first) {
+            eligibleByService.clear();
+        }
+        return first;
+    }
+
+    /** Returns the remaining pause that a server has asked for, in milliseconds, zero if there is none. */
+    long pauseMillis(ServerView view, long nowNanos) {
+        return notices.pauseMillis(view.server(), nowNanos);
+    }
+
     /**
      * Returns the servers of a service that accept new work.
      *
@@ -272,6 +298,7 @@
         RelayServer server = view.server();
         return servers.get(server.id()) == view
                 && !server.draining()
+                && !notices.isLeaving(server)
                 && !outOfService.contains(server.dataCentre())
                 && !isSuperseded(view);
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -124,11 +124,13 @@
         return best == null ? Optional.empty() : Optional.of(new Selection(best, bestUncachedTokens));
     }
 
-    private static boolean isAvailable(ServerView view, RelayCall call, long nowNanos) {
-        return !view.isEjected(nowNanos) && !call.tried(view.server().id());
+    private boolean isAvailable(ServerView view, RelayCall call, long nowNanos) {
+        return fleet.pauseMillis(view, nowNanos) == 0
+                && !view.isEjected(nowNanos)
+                && !call.tried(view.server().id());
     }
 
-    private static boolean anyAvailable(List<ServerView> servers, RelayCall call, long nowNanos) {
+    private boolean anyAvailable(List<ServerView> servers, RelayCall call, long nowNanos) {
         for (ServerView view : servers) {
             if (isAvailable(view, call, nowNanos)) {
                 return true;
@@ -161,6 +163,9 @@
     public int freeSlots(RelayService service, int processes, long nowNanos) {
         int freeSlots = 0;
         for (ServerView view : fleet.eligibleServers(service.id())) {
+            if (fleet.pauseMillis(view, nowNanos) > 0) {
+                continue;
+            }
             if (isRateLimited(view, service, nowNanos)) {
                 freeSlots += isWithinColdLimit(view, service, processes, nowNanos)
                                 && spareCapacity(view, service, nowNanos) > 0
@@ -173,6 +178,20 @@
         return freeSlots;
     }
 
+    /**
+     * Returns the time until a server of a service accepts calls, in milliseconds; zero unless all have asked for a pause.
+     *
+     * @param service the service to check
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public long pauseMillis(ServiceId service, long nowNanos) {
+        long shortest = Long.MAX_VALUE;
+        for (ServerView view : fleet.eligibleServers(service)) {
+            shortest = Math.min(shortest, fleet.pauseMillis(view, nowNanos));
+        }
+        return shortest == Long.MAX_VALUE ? 0 : shortest;
+    }
+
     private boolean isWithinColdLimit(ServerView view, RelayService service, int processes, long nowNanos) {
         return coldLimiter.allows(view.server().id(), service.coldPerSecond(), processes, nowNanos);
     }
@@ -182,6 +201,9 @@
     }
 
     private boolean hasCapacity(ServerView view, RelayService service, int processes, long nowNanos) {
+        if (fleet.pauseMillis(view, nowNanos) > 0) {
+            return false;
+        }
         boolean throttled =
                 isRateLimited(view, service, nowNanos) && !isWithinColdLimit(view, service, processes, nowNanos);
         return !throttled && spareCapacity(view, service, nowNanos) > 0;
--- a/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
@@ -17,13 +17,15 @@
 final class CallerAnswer {
     private final HttpServerExchange exchange;
     private final HttpDate date;
+    private final HeaderCodec codec;
     private final CallerOutput output;
     private boolean started;
     private boolean ended;
 
-    CallerAnswer(HttpServerExchange exchange, HttpDate date) {
+    CallerAnswer(HttpServerExchange exchange, HttpDate date, HeaderCodec codec) {
         this.exchange = exchange;
         this.date = date;
+        this.codec = codec;
         this.output = new CallerOutput(exchange);
     }
 
@@ -41,6 +43,9 @@
         started = true;
         exchange.setStatusCode(head.status());
         RelayedHeaders.copy(head.headers(), exchange.getResponseHeaders());
+        head.headers().getHeaderNames().stream()
+                .filter(name -> !codec.isForCallers(name.toString()))
+                .forEach(name -> exchange.getResponseHeaders().remove(name));
         addDate();
     }
 
@@ -72,7 +77,7 @@
     }
 
     /** Writes a refusal, or aborts the answer if it has started. */
-    void refuse(Refusal refusal, String attempt, HeaderCodec codec) {
+    void refuse(Refusal refusal, String attempt) {
         if (ended) {
             return;
         }
--- a/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
@@ -10,13 +10,18 @@
 import org.geraniumstand.decisions.relay.RelayDispatcher;
 import org.geraniumstand.decisions.relay.RelayRetryRule;
 import org.geraniumstand.decisions.relay.RelayStep;
+import org.geraniumstand.decisions.relay.ServerView;
 import org.geraniumstand.model.id.TeamId;
 import org.geraniumstand.model.relay.ServerHead;
 import org.geraniumstand.model.request.AttemptEnd;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.support.log.Log;
 import org.xnio.XnioIoThread;
 
 /** Reports the events of relayed calls to the relay dispatcher and executes its steps; confined to one I/O thread. */
 public final class DispatcherTask {
+    private static final Log LOG = Log.of(DispatcherTask.class);
+
     /** Interval between checks of waiting calls, in milliseconds; short compared with targets of 100 ms and more. */
     private static final long TICK_MILLIS = 10;
 
@@ -60,6 +65,8 @@
         dispatcher.onStarted(call, answer.load(), System.nanoTime());
         if (answer.fromOtherServer()) {
             dispatcher.onReplaced(call, System.nanoTime());
+        } else {
+            onNotice(call, answer);
         }
         if (!answer.notExecuted()) {
             reportRun(call);
@@ -74,6 +81,22 @@
         dispatcher.onSucceeded(call, System.nanoTime());
     }
 
+    private void onNotice(RelayCall call, ServerHead answer) {
+        ServerView server = call.server();
+        if (server == null || (!answer.leaving() && answer.pauseMillis().isEmpty())) {
+            return;
+        }
+        boolean first = dispatcher.fleet().onNotice(server, answer.leaving(), answer.pauseMillis(), System.nanoTime());
+        if (first || answer.pauseMillis().isPresent()) {
+            LOG.info(
+                    "server-notice",
+                    Field.of("request", call.head().attempt()),
+                    Field.of("server", server.server().id()),
+                    Field.of("leaving", answer.leaving()),
+                    Field.of("pauseMillis", answer.pauseMillis().orElse(0)));
+        }
+    }
+
     /** Reports the team of a call that a server ran or most likely ran. */
     void reportRun(RelayCall call) {
         call.team().ifPresent(team -> runListener.accept(team.id()));
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -294,6 +294,6 @@
             // The rest of the request stays unread, so the connection cannot carry another request.
             exchange.setPersistent(false);
         }
-        new CallerAnswer(exchange, context.date()).refuse(rejection.refusal(), attempt, context.codec());
+        new CallerAnswer(exchange, context.date(), context.codec()).refuse(rejection.refusal(), attempt);
     }
 }
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -58,7 +58,7 @@
         this.call = call;
         this.body = body;
         this.context = context;
-        this.answer = new CallerAnswer(exchange, context.date());
+        this.answer = new CallerAnswer(exchange, context.date(), context.codec());
         this.splitter = new EventSplitter(call.head().lastEventId());
     }
 
@@ -169,7 +169,7 @@
                 Field.of("attempts", call.attempts()),
                 Field.of("waitedMillis", millisSinceArrival()));
         context.observer().refused(refusal.reason());
-        answer.refuse(refusal, call.head().attempt(), context.codec());
+        answer.refuse(refusal, call.head().attempt());
     }
 
     private long millisSinceArrival() {
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -563,6 +563,32 @@
         }
     }
 
+    /** The server's entry still says that it is ready. */
+    @Test
+    void sendsNothingToAServerThatAnnouncedThatItLeaves() throws Exception {
+        try (FakeServer server = FakeServer.start((_r, c) -> c.answer(200, SIGNED_HEADERS + "leaving: 1\r\n", "x"))) {
+            register(server);
+            Caller.Answer first = call("GET", "/safe/", CALL_HEADERS, "");
+
+            assertThat(first.status(), is(200));
+            assertThat(first.headers().containsKey("leaving"), is(false));
+            assertThat(call("GET", "/safe/", CALL_HEADERS, "").status(), is(503));
+            assertThat(server.requests().size(), is(1));
+        }
+    }
+
+    @Test
+    void sendsNothingToAServerThatAskedForAPauseBeyondTheDeadline() throws Exception {
+        try (FakeServer server =
+                FakeServer.start((_r, c) -> c.answer(503, "attempt: a-1\r\nnot-run: 1\r\npause: 60000\r\n", ""))) {
+            register(server);
+
+            assertThat(call("GET", "/safe/", CALL_HEADERS, "").status(), is(503));
+            assertThat(call("GET", "/safe/", CALL_HEADERS, "").status(), is(503));
+            assertThat(server.requests().size(), is(1));
+        }
+    }
+
     @Test
     void cancelsAttemptWhenCallerDisconnectsBeforeAnswer() throws Exception {
         CountDownLatch arrived = new CountDownLatch(1);
--- a/http/src/test/java/org/geraniumstand/http/opaque/PlainHeaderCodec.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/PlainHeaderCodec.java
@@ -56,7 +56,16 @@
                 headers.first("not-run").isPresent(),
                 headers.first("other-server").isPresent(),
                 Optional.empty(),
-                OptionalInt.empty());
+                OptionalInt.empty(),
+                headers.first("leaving").isPresent(),
+                headers.first("pause")
+                        .map(millis -> OptionalLong.of(Long.parseLong(millis)))
+                        .orElseGet(OptionalLong::empty));
+    }
+
+    @Override
+    public boolean isForCallers(String name) {
+        return !name.equals("leaving");
     }
 
     @Override
--- a/model/src/main/java/org/geraniumstand/model/relay/ServerHead.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/ServerHead.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.OptionalLong;
 
 /**
  * Holds the information that the relay reads from the headers of a backend server's response.
@@ -12,6 +13,8 @@
  * @param fromOtherServer whether the response comes from a server other than the requested one
  * @param load the server's load, if given
  * @param idleSeconds time that the connection may stay idle, in seconds, if given
+ * @param leaving whether the server announces that it leaves
+ * @param pauseMillis time for which the server asks for no further requests, in milliseconds, if it does
  */
 public record ServerHead(
         Optional<String> attempt,
@@ -19,4 +22,6 @@
         boolean notExecuted,
         boolean fromOtherServer,
         Optional<ServerLoad> load,
-        OptionalInt idleSeconds) {}
+        OptionalInt idleSeconds,
+        boolean leaving,
+        OptionalLong pauseMillis) {}
--- a/outside/src/main/java/org/geraniumstand/outside/relay/HeaderCodec.java
+++ b/outside/src/main/java/org/geraniumstand/outside/relay/HeaderCodec.java
@@ -34,6 +34,13 @@
      */
     ServerHead parseServerHead(int status, HeaderView headers);
 
+    /**
+     * Returns whether a header of a backend server's response is relayed to callers.
+     *
+     * @param name the header's name
+     */
+    boolean isForCallers(String name);
+
     /**
      * Returns the headers of a response that refuses a request.
      *
