Compute the shared parts of a call once, and simplify the quarantine

Callers saw nothing of it; a queued call's parts were built anew for each check while any prompt was in quarantine. Cause: the parts were derived from the head at each use, and adding to the quarantine repeated what merging does. Behaviour stays. Evidence: the tests of the quarantine, the correlation and the dispatcher, unchanged but for the type of an argument. Conclusion: less work on the path of a request.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashingPrompts.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashingPrompts.java
@@ -42,9 +42,6 @@
     private static final int MAX_REPORTED_CRASHES = 32;
     private static final int MAX_REPORTED_PARTS = 128;
 
-    /** Most parts of a prompt that are compared. */
-    private static final int MAX_PARTS_PER_PROMPT = 32;
-
     private static final long BUCKET_MILLIS = 1_000;
 
     private final PromptQuarantine quarantine;
@@ -90,14 +87,12 @@
 
     /** Returns for how long a call is refused, in milliseconds, or empty if it may be sent. */
     OptionalLong blockedMillis(RelayCall call, long nowNanos) {
-        return quarantine.size() == 0 ? OptionalLong.empty() : quarantine.blockedMillis(parts(call), nowNanos);
+        return quarantine.blockedMillis(call.sharedParts(), nowNanos);
     }
 
     /** Records that a call is sent to a server. */
     void onSent(RelayCall call, long nowNanos) {
-        if (quarantine.size() > 0) {
-            quarantine.onSent(parts(call), nowNanos);
-        }
+        quarantine.onSent(call.sharedParts(), nowNanos);
     }
 
     /** Records a part of a successful answer, which shows after some time that the call does not crash its server. */
@@ -115,7 +110,7 @@
             return;
         }
         call.onSound();
-        parts(call).forEach(part -> sound.onSound(part, call.beganNanos().getAsLong()));
+        call.sharedParts().forEach(part -> sound.onSound(part, call.beganNanos().getAsLong()));
         Bucket newest = answers.peekLast();
         if (newest != null && nowNanos - newest.startNanos() < BUCKET_MILLIS * Timestamp.NANOS_PER_MILLI) {
             answers.removeLast();
@@ -132,8 +127,8 @@
             return;
         }
         call.onSuspiciousEnd();
-        CrashRecord crash =
-                new CrashRecord(call.server().server().id(), Hash.of(call.head().attempt()), parts(call), nowNanos);
+        CrashRecord crash = new CrashRecord(
+                call.server().server().id(), Hash.of(call.head().attempt()), List.copyOf(call.sharedParts()), nowNanos);
         if (!crash.parts().isEmpty()) {
             ownCrashes.addLast(crash);
             if (ownCrashes.size() > MAX_REPORTED_CRASHES) {
@@ -305,14 +300,6 @@
         return known;
     }
 
-    private static List<ServicePart> parts(RelayCall call) {
-        Set<ServicePart> parts = new LinkedHashSet<>();
-        call.head().sharedParts().stream()
-                .limit(MAX_PARTS_PER_PROMPT)
-                .forEach(part -> parts.add(new ServicePart(call.service(), part.id())));
-        return List.copyOf(parts);
-    }
-
     /** Forgets the reports of processes that have stopped. */
     public void retain(Set<ProcessId> live) {
         remoteAnswers.keySet().retainAll(live);
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptQuarantine.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/PromptQuarantine.java
@@ -61,12 +61,6 @@
      * @return whether the prompts were not in quarantine before
      */
     boolean add(List<ServicePart> parts, long crashNanos, int processes, long nowNanos) {
-        Entry known = entries.get(Set.copyOf(parts));
-        if (known != null) {
-            long crash = later(known.crashNanos(), crashNanos);
-            put(Set.copyOf(parts), new Entry(crash, known.trialNanos(), known.trials(), known.delayNanos()));
-            return false;
-        }
         return merge(parts, crashNanos, nowNanos + millis(FIRST_TRIAL_MILLIS), 0, processes);
     }
 
@@ -92,7 +86,7 @@
         Entry known = entries.get(key);
         if (known != null) {
             boolean newer = trials > known.trials();
-            put(
+            entries.put(
                     key,
                     new Entry(
                             later(known.crashNanos(), crashNanos),
@@ -107,25 +101,17 @@
         }
         entries.keySet().removeIf(other -> other.containsAll(key));
         long delayMillis = Math.min(MAX_TRIAL_DELAY_MILLIS, TRIAL_SPACING_MILLIS * Math.max(1, processes));
-        put(key, new Entry(crashNanos, trialNanos, trials, millis(random.nextInt((int) delayMillis))));
+        entries.put(key, new Entry(crashNanos, trialNanos, trials, millis(random.nextInt((int) delayMillis))));
         return true;
     }
 
-    private void put(Set<ServicePart> key, Entry entry) {
-        entries.put(key, entry);
-    }
-
     /**
      * Returns for how long a request is refused, in milliseconds, or empty if it may be sent.
      *
-     * @param parts the shared parts of the request's prompt
+     * @param prompt the shared parts of the request's prompt
      * @param nowNanos the monotonic time in nanoseconds
      */
-    OptionalLong blockedMillis(List<ServicePart> parts, long nowNanos) {
-        if (entries.isEmpty() || parts.isEmpty()) {
-            return OptionalLong.empty();
-        }
-        Set<ServicePart> prompt = new HashSet<>(parts);
+    OptionalLong blockedMillis(Set<ServicePart> prompt, long nowNanos) {
         OptionalLong blocked = OptionalLong.empty();
         for (Map.Entry<Set<ServicePart>, Entry> entry : entries.entrySet()) {
             long dueNanos = entry.getValue().trialNanos() + entry.getValue().delayNanos();
@@ -140,26 +126,18 @@
     /**
      * Records that a request is sent; if its prompt is in quarantine, this is the trial, and the next one is due later.
      *
-     * @param parts the shared parts of the request's prompt
+     * @param prompt the shared parts of the request's prompt
      * @param nowNanos the monotonic time in nanoseconds
-     * @return whether the request is a trial
      */
-    boolean onSent(List<ServicePart> parts, long nowNanos) {
-        if (entries.isEmpty() || parts.isEmpty()) {
-            return false;
-        }
-        Set<ServicePart> prompt = new HashSet<>(parts);
-        boolean trial = false;
+    void onSent(Set<ServicePart> prompt, long nowNanos) {
         for (Map.Entry<Set<ServicePart>, Entry> entry : entries.entrySet()) {
             if (prompt.containsAll(entry.getKey())) {
                 Entry known = entry.getValue();
                 int trials = known.trials() + 1;
                 long interval = Math.min(MAX_TRIAL_MILLIS, FIRST_TRIAL_MILLIS << Math.min(trials, 6));
                 entry.setValue(new Entry(known.crashNanos(), nowNanos + millis(interval), trials, known.delayNanos()));
-                trial = true;
             }
         }
-        return trial;
     }
 
     /**
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
@@ -1,6 +1,8 @@
 package org.geraniumstand.decisions.relay;
 
+import java.util.Collections;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -9,9 +11,13 @@
 import org.geraniumstand.model.relay.CallerHead;
 import org.geraniumstand.model.relay.RelayRoute;
 import org.geraniumstand.model.relay.RelayTeam;
+import org.geraniumstand.model.relay.ServicePart;
 
 /** Tracks a caller's request and its attempts at servers. Not thread-safe. */
 public final class RelayCall {
+    /** Most parts of a prompt that are compared with those of other calls. */
+    private static final int MAX_SHARED_PARTS = 32;
+
     private final long number;
     private final CallerHead head;
     private final RelayRoute route;
@@ -28,6 +34,7 @@
     private boolean relayed;
     private OptionalLong beganNanos = OptionalLong.empty();
     private boolean sound;
+    private Set<ServicePart> sharedParts;
     private int suspiciousEnds;
 
     /**
@@ -153,6 +160,18 @@
         }
     }
 
+    /** Returns the parts of the prompt that other requests to the call's service may share; the service must be known. */
+    Set<ServicePart> sharedParts() {
+        if (sharedParts == null) {
+            Set<ServicePart> parts = new LinkedHashSet<>();
+            head.sharedParts().stream()
+                    .limit(MAX_SHARED_PARTS)
+                    .forEach(part -> parts.add(new ServicePart(service, part.id())));
+            sharedParts = Collections.unmodifiableSet(parts);
+        }
+        return sharedParts;
+    }
+
     /** Returns when the answer of the last attempt began, on the monotonic clock in nanoseconds, if it did. */
     OptionalLong beganNanos() {
         return beganNanos;
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/PromptQuarantineTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/PromptQuarantineTest.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.stream.Stream;
 import org.geraniumstand.model.relay.QuarantinedPrompt;
 import org.geraniumstand.model.relay.ServicePart;
@@ -37,7 +38,7 @@
     }
 
     private boolean isBlocked(long atMillis, long... ids) {
-        return quarantine.blockedMillis(parts(ids), at(atMillis)).isPresent();
+        return quarantine.blockedMillis(Set.copyOf(parts(ids)), at(atMillis)).isPresent();
     }
 
     @Test
@@ -53,7 +54,7 @@
     void keepsOtherServicesApart() {
         add(7);
 
-        List<ServicePart> other = List.of(new ServicePart(Calls.PLAIN_SERVICE, 7));
+        Set<ServicePart> other = Set.of(new ServicePart(Calls.PLAIN_SERVICE, 7));
         assertThat(quarantine.blockedMillis(other, at(3_000)).isPresent(), is(false));
     }
 
@@ -72,7 +73,7 @@
 
         assertThat(isBlocked(21_900, 7), is(true));
         assertThat(isBlocked(22_500, 7), is(false));
-        quarantine.onSent(parts(7), at(22_500));
+        quarantine.onSent(Set.copyOf(parts(7)), at(22_500));
         assertThat(isBlocked(62_400, 7), is(true));
         assertThat(isBlocked(63_000, 7), is(false));
     }
@@ -82,17 +83,17 @@
         add(7);
         PromptQuarantine other = new PromptQuarantine(new Random(2));
         quarantine.report(at(2_000)).forEach(prompt -> other.addRemote(prompt, 1, at(2_000)));
-        quarantine.onSent(parts(7), at(22_500));
+        quarantine.onSent(Set.copyOf(parts(7)), at(22_500));
         quarantine.report(at(22_500)).forEach(prompt -> other.addRemote(prompt, 1, at(22_500)));
 
-        assertThat(other.blockedMillis(parts(7), at(60_000)).isPresent(), is(true));
+        assertThat(other.blockedMillis(Set.copyOf(parts(7)), at(60_000)).isPresent(), is(true));
     }
 
     @Test
     void ignoresOldNumberOfTrials() {
         add(7);
         List<QuarantinedPrompt> before = quarantine.report(at(2_000));
-        quarantine.onSent(parts(7), at(22_500));
+        quarantine.onSent(Set.copyOf(parts(7)), at(22_500));
         before.forEach(prompt -> quarantine.addRemote(prompt, 1, at(22_600)));
 
         assertThat(isBlocked(60_000, 7), is(true));
