Report only what helps to judge prompt parts of several recent crashes

Callers saw nothing of it. Found in a last reading: after any crashes, for two minutes, each report of a process and each answer of an aggregator held up to 128 parts with their sound answers, and a process kept the suspects that it had been asked about without end. At 330 processes an aggregator would have sent some megabytes a second. Cause: all parts of all remembered crashes were asked about and answered, though a part of a single crash is never blamed. Change: only parts of two or more crashes in the last 10 s are asked about, at most 32; an aggregator's question lasts as long as it repeats it; a part that another process keeps in quarantine although this one knows a sound answer is answered as long as that lasts.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashingPrompts.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/CrashingPrompts.java
@@ -40,7 +40,13 @@
 
     private static final int MAX_CRASHES = 512;
     private static final int MAX_REPORTED_CRASHES = 32;
-    private static final int MAX_REPORTED_PARTS = 128;
+    private static final int MAX_REPORTED_PARTS = 32;
+
+    /** Fewest recent crashes with a part for which other processes are asked whether they know it to be sound. */
+    private static final int MIN_CRASHES_TO_ASK = 2;
+
+    /** Time for which a crash lets a process ask and answer, in milliseconds; a part of older crashes is known by then. */
+    private static final long ASK_MILLIS = 10_000;
 
     private static final long BUCKET_MILLIS = 1_000;
 
@@ -48,7 +54,11 @@
     private final SoundParts sound = new SoundParts();
     private final Map<Long, CrashRecord> crashes = new LinkedHashMap<>();
     private final Deque<CrashRecord> ownCrashes = new ArrayDeque<>();
-    private final Set<ServicePart> remoteSuspects = new LinkedHashSet<>();
+    private final Map<ProcessId, List<ServicePart>> suspectsByAggregator = new HashMap<>();
+
+    /** Parts that another process keeps in quarantine although this one knows a sound answer. */
+    private final Map<ServicePart, Long> disputedNanos = new HashMap<>();
+
     private final Map<ProcessId, RemoteAnswers> remoteAnswers = new HashMap<>();
     private final Deque<Bucket> answers = new ArrayDeque<>();
 
@@ -172,9 +182,10 @@
         for (SoundPart part : evidence.soundParts()) {
             sound.onSound(part.part(), nowNanos - Math.max(0, part.ageMillis()) * Timestamp.NANOS_PER_MILLI);
         }
-        evidence.suspects().stream().limit(MAX_REPORTED_PARTS).forEach(remoteSuspects::add);
-        while (remoteSuspects.size() > MAX_REPORTED_PARTS) {
-            remoteSuspects.remove(remoteSuspects.iterator().next());
+        if (evidence.suspects().isEmpty()) {
+            suspectsByAggregator.remove(from);
+        } else {
+            suspectsByAggregator.put(from, evidence.suspects());
         }
         remoteAnswers.put(from, new RemoteAnswers(evidence.answered(), nowNanos));
         return restore(evidence.quarantined(), processes, nowNanos);
@@ -194,7 +205,9 @@
             boolean sinceSound = prompt.parts().stream()
                     .anyMatch(part ->
                             sound.isSoundSince(part, nowNanos - prompt.crashAgeMillis() * Timestamp.NANOS_PER_MILLI));
-            if (!sinceSound && quarantine.addRemote(prompt, processes, nowNanos)) {
+            if (sinceSound) {
+                prompt.parts().forEach(part -> disputedNanos.put(part, nowNanos));
+            } else if (quarantine.addRemote(prompt, processes, nowNanos)) {
                 changes.add(new Change(prompt.parts(), true, 0, 0));
             }
         });
@@ -258,8 +271,9 @@
                         crash.parts(),
                         (nowNanos - crash.atNanos()) / Timestamp.NANOS_PER_MILLI))
                 .toList();
-        Set<ServicePart> questioned = new LinkedHashSet<>(quarantine.parts());
-        questioned.addAll(remoteSuspects);
+        Set<ServicePart> questioned = disputed(nowNanos);
+        questioned.addAll(quarantine.parts());
+        suspectsByAggregator.values().forEach(questioned::addAll);
         return new CrashEvidence(
                 reports,
                 List.of(),
@@ -274,19 +288,35 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public CrashEvidence aggregate(long nowNanos) {
-        if (crashes.isEmpty() && quarantine.size() == 0) {
+        Set<ServicePart> questioned = disputed(nowNanos);
+        if (crashes.isEmpty() && quarantine.size() == 0 && questioned.isEmpty()) {
             return CrashEvidence.NONE;
         }
         Set<ServicePart> suspects = new LinkedHashSet<>(quarantine.parts());
-        Set<ServicePart> questioned = new LinkedHashSet<>(suspects);
-        crashes.values().forEach(crash -> {
-            questioned.addAll(crash.parts());
-            crash.parts().stream()
-                    .filter(part -> suspects.size() < MAX_REPORTED_PARTS && !sound.isSoundSince(part, crash.atNanos()))
-                    .forEach(suspects::add);
-        });
-        return new CrashEvidence(
-                List.of(), List.copyOf(suspects), soundAmong(questioned, nowNanos), quarantine.report(nowNanos), 0);
+        suspects.addAll(partsOfSeveralCrashes(nowNanos));
+        questioned.addAll(suspects);
+        List<ServicePart> asked = suspects.stream().limit(MAX_REPORTED_PARTS).toList();
+        return new CrashEvidence(List.of(), asked, soundAmong(questioned, nowNanos), quarantine.report(nowNanos), 0);
+    }
+
+    private Set<ServicePart> disputed(long nowNanos) {
+        disputedNanos.values().removeIf(at -> nowNanos - at > PROCESS_MILLIS * Timestamp.NANOS_PER_MILLI);
+        return new LinkedHashSet<>(disputedNanos.keySet());
+    }
+
+    /** Returns the parts of several recent crashes, because a part of a single crash is never blamed. */
+    private List<ServicePart> partsOfSeveralCrashes(long nowNanos) {
+        Map<ServicePart, Integer> counts = new LinkedHashMap<>();
+        for (CrashRecord crash : crashes.values()) {
+            if (nowNanos - crash.atNanos() <= ASK_MILLIS * Timestamp.NANOS_PER_MILLI) {
+                crash.parts().forEach(part -> counts.merge(part, 1, Integer::sum));
+            }
+        }
+        return counts.entrySet().stream()
+                .filter(entry -> entry.getValue() >= MIN_CRASHES_TO_ASK)
+                .sorted(Map.Entry.<ServicePart, Integer>comparingByValue().reversed())
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     private List<SoundPart> soundAmong(Set<ServicePart> parts, long nowNanos) {
@@ -303,5 +333,6 @@
     /** Forgets the reports of processes that have stopped. */
     public void retain(Set<ProcessId> live) {
         remoteAnswers.keySet().retainAll(live);
+        suspectsByAggregator.keySet().retainAll(live);
     }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/CrashingPartSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/CrashingPartSimulation.java
@@ -44,6 +44,8 @@
     private final List<Long> crashMillis = new ArrayList<>();
     private final List<Long> crashingSendMillis = new ArrayList<>();
     private final List<CrashingPrompts.Change> changes = new ArrayList<>();
+    private int maxReportedFacts;
+    private int lastReportedFacts;
     private int servedSound;
     private int refusedSound;
     private int eventCount;
@@ -228,6 +230,8 @@
             changes.addAll(prompts.evaluate(count, nowNanos()));
             CrashEvidence report = prompts.report(nowNanos());
             CrashEvidence aggregate = processes.get(0).crashingPrompts().aggregate(nowNanos());
+            maxReportedFacts = Math.max(maxReportedFacts, Math.max(facts(report), facts(aggregate)));
+            lastReportedFacts = i == 0 ? facts(aggregate) : Math.max(lastReportedFacts, facts(report));
             int sender = i;
             at(nowMillis + 5, () -> {
                 if (sender > 0) {
@@ -238,6 +242,23 @@
         }
     }
 
+    private static int facts(CrashEvidence evidence) {
+        return evidence.crashes().size()
+                + evidence.suspects().size()
+                + evidence.soundParts().size()
+                + evidence.quarantined().size();
+    }
+
+    /** Returns the most crashes, parts and prompts that a message held. */
+    int maxReportedFacts() {
+        return maxReportedFacts;
+    }
+
+    /** Returns the most crashes, parts and prompts that a message of the last exchange held. */
+    int lastReportedFacts() {
+        return lastReportedFacts;
+    }
+
     private void tick() {
         if (nowMillis % EXCHANGE_MILLIS == 0) {
             exchange();
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/CrashingPromptPartTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/CrashingPromptPartTest.java
@@ -180,4 +180,18 @@
 
         assertThat(simulation.sendsAfterFifthCrash(CONTACT_MILLIS), lessThanOrEqualTo(MAX_SENDS));
     }
+
+    /** Evidence rides on messages that every process sends several times a second, also long after the crashes. */
+    @Test
+    void boundsWhatProcessesReport() {
+        CrashingPartSimulation simulation = new CrashingPartSimulation(1, 20, 40);
+        simulation.sendCalls(0, 30_000, 200, 0);
+        for (long atMillis = 2_000; atMillis < 12_000; atMillis += 150) {
+            simulation.crashServers(atMillis, 1);
+        }
+        simulation.run(30_000);
+
+        assertThat(simulation.maxReportedFacts(), lessThanOrEqualTo(112));
+        assertThat(simulation.lastReportedFacts(), is(0));
+    }
 }
