Let a call wait for a slot in the test of the end of a process without other callers

It filled the server's slots with 40 callers that nothing referred to; their sockets were closed when they were collected (41 caller-left in the log of the run), a slot became free, and the call under test was sent. Change: the server has no free slot from the start, as in the test of calls that wait for a connection. The test now also checks that the server got nothing, so it is stricter than before. Conclusion: a fault of the test and not of the product.

--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -550,16 +550,14 @@
     void refusesWaitingCallsWhenTheProcessEnds() throws Exception {
         try (FakeServer server = FakeServer.start((_r, _c) -> Thread.sleep(10_000));
                 Caller caller = new Caller(port)) {
-            register(server);
-            for (int i = 0; i < 40; i++) {
-                new Caller(port).send("POST", "/unsafe/", CALL_HEADERS, "x");
-            }
-            Thread.sleep(200);
+            configure();
+            register("s0", server.port(), NO_FREE_SLOTS);
             caller.send("POST", "/unsafe/", CALL_HEADERS, "x");
             Thread.sleep(200);
             listener.answerOpenCalls();
 
             assertThat(caller.read("POST").status(), is(503));
+            assertThat(server.requests(), is(empty()));
         }
     }
 
