--- a/review/standin/Review.java
+++ b/review/standin/Review.java
@@ -505,6 +505,10 @@
     /** Reads a body by its length or its chunks; what was read until the connection broke off stays in the message. */
     static void readBody(InputStream in, Message message, boolean answer) throws IOException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
+        if (answer && (message.status() == 204 || message.status() == 304)) {
+            message.complete = true;
+            return;
+        }
         try {
             if (message.header("transfer-encoding").equalsIgnoreCase("chunked")) {
                 while (true) {
