--- a/review/case.sh
+++ b/review/case.sh
@@ -9,4 +9,10 @@
     echo "build first: bash bin/package && bash review/build.sh"
     exit 2
 fi
-exec timeout -k 2 118 java -Xmx512m "-Droot=$root" "-Drecord=$folder/record.txt" -cp "$root/target/review" "$2"
+rm -f "$folder/record.txt"
+timeout -k 2 117 java -Xmx512m "-Droot=$root" "-Drecord=$folder/record.txt" -cp "$root/target/review" "$2"
+code=$?
+# Anything but 0 and 1 means that the case could not run, also when the time is over.
+[ "$code" -le 1 ] || code=2
+[ "$code" -ne 1 ] || grep -q 'the rule was broken' "$folder/record.txt" || code=2
+exit "$code"
