--- a/review/standin/Foreign.java
+++ b/review/standin/Foreign.java
@@ -12,7 +12,7 @@
 public final class Foreign {
     private static final String ADDRESS = System.getProperty("address", "fe80::1:8308");
     private static final int PROCESSES = Integer.getInteger("processes", 3);
-    private static final int CLIENTS = 90;
+    private static final int CLIENTS = 150;
     private static final int TIMEOUT_MILLIS = 2_000;
     private static final AtomicInteger number = new AtomicInteger();
     private static final AtomicInteger pastTimeout = new AtomicInteger();
@@ -69,7 +69,7 @@
             world.store.put("op/config", Review.config(7, List.of(orders)));
             world.startEntries(PROCESSES);
             Map<String, Integer> results = new TreeMap<>();
-            long end = System.currentTimeMillis() + 12_000;
+            long end = System.currentTimeMillis() + 16_000;
             List<Thread> clients = new ArrayList<>();
             for (int c = 0; c < CLIENTS; c++) {
                 Review.Entry entry = world.entries.get(c % world.entries.size());
@@ -80,20 +80,21 @@
                             results.merge(result, 1, Integer::sum);
                         }
                         if (!result.equals("200")) {
-                            Review.sleep(400);
+                            Review.sleep(100);
                         }
                     }
                 }));
             }
             Review.sleep(3_000);
-            if (Review.TROUBLE) {
+            for (int spell = 0; Review.TROUBLE && spell < 3; spell++) {
                 world.record.say("another writer puts servers/i-foreign with the address %s", ADDRESS);
                 world.store.put("servers/i-foreign", "{\"service\":\"desk\",\"address\":\"" + ADDRESS
                         + "\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":6,\"state\":\"ready\",\"coldRemainingMs\":0,"
                         + "\"born\":" + System.currentTimeMillis() + ",\"sequence\":1}");
-                Review.sleep(3_000);
+                Review.sleep(2_000);
                 world.record.say("the entry is removed");
                 world.store.delete("servers/i-foreign");
+                Review.sleep(2_000);
             }
             for (Thread client : clients) {
                 client.join();
