Bound each turn in which a body is read on an I/O thread

Cause: Attempt.readBody read as long as the connection had bytes. A server that sends faster than its bytes are processed always has some, so neither another channel nor a timer of the only I/O thread got its turn; the turn ended when the caller left. Evidence: 13 of 13 thread dumps of the stopped process, 0.4 s apart, are in Attempt.readBody under one call of readHead, most of them in EventSplitter.endsEvent. Change: ChannelReader reads a body in turns of at most 1 ms plus one buffer and leaves the rest to the next readiness of the channel. Attempt and HttpExchange (calls to the platform, the related path) both use it. Test: OpaqueListenerTest#answersOtherCallsWhileAServerSendsWithoutEnd, six forms of body. Before: 4 of 6 red (a call took over 1 s or 20 s). Conclusion: an answer without end costs its own call only.

--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -4,7 +4,6 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
@@ -16,15 +15,14 @@
 import org.geraniumstand.support.log.Log;
 import org.geraniumstand.support.net.BodyWriter;
 import org.geraniumstand.support.net.Callbacks;
+import org.geraniumstand.support.net.ChannelReader;
 import org.geraniumstand.support.net.ConnectionPool;
 import org.geraniumstand.support.net.Connections;
 import org.geraniumstand.support.net.FramingLimit;
 import org.geraniumstand.support.net.ServerConnection;
-import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSourceChannel;
 
 /** Sends a request to a backend server once and reads the answer; confined to one I/O thread. */
 public final class Attempt implements FlowControl {
@@ -49,7 +47,7 @@
     private final ConnectionPool pool;
     private final AttemptListener listener;
     private ServerConnection connection;
-    private StreamSourceChannel answer;
+    private ChannelReader reader;
     private AnswerHead head;
     private BodyWriter writer;
     private XnioExecutor.Key timeoutKey;
@@ -103,8 +101,8 @@
     @Override
     public void pause() {
         paused = true;
-        if (answer != null) {
-            answer.suspendReads();
+        if (reader != null) {
+            reader.pause();
         }
     }
 
@@ -115,8 +113,8 @@
         }
         paused = false;
         lastByteNanos = System.nanoTime();
-        if (answer != null) {
-            answer.wakeupReads();
+        if (reader != null) {
+            reader.resume();
         }
     }
 
@@ -162,35 +160,13 @@
             return;
         }
         lastByteNanos = System.nanoTime();
-        answer = exchange.getResponseChannel();
-        answer.getReadSetter().set((ChannelListener<StreamSourceChannel>) this::readBody);
         scheduleTimeout(spec.limits().betweenBytesMillis());
-        listener.onHead(head);
-        readBody(answer);
-    }
-
-    private void readBody(StreamSourceChannel channel) {
-        try (PooledByteBuffer pooled = buffers.allocate()) {
-            ByteBuffer buffer = pooled.getBuffer();
-            while (!done && !paused) {
-                buffer.clear();
-                int count = channel.read(buffer);
-                if (count == 0) {
-                    channel.resumeReads();
-                    return;
-                }
-                if (count < 0) {
-                    complete();
-                    return;
-                }
-                lastByteNanos = System.nanoTime();
-                connection.framing().onProgress();
-                buffer.flip();
-                listener.onBytes(buffer);
-            }
-        } catch (IOException e) {
-            failReading(e);
+        reader = new ChannelReader(exchange.getResponseChannel(), buffers, new BodyListener());
+        if (paused) {
+            reader.pause();
         }
+        listener.onHead(head);
+        reader.start();
     }
 
     private void complete() {
@@ -270,8 +246,31 @@
 
     private void finish() {
         done = true;
+        if (reader != null) {
+            reader.stop();
+        }
         if (timeoutKey != null) {
             timeoutKey.remove();
         }
     }
+
+    /** Passes the parts of the answer's body on. */
+    private final class BodyListener implements ChannelReader.Listener {
+        @Override
+        public void onPart(ByteBuffer part) {
+            lastByteNanos = System.nanoTime();
+            connection.framing().onProgress();
+            listener.onBytes(part);
+        }
+
+        @Override
+        public void onEnd() {
+            complete();
+        }
+
+        @Override
+        public void onFailure(IOException reason) {
+            failReading(reason);
+        }
+    }
 }
--- a/http/src/test/java/org/geraniumstand/http/fake/Caller.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/Caller.java
@@ -17,6 +17,8 @@
 public final class Caller implements AutoCloseable {
     private static final int TIMEOUT_MILLIS = 20_000;
 
+    private static final int BUFFER_BYTES = 256 * 1024;
+
     private final Socket socket;
     private final InputStream in;
 
@@ -102,6 +104,15 @@
         return read.toString();
     }
 
+    /** Reads and discards everything until the listener closes the connection. */
+    public void discardAll() throws IOException {
+        byte[] part = new byte[BUFFER_BYTES];
+        int count = 0;
+        while (count >= 0) {
+            count = in.read(part);
+        }
+    }
+
     /**
      * Reads the next answer.
      *
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -46,6 +46,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -393,6 +394,64 @@
         }
     }
 
+    /** Writes a text again and again until the other side closes the connection. */
+    private static void writeUntilClosed(FakeServer.Connection connection, String text) throws IOException {
+        String part = text.repeat(PART_BYTES / text.length());
+        while (true) {
+            connection.write(part);
+        }
+    }
+
+    /** Reads whatever arrives until the connection is closed. */
+    private static void discardAll(Caller caller) {
+        Thread reader = new Thread(() -> {
+            try {
+                caller.discardAll();
+            } catch (IOException _e) {
+                // The test closes the connection at its end.
+            }
+        });
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    /** Guards against an answer without end, read in one turn of the I/O thread, that leaves all other calls unanswered. */
+    @ParameterizedTest
+    @CsvSource({
+        "/once/endless, 'Content-Type: text/event-stream\\r\\n', '\\n'",
+        "/once/endless, 'Content-Type: text/event-stream\\r\\n', 'data: x\\n\\n'",
+        "/once/endless, 'Transfer-Encoding: chunked\\r\\n', '9\\r\\ndata: x\\n\\n\\r\\n'",
+        "/unsafe/endless, '', 'x'",
+        "/unsafe/endless, 'Transfer-Encoding: chunked\\r\\n', '1\\r\\nx\\r\\n'",
+        "/unsafe/endless, 'Content-Length: 9000000000000\\r\\n', 'x'"
+    })
+    void answersOtherCallsWhileAServerSendsWithoutEnd(String target, String framing, String part) throws Exception {
+        CountDownLatch sending = new CountDownLatch(1);
+        try (FakeServer server = FakeServer.start((request, c) -> {
+                    if (request.target().equals(target)) {
+                        c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + unescape(framing) + "\r\n");
+                        sending.countDown();
+                        writeUntilClosed(c, unescape(part));
+                    }
+                    c.answer(200, SIGNED_HEADERS, "fine");
+                });
+                Caller reader = new Caller(port)) {
+            register(server);
+            reader.send("POST", target, CALL_HEADERS, "x");
+            discardAll(reader);
+            await(sending);
+            for (int i = 0; i < 20; i++) {
+                long start = System.nanoTime();
+                assertThat(call("GET", "/safe/" + i, CALL_HEADERS, "").body(), is("fine"));
+                assertThat(System.nanoTime() - start, lessThan(TimeUnit.MILLISECONDS.toNanos(1_000)));
+            }
+        }
+    }
+
+    private static String unescape(String text) {
+        return text.replace("\\r", "\r").replace("\\n", "\n");
+    }
+
     @Test
     void relaysServerErrorUnchanged() throws Exception {
         try (FakeServer server = FakeServer.start((_r, c) -> c.answer(500, SIGNED_HEADERS, "sorry"))) {
--- a/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
+++ b/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
@@ -4,7 +4,6 @@
 import io.undertow.client.ClientRequest;
 import io.undertow.client.ClientResponse;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.connector.PooledByteBuffer;
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -17,11 +16,9 @@
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
-import org.xnio.ChannelListener;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
-import org.xnio.channels.StreamSourceChannel;
 
 /** Executes one request on its I/O thread, from connecting to the complete response. */
 final class HttpExchange {
@@ -35,6 +32,7 @@
     private final ConnectionPool idleConnections;
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private ServerConnection connection;
+    private ChannelReader reader;
     private XnioExecutor.Key timeout;
     private boolean done;
 
@@ -91,42 +89,8 @@
     }
 
     private void readResponse(ClientExchange exchange) {
-        StreamSourceChannel channel = exchange.getResponseChannel();
-        channel.getReadSetter().set((ChannelListener<StreamSourceChannel>) c -> drain(exchange, c));
-        drain(exchange, channel);
-    }
-
-    private void drain(ClientExchange exchange, StreamSourceChannel channel) {
-        try (PooledByteBuffer pooled = buffers.allocate()) {
-            ByteBuffer buffer = pooled.getBuffer();
-            while (true) {
-                buffer.clear();
-                int count = channel.read(buffer);
-                if (count == 0) {
-                    channel.resumeReads();
-                    return;
-                }
-                if (count < 0) {
-                    succeed(exchange.getResponse());
-                    return;
-                }
-                connection.framing().onProgress();
-                if (body.size() + count > AnswerLimits.MAX_DOCUMENT_BYTES) {
-                    LOG.warn(
-                            "document-too-large",
-                            Field.of("origin", request.origin()),
-                            Field.of("path", request.path()));
-                    fail(HttpFailure.BROKEN);
-                    return;
-                }
-                buffer.flip();
-                byte[] chunk = new byte[count];
-                buffer.get(chunk);
-                body.write(chunk, 0, count);
-            }
-        } catch (IOException _e) {
-            fail(HttpFailure.BROKEN);
-        }
+        reader = new ChannelReader(exchange.getResponseChannel(), buffers, new BodyListener(exchange.getResponse()));
+        reader.start();
     }
 
     private void succeed(ClientResponse response) {
@@ -154,5 +118,40 @@
     private void finish() {
         done = true;
         timeout.remove();
+        if (reader != null) {
+            reader.stop();
+        }
+    }
+
+    /** Collects the response's body. */
+    private final class BodyListener implements ChannelReader.Listener {
+        private final ClientResponse response;
+
+        BodyListener(ClientResponse response) {
+            this.response = response;
+        }
+
+        @Override
+        public void onPart(ByteBuffer part) {
+            connection.framing().onProgress();
+            if (body.size() + part.remaining() > AnswerLimits.MAX_DOCUMENT_BYTES) {
+                LOG.warn("document-too-large", Field.of("origin", request.origin()), Field.of("path", request.path()));
+                fail(HttpFailure.BROKEN);
+                return;
+            }
+            byte[] chunk = new byte[part.remaining()];
+            part.get(chunk);
+            body.write(chunk, 0, chunk.length);
+        }
+
+        @Override
+        public void onEnd() {
+            succeed(response);
+        }
+
+        @Override
+        public void onFailure(IOException _reason) {
+            fail(HttpFailure.BROKEN);
+        }
     }
 }
