Do not take empty lines for events of a stream

Cause: EventSplitter took each empty line for a complete event, so that no limit on incomplete events applied and the caller got the bytes. On the way, each part of a large event was copied together with all parts before it. The splitter scans each byte once. Conclusion: bytes that are no event cost one attempt, and the call is served by another server where it may be repeated.

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
@@ -1,6 +1,5 @@
 package org.geraniumstand.http.opaque;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -9,15 +8,18 @@
 /**
  * Splits the bytes of a server-sent event stream at the ends of events without changing any byte.
  *
- * <p>Source: WHATWG HTML, "Server-sent events". An event ends with an empty line.
+ * <p>Source: WHATWG HTML, "Server-sent events". An event ends with an empty line; empty lines outside an event are no event.
  */
 final class EventSplitter {
     private static final String ID_FIELD = "id:";
+    private static final int INITIAL_BYTES = 1024;
 
-    private final ByteArrayOutputStream incomplete = new ByteArrayOutputStream();
+    private byte[] incomplete = new byte[INITIAL_BYTES];
+    private int size;
+    private int lineStart;
+    private boolean hasLine;
     private Optional<String> lastId;
     private Optional<String> incompleteId = Optional.empty();
-    private int lineStart;
 
     /** Creates a splitter for a caller that already received the events up to this id. */
     EventSplitter(Optional<String> lastId) {
@@ -31,65 +33,96 @@
 
     /** Returns the number of bytes after the last complete event. */
     int incompleteBytes() {
-        return incomplete.size();
+        return size;
+    }
+
+    /** Returns whether an event has begun and is not complete. */
+    boolean insideEvent() {
+        return hasLine || !isEmptyLine(size);
     }
 
     /** Adds bytes and returns those of all events that are now complete, or an empty array if none is. */
     byte[] accept(ByteBuffer bytes) {
-        int from = incomplete.size();
-        byte[] part = new byte[bytes.remaining()];
-        bytes.get(part);
-        incomplete.write(part, 0, part.length);
-        if (!hasLineFeed(part)) {
-            // Without a line feed no event ends, and copying the growing buffer for each part would take quadratic
-            // time.
-            return new byte[0];
-        }
-        byte[] all = incomplete.toByteArray();
+        int from = size;
+        append(bytes);
         int completeBytes = 0;
-        for (int i = from; i < all.length; i++) {
-            if (all[i] == '\n' && endsEvent(all, i)) {
+        for (int i = from; i < size; i++) {
+            if (incomplete[i] == '\n' && endsEvent(i)) {
                 completeBytes = i + 1;
             }
         }
-        return completeBytes == 0 ? new byte[0] : removePrefix(all, completeBytes);
+        return completeBytes == 0 ? new byte[0] : removePrefix(completeBytes);
     }
 
-    private static boolean hasLineFeed(byte[] part) {
-        for (byte value : part) {
-            if (value == '\n') {
-                return true;
-            }
-        }
-        return false;
+    /** Removes and returns the bytes after the last complete event. */
+    byte[] takeRest() {
+        byte[] rest = Arrays.copyOf(incomplete, size);
+        discardIncomplete();
+        return rest;
     }
 
     /** Discards the bytes after the last complete event. */
     void discardIncomplete() {
-        incomplete.reset();
+        size = 0;
         lineStart = 0;
+        hasLine = false;
         incompleteId = Optional.empty();
     }
 
-    private byte[] removePrefix(byte[] all, int count) {
-        incomplete.reset();
-        incomplete.write(all, count, all.length - count);
+    private void append(ByteBuffer bytes) {
+        int count = bytes.remaining();
+        if (size + count > incomplete.length) {
+            incomplete = Arrays.copyOf(incomplete, Math.max(size + count, 2 * incomplete.length));
+        }
+        bytes.get(incomplete, size, count);
+        size += count;
+    }
+
+    private byte[] removePrefix(int count) {
+        byte[] prefix = Arrays.copyOf(incomplete, count);
+        size -= count;
+        System.arraycopy(incomplete, count, incomplete, 0, size);
         lineStart -= count;
-        return Arrays.copyOf(all, count);
+        return prefix;
     }
 
-    private boolean endsEvent(byte[] all, int lineFeed) {
-        int end = lineFeed > lineStart && all[lineFeed - 1] == '\r' ? lineFeed - 1 : lineFeed;
-        String line = new String(all, lineStart, end - lineStart, StandardCharsets.UTF_8);
-        lineStart = lineFeed + 1;
-        if (line.startsWith(ID_FIELD)) {
-            incompleteId = Optional.of(line.substring(ID_FIELD.length()).trim());
+    private boolean endsEvent(int lineFeed) {
+        if (!isEmptyLine(lineFeed)) {
+            readId(lineFeed);
+            hasLine = true;
+            lineStart = lineFeed + 1;
+            return false;
         }
-        if (!line.isEmpty()) {
+        lineStart = lineFeed + 1;
+        if (!hasLine) {
             return false;
         }
+        hasLine = false;
         lastId = incompleteId.or(() -> lastId);
         incompleteId = Optional.empty();
         return true;
     }
+
+    private boolean isEmptyLine(int end) {
+        return end == lineStart || (end == lineStart + 1 && incomplete[lineStart] == '\r');
+    }
+
+    private void readId(int end) {
+        if (startsWithId(end)) {
+            int start = lineStart + ID_FIELD.length();
+            incompleteId = Optional.of(new String(incomplete, start, end - start, StandardCharsets.UTF_8).trim());
+        }
+    }
+
+    private boolean startsWithId(int end) {
+        if (end - lineStart < ID_FIELD.length()) {
+            return false;
+        }
+        for (int i = 0; i < ID_FIELD.length(); i++) {
+            if (incomplete[lineStart + i] != ID_FIELD.charAt(i)) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -344,7 +344,7 @@
                 // A success without the server's signature is not trusted.
                 return AttemptEnd.BROKEN;
             }
-            if (success && call.route().kind() == CallKind.STREAM && splitter.incompleteBytes() > 0) {
+            if (success && call.route().kind() == CallKind.STREAM && splitter.insideEvent()) {
                 // A stream without length and chunks ends with its connection, so the server may have been cut off.
                 return AttemptEnd.BROKEN;
             }
@@ -366,6 +366,7 @@
                 return;
             }
             context.dispatcherTask().onSucceeded(call);
+            relay(splitter.takeRest());
             if (answer.started()) {
                 answer.end();
             } else {
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
@@ -2,9 +2,11 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
+import static org.junit.jupiter.api.Assertions.assertTimeout;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
@@ -55,6 +57,50 @@
         assertThat(splitter.incompleteBytes(), is("id: 4\ndata: a".length()));
     }
 
+    /** Guards against a stream of empty lines without end that is relayed as if it were progress. */
+    @Test
+    void emptyLinesOutsideAnEventAreNoEvent() {
+        assertThat(accept("\n\n\r\n"), is(""));
+        assertThat(splitter.incompleteBytes(), is(4));
+        assertThat(splitter.insideEvent(), is(false));
+    }
+
+    @Test
+    void returnsEmptyLinesWithTheNextEvent() {
+        accept("\n\r\n");
+
+        assertThat(accept("id: 4\ndata: a\n\n\n"), is("\n\r\nid: 4\ndata: a\n\n"));
+    }
+
+    @Test
+    void takesEmptyLinesAfterTheLastEvent() {
+        accept("id: 4\ndata: a\n\n\n\r");
+
+        assertThat(splitter.insideEvent(), is(false));
+        assertThat(new String(splitter.takeRest(), StandardCharsets.UTF_8), is("\n\r"));
+        assertThat(splitter.incompleteBytes(), is(0));
+    }
+
+    @Test
+    void isInsideAnEventAfterAnyByteOfALine() {
+        accept("id: 4\ndata: a\n\ni");
+        assertThat(splitter.insideEvent(), is(true));
+
+        accept("d: 5\n");
+        assertThat(splitter.insideEvent(), is(true));
+    }
+
+    /** Guards against copying a growing event for each of its lines. */
+    @Test
+    void splitsALargeEventOfManyPartsInLinearTime() {
+        assertTimeout(Duration.ofSeconds(5), () -> {
+            for (int i = 0; i < 200_000; i++) {
+                accept("d: x\n");
+            }
+        });
+        assertThat(accept("\n").length(), is(1_000_001));
+    }
+
     @Test
     void returnsTheSameBytesForEverySplitOfTheInput() {
         String text = "id: 4\ndata: a\n\nid: 5\ndata: b\n\n";
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -21,6 +21,7 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -448,6 +449,41 @@
         }
     }
 
+    /** Guards against a stream without any event that lasts until its caller leaves, as empty lines counted as events. */
+    @Test
+    void abortsAndRepeatsStreamOfEndlessEmptyLines() throws Exception {
+        AtomicBoolean faulty = new AtomicBoolean(true);
+        FakeServer.Script script = (_request, c) -> {
+            if (faulty.getAndSet(false)) {
+                c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "\r\n" + "\n".repeat(8 * 1024 * 1024));
+                throw new IOException("end of the connection");
+            }
+            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "Transfer-Encoding: chunked\r\n\r\n");
+            chunk(c, "id: 1\ndata: a\n\n");
+            c.write("0\r\n\r\n");
+        };
+        try (FakeServer one = FakeServer.start(script);
+                FakeServer two = FakeServer.start(script)) {
+            register(one, two);
+            Caller.Answer answer = call("POST", "/stream/", CALL_HEADERS, "x");
+
+            assertThat(answer.body(), is("id: 1\ndata: a\n\n"));
+            assertThat(answer.complete(), is(true));
+        }
+    }
+
+    @Test
+    void relaysEmptyLinesAroundEventsUnchanged() throws Exception {
+        String body = "\n\nid: 1\ndata: a\n\n\n\r\n";
+        try (FakeServer server = FakeServer.start((_r, c) -> c.answer(200, SIGNED_HEADERS, body))) {
+            register(server);
+            Caller.Answer answer = call("POST", "/once/", CALL_HEADERS, "x");
+
+            assertThat(answer.body(), is(body));
+            assertThat(answer.complete(), is(true));
+        }
+    }
+
     private static String unescape(String text) {
         return text.replace("\\r", "\r").replace("\\n", "\n");
     }
