Keep the body of another attempt's error out of a resumed stream

Cause: as soon as the answer to the caller had begun, OpaqueTask relayed the bytes of every later attempt; whether that attempt could be used was decided at its end. The branch also went around the limit on incomplete bytes. Change: BodyHandling decides at the head of each answer what happens to its body. An answer that is no success can't continue one that has begun: its attempt ends at its head, with no byte read, so that a slow or endless error body doesn't delay the resumption either. An error that a server answered no longer counts as a server that broke off (CrashSuspicion). Conclusion: what a caller's stream holds is decided once for each answer, not for each part.

--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -15,7 +15,6 @@
 import org.geraniumstand.http.upstream.AttemptListener;
 import org.geraniumstand.http.upstream.AttemptSpec;
 import org.geraniumstand.model.id.ServerId;
-import org.geraniumstand.model.relay.CallKind;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.RelayTeam;
 import org.geraniumstand.model.relay.ServerCall;
@@ -193,6 +192,7 @@
         private AnswerHead head;
         private ServerHead serverAnswer;
         private boolean success;
+        private BodyHandling handling;
         private final ServerId server = call.server().server().id();
         private long sendDelayNanos = -1;
         private long headNanos;
@@ -234,13 +234,29 @@
             headNanos = System.nanoTime();
             serverAnswer = context.protocol().read(answerHead);
             success = head.status() / STATUS_CLASS_DIVISOR == SUCCESS_CLASS && serverAnswer.signed();
+            handling = BodyHandling.of(success, call.route().kind(), answer.started());
             context.dispatcherTask().onAnswerStarted(call, serverAnswer);
             context.observer().answerStarted(call.route().kind(), millisSinceArrival());
-            if (success && answer.started()) {
+            if (handling == BodyHandling.REJECT) {
+                reject();
+            } else if (success && answer.started()) {
                 answer.setUpstream(attempt);
             }
         }
 
+        private void reject() {
+            attempt.cancel();
+            if (serverAnswer.notExecuted()) {
+                onEnd(AttemptEnd.DECLINED);
+            } else {
+                onEnd(isUnsignedSuccess() ? AttemptEnd.BROKEN : AttemptEnd.SERVER_ERROR);
+            }
+        }
+
+        private boolean isUnsignedSuccess() {
+            return head.status() / STATUS_CLASS_DIVISOR == SUCCESS_CLASS && !serverAnswer.signed();
+        }
+
         @Override
         public void onBytes(ByteBuffer bytes) {
             if (call.server() != null) {
@@ -249,19 +265,20 @@
             if (success) {
                 context.dispatcherTask().onProgress(call);
             }
-            if (success && call.route().kind() == CallKind.STREAM) {
+            if (handling == BodyHandling.RELAY_EVENTS) {
                 relay(splitter.accept(bytes));
                 abortIfTooLarge(splitter.incompleteBytes());
                 return;
             }
             byte[] part = new byte[bytes.remaining()];
             bytes.get(part);
-            if (answer.started()) {
+            if (handling == BodyHandling.RELAY) {
                 answer.send(part);
                 return;
             }
             buffered.write(part, 0, part.length);
             if (success && buffered.size() > AnswerLimits.MAX_BUFFERED_BYTES) {
+                handling = BodyHandling.RELAY;
                 relay(buffered.toByteArray());
                 buffered.reset();
             }
@@ -333,18 +350,15 @@
         }
 
         private AttemptEnd classify(AttemptEnd end) {
-            if (end != AttemptEnd.ANSWERED && end != AttemptEnd.SERVER_ERROR) {
+            boolean whole = end == AttemptEnd.ANSWERED || end == AttemptEnd.SERVER_ERROR;
+            if (!whole || handling == BodyHandling.REJECT) {
                 return end;
             }
-            if (answer.started() && !success) {
-                // The part that was relayed cannot be continued by another answer.
-                return AttemptEnd.BROKEN;
-            }
-            if (head.status() / STATUS_CLASS_DIVISOR == SUCCESS_CLASS && !serverAnswer.signed()) {
+            if (isUnsignedSuccess()) {
                 // A success without the server's signature is not trusted.
                 return AttemptEnd.BROKEN;
             }
-            if (success && call.route().kind() == CallKind.STREAM && splitter.insideEvent()) {
+            if (handling == BodyHandling.RELAY_EVENTS && splitter.insideEvent()) {
                 // A stream without length and chunks ends with its connection, so the server may have been cut off.
                 return AttemptEnd.BROKEN;
             }
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -533,6 +533,72 @@
         }
     }
 
+    /** Starts servers of which the first called breaks a stream off, the next answers otherwise, and the third resumes it. */
+    private FakeServer.Script breakOffThenAnswer(String answer) {
+        AtomicInteger calls = new AtomicInteger();
+        return (_request, c) -> {
+            int number = calls.incrementAndGet();
+            if (number == 2) {
+                c.write(answer);
+                throw new IOException("end of the connection");
+            }
+            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "Transfer-Encoding: chunked\r\n\r\n");
+            chunk(c, number == 1 ? "id: 1\ndata: a\n\n" : "id: 2\ndata: b\n\n");
+            if (number == 1) {
+                throw new IOException("simulated connection loss");
+            }
+            c.write("0\r\n\r\n");
+        };
+    }
+
+    /** Guards against the body of a refusal in the middle of a stream that is then resumed and ends as complete. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "Content-Length: 6\r\n\r\nfull\n\n",
+                "Transfer-Encoding: chunked\r\n\r\n6\r\nfull\n\n\r\n0\r\n\r\n",
+                "Transfer-Encoding: chunked\r\n\r\n6\r\nfull\n\n\r\n",
+                "Content-Length: 9\r\n\r\nfull\n\n",
+                "\r\nfull\n\n",
+                "Content-Length: 0\r\n\r\n"
+            })
+    void resumesStreamWithoutAnyByteOfARefusal(String refusal) throws Exception {
+        FakeServer.Script script = breakOffThenAnswer("HTTP/1.1 503 Full\r\nattempt: a-1\r\nnot-run: 1\r\n" + refusal);
+        try (FakeServer one = FakeServer.start(script);
+                FakeServer two = FakeServer.start(script);
+                FakeServer three = FakeServer.start(script)) {
+            register(one, two, three);
+            Caller.Answer answer = call("POST", "/stream/", CALL_HEADERS, "x");
+
+            assertThat(answer.body(), is("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"));
+            assertThat(answer.complete(), is(true));
+        }
+    }
+
+    /** Guards against the body of a failure at the end of a stream that broke off. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "500 Oops\r\nattempt: a-1\r\nsigned: yes\r\nContent-Length: 6\r\n\r\noops\n\n",
+                "500 Oops\r\nattempt: a-1\r\nsigned: yes\r\n\r\noops\n\n",
+                "404 Gone\r\nattempt: a-1\r\nsigned: yes\r\nContent-Length: 6\r\n\r\noops\n\n",
+                "404 Gone\r\nattempt: a-1\r\nsigned: yes\r\nContent-Length: 0\r\n\r\n",
+                "200 OK\r\nattempt: a-1\r\nContent-Length: 6\r\n\r\noops\n\n",
+                "200 OK\r\nattempt: a-1\r\nContent-Length: 0\r\n\r\n",
+                "302 Found\r\nattempt: a-1\r\nsigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n6\r\noops\n\n\r\n0\r\n\r\n"
+            })
+    void endsBrokenStreamWithoutAnyByteOfAFailure(String failure) throws Exception {
+        FakeServer.Script script = breakOffThenAnswer("HTTP/1.1 " + failure);
+        try (FakeServer one = FakeServer.start(script);
+                FakeServer two = FakeServer.start(script)) {
+            register(one, two);
+            Caller.Answer answer = call("POST", "/stream/", CALL_HEADERS, "x");
+
+            assertThat(answer.body(), is("id: 1\ndata: a\n\n"));
+            assertThat(answer.complete(), is(false));
+        }
+    }
+
     /** An answer without length and chunks ends with its connection, also when the server is cut off. */
     @Test
     void resumesUnframedStreamThatEndsInsideAnEvent() throws Exception {
