Send nothing more on a connection whose last answer named no request

Cause: a repeated answer is recognized by the id of its attempt, and a refusal bears none. It was taken for the answer to the request that had been sent on that connection meanwhile. Change: a connection is kept only if a repetition of its last answer can be recognized: for relayed calls, if the answer names its attempt; on the product's own interface, where ids are optional, if it names it or doesn't state "not run". The statement itself still counts. A server that repeats a whole answer without an id on the own interface is not told apart.

--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueProtocol.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueProtocol.java
@@ -40,6 +40,11 @@
         return read(head).notExecuted();
     }
 
+    @Override
+    public boolean allowsReuse(AnswerHead head) {
+        return read(head).attempt().isPresent();
+    }
+
     ServerHead read(AnswerHead head) {
         return codec.parseServerHead(head.status(), new UndertowHeaders(head.headers()));
     }
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -171,10 +171,10 @@
 
     private void complete() {
         finish();
-        if (writer.written()) {
+        // A server that answers before it read the whole request body takes the rest of it for the next request.
+        if (writer.written() && spec.protocol().allowsReuse(head)) {
             pool.release(origin.uri(), connection);
         } else {
-            // The server answered before it read the whole request body, so the connection cannot be reused.
             IoUtils.safeClose(connection.client());
         }
         if (spec.protocol().declaresNotRun(head)) {
--- a/http/src/main/java/org/geraniumstand/http/upstream/NativeServerProtocol.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/NativeServerProtocol.java
@@ -29,4 +29,9 @@
     public boolean declaresNotRun(AnswerHead head) {
         return head.declaresNotRun();
     }
+
+    @Override
+    public boolean allowsReuse(AnswerHead head) {
+        return head.headers().contains(ATTEMPT_ID) || !declaresNotRun(head);
+    }
 }
--- a/http/src/main/java/org/geraniumstand/http/upstream/ServerProtocol.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/ServerProtocol.java
@@ -27,4 +27,12 @@
      * @param head the status and headers of the answer
      */
     boolean declaresNotRun(AnswerHead head);
+
+    /**
+     * Returns whether a connection may carry another request after an answer. A faulty server may repeat an answer later, so
+     * the answer must be recognizable when it arrives in place of that request's answer.
+     *
+     * @param head the status and headers of the answer
+     */
+    boolean allowsReuse(AnswerHead head);
 }
--- a/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
@@ -188,6 +188,25 @@
             write("HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
         }
 
+        /**
+         * Writes text once more after a delay, whatever the connection is used for by then.
+         *
+         * @param text the text to write
+         * @param delayMillis the delay in milliseconds
+         */
+        public void repeatLater(String text, long delayMillis) {
+            startThread(() -> {
+                try {
+                    Thread.sleep(delayMillis);
+                    write(text);
+                } catch (IOException _e) {
+                    // The client has closed the connection.
+                } catch (InterruptedException _e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        }
+
         /** Starts an event stream with chunked transfer encoding. */
         public void startStream() throws IOException {
             write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -488,6 +488,39 @@
         return text.replace("\\r", "\r").replace("\\n", "\n");
     }
 
+    /** Guards against a repeated refusal, which names no request, that is taken for the answer to the next request. */
+    @ParameterizedTest
+    @CsvSource({"/unsafe/, 0", "/unsafe/, 5", "/once/, 0", "/once/, 5"})
+    void neverTakesARepeatedRefusalForTheAnswerToTheNextRequest(String target, long delayMillis) throws Exception {
+        String refusal = "HTTP/1.1 503 Full\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+        AtomicInteger runs = new AtomicInteger();
+        AtomicInteger refusals = new AtomicInteger();
+        FakeServer.Script script = (request, c) -> {
+            if (request.target().endsWith("/refused")) {
+                refusals.incrementAndGet();
+                c.write(refusal);
+                c.repeatLater(refusal, delayMillis);
+                return;
+            }
+            runs.incrementAndGet();
+            Thread.sleep(20);
+            c.answer(200, SIGNED_HEADERS, "data: done\n\n");
+        };
+        try (FakeServer one = FakeServer.start(script);
+                FakeServer two = FakeServer.start(script)) {
+            register(one, two);
+            int statuses = 0;
+            for (int i = 0; i < 10; i++) {
+                call("POST", target + "refused", CALL_HEADERS, "x");
+                statuses += call("POST", target + "order", CALL_HEADERS, "x").status() == 200 ? 1 : 0;
+            }
+
+            assertThat(refusals.get(), is(not(0)));
+            assertThat(statuses, is(10));
+            assertThat(runs.get(), is(10));
+        }
+    }
+
     @Test
     void relaysServerErrorUnchanged() throws Exception {
         try (FakeServer server = FakeServer.start((_r, c) -> c.answer(500, SIGNED_HEADERS, "sorry"))) {
