Test that an answer cut at any byte never looks complete

It can't happen here: the HTTP client reports the end of a connection inside a head, a body with a length or a chunk as a failure, and the call ends with 502 or, if its answer has begun, with a closed connection. Test: OpaqueListenerTest#neverCompletesAnswerThatIsCutAtAnyByte (length and chunks, order and stream, each byte of the answer) and #neverCompletesUnframedAnswerThatIsCutInItsHead. All were green from the start; the product is unchanged. Conclusion: nothing to fix for cuts.

--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -488,6 +488,57 @@
         return text.replace("\\r", "\r").replace("\\n", "\n");
     }
 
+    /** Returns an answer's head and body in one of the ways in which its end can be told. */
+    private static String framed(String framing) {
+        String head = "HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS;
+        return framing.equals("length")
+                ? head + "Content-Length: 16\r\n\r\nid: 1\ndata: ab\n\n"
+                : head + "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: ab\n\n\r\n0\r\n\r\n";
+    }
+
+    /** Guards against an answer that was cut in its head or body, and reaches the caller as a whole and empty or short one. */
+    @ParameterizedTest
+    @CsvSource({"length, /unsafe/", "chunks, /unsafe/", "length, /once/", "chunks, /once/"})
+    void neverCompletesAnswerThatIsCutAtAnyByte(String framing, String target) throws Exception {
+        String whole = framed(framing);
+        AtomicInteger cut = new AtomicInteger();
+        try (FakeServer server = FakeServer.start((_request, c) -> {
+            c.write(whole.substring(0, cut.get()));
+            c.abort();
+        })) {
+            for (int i = 0; i < whole.length(); i++) {
+                cut.set(i);
+                configure();
+                register("s" + i, server.port(), 8);
+                Caller.Answer answer = call("POST", target, CALL_HEADERS, "x");
+                assertThat("cut after " + i + " bytes", answer.status() == 200 && answer.complete(), is(false));
+                onThread(() -> dispatcher.fleet().onRemoved(new ServerId("s" + cut.get())));
+            }
+            assertThat(server.requests(), hasSize(whole.length()));
+        }
+    }
+
+    /** An answer without length and chunks can be cut in its head, too. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Connection: close\r\n"})
+    void neverCompletesUnframedAnswerThatIsCutInItsHead(String header) throws Exception {
+        String head = "HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + header + "\r\n";
+        AtomicInteger cut = new AtomicInteger();
+        try (FakeServer server = FakeServer.start((_request, c) -> {
+            c.write(head.substring(0, cut.get()));
+            c.abort();
+        })) {
+            for (int i = 0; i < head.length(); i++) {
+                cut.set(i);
+                configure();
+                register("s" + i, server.port(), 8);
+                Caller.Answer answer = call("POST", "/unsafe/", CALL_HEADERS, "x");
+                assertThat("cut after " + i + " bytes", answer.status(), is(502));
+                onThread(() -> dispatcher.fleet().onRemoved(new ServerId("s" + cut.get())));
+            }
+        }
+    }
+
     /** Guards against a repeated refusal, which names no request, that is taken for the answer to the next request. */
     @ParameterizedTest
     @CsvSource({"/unsafe/, 0", "/unsafe/, 5", "/once/, 0", "/once/, 5"})
