Reject heads of answers that are no final answer of HTTP

Cause: the HTTP client hands out any protocol name and any number as the status, and takes the first of two lengths. The exception that such a status causes as the answer is written ended the step that should have released the call. Change: CheckAnswerHead decides in one place whether a head is a final answer of HTTP/1.x whose end can be told in one way: protocol, status 200 to 599, one length or chunks. Attempt ends as broken otherwise; HttpExchange (calls to the platform) uses the same check. A log line answer-invalid gives the reason. AsyncHttpClientTest#rejectsWhatIsNoAnswerOfHttp. Conclusion: an odd head costs its attempt only. Not told apart: a chunk that is longer than its size says, which the HTTP client cuts.

--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -9,6 +9,7 @@
 import io.undertow.util.Methods;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.timeline.Field;
@@ -16,6 +17,7 @@
 import org.geraniumstand.support.net.BodyWriter;
 import org.geraniumstand.support.net.Callbacks;
 import org.geraniumstand.support.net.ChannelReader;
+import org.geraniumstand.support.net.CheckAnswerHead;
 import org.geraniumstand.support.net.ConnectionPool;
 import org.geraniumstand.support.net.Connections;
 import org.geraniumstand.support.net.FramingLimit;
@@ -153,6 +155,17 @@
             return;
         }
         ClientResponse response = exchange.getResponse();
+        Optional<String> invalid = CheckAnswerHead.check(response);
+        if (invalid.isPresent()) {
+            LOG.warn(
+                    "answer-invalid",
+                    Field.of("request", spec.attemptId()),
+                    Field.of("server", origin.authority()),
+                    Field.of("status", response.getResponseCode()),
+                    Field.of("reason", invalid.get()));
+            fail(AttemptEnd.BROKEN);
+            return;
+        }
         head = new AnswerHead(response.getResponseCode(), response.getResponseHeaders());
         if (!spec.protocol().isAnswerTo(head, spec)) {
             // The answer carries the id of another request, so answers on this connection are out of order.
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -539,6 +539,55 @@
         }
     }
 
+    /**
+     * Guards against an answer that is no answer of HTTP, and leaves its call unanswered and its place at the server taken,
+     * or reaches the caller.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 2000 OK\r\nContent-Length: 4",
+                "HTTP/1.1 1000 OK\r\nContent-Length: 4",
+                "HTTP/1.1 999 OK\r\nContent-Length: 4",
+                "HTTP/1.1 600 OK\r\nContent-Length: 4",
+                "HTTP/1.1 199 OK\r\nContent-Length: 4",
+                "HTTP/1.1 103 Early Hints\r\nContent-Length: 4",
+                "HTTP/1.1 101 Switching Protocols\r\nContent-Length: 4",
+                "HTTP/1.1 99 OK\r\nContent-Length: 4",
+                "HTTP/1.1 0 OK\r\nContent-Length: 4",
+                "HTTP/1.1 -200 OK\r\nContent-Length: 4",
+                "HTTP/1.1 99999999999 OK\r\nContent-Length: 4",
+                "HTTP/1.1 abc OK\r\nContent-Length: 4",
+                "HTTP/9.9 200 OK\r\nContent-Length: 4",
+                "SPDY 200 OK\r\nContent-Length: 4",
+                "200 OK\r\nContent-Length: 4",
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 2",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4, 2",
+                "HTTP/1.1 200 OK\r\nContent-Length: -1",
+                "HTTP/1.1 200 OK\r\nContent-Length: x",
+                "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip",
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked",
+                "\u0001\u0002"
+            })
+    void answersCallWhoseServerSendsNoAnswerOfHttp(String head) throws Exception {
+        AtomicBoolean faulty = new AtomicBoolean(true);
+        try (FakeServer server = FakeServer.start((_request, c) -> {
+            if (faulty.getAndSet(false)) {
+                c.write(head + "\r\n" + SIGNED_HEADERS + "\r\nbody");
+                throw new IOException("end of the connection");
+            }
+            c.answer(200, SIGNED_HEADERS, "fine");
+        })) {
+            configure();
+            register("s0", server.port(), 1);
+
+            assertThat(call("POST", "/unsafe/", CALL_HEADERS, "x").status(), is(502));
+            assertThat(call("POST", "/unsafe/", CALL_HEADERS, "x").body(), is("fine"));
+        }
+    }
+
     /** Guards against a repeated refusal, which names no request, that is taken for the answer to the next request. */
     @ParameterizedTest
     @CsvSource({"/unsafe/, 0", "/unsafe/, 5", "/once/, 0", "/once/, 5"})
--- a/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
+++ b/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
@@ -89,6 +89,17 @@
     }
 
     private void readResponse(ClientExchange exchange) {
+        Optional<String> invalid = CheckAnswerHead.check(exchange.getResponse());
+        if (invalid.isPresent()) {
+            LOG.warn(
+                    "answer-invalid",
+                    Field.of("origin", request.origin()),
+                    Field.of("path", request.path()),
+                    Field.of("status", exchange.getResponse().getResponseCode()),
+                    Field.of("reason", invalid.get()));
+            fail(HttpFailure.BROKEN);
+            return;
+        }
         reader = new ChannelReader(exchange.getResponseChannel(), buffers, new BodyListener(exchange.getResponse()));
         reader.start();
     }
--- a/support/src/test/java/org/geraniumstand/support/net/AsyncHttpClientTest.java
+++ b/support/src/test/java/org/geraniumstand/support/net/AsyncHttpClientTest.java
@@ -62,4 +62,27 @@
             assertThat(written.get(), lessThan(MAX_READ_BYTES));
         }
     }
+
+    /** Guards against a document that is cut short by the first of two lengths. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nbody"
+            })
+    void rejectsWhatIsNoAnswerOfHttp(String text) throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                AsyncHttpClient client = AsyncHttpClient.start("test")) {
+            CompletableFuture<Result<FullHttpResponse, HttpFailure>> answer = new CompletableFuture<>();
+            URI origin = URI.create("http://127.0.0.1:" + listener.getLocalPort());
+            client.send(HttpRequest.get(origin, "/", TIMEOUT_MILLIS), answer::complete);
+            try (Socket socket = listener.accept()) {
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+                HttpFailure failure =
+                        answer.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS).fold(_response -> null, reason -> reason);
+                assertThat(failure, is(HttpFailure.BROKEN));
+            }
+        }
+    }
 }
