Abort completion streams that send bytes without end and no event

Cause: EventStreamParser counted the bytes of a line and of data only, not empty lines, comments and other fields; and nobody asked it whether an event was too large, so that the attempt went on while its bytes were ignored. Change: the parser counts all bytes since the last event; RequestTask aborts the attempt when they pass 1 MB, and the stream is resumed elsewhere. Test: StreamTest#resumesAfterStreamOfBytesThatAreNoEvent, four forms; before: 4 of 4 red (the attempt lasted until the server stopped). The lookup of an order has no such limit yet; it holds one claim.

--- a/http/src/main/java/org/geraniumstand/http/caller/Relay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/Relay.java
@@ -21,6 +21,11 @@
     /** Processes a part of the body of an attempt's answer. */
     void onBytes(ByteBuffer bytes);
 
+    /** Returns whether the attempt's answer sent too many bytes that are no answer, and must be aborted. */
+    default boolean tooLarge() {
+        return false;
+    }
+
     /** Returns the way in which an attempt ended, corrected by the content of its answer. */
     AttemptEnd classify(AttemptEnd end);
 
--- a/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
@@ -23,10 +23,14 @@
 import org.geraniumstand.model.request.AttemptResult;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.time.Timestamp;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.support.log.Log;
 import org.xnio.XnioIoThread;
 
 /** Manages a request and its attempts at backend servers; confined to one I/O thread. */
 final class RequestTask implements RequestMailbox, OrderGate.ClaimHandler {
+    private static final Log LOG = Log.of(RequestTask.class);
+
     private final RequestId id;
     private final Admission admission;
     private final Relay relay;
@@ -280,6 +284,11 @@
                 reportedTokens = relay.tokens();
                 context.core().observe(new Observation.StreamProgressed(id, number, reportedTokens));
             }
+            if (relay.tooLarge()) {
+                LOG.warn("answer-without-end", Field.of("request", id), Field.of("attempt", number));
+                attempt.cancel();
+                onEnd(AttemptEnd.BROKEN);
+            }
         }
 
         @Override
--- a/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
@@ -119,6 +119,11 @@
         }
     }
 
+    @Override
+    public boolean tooLarge() {
+        return eventStream && parser.tooLarge();
+    }
+
     @Override
     public AttemptEnd classify(AttemptEnd end) {
         if (eventStream) {
--- a/http/src/main/java/org/geraniumstand/http/upstream/EventStreamParser.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/EventStreamParser.java
@@ -19,6 +19,7 @@
     private final Consumer<String> onData;
     private byte[] line = new byte[INITIAL_LINE_BYTES];
     private int length;
+    private int bytesSinceEvent;
     private boolean tooLarge;
 
     /**
@@ -30,7 +31,10 @@
         this.onData = onData;
     }
 
-    /** Returns whether an event exceeded {@link AnswerLimits#MAX_INCOMPLETE_BYTES}; the parser then ignores all further bytes. */
+    /**
+     * Returns whether more than {@link AnswerLimits#MAX_INCOMPLETE_BYTES} arrived without completing an event; the parser then
+     * ignores all further bytes.
+     */
     public boolean tooLarge() {
         return tooLarge;
     }
@@ -43,6 +47,8 @@
     public void accept(ByteBuffer bytes) {
         while (bytes.hasRemaining() && !tooLarge) {
             byte next = bytes.get();
+            bytesSinceEvent++;
+            tooLarge = bytesSinceEvent > AnswerLimits.MAX_INCOMPLETE_BYTES;
             if (next == '\n') {
                 endLine();
             } else {
@@ -53,10 +59,6 @@
 
     private void append(byte next) {
         if (length == line.length) {
-            if (length + data.length() >= AnswerLimits.MAX_INCOMPLETE_BYTES) {
-                tooLarge = true;
-                return;
-            }
             line = Arrays.copyOf(line, length * 2);
         }
         line[length] = next;
@@ -80,13 +82,13 @@
         }
         int start = text.startsWith(" ", DATA.length()) ? DATA.length() + 1 : DATA.length();
         data.append(text, start, text.length());
-        tooLarge = data.length() > AnswerLimits.MAX_INCOMPLETE_BYTES;
     }
 
     private void endEvent() {
         if (data.length() > 0) {
             String event = data.toString();
             data.setLength(0);
+            bytesSinceEvent = 0;
             onData.accept(event);
         }
     }
--- a/http/src/test/java/org/geraniumstand/http/caller/StreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/StreamTest.java
@@ -24,11 +24,20 @@
 import org.geraniumstand.support.json.Json;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(60)
 final class StreamTest {
     private static final String PATH = "/v1/chat/completions";
     private static final int MAX_TOKENS = 6;
+
+    /** Size of each part of an endless answer, in bytes. */
+    private static final int PART_BYTES = 64 * 1024;
+
+    /** Number of parts after which a server stops writing an endless answer. */
+    private static final int MAX_PARTS = 1_024;
+
     private static final String BODY =
             "{\"stream\":true,\"max_tokens\":6,\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}";
 
@@ -95,6 +104,24 @@
         }
     }
 
+    /** Guards against a stream that sends no event any more, but bytes without end, and lasts until its deadline. */
+    @ParameterizedTest
+    @ValueSource(strings = {"\n", ": x\n\n", "x", "data: x\n"})
+    void resumesAfterStreamOfBytesThatAreNoEvent(String part) throws IOException {
+        FakeServer.Script endless = (request, connection) -> {
+            writeTokens(request, connection, 2);
+            String text = part.repeat(PART_BYTES / part.length());
+            for (int i = 0; i < MAX_PARTS; i++) {
+                connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+            }
+            connection.stallUntilClosed();
+        };
+        try (ListenerFixture fixture = new ListenerFixture(endless, ENGINE)) {
+            assertThat(text(fixture.call("POST", PATH, "", BODY)), is("t0 t1 t2 t3 t4 t5 "));
+            assertThat(fixture.core().attemptEnds(), contains(AttemptEnd.BROKEN, AttemptEnd.ANSWERED));
+        }
+    }
+
     @Test
     void treatsStreamWithoutDoneAsBroken() throws IOException {
         FakeServer.Script endsEarly = (request, connection) -> {
