--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -588,6 +588,19 @@
         }
     }
 
+    /** Guards against a body whose chunk goes on after its size, and reaches the caller cut and as whole. */
+    @Test
+    void neverCompletesAnswerWithAChunkLongerThanItsSize() throws Exception {
+        try (FakeServer server = FakeServer.start((_request, c) -> {
+            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS
+                    + "Transfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n");
+        })) {
+            register(server);
+
+            assertThat(call("POST", "/unsafe/", CALL_HEADERS, "x").status(), is(502));
+        }
+    }
+
     /** Guards against a repeated refusal, which names no request, that is taken for the answer to the next request. */
     @ParameterizedTest
     @CsvSource({"/unsafe/, 0", "/unsafe/, 5", "/once/, 0", "/once/, 5"})
