--- a/http/src/main/java/org/geraniumstand/http/opaque/BodyHandling.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/BodyHandling.java
@@ -1,8 +1,12 @@
 package org.geraniumstand.http.opaque;
 
+import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.relay.CallKind;
 
 /** Tells what to do with the body of one attempt's answer. */
+@Decision(
+        name = "body-handling",
+        summary = "Decides at the head of an answer whether its body is relayed by events, kept, or not read.")
 enum BodyHandling {
     /** Relay each event of a stream once it is complete. */
     RELAY_EVENTS,
