Do not pause an attempt that has ended

Callers: nothing seen. Read in the code: the last bytes of an answer are relayed after its connection has gone back to the pool, and back pressure for them paused the connection's reads, which another attempt may use by then. Change: Attempt.pause does nothing once the attempt has ended, as resume always did. Test: OpaqueListenerTest#relaysManyEmptyLinesAfterTheLastEventAndServesTheNextCall; green before, too, as the HTTP client resumes the reads of a connection with its next request. Suspected only.

--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -102,6 +102,10 @@
 
     @Override
     public void pause() {
+        if (done) {
+            // The connection may serve another attempt by now.
+            return;
+        }
         paused = true;
         if (reader != null) {
             reader.pause();
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -472,6 +472,21 @@
         }
     }
 
+    /** The empty lines fill the output to the caller, which must not pause the connection that the next call uses. */
+    @Test
+    void relaysManyEmptyLinesAfterTheLastEventAndServesTheNextCall() throws Exception {
+        String body = "id: 1\ndata: a\n\n" + "\n".repeat(900_000);
+        try (FakeServer server = FakeServer.start((_r, c) -> c.answer(200, SIGNED_HEADERS, body))) {
+            register(server);
+            for (int i = 0; i < 3; i++) {
+                Caller.Answer answer = call("POST", "/once/", CALL_HEADERS, "x");
+
+                assertThat(answer.body().equals(body), is(true));
+                assertThat(answer.complete(), is(true));
+            }
+        }
+    }
+
     @Test
     void relaysEmptyLinesAroundEventsUnchanged() throws Exception {
         String body = "\n\nid: 1\ndata: a\n\n\n\r\n";
