Test the repeated refusal on the product's own interface

Test: AnswerTest#neverTakesARepeatedRefusalForTheAnswerToTheNextOrder; red with the rule taken out of NativeServerProtocol (an order got the refusal of the one before), green with it. The product is unchanged.

--- a/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/AnswerTest.java
@@ -157,6 +157,30 @@
         }
     }
 
+    /** Guards against a repeated refusal without an id that is taken for the answer to the next order. */
+    @Test
+    void neverTakesARepeatedRefusalForTheAnswerToTheNextOrder() throws IOException {
+        String refusal = "HTTP/1.1 503 Full\r\nX-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
+        FakeServer.Script repeats = (request, connection) -> {
+            if (request.body().equals("refused")) {
+                connection.write(refusal);
+                connection.repeatLater(refusal, 5);
+                return;
+            }
+            Thread.sleep(20);
+            connection.answer(201, "", "made");
+        };
+        try (ListenerFixture fixture = new ListenerFixture(repeats);
+                Caller caller = new Caller(fixture.listener().port())) {
+            for (int i = 0; i < 5; i++) {
+                caller.send("POST", "/orders", "", "refused");
+                assertThat(caller.read("POST").status(), is(503));
+                caller.send("POST", "/orders", "", "one board");
+                assertThat(caller.read("POST").status(), is(201));
+            }
+        }
+    }
+
     @Test
     void retriesOrderThatServerDeclaresNotRun() throws IOException {
         FakeServer.Script declines = (_request, connection) -> connection.answer(503, "X-Outcome: not-run\r\n", "busy");
