Interpret the head of an answer once for each attempt

Both protocols also compared the attempt's id in their own copy of the rule. Change: ServerProtocol.statementOf returns the id, "not run" and whether the connection may be used again as one value; whether an answer can belong to an attempt is decided there for both. Test: the tests of both entrances, unchanged. No behaviour changes.

--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueProtocol.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueProtocol.java
@@ -4,6 +4,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import org.geraniumstand.http.upstream.AnswerHead;
+import org.geraniumstand.http.upstream.AnswerStatement;
 import org.geraniumstand.http.upstream.AttemptSpec;
 import org.geraniumstand.http.upstream.ServerProtocol;
 import org.geraniumstand.model.relay.ServerHead;
@@ -31,18 +32,10 @@
     }
 
     @Override
-    public boolean isAnswerTo(AnswerHead head, AttemptSpec spec) {
-        return read(head).attempt().map(spec.attemptId()::equals).orElse(true);
-    }
-
-    @Override
-    public boolean declaresNotRun(AnswerHead head) {
-        return read(head).notExecuted();
-    }
-
-    @Override
-    public boolean allowsReuse(AnswerHead head) {
-        return read(head).attempt().isPresent();
+    public AnswerStatement statementOf(AnswerHead head) {
+        ServerHead answer = read(head);
+        return new AnswerStatement(
+                answer.attempt(), answer.notExecuted(), answer.attempt().isPresent());
     }
 
     ServerHead read(AnswerHead head) {
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -51,6 +51,7 @@
     private ServerConnection connection;
     private ChannelReader reader;
     private AnswerHead head;
+    private AnswerStatement statement;
     private BodyWriter writer;
     private XnioExecutor.Key timeoutKey;
     private long startNanos;
@@ -171,7 +172,8 @@
             return;
         }
         head = new AnswerHead(response.getResponseCode(), response.getResponseHeaders());
-        if (!spec.protocol().isAnswerTo(head, spec)) {
+        statement = spec.protocol().statementOf(head);
+        if (!statement.canAnswer(spec.attemptId())) {
             // The answer carries the id of another request, so answers on this connection are out of order.
             fail(AttemptEnd.BROKEN);
             return;
@@ -189,12 +191,12 @@
     private void complete() {
         finish();
         // A server that answers before it read the whole request body takes the rest of it for the next request.
-        if (writer.written() && spec.protocol().allowsReuse(head)) {
+        if (writer.written() && statement.allowsReuse()) {
             pool.release(origin.uri(), connection);
         } else {
             IoUtils.safeClose(connection.client());
         }
-        if (spec.protocol().declaresNotRun(head)) {
+        if (statement.notRun()) {
             listener.onEnd(AttemptEnd.DECLINED);
         } else {
             listener.onEnd(head.serverError() ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED);
--- a/http/src/main/java/org/geraniumstand/http/upstream/NativeServerProtocol.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/NativeServerProtocol.java
@@ -3,6 +3,7 @@
 import io.undertow.util.HeaderMap;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
+import java.util.Optional;
 
 /** Implements the product's own header conventions for backend servers. */
 final class NativeServerProtocol implements ServerProtocol {
@@ -20,18 +21,9 @@
     }
 
     @Override
-    public boolean isAnswerTo(AnswerHead head, AttemptSpec spec) {
-        String attemptId = head.headers().getFirst(ATTEMPT_ID);
-        return attemptId == null || attemptId.equals(spec.attemptId());
-    }
-
-    @Override
-    public boolean declaresNotRun(AnswerHead head) {
-        return head.declaresNotRun();
-    }
-
-    @Override
-    public boolean allowsReuse(AnswerHead head) {
-        return head.headers().contains(ATTEMPT_ID) || !declaresNotRun(head);
+    public AnswerStatement statementOf(AnswerHead head) {
+        Optional<String> attemptId = Optional.ofNullable(head.headers().getFirst(ATTEMPT_ID));
+        boolean notRun = head.declaresNotRun();
+        return new AnswerStatement(attemptId, notRun, attemptId.isPresent() || !notRun);
     }
 }
