--- a/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
@@ -11,10 +11,9 @@
  * <p>Source: WHATWG HTML, "Server-sent events". An event ends with an empty line; empty lines outside an event are no event.
  */
 final class EventSplitter {
-    private static final String ID_FIELD = "id:";
-    private static final int INITIAL_BYTES = 1024;
+    private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.UTF_8);
 
-    private byte[] incomplete = new byte[INITIAL_BYTES];
+    private byte[] incomplete = new byte[0];
     private int size;
     private int lineStart;
     private boolean hasLine;
@@ -87,20 +86,18 @@
     }
 
     private boolean endsEvent(int lineFeed) {
-        if (!isEmptyLine(lineFeed)) {
+        boolean emptyLine = isEmptyLine(lineFeed);
+        boolean ends = emptyLine && hasLine;
+        if (!emptyLine) {
             readId(lineFeed);
-            hasLine = true;
-            lineStart = lineFeed + 1;
-            return false;
         }
-        lineStart = lineFeed + 1;
-        if (!hasLine) {
-            return false;
+        if (ends) {
+            lastId = incompleteId.or(() -> lastId);
+            incompleteId = Optional.empty();
         }
-        hasLine = false;
-        lastId = incompleteId.or(() -> lastId);
-        incompleteId = Optional.empty();
-        return true;
+        hasLine = !emptyLine;
+        lineStart = lineFeed + 1;
+        return ends;
     }
 
     private boolean isEmptyLine(int end) {
@@ -108,21 +105,9 @@
     }
 
     private void readId(int end) {
-        if (startsWithId(end)) {
-            int start = lineStart + ID_FIELD.length();
+        int start = lineStart + ID_FIELD.length;
+        if (start <= end && Arrays.equals(incomplete, lineStart, start, ID_FIELD, 0, ID_FIELD.length)) {
             incompleteId = Optional.of(new String(incomplete, start, end - start, StandardCharsets.UTF_8).trim());
         }
     }
-
-    private boolean startsWithId(int end) {
-        if (end - lineStart < ID_FIELD.length()) {
-            return false;
-        }
-        for (int i = 0; i < ID_FIELD.length(); i++) {
-            if (incomplete[lineStart + i] != ID_FIELD.charAt(i)) {
-                return false;
-            }
-        }
-        return true;
-    }
 }
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -233,7 +233,7 @@
             head = answerHead;
             headNanos = System.nanoTime();
             serverAnswer = context.protocol().read(answerHead);
-            success = head.status() / STATUS_CLASS_DIVISOR == SUCCESS_CLASS && serverAnswer.signed();
+            success = hasSuccessStatus() && serverAnswer.signed();
             handling = BodyHandling.of(success, call.route().kind(), answer.started());
             context.dispatcherTask().onAnswerStarted(call, serverAnswer);
             context.observer().answerStarted(call.route().kind(), millisSinceArrival());
@@ -246,15 +246,11 @@
 
         private void reject() {
             attempt.cancel();
-            if (serverAnswer.notExecuted()) {
-                onEnd(AttemptEnd.DECLINED);
-            } else {
-                onEnd(isUnsignedSuccess() ? AttemptEnd.BROKEN : AttemptEnd.SERVER_ERROR);
-            }
+            onEnd(serverAnswer.notExecuted() ? AttemptEnd.DECLINED : AttemptEnd.SERVER_ERROR);
         }
 
-        private boolean isUnsignedSuccess() {
-            return head.status() / STATUS_CLASS_DIVISOR == SUCCESS_CLASS && !serverAnswer.signed();
+        private boolean hasSuccessStatus() {
+            return head.status() / STATUS_CLASS_DIVISOR == SUCCESS_CLASS;
         }
 
         @Override
@@ -350,11 +346,10 @@
         }
 
         private AttemptEnd classify(AttemptEnd end) {
-            boolean whole = end == AttemptEnd.ANSWERED || end == AttemptEnd.SERVER_ERROR;
-            if (!whole || handling == BodyHandling.REJECT) {
+            if (end != AttemptEnd.ANSWERED && end != AttemptEnd.SERVER_ERROR) {
                 return end;
             }
-            if (isUnsignedSuccess()) {
+            if (hasSuccessStatus() && !serverAnswer.signed()) {
                 // A success without the server's signature is not trusted.
                 return AttemptEnd.BROKEN;
             }
@@ -362,7 +357,8 @@
                 // A stream without length and chunks ends with its connection, so the server may have been cut off.
                 return AttemptEnd.BROKEN;
             }
-            return head.status() >= SERVER_ERROR ? AttemptEnd.SERVER_ERROR : AttemptEnd.ANSWERED;
+            boolean usable = handling != BodyHandling.REJECT && head.status() < SERVER_ERROR;
+            return usable ? AttemptEnd.ANSWERED : AttemptEnd.SERVER_ERROR;
         }
 
         /** Returns whether a server's error answer is relayed because the call must not be retried. */
--- a/http/src/main/java/org/geraniumstand/http/upstream/EventStreamParser.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/EventStreamParser.java
@@ -20,7 +20,6 @@
     private byte[] line = new byte[INITIAL_LINE_BYTES];
     private int length;
     private int bytesSinceEvent;
-    private boolean tooLarge;
 
     /**
      * Creates a parser.
@@ -36,7 +35,7 @@
      * ignores all further bytes.
      */
     public boolean tooLarge() {
-        return tooLarge;
+        return bytesSinceEvent > AnswerLimits.MAX_INCOMPLETE_BYTES;
     }
 
     /**
@@ -45,10 +44,12 @@
      * @param bytes the next bytes
      */
     public void accept(ByteBuffer bytes) {
-        while (bytes.hasRemaining() && !tooLarge) {
-            byte next = bytes.get();
+        while (bytes.hasRemaining()) {
             bytesSinceEvent++;
-            tooLarge = bytesSinceEvent > AnswerLimits.MAX_INCOMPLETE_BYTES;
+            if (tooLarge()) {
+                return;
+            }
+            byte next = bytes.get();
             if (next == '\n') {
                 endLine();
             } else {
--- a/support/src/main/java/org/geraniumstand/support/net/ChannelReader.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ChannelReader.java
@@ -81,27 +81,17 @@
     }
 
     private void readTurn() {
+        if (stopped()) {
+            return;
+        }
         long startNanos = System.nanoTime();
         try (PooledByteBuffer pooled = buffers.allocate()) {
-            ByteBuffer buffer = pooled.getBuffer();
-            while (!done && !paused) {
-                buffer.clear();
-                int count = channel.read(buffer);
-                if (count < 0) {
-                    done = true;
-                    listener.onEnd();
-                    return;
-                }
-                if (count == 0) {
-                    channel.resumeReads();
-                    return;
-                }
-                buffer.flip();
-                listener.onPart(buffer);
-                if (System.nanoTime() - startNanos >= MAX_TURN_NANOS) {
-                    yieldTurn();
-                    return;
-                }
+            int count;
+            do {
+                count = readPart(pooled.getBuffer());
+            } while (count > 0 && !stopped() && System.nanoTime() - startNanos < MAX_TURN_NANOS);
+            if (!stopped()) {
+                channel.resumeReads();
             }
         } catch (IOException e) {
             if (!done) {
@@ -111,9 +101,21 @@
         }
     }
 
-    private void yieldTurn() {
-        if (!done && !paused) {
-            channel.resumeReads();
+    private boolean stopped() {
+        return done || paused;
+    }
+
+    /** Reads and passes on one part, and returns its size, zero if nothing has arrived, or a negative number at the end. */
+    private int readPart(ByteBuffer buffer) throws IOException {
+        buffer.clear();
+        int count = channel.read(buffer);
+        if (count < 0) {
+            done = true;
+            listener.onEnd();
+        } else if (count > 0) {
+            buffer.flip();
+            listener.onPart(buffer);
         }
+        return count;
     }
 }
