Share the steps that tests of faulty servers have in common

The two tests that cut an answer at each byte had the same loop, and six scripts wrote the same head. The assertions are the same; the test of the cut head now also checks that each call reached the server. A comment that named the wrong thing is corrected.

--- a/http/src/test/java/org/geraniumstand/http/opaque/FaultyServerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/FaultyServerTest.java
@@ -7,6 +7,8 @@
 import static org.hamcrest.Matchers.not;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -59,7 +61,7 @@
     void abortsStreamWithEndlessEvent() throws Exception {
         AtomicLong written = new AtomicLong();
         try (FakeServer server = FakeServer.start((_r, c) -> {
-            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "Transfer-Encoding: chunked\r\n\r\n");
+            startChunks(c);
             chunk(c, "id: 1\ndata: a\n\ndata: ");
             writeEndlessly(c, written);
         })) {
@@ -184,7 +186,7 @@
                 c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "\r\n" + "\n".repeat(8 * 1024 * 1024));
                 throw new IOException("end of the connection");
             }
-            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "Transfer-Encoding: chunked\r\n\r\n");
+            startChunks(c);
             chunk(c, "id: 1\ndata: a\n\n");
             c.write("0\r\n\r\n");
         };
@@ -237,25 +239,36 @@
                 : head + "Transfer-Encoding: chunked\r\n\r\n10\r\nid: 1\ndata: ab\n\n\r\n0\r\n\r\n";
     }
 
-    /** Guards against an answer that was cut in its head or body, and reaches the caller as a whole and empty or short one. */
-    @ParameterizedTest
-    @CsvSource({"length, /unsafe/", "chunks, /unsafe/", "length, /once/", "chunks, /once/"})
-    void neverCompletesAnswerThatIsCutAtAnyByte(String framing, String target) throws Exception {
-        String whole = framed(framing);
+    /** Sends a call for each byte before which the server cuts its answer, and returns what the callers got. */
+    private List<Caller.Answer> answersCutAtEachByte(String answer, String target) throws Exception {
         AtomicInteger cut = new AtomicInteger();
+        List<Caller.Answer> answers = new ArrayList<>();
         try (FakeServer server = FakeServer.start((_request, c) -> {
-            c.write(whole.substring(0, cut.get()));
+            c.write(answer.substring(0, cut.get()));
             c.abort();
         })) {
-            for (int i = 0; i < whole.length(); i++) {
+            configure();
+            for (int i = 0; i < answer.length(); i++) {
                 cut.set(i);
-                configure();
-                register("s" + i, server.port(), 8);
-                Caller.Answer answer = call("POST", target, CALL_HEADERS, "x");
-                assertThat("cut after " + i + " bytes", answer.status() == 200 && answer.complete(), is(false));
-                onThread(() -> dispatcher.fleet().onRemoved(new ServerId("s" + cut.get())));
+                ServerId id = new ServerId("s" + i);
+                register(id.value(), server.port(), 8);
+                answers.add(call("POST", target, CALL_HEADERS, "x"));
+                onThread(() -> dispatcher.fleet().onRemoved(id));
             }
-            assertThat(server.requests(), hasSize(whole.length()));
+            assertThat(server.requests(), hasSize(answer.length()));
+        }
+        return answers;
+    }
+
+    /** Guards against an answer that was cut in its head or body, and reaches the caller as a whole and empty or short one. */
+    @ParameterizedTest
+    @CsvSource({"length, /unsafe/", "chunks, /unsafe/", "length, /once/", "chunks, /once/"})
+    void neverCompletesAnswerThatIsCutAtAnyByte(String framing, String target) throws Exception {
+        String whole = framed(framing);
+        List<Caller.Answer> answers = answersCutAtEachByte(whole, target);
+        for (int i = 0; i < answers.size(); i++) {
+            Caller.Answer answer = answers.get(i);
+            assertThat("cut after " + i + " bytes", answer.status() == 200 && answer.complete(), is(false));
         }
     }
 
@@ -264,19 +277,9 @@
     @ValueSource(strings = {"", "Connection: close\r\n"})
     void neverCompletesUnframedAnswerThatIsCutInItsHead(String header) throws Exception {
         String head = "HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + header + "\r\n";
-        AtomicInteger cut = new AtomicInteger();
-        try (FakeServer server = FakeServer.start((_request, c) -> {
-            c.write(head.substring(0, cut.get()));
-            c.abort();
-        })) {
-            for (int i = 0; i < head.length(); i++) {
-                cut.set(i);
-                configure();
-                register("s" + i, server.port(), 8);
-                Caller.Answer answer = call("POST", "/unsafe/", CALL_HEADERS, "x");
-                assertThat("cut after " + i + " bytes", answer.status(), is(502));
-                onThread(() -> dispatcher.fleet().onRemoved(new ServerId("s" + cut.get())));
-            }
+        List<Caller.Answer> answers = answersCutAtEachByte(head, "/unsafe/");
+        for (int i = 0; i < answers.size(); i++) {
+            assertThat("cut after " + i + " bytes", answers.get(i).status(), is(502));
         }
     }
 
@@ -375,7 +378,7 @@
         }
     }
 
-    /** Starts servers of which the first called breaks a stream off, the next answers otherwise, and the third resumes it. */
+    /** Returns a script that breaks a stream off when first called, then answers otherwise, then resumes the stream. */
     private FakeServer.Script breakOffThenAnswer(String answer) {
         AtomicInteger calls = new AtomicInteger();
         return (_request, c) -> {
@@ -384,7 +387,7 @@
                 c.write(answer);
                 throw new IOException("end of the connection");
             }
-            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "Transfer-Encoding: chunked\r\n\r\n");
+            startChunks(c);
             chunk(c, number == 1 ? "id: 1\ndata: a\n\n" : "id: 2\ndata: b\n\n");
             if (number == 1) {
                 throw new IOException("simulated connection loss");
@@ -475,7 +478,7 @@
     @Test
     void closesConnectionOfBrokenStreamThatIsNotResumable() throws Exception {
         try (FakeServer server = FakeServer.start((_r, c) -> {
-            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "Transfer-Encoding: chunked\r\n\r\n");
+            startChunks(c);
             chunk(c, "id: 1\ndata: a\n\n");
             throw new IOException("simulated connection loss");
         })) {
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerFixture.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerFixture.java
@@ -162,6 +162,11 @@
         }
     }
 
+    /** Starts a signed success whose body is sent in chunks. */
+    static void startChunks(FakeServer.Connection connection) throws IOException {
+        connection.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "Transfer-Encoding: chunked\r\n\r\n");
+    }
+
     static void chunk(FakeServer.Connection connection, String text) throws IOException {
         connection.write(Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -176,7 +176,7 @@
     @Test
     void resumesResumableStreamAtAnotherServer() throws Exception {
         FakeServer.Script script = (request, c) -> {
-            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "Transfer-Encoding: chunked\r\n\r\n");
+            startChunks(c);
             boolean resumed = "1".equals(request.headers().get("after"));
             chunk(c, resumed ? "id: 2\ndata: b\n\n" : "id: 1\ndata: a\n\nid: 2\nda");
             if (!resumed) {
@@ -210,7 +210,7 @@
     void cancelsAttemptWhenCallerDisconnects() throws Exception {
         CountDownLatch arrived = new CountDownLatch(1);
         try (FakeServer server = FakeServer.start((_r, c) -> {
-            c.write("HTTP/1.1 200 OK\r\n" + SIGNED_HEADERS + "Transfer-Encoding: chunked\r\n\r\n");
+            startChunks(c);
             chunk(c, "id: 1\ndata: a\n\n");
             arrived.countDown();
         })) {
