Log the connection of each attempt

Callers of an earlier landing saw orders run twice, and refused ones run. A refusal taken for the answer to a later attempt on the same connection could not be told from an answer of another request or from a refusal without an id: attempt-ended named no connection. It now names the local port, which attempts on one connection share and the server sees as the peer's.

--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -333,6 +333,7 @@
                     Field.of("request", call.head().attempt()),
                     Field.of("attempt", call.attempts()),
                     Field.of("server", server),
+                    Field.of("connection", attempt.connectionPort()),
                     Field.of("parts", partsText()),
                     Field.of("end", classified),
                     Field.of("status", head == null ? 0 : head.status()),
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -8,6 +8,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -49,6 +50,7 @@
     private final ConnectionPool pool;
     private final AttemptListener listener;
     private ServerConnection connection;
+    private int connectionPort;
     private ChannelReader reader;
     private AnswerHead head;
     private AnswerStatement statement;
@@ -88,6 +90,11 @@
         return connection != null;
     }
 
+    /** Returns the local port of the attempt's connection, which identifies it among those to the same server; 0 without one. */
+    public int connectionPort() {
+        return connectionPort;
+    }
+
     /** Returns whether the attempt is still in progress. */
     public boolean running() {
         return !done;
@@ -140,6 +147,7 @@
             return;
         }
         connection = established;
+        connectionPort = localPort(established);
         connection.framing().onProgress();
         ClientRequest request =
                 new ClientRequest().setMethod(Methods.fromString(spec.method())).setPath(spec.path());
@@ -149,6 +157,11 @@
         established.client().sendRequest(request, Callbacks.of(this::writeBody, _e -> fail(AttemptEnd.BROKEN)));
     }
 
+    private static int localPort(ServerConnection connection) {
+        InetSocketAddress address = connection.client().getLocalAddress(InetSocketAddress.class);
+        return address == null ? 0 : address.getPort();
+    }
+
     private void writeBody(ClientExchange exchange) {
         exchange.setResponseListener(Callbacks.of(this::readHead, this::failReading));
         writer = new BodyWriter(exchange.getRequestChannel(), spec.body(), () -> fail(AttemptEnd.BROKEN));
