Never send a request again on the connection that refused it

A request that its server refused could run twice, be answered 503 although it ran, or be sent to more servers than its route allows.

A server may send the copy of a refusal later, where the next answer is due. The attempt returned a connection to the pool after a refusal that named the request, so the retry at the same server got that very connection, as the pool hands out the one that was used last. The copy names the request that is under way, too, and was taken for the answer to the retry while the server ran it.

Each connection now remembers the requests that were answered on it without success, and the pool skips it for these and keeps it for all others; a retry gets another connection. So the id of an answer tells again which request it belongs to. The memory is bounded, as callers choose the ids; a connection without room for an id is closed.

--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueProtocol.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueProtocol.java
@@ -34,8 +34,12 @@
     @Override
     public AnswerStatement statementOf(AnswerHead head) {
         ServerHead answer = read(head);
+        boolean success = head.success() && answer.signed() && !answer.notExecuted();
         return new AnswerStatement(
-                answer.attempt(), answer.notExecuted(), answer.attempt().isPresent());
+                answer.attempt(),
+                answer.notExecuted(),
+                success,
+                answer.attempt().isPresent());
     }
 
     ServerHead read(AnswerHead head) {
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -33,8 +33,6 @@
 /** Manages a caller's exchange and its attempts at backend servers; confined to one I/O thread. */
 final class OpaqueTask {
     private static final Log LOG = Log.of(OpaqueTask.class);
-    private static final int SUCCESS_CLASS = 2;
-    private static final int STATUS_CLASS_DIVISOR = 100;
     private static final int SERVER_ERROR = 500;
 
     private static final int MAX_LOGGED_PARTS = 8;
@@ -250,7 +248,7 @@
             head = answerHead;
             headNanos = System.nanoTime();
             serverAnswer = context.protocol().read(answerHead);
-            success = hasSuccessStatus() && serverAnswer.signed();
+            success = head.success() && serverAnswer.signed();
             handling = BodyHandling.of(success, call.route().kind(), answer.started());
             context.dispatcherTask().onAnswerStarted(call, serverAnswer);
             context.observer().answerStarted(call.route().kind(), millisSinceArrival());
@@ -266,10 +264,6 @@
             onEnd(serverAnswer.notExecuted() ? AttemptEnd.DECLINED : AttemptEnd.SERVER_ERROR);
         }
 
-        private boolean hasSuccessStatus() {
-            return head.status() / STATUS_CLASS_DIVISOR == SUCCESS_CLASS;
-        }
-
         @Override
         public void onBytes(ByteBuffer bytes) {
             if (call.server() != null) {
--- a/http/src/main/java/org/geraniumstand/http/upstream/AnswerHead.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/AnswerHead.java
@@ -15,6 +15,8 @@
     /** Header in which a backend server reports whether it ran a request. */
     public static final HttpString OUTCOME = new HttpString("X-Outcome");
 
+    private static final int SUCCESS_CLASS = 2;
+    private static final int STATUS_CLASS_DIVISOR = 100;
     private static final int SERVER_ERROR = 500;
     private static final String NOT_RUN = "not-run";
 
@@ -33,6 +35,11 @@
         return NOT_RUN.equals(headers.getFirst(OUTCOME));
     }
 
+    /** Returns whether the status is a success, from 200 to 299. */
+    public boolean success() {
+        return status / STATUS_CLASS_DIVISOR == SUCCESS_CLASS;
+    }
+
     /** Returns whether the status is a server error, 500 or above. */
     public boolean serverError() {
         return status >= SERVER_ERROR;
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -82,7 +82,8 @@
         lastByteNanos = startNanos;
         scheduleTimeout(spec.limits().firstByteMillis());
         long maxIdleMillis = spec.limits().requiresRecentConnection() ? MAX_IDLE_RECENT_MILLIS : MAX_IDLE_MILLIS;
-        pool.acquire(origin.uri(), maxIdleMillis).ifPresentOrElse(this::sendRequestOn, this::connect);
+        pool.acquire(origin.uri(), maxIdleMillis, this::mayCarryRequest)
+                .ifPresentOrElse(this::sendRequestOn, this::connect);
     }
 
     /** Returns whether bytes of the request may have been sent. */
@@ -132,6 +133,11 @@
         }
     }
 
+    // A late copy of an earlier answer to the same request would be taken for the answer to this attempt.
+    private boolean mayCarryRequest(ServerConnection pooled) {
+        return !pooled.answeredIds().containsUnsuccessful(spec.attemptId());
+    }
+
     private void connect() {
         ServerConnection.open(origin.uri(), thread, buffers, this::sendRequestOn, _e -> fail(AttemptEnd.NOT_CONNECTED));
     }
@@ -203,8 +209,7 @@
 
     private void complete() {
         finish();
-        // A server that answers before it read the whole request body takes the rest of it for the next request.
-        if (writer.written() && statement.allowsReuse()) {
+        if (mayReuseConnection()) {
             pool.release(origin.uri(), connection);
         } else {
             IoUtils.safeClose(connection.client());
@@ -216,6 +221,13 @@
         }
     }
 
+    private boolean mayReuseConnection() {
+        // A server that answers before it read the whole request body takes the rest of it for the next request.
+        return writer.written()
+                && statement.allowsReuse()
+                && connection.answeredIds().add(spec.attemptId(), statement.success());
+    }
+
     private void closeNow() {
         Connections.closeNow(connection == null ? null : connection.client());
     }
--- a/http/src/main/java/org/geraniumstand/http/upstream/NativeServerProtocol.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/NativeServerProtocol.java
@@ -24,6 +24,6 @@
     public AnswerStatement statementOf(AnswerHead head) {
         Optional<String> attemptId = Optional.ofNullable(head.headers().getFirst(ATTEMPT_ID));
         boolean notRun = head.declaresNotRun();
-        return new AnswerStatement(attemptId, notRun, attemptId.isPresent() || !notRun);
+        return new AnswerStatement(attemptId, notRun, !notRun && head.success(), attemptId.isPresent() || !notRun);
     }
 }
--- a/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
@@ -13,12 +13,14 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Holds a connection to a server and the limit on what the server may send besides bodies.
+ * Holds a connection to a server, the limit on what the server may send besides bodies, and the requests that were answered
+ * on it.
  *
  * @param client the connection
  * @param framing counts the bytes that are no part of a body
+ * @param answeredIds the requests that were answered and must not be sent again on this connection
  */
-public record ServerConnection(ClientConnection client, FramingLimit framing) {
+public record ServerConnection(ClientConnection client, FramingLimit framing, AnsweredIds answeredIds) {
     private static final Log LOG = Log.of(ServerConnection.class);
 
     /**
@@ -54,7 +56,9 @@
             Consumer<IOException> onFailed) {
         UndertowClient.getInstance()
                 .connect(
-                        Callbacks.of(client -> onConnected.accept(new ServerConnection(client, limit)), onFailed),
+                        Callbacks.of(
+                                client -> onConnected.accept(new ServerConnection(client, limit, new AnsweredIds())),
+                                onFailed),
                         origin,
                         new LimitedIoThread(thread, limit),
                         buffers,
