Wait for the own answer after the copy of an earlier one

An order that its server ran was answered 502 if the server had repeated an earlier answer on the connection shortly before.

The copy arrives where the answer to the order is due. It names its own request, so the attempt knew that it was not the answer, and ended as broken: Undertow's HTTP client accepts one answer for each request.

The attempt now reads the copy to its end, drops it and waits on the same connection, within its timeout for the first byte and limits on the number and size of copies. For this the client gets another request, of which a conduit at the connection's sink discards every byte. An answer that names a request which the connection did not carry, or has forgotten, is no copy and breaks the attempt as before, since the own answer has most likely gone elsewhere.

--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -43,6 +43,9 @@
      */
     private static final long CONNECT_TIMEOUT_MILLIS = 500;
 
+    /** Maximum length of another request's id in a line of the log, in characters; servers choose it. */
+    private static final int MAX_LOGGED_ID_CHARS = 128;
+
     private final AttemptSpec spec;
     private final Origin origin;
     private final XnioIoThread thread;
@@ -54,6 +57,7 @@
     private ChannelReader reader;
     private AnswerHead head;
     private AnswerStatement statement;
+    private RepeatedAnswers repeatedAnswers;
     private BodyWriter writer;
     private XnioExecutor.Key timeoutKey;
     private long startNanos;
@@ -154,6 +158,7 @@
         }
         connection = established;
         connectionPort = localPort(established);
+        repeatedAnswers = new RepeatedAnswers(established, buffers, this::readHead, this::failReading);
         connection.framing().onProgress();
         ClientRequest request =
                 new ClientRequest().setMethod(Methods.fromString(spec.method())).setPath(spec.path());
@@ -190,13 +195,14 @@
             fail(AttemptEnd.BROKEN);
             return;
         }
-        head = new AnswerHead(response.getResponseCode(), response.getResponseHeaders());
-        statement = spec.protocol().statementOf(head);
-        if (!statement.canAnswer(spec.attemptId())) {
-            // The answer carries the id of another request, so answers on this connection are out of order.
-            fail(AttemptEnd.BROKEN);
+        AnswerHead received = new AnswerHead(response.getResponseCode(), response.getResponseHeaders());
+        AnswerStatement stated = spec.protocol().statementOf(received);
+        if (!stated.canAnswer(spec.attemptId())) {
+            onAnswerOfAnotherRequest(exchange, stated);
             return;
         }
+        head = received;
+        statement = stated;
         lastByteNanos = System.nanoTime();
         scheduleTimeout(spec.limits().betweenBytesMillis());
         reader = new ChannelReader(exchange.getResponseChannel(), buffers, new BodyListener());
@@ -207,6 +213,24 @@
         reader.start();
     }
 
+    private void onAnswerOfAnotherRequest(ClientExchange exchange, AnswerStatement stated) {
+        String answered = stated.attemptId().orElse("");
+        // If the other request was not sent on this connection, the server has mixed up its answers.
+        boolean repeated = connection.answeredIds().contains(answered);
+        LOG.warn(
+                "answer-of-another-request",
+                Field.of("request", spec.attemptId()),
+                Field.of("server", origin.authority()),
+                Field.of("answered", answered.substring(0, Math.min(answered.length(), MAX_LOGGED_ID_CHARS))),
+                Field.of("repeated", repeated),
+                Field.of("status", exchange.getResponse().getResponseCode()));
+        if (repeated && writer.written()) {
+            repeatedAnswers.drop(exchange);
+        } else {
+            fail(AttemptEnd.BROKEN);
+        }
+    }
+
     private void complete() {
         finish();
         if (mayReuseConnection()) {
@@ -290,6 +314,9 @@
 
     private void finish() {
         done = true;
+        if (repeatedAnswers != null) {
+            repeatedAnswers.stop();
+        }
         if (reader != null) {
             reader.stop();
         }
--- a/http/src/main/java/org/geraniumstand/http/upstream/AttemptSpec.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/AttemptSpec.java
@@ -13,7 +13,7 @@
  * @param method the HTTP method
  * @param path path and query string
  * @param headers headers other than host, content length and the attempt's id
- * @param attemptId id of this attempt; an answer that carries another id is rejected
+ * @param attemptId id of this attempt; an answer that carries another id is not used
  * @param body the request body
  * @param limits the time limits of the attempt
  * @param protocol the header conventions of the server
@@ -41,7 +41,7 @@
      * @param method the HTTP method
      * @param path path and query string
      * @param headers headers other than host, content length and the attempt's id
-     * @param attemptId id of this attempt; an answer that carries another id is rejected
+     * @param attemptId id of this attempt; an answer that carries another id is not used
      * @param body the request body
      * @param limits the time limits of the attempt
      */
--- a/support/src/main/java/org/geraniumstand/support/net/LimitedIoThread.java
+++ b/support/src/main/java/org/geraniumstand/support/net/LimitedIoThread.java
@@ -9,19 +9,21 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Opens connections on another I/O thread and limits what is read from them.
+ * Opens connections on another I/O thread, limits what is read from them and can discard what is written to them.
  *
- * <p>Undertow's HTTP client has no limit on a response's head and opens its connections by way of the I/O thread that it is
- * given, which is the only place to add one. This thread itself is never started.
+ * <p>Undertow's HTTP client has no limit on a response's head and no way to expect a second response. It opens its connections by
+ * way of the I/O thread that it is given, which is the only place to add them. This thread itself is never started.
  */
 final class LimitedIoThread extends XnioIoThread {
     private final XnioIoThread delegate;
     private final FramingLimit limit;
+    private final WriteSwitch writes;
 
-    LimitedIoThread(XnioIoThread delegate, FramingLimit limit) {
+    LimitedIoThread(XnioIoThread delegate, FramingLimit limit, WriteSwitch writes) {
         super(delegate.getWorker(), delegate.getNumber());
         this.delegate = delegate;
         this.limit = limit;
+        this.writes = writes;
     }
 
     @Override
@@ -34,6 +36,10 @@
                             .getSourceChannel()
                             .setConduit(new FramingLimitConduit(
                                     connection.getSourceChannel().getConduit(), limit));
+                    connection
+                            .getSinkChannel()
+                            .setConduit(new DiscardingConduit(
+                                    connection.getSinkChannel().getConduit(), writes));
                     openListener.handleEvent(connection);
                 },
                 options);
--- a/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
@@ -1,10 +1,14 @@
 package org.geraniumstand.support.net;
 
 import io.undertow.client.ClientConnection;
+import io.undertow.client.ClientExchange;
+import io.undertow.client.ClientRequest;
 import io.undertow.client.UndertowClient;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.net.URI;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
@@ -12,17 +16,62 @@
 import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
 
-/**
- * Holds a connection to a server, the limit on what the server may send besides bodies, and the requests that were answered
- * on it.
- *
- * @param client the connection
- * @param framing counts the bytes that are no part of a body
- * @param answeredIds the requests that were answered and must not be sent again on this connection
- */
-public record ServerConnection(ClientConnection client, FramingLimit framing, AnsweredIds answeredIds) {
+/** Holds a connection to a server and what is known of it beyond what Undertow's HTTP client knows; confined to one I/O thread. */
+public final class ServerConnection {
     private static final Log LOG = Log.of(ServerConnection.class);
 
+    /** The path of a request that is not sent. */
+    private static final String UNSENT_PATH = "/";
+
+    private final ClientConnection client;
+    private final FramingLimit framing;
+    private final WriteSwitch writes;
+    private final AnsweredIds answeredIds = new AnsweredIds();
+
+    private ServerConnection(ClientConnection client, FramingLimit framing, WriteSwitch writes) {
+        this.client = client;
+        this.framing = framing;
+        this.writes = writes;
+    }
+
+    /** Returns the connection of the HTTP client. */
+    public ClientConnection client() {
+        return client;
+    }
+
+    /** Returns the limit on the bytes that are no part of a body. */
+    public FramingLimit framing() {
+        return framing;
+    }
+
+    /** Returns the requests that were answered on this connection. */
+    public AnsweredIds answeredIds() {
+        return answeredIds;
+    }
+
+    /**
+     * Waits for another answer after one was read to its end that belongs to an earlier request; sends nothing.
+     *
+     * <p>The HTTP client expects one answer for each request, so it gets a request of which no byte is sent.
+     *
+     * @param method method of the request that waits for its answer, which must have been sent completely
+     * @param onAnswer called when the head of the answer has arrived
+     * @param onFailed called with the reason if there is no further answer
+     */
+    public void awaitFurtherAnswer(
+            HttpString method, Consumer<ClientExchange> onAnswer, Consumer<IOException> onFailed) {
+        ClientRequest unsent = new ClientRequest().setMethod(method).setPath(UNSENT_PATH);
+        AtomicReference<ClientExchange> exchange = new AtomicReference<>();
+        writes.discardWritesOf(() -> client.sendRequest(unsent, Callbacks.of(exchange::set, _e -> {})));
+        if (exchange.get() == null) {
+            // The connection ends with the answer, or its request is not complete and the client keeps this one for
+            // later.
+            onFailed.accept(new IOException("the connection cannot have a further answer"));
+            return;
+        }
+        exchange.get().setResponseListener(Callbacks.of(onAnswer, onFailed));
+    }
+
     /**
      * Opens a connection. An origin that no connection can be opened to is reported like a failed connection.
      *
@@ -38,9 +87,8 @@
             ByteBufferPool buffers,
             Consumer<ServerConnection> onConnected,
             Consumer<IOException> onFailed) {
-        FramingLimit limit = new FramingLimit();
         try {
-            connect(origin, thread, buffers, limit, onConnected, onFailed);
+            connect(origin, thread, buffers, onConnected, onFailed);
         } catch (RuntimeException e) {
             LOG.warn("connection-not-opened", Field.of("origin", origin), Field.of("reason", StackSummary.of(e)));
             onFailed.accept(new IOException("cannot open a connection to " + origin, e));
@@ -51,16 +99,16 @@
             URI origin,
             XnioIoThread thread,
             ByteBufferPool buffers,
-            FramingLimit limit,
             Consumer<ServerConnection> onConnected,
             Consumer<IOException> onFailed) {
+        FramingLimit limit = new FramingLimit();
+        WriteSwitch writes = new WriteSwitch();
         UndertowClient.getInstance()
                 .connect(
                         Callbacks.of(
-                                client -> onConnected.accept(new ServerConnection(client, limit, new AnsweredIds())),
-                                onFailed),
+                                client -> onConnected.accept(new ServerConnection(client, limit, writes)), onFailed),
                         origin,
-                        new LimitedIoThread(thread, limit),
+                        new LimitedIoThread(thread, limit, writes),
                         buffers,
                         OptionMap.EMPTY);
     }
--- a/support/src/test/java/org/geraniumstand/support/net/ConnectionFixture.java
+++ b/support/src/test/java/org/geraniumstand/support/net/ConnectionFixture.java
@@ -55,6 +55,7 @@
     Socket accept() throws IOException {
         Socket socket = listener.accept();
         socket.setSoTimeout((int) TIMEOUT_MILLIS);
+        socket.setTcpNoDelay(true);
         return socket;
     }
 
