Test that the copy of a refusal never answers another attempt

Callers saw an order run twice, be answered 503 though it ran, and be repeated on more servers than its route allows: a server may send the copy of a refusal, which bears the id of the refused request, while that request is under way again on the same connection.

--- a/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
@@ -87,6 +87,11 @@
         return disconnects.get();
     }
 
+    /** Returns the number of connections that were opened to the server. */
+    public int connections() {
+        return sockets.size();
+    }
+
     @Override
     public void close() throws IOException {
         listener.close();
@@ -195,6 +200,17 @@
          * @param delayMillis the delay in milliseconds
          */
         public void repeatLater(String text, long delayMillis) {
+            repeatLater(text, delayMillis, () -> {});
+        }
+
+        /**
+         * Writes text once more after a delay, whatever the connection is used for by then, and reports the end of it.
+         *
+         * @param text the text to write
+         * @param delayMillis the delay in milliseconds
+         * @param onEnd called when the text was written or the client had closed the connection
+         */
+        public void repeatLater(String text, long delayMillis, Runnable onEnd) {
             startThread(() -> {
                 try {
                     Thread.sleep(delayMillis);
@@ -203,6 +219,8 @@
                     // The client has closed the connection.
                 } catch (InterruptedException _e) {
                     Thread.currentThread().interrupt();
+                } finally {
+                    onEnd.run();
                 }
             });
         }
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerFixture.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerFixture.java
@@ -44,6 +44,9 @@
     static final ServiceId SERVICE = new ServiceId("desk");
     static final DataCentreId DATA_CENTRE = new DataCentreId("here");
 
+    private static final long TIMEOUT_MILLIS = 1_500;
+    private static final long TARGET_MILLIS = 200;
+
     static final String SIGNED_HEADERS = "attempt: a-1\r\nsigned: yes\r\n";
     static final String CALL_HEADERS = "attempt: a-1\r\nkey: right\r\nwait: 1500\r\n";
 
@@ -87,14 +90,18 @@
     }
 
     static RelayRoute route(String prefix, CallKind kind, boolean resumable) {
+        return route(prefix, kind, resumable, TIMEOUT_MILLIS, TARGET_MILLIS);
+    }
+
+    static RelayRoute route(String prefix, CallKind kind, boolean resumable, long timeoutMillis, long targetMillis) {
         return new RelayRoute(
                 new RouteId(prefix.replace("/", "")),
                 "x",
                 prefix,
                 kind,
                 resumable,
-                1_500,
-                200,
+                timeoutMillis,
+                targetMillis,
                 0,
                 List.of(new ServiceShare(SERVICE, 1)),
                 2,
@@ -103,13 +110,17 @@
     }
 
     void configure() throws InterruptedException {
+        configure(TIMEOUT_MILLIS, TARGET_MILLIS);
+    }
+
+    void configure(long timeoutMillis, long targetMillis) throws InterruptedException {
         RelayConfiguration configuration = new RelayConfiguration(
                 1,
                 List.of(
-                        route("/safe/", CallKind.SAFE, false),
-                        route("/unsafe/", CallKind.UNSAFE, false),
-                        route("/stream/", CallKind.STREAM, true),
-                        route("/once/", CallKind.STREAM, false)),
+                        route("/safe/", CallKind.SAFE, false, timeoutMillis, targetMillis),
+                        route("/unsafe/", CallKind.UNSAFE, false, timeoutMillis, targetMillis),
+                        route("/stream/", CallKind.STREAM, true, timeoutMillis, targetMillis),
+                        route("/once/", CallKind.STREAM, false, timeoutMillis, targetMillis)),
                 List.of(new RelayService(SERVICE, 100, 0, 0, Optional.empty(), Optional.empty())),
                 List.of(new RelayTeam(new TeamId("shops"), List.of("right"), OptionalInt.empty(), false, 0, 0, 0)),
                 new CallerLimits(16_384, 1_000, 3_000, 15_000));
