Never send a request again on a connection that has answered it

A caller got an event of a resumed stream twice and never its continuation. A stream whose chunks end inside an event begins like a success, so its request counted as answered with success; the resumption, which bears the same id, went out on the same connection, and a late copy of the first answer was taken for it.

The pool now skips a connection for every request that the connection is known to have answered, whatever the answer.

--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -139,7 +139,7 @@
 
     // A late copy of an earlier answer to the same request would be taken for the answer to this attempt.
     private boolean mayCarryRequest(ServerConnection pooled) {
-        return !pooled.answeredIds().containsUnsuccessful(spec.attemptId());
+        return !pooled.answeredIds().contains(spec.attemptId());
     }
 
     private void connect() {
--- a/support/src/main/java/org/geraniumstand/support/net/AnsweredIds.java
+++ b/support/src/main/java/org/geraniumstand/support/net/AnsweredIds.java
@@ -9,8 +9,8 @@
  * Remembers the ids of the requests that were answered on a connection; confined to one I/O thread.
  *
  * <p>A faulty server may repeat an answer later. The copy bears the id of its request, so it cannot be told from the answer to a
- * second request with the same id. Requests that were answered without success may be sent again, and are remembered as long as the
- * connection is in use; of the others, the latest are.
+ * second request with the same id. Requests that were answered without success are sent again most often, and are remembered as long as
+ * the connection is in use; of the others, the latest are, as a stream that ends inside an event is resumed at once.
  */
 public final class AnsweredIds {
     /** Maximum total length of the remembered ids in characters; callers choose the ids. */
@@ -45,7 +45,7 @@
     }
 
     /**
-     * Returns whether a request is known to have been answered on this connection.
+     * Returns whether a request is known to have been answered on this connection, and must not be sent on it again.
      *
      * @param id the id of the request
      */
@@ -53,15 +53,6 @@
         return unsuccessful.contains(id) || successful.contains(id);
     }
 
-    /**
-     * Returns whether a request was answered without success on this connection, and must not be sent on it again.
-     *
-     * @param id the id of the request
-     */
-    public boolean containsUnsuccessful(String id) {
-        return unsuccessful.contains(id);
-    }
-
     private void removeOldestSuccessful(int length) {
         Iterator<String> oldestFirst = successful.iterator();
         while (length > MAX_CHARS - chars && oldestFirst.hasNext()) {
