Test that copies of earlier answers end no order, page or stream

At the own entrance each attempt has an id of its own, so that the copy of a refusal was never taken for another attempt's answer. It ended that attempt as broken, though: callers got 502 for orders that their only server had refused once, an order with a key stayed unsettled, streams broke off, and a lookup did not find an order that had run.

A caller that reconnects with its own id was sent to the holder of its stream on the connection that had refused that id before.

--- a/http/src/test/java/org/geraniumstand/http/fake/ListenerFixture.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/ListenerFixture.java
@@ -35,16 +35,32 @@
      * @param scripts the scripts of the servers
      */
     public ListenerFixture(HolderLookup lookup, FakeServer.Script... scripts) {
+        this(lookup, 1, scripts);
+    }
+
+    private ListenerFixture(HolderLookup lookup, int rounds, FakeServer.Script... scripts) {
         for (FakeServer.Script script : scripts) {
             servers.add(closer.add(FakeServer.start(script)));
         }
-        core = new FakeCore(
-                Configurations.standard(),
-                servers.stream().map(FakeServer::port).toList());
+        List<Integer> ports = new ArrayList<>();
+        for (int i = 0; i < rounds; i++) {
+            servers.forEach(server -> ports.add(server.port()));
+        }
+        core = new FakeCore(Configurations.standard(), ports);
         listener = closer.add(CallerListener.start(new CallerListener.Setup(
                 new ProcessId("p1"), "127.0.0.1", 0, 2, BODY_TIMEOUT_MILLIS, core, claims, lookup)));
     }
 
+    /**
+     * Starts one server for each script; attempts are sent to the servers in turn.
+     *
+     * @param rounds maximum number of attempts of a request at each server
+     * @param scripts the scripts of the servers
+     */
+    public static ListenerFixture withRounds(int rounds, FakeServer.Script... scripts) {
+        return new ListenerFixture((_team, _name, callback) -> callback.accept(Optional.empty()), rounds, scripts);
+    }
+
     /** Returns the core that receives the requests. */
     public FakeCore core() {
         return core;
--- a/http/src/test/java/org/geraniumstand/http/fake/RepeatedAnswers.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/RepeatedAnswers.java
@@ -1,13 +1,16 @@
 package org.geraniumstand.http.fake;
 
 import java.io.IOException;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.IdentityHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.UnaryOperator;
+import java.util.regex.Pattern;
 
 /**
  * Scripts servers that answer each request without success at first, repeat these answers, and run the request when it
@@ -19,6 +22,9 @@
 
     private static final long RUN_MILLIS = 20;
 
+    /** End of the id of an attempt; a call that keeps its id for all attempts has none. */
+    private static final Pattern ATTEMPT_NUMBER = Pattern.compile("\\.[0-9]+$");
+
     private final Setup setup;
     private final Map<String, Integer> arrivals = new ConcurrentHashMap<>();
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
@@ -74,7 +80,7 @@
     /**
      * Returns how often a request arrived.
      *
-     * @param id the id of the request
+     * @param id the id of the request, without the number of an attempt
      */
     public int arrivals(String id) {
         return arrivals.getOrDefault(id, 0);
@@ -83,12 +89,17 @@
     /**
      * Returns how often a request was run.
      *
-     * @param id the id of the request
+     * @param id the id of the request, without the number of an attempt
      */
     public int runs(String id) {
         return runs.getOrDefault(id, 0);
     }
 
+    /** Returns how often each request was run that was run at all. */
+    public Collection<Integer> runs() {
+        return List.copyOf(runs.values());
+    }
+
     /** Returns the ids of all requests that arrived. */
     public Set<String> ids() {
         return Set.copyOf(arrivals.keySet());
@@ -107,7 +118,8 @@
         if (answered.contains(id)) {
             resends.incrementAndGet();
         }
-        int arrival = arrivals.merge(id, 1, Integer::sum);
+        String call = ATTEMPT_NUMBER.matcher(id).replaceFirst("");
+        int arrival = arrivals.merge(call, 1, Integer::sum);
         String copies = pending.remove(connection);
         if (copies != null) {
             connection.write(copies);
@@ -117,7 +129,7 @@
             answerRepeatedly(connection, setup.failure().apply(id));
             return;
         }
-        runs.merge(id, 1, Integer::sum);
+        runs.merge(call, 1, Integer::sum);
         awaitDelayedCopies();
         Thread.sleep(RUN_MILLIS);
         connection.write(setup.success().apply(id));
