Test that copies with a pause run no call on further servers

Repeats of safe calls piled up beyond their routes' limits: attempts that did not run don't count against maxAttempts, and a copy counted as such. A copy that asks for a pause also sends the next attempt to another server, while the first one runs the call.

--- a/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
@@ -172,6 +172,11 @@
             this.socket = socket;
         }
 
+        /** Returns the port of the server that accepted the connection. */
+        public int serverPort() {
+            return socket.getLocalPort();
+        }
+
         /**
          * Writes text without changes.
          *
--- a/http/src/test/java/org/geraniumstand/http/fake/RepeatedAnswers.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/RepeatedAnswers.java
@@ -28,6 +28,7 @@
     private final Setup setup;
     private final Map<String, Integer> arrivals = new ConcurrentHashMap<>();
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
+    private final Map<String, Set<Integer>> ranOn = new ConcurrentHashMap<>();
     private final Map<FakeServer.Connection, Set<String>> unsuccessful =
             Collections.synchronizedMap(new IdentityHashMap<>());
     private final Map<FakeServer.Connection, String> pending = Collections.synchronizedMap(new IdentityHashMap<>());
@@ -95,6 +96,15 @@
         return runs.getOrDefault(id, 0);
     }
 
+    /**
+     * Returns the number of servers that ran a request.
+     *
+     * @param id the id of the request, without the number of an attempt
+     */
+    public int serversThatRan(String id) {
+        return ranOn.getOrDefault(id, Set.of()).size();
+    }
+
     /** Returns how often each request was run that was run at all. */
     public Collection<Integer> runs() {
         return List.copyOf(runs.values());
@@ -130,6 +140,7 @@
             return;
         }
         runs.merge(call, 1, Integer::sum);
+        ranOn.computeIfAbsent(call, _key -> ConcurrentHashMap.newKeySet()).add(connection.serverPort());
         awaitDelayedCopies();
         Thread.sleep(RUN_MILLIS);
         connection.write(setup.success().apply(id));
--- a/http/src/test/java/org/geraniumstand/http/opaque/CopiedRefusalTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/CopiedRefusalTest.java
@@ -47,6 +47,9 @@
     /** Half the time after which a call that may be repeated is sent to another server. */
     private static final long PATIENT_TARGET_MILLIS = 5_000;
 
+    /** Maximum number of servers that the routes of the fixture allow. */
+    private static final int MAX_ATTEMPTS = 2;
+
     private static final String EMPTY = "Content-Length: 0\r\n\r\n";
     private static final String EVENT = "id: 1\ndata: done\n\n";
 
@@ -244,6 +247,29 @@
         assertCallsRunOnce(target);
     }
 
+    /** Guards against a call that runs on more servers than its route allows, as each asks for a pause in a copy. */
+    @ParameterizedTest
+    @MethodSource("targets")
+    void neverRunsACallOnMoreServersThanItsRouteAllows(String target) throws Exception {
+        startServers(
+                3,
+                new Setup(
+                        3,
+                        1,
+                        Timing.BEFORE_NEXT_ANSWER,
+                        id -> refusal(503, id, "pause: 30\r\n" + EMPTY),
+                        CopiedRefusalTest::success));
+
+        for (int i = 0; i < CALLS; i++) {
+            callAs("a-" + i, target);
+        }
+        Thread.sleep(SETTLE_MILLIS);
+        for (int i = 0; i < CALLS; i++) {
+            assertThat(
+                    "servers that ran a-" + i, answers.serversThatRan("a-" + i), is(lessThanOrEqualTo(MAX_ATTEMPTS)));
+        }
+    }
+
     /** Guards against the copy of a refusal that is recognized once, but not when the retry is refused, too. */
     @ParameterizedTest
     @MethodSource("targets")
