Never send a request where bytes are left behind the last answer

An order ran twice, or was answered 502 though it ran: a server had sent more than the answer to the call before it. With a whole "503 not-run" without an id behind one answer, 10 orders in the queue of a server ran 11 times; a single byte or a line break there cost the next order its answer.

An attempt puts its connection into the pool and then reports its end, on which the dispatcher sends a waiting call at once, on that connection. The HTTP client closes an idle connection that has input, but only in a later turn of the I/O thread, so the new request got what was left.

The pool now reads from an idle connection right before it hands it out, and closes it if there is a byte or the end of the connection. The client puts back into that channel what it read beyond an answer, so this covers its buffer and the socket's. A later turn would not do: XNIO runs queued tasks until there are none before it selects, and a call in the queue would need a connection of its own meanwhile. The price is one read for each request on a used connection. What arrives after the request was sent is still recognized by its id only.

Twenty requests that follow each other at once use one connection before and after.

--- a/http/src/test/java/org/geraniumstand/http/upstream/AttemptFixture.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/AttemptFixture.java
@@ -85,6 +85,13 @@
         return recorder.ended;
     }
 
+    /** Starts an attempt on the calling I/O thread; the result is complete within the attempt's end. */
+    CompletableFuture<Ended> startOnThread(AttemptSpec spec) {
+        Recorder recorder = new Recorder();
+        client.prepare(spec, worker.getIoThread(0), recorder).start();
+        return recorder.ended;
+    }
+
     /** Records the answer and the end of an attempt. */
     private static final class Recorder implements AttemptListener {
         private final CompletableFuture<Ended> ended = new CompletableFuture<>();
--- /dev/null
+++ b/http/src/test/java/org/geraniumstand/http/upstream/CopiedAnswerTest.java
@@ -0,0 +1,52 @@
+package org.geraniumstand.http.upstream;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.geraniumstand.http.fake.FakeServer;
+import org.geraniumstand.model.request.AttemptEnd;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests that copies of answers of any kind are not taken for answers to later requests. */
+@Timeout(60)
+final class CopiedAnswerTest extends AttemptFixture {
+    /** Guards against bytes behind an answer that are taken for the answer to a request which waits for the connection. */
+    @ParameterizedTest
+    @ValueSource(strings = {"x", "\r\n", "HTTP/1.1 503 Full\r\nX-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"})
+    void bytesAfterAnAnswerDoNotBreakTheNextRequest(String extra) throws Exception {
+        try (FakeServer server = FakeServer.start((request, c) -> c.write(own(request) + extra))) {
+            assertThat(chain(server, "a", "b"), is(new Ended(AttemptEnd.ANSWERED, 201, "made")));
+        }
+    }
+
+    /** Guards against a defence that opens a connection for each request that has waited for another. */
+    @Test
+    void requestsThatFollowAtOnceShareAConnection() throws Exception {
+        String[] ids = IntStream.range(0, 20).mapToObj(i -> "id" + i).toArray(String[]::new);
+        try (FakeServer server = FakeServer.start((request, c) -> c.write(own(request)))) {
+            assertThat(chain(server, ids), is(new Ended(AttemptEnd.ANSWERED, 201, "made")));
+            assertThat(server.requests(), hasSize(ids.length));
+            assertThat(server.connections(), is(1));
+        }
+    }
+
+    /** Sends requests, each of them within the end of the one before as queued calls are, and returns the end of the last. */
+    private Ended chain(FakeServer server, String... ids) throws Exception {
+        CompletableFuture<CompletableFuture<Ended>> last = new CompletableFuture<>();
+        worker.getIoThread(0).execute(() -> last.complete(startChain(server, List.of(ids))));
+        return last.thenCompose(ended -> ended).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private CompletableFuture<Ended> startChain(FakeServer server, List<String> ids) {
+        CompletableFuture<Ended> ended = startOnThread(spec(server.port(), "POST", ids.get(0), EMPTY, PATIENT));
+        return ids.size() == 1 ? ended : ended.thenCompose(_e -> startChain(server, ids.subList(1, ids.size())));
+    }
+}
--- a/support/src/main/java/org/geraniumstand/support/net/ConnectionPool.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ConnectionPool.java
@@ -23,7 +23,7 @@
     private record IdleConnection(ServerConnection connection, long idleSinceNanos) {}
 
     /**
-     * Removes and returns an open connection that was used recently, if there is one; all others are closed.
+     * Removes and returns a reusable connection that was used recently, if there is one; all others are closed.
      *
      * @param origin origin of the server
      * @param withinMillis maximum time since the last use, in milliseconds
@@ -33,8 +33,8 @@
     }
 
     /**
-     * Removes and returns an open connection that was used recently and is usable, if there is one; connections that are closed
-     * or were not used recently are closed, and those that are not usable stay in the pool, within a limit.
+     * Removes and returns a reusable connection that was used recently and is usable, if there is one; connections that are not
+     * reusable or were not used recently are closed, and those that are not usable stay in the pool, within a limit.
      *
      * @param origin origin of the server
      * @param withinMillis maximum time since the last use, in milliseconds
@@ -45,8 +45,8 @@
         Iterator<IdleConnection> latestFirst = connections.descendingIterator();
         while (latestFirst.hasNext()) {
             IdleConnection idle = latestFirst.next();
-            if (!idle.connection().client().isOpen()
-                    || System.nanoTime() - idle.idleSinceNanos() >= TimeUnit.MILLISECONDS.toNanos(withinMillis)) {
+            if (System.nanoTime() - idle.idleSinceNanos() >= TimeUnit.MILLISECONDS.toNanos(withinMillis)
+                    || !idle.connection().reusable()) {
                 latestFirst.remove();
                 IoUtils.safeClose(idle.connection().client());
             } else if (usable.test(idle.connection())) {
--- a/support/src/main/java/org/geraniumstand/support/net/LimitedIoThread.java
+++ b/support/src/main/java/org/geraniumstand/support/net/LimitedIoThread.java
@@ -9,21 +9,25 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Opens connections on another I/O thread, limits what is read from them and can discard what is written to them.
+ * Opens connections on another I/O thread, limits what is read from them, finds what is left unread and can discard what is
+ * written to them.
  *
- * <p>Undertow's HTTP client has no limit on a response's head and no way to expect a second response. It opens its connections by
- * way of the I/O thread that it is given, which is the only place to add them. This thread itself is never started.
+ * <p>Undertow's HTTP client has no limit on a response's head, does not tell whether more than a response has arrived and has
+ * no way to expect a second response. It opens its connections by way of the I/O thread that it is given, which is the only place
+ * to add them. This thread itself is never started.
  */
 final class LimitedIoThread extends XnioIoThread {
     private final XnioIoThread delegate;
     private final FramingLimit limit;
     private final WriteSwitch writes;
+    private final UnreadInput unread;
 
-    LimitedIoThread(XnioIoThread delegate, FramingLimit limit, WriteSwitch writes) {
+    LimitedIoThread(XnioIoThread delegate, FramingLimit limit, WriteSwitch writes, UnreadInput unread) {
         super(delegate.getWorker(), delegate.getNumber());
         this.delegate = delegate;
         this.limit = limit;
         this.writes = writes;
+        this.unread = unread;
     }
 
     @Override
@@ -32,6 +36,7 @@
         return delegate.openStreamConnection(
                 destination,
                 connection -> {
+                    unread.attach(connection.getSourceChannel());
                     connection
                             .getSourceChannel()
                             .setConduit(new FramingLimitConduit(
--- a/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
@@ -26,12 +26,14 @@
     private final ClientConnection client;
     private final FramingLimit framing;
     private final WriteSwitch writes;
+    private final UnreadInput unread;
     private final AnsweredIds answeredIds = new AnsweredIds();
 
-    private ServerConnection(ClientConnection client, FramingLimit framing, WriteSwitch writes) {
+    private ServerConnection(ClientConnection client, FramingLimit framing, WriteSwitch writes, UnreadInput unread) {
         this.client = client;
         this.framing = framing;
         this.writes = writes;
+        this.unread = unread;
     }
 
     /** Returns the connection of the HTTP client. */
@@ -49,6 +51,15 @@
         return answeredIds;
     }
 
+    /**
+     * Returns whether another request may be sent on the connection while it is idle, and must be asked right before; otherwise the
+     * connection must be closed. What has arrived behind the last answer would be taken for the next one: the HTTP client closes
+     * such a connection, but only in the I/O thread's next turn.
+     */
+    boolean reusable() {
+        return client.isOpen() && !unread.present();
+    }
+
     /**
      * Waits for another answer after one was read to its end that belongs to an earlier request; sends nothing.
      *
@@ -103,12 +114,14 @@
             Consumer<IOException> onFailed) {
         FramingLimit limit = new FramingLimit();
         WriteSwitch writes = new WriteSwitch();
+        UnreadInput unread = new UnreadInput();
         UndertowClient.getInstance()
                 .connect(
                         Callbacks.of(
-                                client -> onConnected.accept(new ServerConnection(client, limit, writes)), onFailed),
+                                client -> onConnected.accept(new ServerConnection(client, limit, writes, unread)),
+                                onFailed),
                         origin,
-                        new LimitedIoThread(thread, limit, writes),
+                        new LimitedIoThread(thread, limit, writes, unread),
                         buffers,
                         OptionMap.EMPTY);
     }
--- a/support/src/test/java/org/geraniumstand/support/net/ConnectionPoolTest.java
+++ b/support/src/test/java/org/geraniumstand/support/net/ConnectionPoolTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.sameInstance;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +19,7 @@
 
 final class ConnectionPoolTest {
     private static final long RECENT_MILLIS = 60_000;
+    private static final long ARRIVAL_MILLIS = 20;
 
     private final ConnectionPool pool = new ConnectionPool();
     private ConnectionFixture fixture;
@@ -118,4 +120,38 @@
 
         assertThat(acquire(RECENT_MILLIS, _c -> true).orElseThrow(), sameInstance(open));
     }
+
+    /** Guards against bytes behind an answer, or sent while a connection is idle, that answer the next request. */
+    @Test
+    void neverReturnsAConnectionWithUnreadInput() throws Exception {
+        ServerConnection sound = openAndRelease();
+        ServerConnection unread = openAndRelease();
+        try (Socket _first = fixture.accept();
+                Socket second = fixture.accept()) {
+            ServerConnection acquired = fixture.onThread(() -> {
+                // The HTTP client has no turn to read before the connection is acquired.
+                second.getOutputStream().write('x');
+                Thread.sleep(ARRIVAL_MILLIS);
+                return pool.acquire(fixture.origin(), RECENT_MILLIS).orElseThrow();
+            });
+
+            assertThat(acquired, sameInstance(sound));
+            assertThat(unread.client().isOpen(), is(false));
+        }
+    }
+
+    /** Guards against a request that is sent to a server that has just closed the connection. */
+    @Test
+    void neverReturnsAConnectionThatTheServerHasClosed() throws Exception {
+        openAndRelease();
+        try (Socket server = fixture.accept()) {
+            Optional<ServerConnection> acquired = fixture.onThread(() -> {
+                server.close();
+                Thread.sleep(ARRIVAL_MILLIS);
+                return pool.acquire(fixture.origin(), RECENT_MILLIS);
+            });
+
+            assertThat(acquired.isEmpty(), is(true));
+        }
+    }
 }
