Send only HEAD requests where a HEAD request was answered

An order was answered 502 though it ran, if its server repeated the answer to an earlier HEAD request on the connection.

That copy has no body, but the HTTP client frames it by the method of the request that waits: it takes as many bytes of the own answer as the copy's length says, and the own answer is broken.

A connection that answered a HEAD request now carries only HEAD requests, whose answers are framed alike. The copy of another answer where the answer to a HEAD request is due is still framed wrongly; it breaks that request only, which may be repeated.

Its server sends the copy only on the connection that carried the HEAD request; HEAD, POST, GET and HEAD use two connections.

--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -137,9 +137,15 @@
         }
     }
 
-    // A late copy of an earlier answer to the same request would be taken for the answer to this attempt.
     private boolean mayCarryRequest(ServerConnection pooled) {
-        return !pooled.answeredIds().contains(spec.attemptId());
+        // A late copy of an earlier answer to the same request would be taken for the answer to this attempt.
+        boolean answered = pooled.answeredIds().contains(spec.attemptId());
+        // A late copy of an answer to a HEAD request has no body, but would be read with one.
+        return !answered && (headRequest() || !pooled.answeredHead());
+    }
+
+    private boolean headRequest() {
+        return spec.method().equals(Methods.HEAD_STRING);
     }
 
     private void connect() {
@@ -246,6 +252,9 @@
     }
 
     private boolean mayReuseConnection() {
+        if (headRequest()) {
+            connection.onAnsweredHead();
+        }
         // A server that answers before it read the whole request body takes the rest of it for the next request.
         return writer.written()
                 && statement.allowsReuse()
--- a/http/src/test/java/org/geraniumstand/http/upstream/CopiedAnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/CopiedAnswerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import org.geraniumstand.http.fake.FakeServer;
 import org.geraniumstand.model.request.AttemptEnd;
@@ -38,6 +39,28 @@
         }
     }
 
+    /** Guards against the copy of an answer to a HEAD request, which has no body whatever its length, that takes bytes of the next. */
+    @Test
+    void ofAnAnswerToAHeadRequestIsReadWithoutABody() throws Exception {
+        String head = "HTTP/1.1 503 Full\r\nX-Request-Id: a\r\nX-Outcome: not-run\r\nContent-Length: 4\r\n\r\n";
+        AtomicReference<FakeServer.Connection> repeating = new AtomicReference<>();
+        try (FakeServer server = FakeServer.start((request, c) -> {
+            if (request.attemptId().equals("a")) {
+                repeating.set(c);
+                c.write(head);
+            } else {
+                c.write((repeating.get() == c ? head : "")
+                        + (request.method().equals("HEAD") ? ownHead(request) : own(request)));
+            }
+        })) {
+            send(server, "HEAD", "a");
+            assertThat(send(server, "POST", "b"), is(new Ended(AttemptEnd.ANSWERED, 201, "made")));
+            assertThat(send(server, "GET", "c"), is(new Ended(AttemptEnd.ANSWERED, 201, "made")));
+            assertThat(send(server, "HEAD", "d"), is(new Ended(AttemptEnd.ANSWERED, 201, "")));
+            assertThat(server.connections(), is(2));
+        }
+    }
+
     /** Sends requests, each of them within the end of the one before as queued calls are, and returns the end of the last. */
     private Ended chain(FakeServer server, String... ids) throws Exception {
         CompletableFuture<CompletableFuture<Ended>> last = new CompletableFuture<>();
--- a/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
@@ -28,6 +28,7 @@
     private final WriteSwitch writes;
     private final UnreadInput unread;
     private final AnsweredIds answeredIds = new AnsweredIds();
+    private boolean answeredHead;
 
     private ServerConnection(ClientConnection client, FramingLimit framing, WriteSwitch writes, UnreadInput unread) {
         this.client = client;
@@ -51,6 +52,16 @@
         return answeredIds;
     }
 
+    /** Returns whether a HEAD request was answered on this connection. */
+    public boolean answeredHead() {
+        return answeredHead;
+    }
+
+    /** Records that a HEAD request was answered on this connection. */
+    public void onAnsweredHead() {
+        answeredHead = true;
+    }
+
     /**
      * Returns whether another request may be sent on the connection while it is idle, and must be asked right before; otherwise the
      * connection must be closed. What has arrived behind the last answer would be taken for the next one: the HTTP client closes
