--- a/http/src/test/java/org/geraniumstand/http/opaque/CopiedStreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/CopiedStreamTest.java
@@ -45,6 +45,28 @@
         }
     }
 
+    /** Guards against an order that is refused though it ran, as the copy of its first refusal came after it was sent again. */
+    @Test
+    void ofARefusalIsNotTakenForTheAnswerToTheSameOrder() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        String refusal = "HTTP/1.1 503 Full\r\nattempt: a-1\r\nnot-run: 1\r\nContent-Length: 0\r\n\r\n";
+        try (FakeServer server = FakeServer.start((_request, c) -> {
+            if (calls.incrementAndGet() == 1) {
+                c.write(refusal);
+                c.repeatLater(refusal, 20);
+                return;
+            }
+            Thread.sleep(60);
+            c.answer(200, SIGNED_HEADERS, "made");
+        })) {
+            register(server);
+            Caller.Answer answer = call("POST", "/unsafe/", CALL_HEADERS, "x");
+
+            assertThat(answer.status(), is(200));
+            assertThat(calls.get(), is(2));
+        }
+    }
+
     /** Guards against a refusal without an id, behind an answer with one, that refuses the call that waits for the connection. */
     @Test
     void bytesBehindAnAnswerDoNotRefuseTheNextOrder() throws Exception {
--- a/http/src/test/java/org/geraniumstand/http/upstream/CopiedAnswerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/CopiedAnswerTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.stream.IntStream;
 import org.geraniumstand.http.fake.FakeServer;
@@ -19,6 +20,61 @@
 /** Tests that copies of answers of any kind are not taken for answers to later requests. */
 @Timeout(60)
 final class CopiedAnswerTest extends AttemptFixture {
+    /** Guards against the copy of a success that is taken for the answer to the same request, which was sent again. */
+    @Test
+    void ofASuccessIsNotTakenForTheAnswerToTheSameRequest() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        try (FakeServer server = FakeServer.start((request, c) -> {
+            int run = runs.incrementAndGet();
+            String answer = "HTTP/1.1 200 X\r\nX-Request-Id: a\r\nContent-Length: 1\r\n\r\n" + run;
+            Thread.sleep(run == 1 ? 0 : 100);
+            c.write(answer);
+            c.repeatLater(answer, 40);
+        })) {
+            send(server, "POST", "a");
+            assertThat(send(server, "POST", "a"), is(new Ended(AttemptEnd.ANSWERED, 200, "2")));
+        }
+    }
+
+    /** Guards against the copy of a failed lookup, which names no request, that is taken for the answer to the next lookup. */
+    @Test
+    void ofALookupWithoutAnIdIsNotTakenForTheAnswerToTheNextLookup() throws Exception {
+        AtomicInteger lookups = new AtomicInteger();
+        try (FakeServer server = FakeServer.start((request, c) -> {
+            if (lookups.incrementAndGet() == 1) {
+                c.answer(404, "", "");
+                c.repeatLater("HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n", 40);
+                return;
+            }
+            Thread.sleep(100);
+            c.answer(200, "", "ran");
+        })) {
+            send(server, "GET", "a.lookup");
+            assertThat(send(server, "GET", "b.lookup"), is(new Ended(AttemptEnd.ANSWERED, 200, "ran")));
+        }
+    }
+
+    /** Guards against a copy that arrives in two packets while its connection is idle, of which the next request gets the second. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 10, 60, 91, 100})
+    void isHarmlessWhereverItBeginsToArriveInAnIdleConnection(int cut) throws Exception {
+        String copy = "HTTP/1.1 503 Full\r\nX-Request-Id: a\r\nX-Outcome: not-run\r\nContent-Length: 4\r\n\r\nfull";
+        int length = Math.min(cut, copy.length());
+        try (FakeServer server = FakeServer.start((request, c) -> {
+            if (request.attemptId().equals("a")) {
+                c.write(copy + copy.substring(0, length));
+                c.repeatLater(copy.substring(length), 20);
+            } else {
+                Thread.sleep(60);
+                c.write(own(request));
+            }
+        })) {
+            for (int i = 0; i < 5; i++) {
+                assertThat(chain(server, "a", "b"), is(new Ended(AttemptEnd.ANSWERED, 201, "made")));
+            }
+        }
+    }
+
     /** Guards against bytes behind an answer that are taken for the answer to a request which waits for the connection. */
     @ParameterizedTest
     @ValueSource(strings = {"x", "\r\n", "HTTP/1.1 503 Full\r\nX-Outcome: not-run\r\nContent-Length: 0\r\n\r\n"})
@@ -39,6 +95,24 @@
         }
     }
 
+    /** Guards against a copy that is not known as one, as its server writes the id in another way. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"x-request-id: a", "X-REQUEST-ID:a", "X-Request-Id: a ", "X-Request-Id:\ta", "X-Request-Id:  a"})
+    void isRecognizedHoweverItsIdIsWritten(String header) throws Exception {
+        String copy = "HTTP/1.1 503 Full\r\n" + header + "\r\nX-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
+        try (FakeServer server = FakeServer.start((request, c) -> {
+            if (request.attemptId().equals("a")) {
+                c.write(copy.replace(header, "X-Request-Id: a"));
+            } else {
+                c.write(copy + own(request));
+            }
+        })) {
+            send(server, "POST", "a");
+            assertThat(send(server, "POST", "b"), is(new Ended(AttemptEnd.ANSWERED, 201, "made")));
+        }
+    }
+
     /** Guards against the copy of an answer to a HEAD request, which has no body whatever its length, that takes bytes of the next. */
     @Test
     void ofAnAnswerToAHeadRequestIsReadWithoutABody() throws Exception {
