Read the limit that servers name in their answers

Servers in need name in Server-Limit the requests a second that they accept from all processes together. The header was read nowhere, so the logs of the incident cannot tell which process knew of a limit when it sent a call.

The header is not passed on to callers. Calls are sent as before.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -35,6 +35,7 @@
     private final Map<ServiceId, List<ServerView>> eligibleByService = new HashMap<>();
 
     private final ServerNotices notices = new ServerNotices();
+    private final NamedServerLimits limits = new NamedServerLimits();
     private final ProcessEndpoints processEndpoints = new ProcessEndpoints();
 
     /** Creates a fleet without servers. */
@@ -310,6 +311,11 @@
         return first;
     }
 
+    /** Returns the limits that servers have named. */
+    public NamedServerLimits limits() {
+        return limits;
+    }
+
     /** Returns the remaining pause that a server has asked for, in milliseconds, zero if there is none. */
     long pauseMillis(ServerView view, long nowNanos) {
         return notices.pauseMillis(view.server(), nowNanos);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -207,6 +207,7 @@
                 "geraniumstand_prompts_quarantined", dispatcherTask.dispatcher().crashingPrompts()::quarantined);
         metrics.gauge(
                 "geraniumstand_servers_listed", () -> dispatcher.fleet().all().size());
+        metrics.gauge("geraniumstand_servers_limited", dispatcher.fleet().limits()::limitedServers);
         metrics.gauge(
                 "geraniumstand_configuration_version",
                 () -> dispatcher
--- a/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
@@ -110,7 +110,11 @@
 
     private void onNotice(RelayCall call, ServerHead answer) {
         ServerView server = call.server();
-        if (server == null || (!answer.leaving() && answer.pauseMillis().isEmpty())) {
+        if (server == null) {
+            return;
+        }
+        answer.limitPerSecond().ifPresent(perSecond -> onLimit(call, server, perSecond));
+        if (!answer.leaving() && answer.pauseMillis().isEmpty()) {
             return;
         }
         boolean first = dispatcher.fleet().onNotice(server, answer.leaving(), answer.pauseMillis(), System.nanoTime());
@@ -124,6 +128,20 @@
         }
     }
 
+    private void onLimit(RelayCall call, ServerView server, double perSecond) {
+        boolean changed =
+                dispatcher.fleet().limits().onAnswer(server.server(), perSecond, call.sentNanos(), System.nanoTime());
+        if (changed) {
+            LOG.info(
+                    "server-limit",
+                    Field.of("server", server.server().id()),
+                    Field.of("perSecond", perSecond),
+                    Field.of("source", "ANSWER"),
+                    Field.of("request", call.head().attempt()),
+                    Field.of("ageMillis", 0));
+        }
+    }
+
     /** Reports the team of a call that a server ran or most likely ran. */
     void reportRun(RelayCall call) {
         call.team().ifPresent(team -> runListener.accept(team.id()));
--- a/http/src/test/java/org/geraniumstand/http/opaque/PlainHeaderCodec.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/PlainHeaderCodec.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import org.geraniumstand.model.relay.CallerHead;
@@ -60,12 +61,14 @@
                 headers.first("leaving").isPresent(),
                 headers.first("pause")
                         .map(millis -> OptionalLong.of(Long.parseLong(millis)))
-                        .orElseGet(OptionalLong::empty));
+                        .orElseGet(OptionalLong::empty),
+                OptionalDouble.of(
+                        headers.first("limit").map(Double::parseDouble).orElse(Double.POSITIVE_INFINITY)));
     }
 
     @Override
     public boolean isForCallers(String name) {
-        return !name.equals("leaving");
+        return !name.equals("leaving") && !name.equals("limit");
     }
 
     @Override
--- a/model/src/main/java/org/geraniumstand/model/relay/ServerHead.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/ServerHead.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.model.relay;
 
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -15,6 +16,8 @@
  * @param idleSeconds time that the connection may stay idle, in seconds, if given
  * @param leaving whether the server announces that it leaves
  * @param pauseMillis time for which the server asks for no further requests, in milliseconds, if it does
+ * @param limitPerSecond requests per second that the server accepts from all processes together, infinite if it names
+ *     no limit; empty if the limit cannot be read
  */
 public record ServerHead(
         Optional<String> attempt,
@@ -24,7 +27,8 @@
         Optional<ServerLoad> load,
         OptionalInt idleSeconds,
         boolean leaving,
-        OptionalLong pauseMillis) {
+        OptionalLong pauseMillis,
+        OptionalDouble limitPerSecond) {
     /**
      * Returns whether the response comes from a process that is no backend server. A server signs its answers to the requests
      * that it ran, and states that it did not execute the others.
