Divide named limits among processes by their demand

And a process that seldom has a turn learns late that the limit has changed or ended.

The processes report their demand for limited servers to the aggregators of quotas, which answer with the limits that any process knows and the share that the receiver may use. Few processes share a low limit, because each may send one request beyond its rate; weighted rendezvous hashing chooses them, and those that have a share tend to keep it. A process without a grant takes the even share as before, so that the limit holds without aggregators and for processes that are cut off or of an earlier version; trailing fields of the messages are skipped by those.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -12,6 +12,7 @@
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.relay.CallerHead;
+import org.geraniumstand.model.relay.LimitDemand;
 import org.geraniumstand.model.relay.RelayConfiguration;
 import org.geraniumstand.model.relay.RelayRoute;
 import org.geraniumstand.model.relay.RelayService;
@@ -60,6 +61,7 @@
     private final Map<ServiceId, CallQueue> queues = new HashMap<>();
     private final Map<ServiceId, RelayRetryBudget> retryBudgets = new HashMap<>();
     private final Map<ServiceId, QueueWaitEstimate> waitEstimates = new HashMap<>();
+    private final Map<ServiceId, ArrivalRate> arrivals = new HashMap<>();
     private Optional<RelayConfiguration> configuration = Optional.empty();
 
     /**
@@ -159,6 +161,7 @@
         ServiceId service = selectService(call);
         call.setService(service);
         retryBudget(service).onRequest(nowNanos);
+        arrivals(service).onArrival(nowNanos);
         OptionalLong blockedMillis = crashingPrompts.blockedMillis(call, nowNanos);
         if (blockedMillis.isPresent()) {
             refuse(call, quarantineRefusal(call, blockedMillis.getAsLong()), steps);
@@ -283,6 +286,40 @@
         return true;
     }
 
+    /**
+     * Returns the limits that servers have named, with the calls that this process has for their services.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    List<LimitDemand> limitDemands(long nowNanos) {
+        return fleet.limits().recent(nowNanos).stream()
+                .map(limit -> new LimitDemand(limit, callsPerSecond(limit.server(), nowNanos)))
+                .toList();
+    }
+
+    private double callsPerSecond(ServerId server, long nowNanos) {
+        return fleet.view(server)
+                .map(view -> arrivals(view.server().service()).perSecond(nowNanos))
+                .orElse(0.0);
+    }
+
+    /**
+     * Records that an aggregator grants this process a share of a server's limit.
+     *
+     * @param rank position of the aggregator in the order of precedence
+     * @param server the limited server
+     * @param share fraction of the limit that this process may use
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    void onGrant(int rank, ServerId server, double share, long nowNanos) {
+        OptionalDouble limit = fleet.view(server)
+                .map(view -> fleet.limits().perSecond(view.server()))
+                .orElseGet(OptionalDouble::empty);
+        if (limit.isPresent()) {
+            rate.grants().onGrant(rank, server, share, limit.getAsDouble(), nowNanos);
+        }
+    }
+
     /**
      * Records the end of an attempt and retries or refuses the call if the attempt failed.
      *
@@ -485,6 +522,10 @@
         return waitEstimates.computeIfAbsent(service, _key -> new QueueWaitEstimate());
     }
 
+    private ArrivalRate arrivals(ServiceId service) {
+        return arrivals.computeIfAbsent(service, _key -> new ArrivalRate());
+    }
+
     private RelayRetryBudget retryBudget(ServiceId service) {
         return retryBudgets.computeIfAbsent(
                 service,
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.geraniumstand.model.id.DataCentreId;
@@ -207,6 +208,15 @@
         return servers.values();
     }
 
+    /**
+     * Returns a server, if it is registered.
+     *
+     * @param id the server to look up
+     */
+    Optional<ServerView> view(ServerId id) {
+        return Optional.ofNullable(servers.get(id));
+    }
+
     /** Returns the calls that this process has in flight, by server; servers without calls are omitted. */
     public List<ServerInFlight> inFlight() {
         List<ServerInFlight> inFlightByServer = new ArrayList<>();
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -191,10 +191,12 @@
             long pauseMillis = fleet.pauseMillis(view, nowNanos);
             Optional<SharedLimit> limit =
                     limit(view, service, processes, nowNanos).filter(SharedLimit::named);
-            long limitMillis = limit.map(l -> rate.waitMillis(view.server().id(), l, nowNanos))
+            long limitMillis = limit.map(l ->
+                            rate.waitMillis(view.server().id(), l, nowNanos).orElse(RequestedWait.NO_SHARE_MILLIS))
                     .orElse(0L);
             shortestMillis = Math.min(shortestMillis, Math.max(pauseMillis, limitMillis));
-            perSecond += limit.map(SharedServerRate::ownPerSecond).orElse(Double.POSITIVE_INFINITY);
+            perSecond += limit.map(l -> rate.ownPerSecond(view.server().id(), l, nowNanos))
+                    .orElse(Double.POSITIVE_INFINITY);
         }
         return shortestMillis == Long.MAX_VALUE ? RequestedWait.NONE : new RequestedWait(shortestMillis, perSecond);
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RequestedWait.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RequestedWait.java
@@ -9,6 +9,9 @@
 record RequestedWait(long firstMillis, double perSecond) {
     static final RequestedWait NONE = new RequestedWait(0, Double.POSITIVE_INFINITY);
 
+    /** Assumed wait of a process without a share of any limit, in milliseconds; demand is averaged over seconds. */
+    static final long NO_SHARE_MILLIS = 10_000;
+
     private static final double MILLIS_IN_SECOND = 1e3;
 
     /** Returns the time until a call is accepted that has the given number of calls ahead of it, in milliseconds. */
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/SharedLimit.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/SharedLimit.java
@@ -5,7 +5,7 @@
  *
  * @param perSecond requests per second
  * @param processes number of processes that may send to the server
- * @param named whether the server has named the limit
+ * @param named whether the server has named the limit, so that the processes report their demand for it
  */
 record SharedLimit(double perSecond, int processes, boolean named) {
     /** Returns the limit of a cold server. */
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/SharedServerRate.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/SharedServerRate.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Random;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.id.ServerId;
@@ -11,11 +12,14 @@
 @Decision(
         name = "shared-rate",
         summary = "The rate of requests to a cold server or to one that has named a limit stays within that limit: "
-                + "it is split evenly over all processes.")
+                + "each process uses the share that an aggregator granted, or else an even share.")
 public final class SharedServerRate {
     /** Fraction of a server's limit that is used, because requests bunch up on their way to the server. */
     private static final double USED_SHARE = 0.8;
 
+    /** Fraction of a limit that is used where the platform allows bunches of several seconds. */
+    private static final double GRANTED_USED_SHARE = 0.9;
+
     /**
      * Fraction of the rate limit that is used where send times are random and may coincide. Five standard deviations
      * above the mean stay within one and a half times the limit plus 5, which the platform allows.
@@ -43,6 +47,7 @@
 
     private final Map<ServerId, SendSchedule> schedules = new HashMap<>();
     private final Random random;
+    private final RateGrants grants;
 
     /** Holds the next time at which this process may send to a server. */
     private static final class SendSchedule {
@@ -57,12 +62,18 @@
      */
     public SharedServerRate(Random random) {
         this.random = random;
+        this.grants = new RateGrants(random, GRANTED_USED_SHARE);
+    }
+
+    /** Returns the shares that the aggregators granted to this process. */
+    RateGrants grants() {
+        return grants;
     }
 
     /**
      * Returns whether a request may be sent to a server now.
      *
-     * <p>If there are more processes than the server accepts requests per second, each process draws
+     * <p>If there is no grant and there are more processes than the server accepts requests per second, each process draws
      * a random send time, because the first requests of all processes together would exceed the limit. A send time that
      * is not used expires, and the next one is drawn at random.
      *
@@ -71,6 +82,9 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     boolean allows(ServerId server, SharedLimit limit, long nowNanos) {
+        if (isGranted(server, limit, nowNanos)) {
+            return grants.waitMillis(server, limit.perSecond(), nowNanos) == 0;
+        }
         return untilNextSendNanos(server, limit, nowNanos) <= 0;
     }
 
@@ -114,30 +128,50 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     void onSent(ServerId server, SharedLimit limit, long nowNanos) {
+        if (isGranted(server, limit, nowNanos)) {
+            grants.onSent(server, limit.perSecond(), nowNanos);
+            return;
+        }
         SendSchedule schedule = schedule(server, nowNanos);
         schedule.nextSendNanos = nowNanos + Math.round(intervalNanos(limit));
         schedule.lastCheckNanos = nowNanos;
     }
 
     /**
-     * Returns the time until this process may send the next request to a server, in milliseconds.
+     * Returns the time until this process may send the next request to a server, in milliseconds; empty if it has no
+     * share of the server's limit.
      *
      * @param server the server to send to
      * @param limit requests that the server accepts from all processes together
      * @param nowNanos the monotonic time in nanoseconds
      */
-    long waitMillis(ServerId server, SharedLimit limit, long nowNanos) {
-        long nanos = Math.max(0, untilNextSendNanos(server, limit, nowNanos));
-        return (nanos + Timestamp.NANOS_PER_MILLI - 1) / Timestamp.NANOS_PER_MILLI;
+    OptionalLong waitMillis(ServerId server, SharedLimit limit, long nowNanos) {
+        if (!isGranted(server, limit, nowNanos)) {
+            long nanos = Math.max(0, untilNextSendNanos(server, limit, nowNanos));
+            return OptionalLong.of((nanos + Timestamp.NANOS_PER_MILLI - 1) / Timestamp.NANOS_PER_MILLI);
+        }
+        return grants.share(server, nowNanos).orElse(0) > 0
+                ? OptionalLong.of(grants.waitMillis(server, limit.perSecond(), nowNanos))
+                : OptionalLong.empty();
     }
 
     /**
      * Returns the requests per second that this process may send to a server.
      *
+     * @param server the server to send to
      * @param limit requests that the server accepts from all processes together
+     * @param nowNanos the monotonic time in nanoseconds
      */
-    static double ownPerSecond(SharedLimit limit) {
-        return NANOS_IN_SECOND / intervalNanos(limit);
+    double ownPerSecond(ServerId server, SharedLimit limit, long nowNanos) {
+        return isGranted(server, limit, nowNanos)
+                ? limit.perSecond()
+                        * GRANTED_USED_SHARE
+                        * grants.share(server, nowNanos).orElse(0)
+                : NANOS_IN_SECOND / intervalNanos(limit);
+    }
+
+    private boolean isGranted(ServerId server, SharedLimit limit, long nowNanos) {
+        return limit.named() && grants.share(server, nowNanos).isPresent();
     }
 
     private static boolean isRandomized(SharedLimit limit) {
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/NamedLimitSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/NamedLimitSimulation.java
@@ -2,23 +2,31 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.IntToDoubleFunction;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.VersionId;
 import org.geraniumstand.model.relay.CallKind;
+import org.geraniumstand.model.relay.LimitDemand;
+import org.geraniumstand.model.relay.LimitShare;
 import org.geraniumstand.model.relay.RelayRoute;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.Outcome;
 
 /**
- * Simulates processes that share a server which names a limit, in steps of a millisecond.
+ * Simulates processes that share a server which names a limit, in steps of a millisecond. The first two processes that
+ * live and are not cut off are the aggregators, as are the first two of those that are cut off.
  */
 final class NamedLimitSimulation {
     private static final RelayRoute SAFE = Calls.route(CallKind.SAFE, false, 2, 0);
@@ -27,6 +35,9 @@
     private static final int TICK_MILLIS = 10;
     private static final int MAX_ANSWER_MILLIS = 40;
     private static final int MAX_CONNECT_MILLIS = 30;
+    private static final int MAX_TRANSIT_MILLIS = 20;
+    private static final int MIN_REPORT_MILLIS = 200;
+    private static final int MAX_REPORT_MILLIS = 400;
     private static final int DETECTION_MILLIS = 4_000;
 
     /** Bounds of the platform's rule. */
@@ -50,8 +61,10 @@
     private int[] demandWeights;
     private double callsPerSecond;
     private int deadlineMillis = 5_000;
-    private int answered;
     private int refused;
+    private final Map<Boolean, Set<ProcessId>> liveBySide = new HashMap<>();
+    private final Map<Boolean, List<Participant>> aggregatorsBySide = new HashMap<>();
+    private boolean shares = true;
     private long number;
     private long sequence;
     private int millis;
@@ -60,14 +73,17 @@
 
     /** A process; a restart replaces its dispatcher. */
     private final class Participant {
+        private final ProcessId id;
         private RelayDispatcher dispatcher;
+        private ServerLimitExchange exchange;
         private int toldMillis = Integer.MAX_VALUE;
         private int startedMillis;
         private boolean down;
         private boolean cut;
         private int disturbedMillis = -CONTACT_MILLIS;
 
-        Participant() {
+        Participant(int index) {
+            id = new ProcessId("process-" + index);
             start();
         }
 
@@ -79,6 +95,7 @@
                     new RelayBounds(0.2, 50, 10_000, 0, 0, ASSUMED_PROCESSES),
                     new Random(random.nextLong()),
                     now());
+            exchange = new ServerLimitExchange(dispatcher);
             dispatcher.onConfiguration(Calls.configuration(1), now());
             dispatcher.fleet().onListed(server(LIMITED, 1), now());
             for (int i = 0; i < otherServers; i++) {
@@ -116,8 +133,9 @@
         this.received = new int[durationMillis];
         this.counted = new int[durationMillis];
         for (int i = 0; i < count; i++) {
-            processes.add(new Participant());
+            processes.add(new Participant(i));
         }
+        divide();
         demandWeights = IntStream.range(0, count).map(_i -> 1).toArray();
         members();
     }
@@ -127,11 +145,23 @@
         return this;
     }
 
+    /** Lets one process receive most of the calls. */
+    NamedLimitSimulation skewed() {
+        demandWeights[0] = 9 * demandWeights.length;
+        return this;
+    }
+
     NamedLimitSimulation deadline(int afterMillis) {
         deadlineMillis = afterMillis;
         return this;
     }
 
+    /** Loses all messages between processes. */
+    NamedLimitSimulation withoutAggregators() {
+        shares = false;
+        return this;
+    }
+
     /** Cuts a part of the processes off from the others between two times. */
     NamedLimitSimulation cut(double part, int from, int until) {
         List<Participant> affected = processes.subList(0, (int) (processes.size() * part));
@@ -155,10 +185,22 @@
 
     private void disturb(List<Participant> affected, Consumer<Participant> change) {
         affected.forEach(change);
+        divide();
         affected.forEach(process -> process.disturbedMillis = millis);
         at(millis + DETECTION_MILLIS, this::members);
     }
 
+    /** Determines the live processes on either side of a cut and their aggregators. */
+    private void divide() {
+        for (boolean side : List.of(true, false)) {
+            List<Participant> live = processes.stream()
+                    .filter(process -> !process.down && process.cut == side)
+                    .toList();
+            liveBySide.put(side, live.stream().map(process -> process.id).collect(Collectors.toSet()));
+            aggregatorsBySide.put(side, live.subList(0, Math.min(2, live.size())));
+        }
+    }
+
     private void members() {
         for (Participant process : processes) {
             if (!process.down) {
@@ -197,6 +239,8 @@
     }
 
     NamedLimitSimulation run() {
+        int reportMillis = Math.min(MAX_REPORT_MILLIS, Math.max(MIN_REPORT_MILLIS, 2 * processes.size()));
+        processes.forEach(process -> at(random.nextInt(reportMillis), () -> report(process, reportMillis)));
         double due = 0;
         for (millis = 0; millis < durationMillis; millis++) {
             while (!events.isEmpty() && events.peek().millis() <= millis) {
@@ -291,10 +335,36 @@
         if (limited && Double.isFinite(perSecond)) {
             process.toldMillis = Math.min(process.toldMillis, millis);
         }
-        answered++;
         perform(process, steps -> process.dispatcher.onEnded(call, AttemptEnd.ANSWERED, now(), steps));
     }
 
+    private void report(Participant process, int reportMillis) {
+        at(millis + reportMillis, () -> report(process, reportMillis));
+        if (!shares || process.down) {
+            return;
+        }
+        process.exchange.retain(liveBySide.get(process.cut), now());
+        List<Participant> aggregators = aggregatorsBySide.get(process.cut);
+        List<LimitDemand> demands = process.exchange.report(now());
+        for (int i = 0; i < aggregators.size(); i++) {
+            int rank = i;
+            Participant aggregator = aggregators.get(i);
+            transfer(process, aggregator, () -> {
+                aggregator.exchange.onReport(process.id, demands, now());
+                List<LimitShare> granted = aggregator.exchange.shares(process.id, now());
+                transfer(aggregator, process, () -> process.exchange.onShares(rank, granted, now()));
+            });
+        }
+    }
+
+    private void transfer(Participant from, Participant to, Runnable delivery) {
+        at(millis + 1 + random.nextInt(MAX_TRANSIT_MILLIS), () -> {
+            if (from.reaches(to)) {
+                delivery.run();
+            }
+        });
+    }
+
     /** Returns the largest fraction of the allowed requests that the server got in some 4 s. */
     double worstWindow() {
         int firstNamed = IntStream.range(0, durationMillis)
@@ -330,10 +400,6 @@
         return IntStream.range(from, until).map(at -> received[at]).sum() * 1_000.0 / (until - from);
     }
 
-    double answeredShare() {
-        return (double) answered / (answered + refused);
-    }
-
     int refused() {
         return refused;
     }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerLimitReplayTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerLimitReplayTest.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.decisions.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
@@ -9,9 +10,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Random;
+import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.CallKind;
+import org.geraniumstand.model.relay.LimitDemand;
 import org.geraniumstand.model.relay.RelayRoute;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.request.AttemptEnd;
@@ -28,6 +32,7 @@
     private static final RelayServer TWO = Calls.startedAt("two", Calls.PLAIN_SERVICE, 100);
 
     private final RelayDispatcher dispatcher = new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(1), 0);
+    private final ServerLimitExchange exchange = new ServerLimitExchange(dispatcher);
     private final List<RelayStep> steps = new ArrayList<>();
     private long number;
 
@@ -162,4 +167,28 @@
 
         assertThat(sent, lessThanOrEqualTo(1));
     }
+
+    @Test
+    void processReportsItsDemandForLimitedServers() {
+        assertThat(exchange.report(at(0)), empty());
+        answer(arrive(SAFE, 0, 5_000), 2, 10);
+        List<LimitDemand> report = exchange.report(at(20));
+
+        assertThat(report.size(), is(1));
+        assertThat(report.get(0).limit().server(), is(ONE.id()));
+        assertThat(report.get(0).callsPerSecond(), greaterThan(0.0));
+    }
+
+    @Test
+    void processLearnsALimitFromAnAggregator() {
+        RelayDispatcher other = new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(2), 0);
+        other.fleet().onListed(ONE, 0);
+        ServerLimitExchange otherExchange = new ServerLimitExchange(other);
+        answer(arrive(SAFE, 0, 5_000), 2, 10);
+        ProcessId self = new ProcessId("self");
+        exchange.onReport(self, exchange.report(at(20)), at(20));
+        otherExchange.onShares(0, exchange.shares(new ProcessId("other"), at(20)), at(20));
+
+        assertThat(other.fleet().limits().perSecond(ONE), is(OptionalDouble.of(2)));
+    }
 }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -12,12 +12,14 @@
 import org.geraniumstand.decisions.relay.LostServers;
 import org.geraniumstand.decisions.relay.QuotaUsageSums;
 import org.geraniumstand.decisions.relay.RelayDispatcher;
+import org.geraniumstand.decisions.relay.ServerLimitExchange;
 import org.geraniumstand.decisions.relay.TaskCoordinators;
 import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.member.ProtocolLevel;
+import org.geraniumstand.model.relay.ServerLimit;
 import org.geraniumstand.model.time.Timestamp;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.peer.PeerMessage;
@@ -26,7 +28,10 @@
 import org.geraniumstand.peer.net.TcpPeerNetwork;
 import org.geraniumstand.support.log.Log;
 
-/** Exchanges quota usage, calls in flight, store changes and the configuration in force with the other entry processes. */
+/**
+ * Exchanges quota usage, calls in flight, limits of servers, store changes and the configuration in force with the other
+ * entry processes.
+ */
 final class PeerTask implements AutoCloseable {
     private static final Log LOG = Log.of(PeerTask.class);
 
@@ -63,6 +68,7 @@
     private final InFlightSums inFlightCalls = new InFlightSums();
     private final LostServers lostServers = new LostServers();
     private final CrashEvidenceExchange crashEvidence;
+    private final ServerLimitExchange serverLimits;
     private final ConfigurationPullTiming configurationPull = new ConfigurationPullTiming();
     private Optional<List<Member>> pendingMembers = Optional.empty();
     private Set<ProcessId> liveProcesses = Set.of();
@@ -90,6 +96,7 @@
         this.network = network;
         this.dispatcher = dispatcher;
         this.crashEvidence = new CrashEvidenceExchange(network.self().id(), dispatcher);
+        this.serverLimits = new ServerLimitExchange(dispatcher);
         this.timer = timer;
         this.onPeerConfiguration = onPeerConfiguration;
     }
@@ -266,6 +273,7 @@
         inFlightCalls.onReport(from, report.inFlight(), now);
         lostServers.onReport(report.lostServers(), now);
         crashEvidence.onEvidence(from, report.evidence(), now);
+        logLimits(from, serverLimits.onReport(from, report.limits(), now));
         network.send(
                 from,
                 new PeerMessage.AggregateQuotaUsage(
@@ -274,7 +282,19 @@
                         // The second aggregator has the same figures.
                         isFirstAggregator() ? inFlightCalls.sumExcluding(from) : List.of(),
                         lostServers.recentLosses(now),
-                        crashEvidence.aggregate()));
+                        crashEvidence.aggregate(),
+                        serverLimits.shares(from, now)));
+    }
+
+    private static void logLimits(ProcessId source, List<ServerLimit> changed) {
+        for (ServerLimit limit : changed) {
+            LOG.info(
+                    "server-limit",
+                    Field.of("server", limit.server()),
+                    Field.of("perSecond", limit.perSecond()),
+                    Field.of("source", source),
+                    Field.of("ageMillis", limit.ageMillis()));
+        }
     }
 
     private boolean isFirstAggregator() {
@@ -287,6 +307,10 @@
         dispatcher.quotas().onRemoteUsage(aggregator, aggregate.usages(), aggregate.reportingProcesses(), now);
         dispatcher.fleet().onRemoteLosses(aggregate.lostServers(), now);
         crashEvidence.onEvidence(aggregator, aggregate.evidence(), now);
+        int rank = aggregators.indexOf(aggregator);
+        if (rank >= 0) {
+            logLimits(aggregator, serverLimits.onShares(rank, aggregate.limits(), now));
+        }
         // An aggregator that has just started has received reports of only some of the calls in flight.
         if (!aggregate.inFlight().isEmpty()
                 && aggregate.reportingProcesses() >= MIN_REPORTING_FRACTION * liveProcesses.size()) {
@@ -337,7 +361,9 @@
                 dispatcher.quotas().localUsage(),
                 dispatcher.fleet().inFlight(),
                 dispatcher.fleet().lostServers(now),
-                crashEvidence.evaluate(liveProcesses, isFirstAggregator(), now));
+                crashEvidence.evaluate(liveProcesses, isFirstAggregator(), now),
+                serverLimits.report(now));
+        serverLimits.retain(liveProcesses, now);
         inFlightCalls.retain(liveProcesses, now);
         // A report to this process itself is delivered like any other message.
         aggregators.forEach(aggregator -> network.send(aggregator, report));
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -12,6 +12,8 @@
 import org.geraniumstand.model.member.AppliedGeneration;
 import org.geraniumstand.model.member.MemberUpdate;
 import org.geraniumstand.model.relay.CrashEvidence;
+import org.geraniumstand.model.relay.LimitDemand;
+import org.geraniumstand.model.relay.LimitShare;
 import org.geraniumstand.model.relay.LostServer;
 import org.geraniumstand.model.relay.ServerInFlight;
 import org.geraniumstand.model.relay.TeamUsage;
@@ -196,15 +198,21 @@
      * @param inFlight the sender's calls in flight, one entry per server; servers without calls are omitted
      * @param lostServers servers that became unreachable for the sender while the store is unavailable to it
      * @param evidence the sender's evidence of prompts that crash servers
+     * @param limits limits that servers have named, with the sender's demand for these servers
      */
     record QuotaUsageReport(
-            List<TeamUsage> usages, List<ServerInFlight> inFlight, List<LostServer> lostServers, CrashEvidence evidence)
+            List<TeamUsage> usages,
+            List<ServerInFlight> inFlight,
+            List<LostServer> lostServers,
+            CrashEvidence evidence,
+            List<LimitDemand> limits)
             implements PeerMessage {
         /** Copies the lists. */
         public QuotaUsageReport {
             usages = List.copyOf(usages);
             inFlight = List.copyOf(inFlight);
             lostServers = List.copyOf(lostServers);
+            limits = List.copyOf(limits);
         }
     }
 
@@ -217,19 +225,22 @@
      *     with the receiver
      * @param lostServers servers that recently became unreachable for any process while the store was unavailable to it
      * @param evidence evidence of all processes of prompts that crash servers
+     * @param limits limits that servers have named to any process, with the shares granted to the receiver
      */
     record AggregateQuotaUsage(
             List<TeamUsage> usages,
             int reportingProcesses,
             List<ServerInFlight> inFlight,
             List<LostServer> lostServers,
-            CrashEvidence evidence)
+            CrashEvidence evidence,
+            List<LimitShare> limits)
             implements PeerMessage {
         /** Copies the lists. */
         public AggregateQuotaUsage {
             usages = List.copyOf(usages);
             inFlight = List.copyOf(inFlight);
             lostServers = List.copyOf(lostServers);
+            limits = List.copyOf(limits);
         }
     }
 
--- a/peer/src/main/java/org/geraniumstand/peer/codec/AggregateQuotaUsageCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/AggregateQuotaUsageCodec.java
@@ -16,12 +16,13 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.AggregateQuotaUsage message) {
-        out.fields(4 + CrashEvidenceFields.COUNT)
+        out.fields(5 + CrashEvidenceFields.COUNT)
                 .list(message.usages(), QuotaUsageReportCodec::writeTeamUsage)
                 .number(message.reportingProcesses())
                 .list(message.inFlight(), QuotaUsageReportCodec::writeServerInFlight)
                 .list(message.lostServers(), QuotaUsageReportCodec::writeLostServer);
         CrashEvidenceFields.write(out, message.evidence());
+        out.list(message.limits(), ServerLimitFields::writeShare);
     }
 
     @Override
@@ -31,6 +32,7 @@
                 in.smallNumber(),
                 in.list(QuotaUsageReportCodec::readServerInFlight),
                 in.list(QuotaUsageReportCodec::readLostServer),
-                CrashEvidenceFields.read(in));
+                CrashEvidenceFields.read(in),
+                in.list(ServerLimitFields::readShare));
     }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
@@ -21,11 +21,12 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.QuotaUsageReport message) {
-        out.fields(3 + CrashEvidenceFields.COUNT)
+        out.fields(4 + CrashEvidenceFields.COUNT)
                 .list(message.usages(), QuotaUsageReportCodec::writeTeamUsage)
                 .list(message.inFlight(), QuotaUsageReportCodec::writeServerInFlight)
                 .list(message.lostServers(), QuotaUsageReportCodec::writeLostServer);
         CrashEvidenceFields.write(out, message.evidence());
+        out.list(message.limits(), ServerLimitFields::writeDemand);
     }
 
     @Override
@@ -34,7 +35,8 @@
                 in.list(QuotaUsageReportCodec::readTeamUsage),
                 in.list(QuotaUsageReportCodec::readServerInFlight),
                 in.list(QuotaUsageReportCodec::readLostServer),
-                CrashEvidenceFields.read(in));
+                CrashEvidenceFields.read(in),
+                in.list(ServerLimitFields::readDemand));
     }
 
     static void writeTeamUsage(FieldWriter out, TeamUsage usage) {
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -37,9 +38,12 @@
 import org.geraniumstand.model.member.MemberUpdate;
 import org.geraniumstand.model.relay.CrashEvidence;
 import org.geraniumstand.model.relay.CrashReport;
+import org.geraniumstand.model.relay.LimitDemand;
+import org.geraniumstand.model.relay.LimitShare;
 import org.geraniumstand.model.relay.LostServer;
 import org.geraniumstand.model.relay.QuarantinedPrompt;
 import org.geraniumstand.model.relay.ServerInFlight;
+import org.geraniumstand.model.relay.ServerLimit;
 import org.geraniumstand.model.relay.ServicePart;
 import org.geraniumstand.model.relay.SoundPart;
 import org.geraniumstand.model.relay.TeamUsage;
@@ -134,9 +138,15 @@
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamHandoverAck::new),
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamLookup::new),
                 fleetChanges().map(PeerMessage.FleetUpdate::new),
-                Combinators.combine(teamUsages(), inFlightCounts(), lostServers(), crashEvidence())
+                Combinators.combine(teamUsages(), inFlightCounts(), lostServers(), crashEvidence(), limitDemands())
                         .as(PeerMessage.QuotaUsageReport::new),
-                Combinators.combine(teamUsages(), integers(), inFlightCounts(), lostServers(), crashEvidence())
+                Combinators.combine(
+                                teamUsages(),
+                                integers(),
+                                inFlightCounts(),
+                                lostServers(),
+                                crashEvidence(),
+                                limitShares())
                         .as(PeerMessage.AggregateQuotaUsage::new),
                 windows().map(PeerMessage.RequestCountReport::new),
                 Combinators.combine(numbers(), numbers())
@@ -187,6 +197,32 @@
                 .ofMaxSize(4);
     }
 
+    private static Arbitrary<ServerLimit> serverLimits() {
+        return Combinators.combine(names(), numbers(), rates(), numbers())
+                .as((server, start, perSecond, age) -> new ServerLimit(new ServerId(server), start, perSecond, age));
+    }
+
+    /** Rates that the codec does not round, and no limit. */
+    private static Arbitrary<Double> rates() {
+        return Arbitraries.of(0.0, 0.25, 1.5, 40.0, 1e9, Double.POSITIVE_INFINITY);
+    }
+
+    private static Arbitrary<List<LimitDemand>> limitDemands() {
+        return Combinators.combine(serverLimits(), Arbitraries.of(0.0, 0.5, 300.0))
+                .as(LimitDemand::new)
+                .list()
+                .ofMaxSize(4);
+    }
+
+    private static Arbitrary<List<LimitShare>> limitShares() {
+        return Combinators.combine(
+                        serverLimits(),
+                        Arbitraries.of(OptionalDouble.empty(), OptionalDouble.of(0), OptionalDouble.of(0.125)))
+                .as(LimitShare::new)
+                .list()
+                .ofMaxSize(4);
+    }
+
     private static Arbitrary<CrashEvidence> crashEvidence() {
         Arbitrary<List<ServicePart>> parts = serviceParts().list().ofMaxSize(3);
         return Combinators.combine(
