Use the turns at limits that servers name

A turn was used only by a call for which the limited server was the best one anyway, so servers in another data centre got next to nothing while others were idle. A limited server with an open turn now has an advantage of 10 ms over others. And a call waits for its turn for two fifths of its time at most, so that its caller has time to try again; before it was until its deadline.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -417,7 +417,8 @@
             // A refusal discards what has already been relayed, so such a call waits until its deadline.
             boolean tooLong = !call.relayed() && waitEstimate.waitMillis(ahead, nowNanos) > remainingMillis;
             boolean blocked = crashingPrompts.blockedMillis(call, nowNanos).isPresent();
-            boolean notWanted = !call.relayed() && requested.millis(ahead) > remainingMillis;
+            long totalMillis = (call.deadlineNanos() - call.arrivedNanos()) / Timestamp.NANOS_PER_MILLI;
+            boolean notWanted = !call.relayed() && requested.isTooLong(ahead, totalMillis, remainingMillis);
             return noServer || remainingMillis <= 0 || tooLong || blocked || notWanted;
         });
         for (RelayCall call : unservable) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -40,6 +40,12 @@
     /** Penalty of a cold server in milliseconds. */
     private static final double COLD_SERVER_MILLIS = 150;
 
+    /**
+     * Advantage of a server that has named a limit and accepts a request now, in milliseconds; a turn that is not used soon
+     * is lost.
+     */
+    private static final double OPEN_TURN_MILLIS = 10;
+
     /**
      * Calls that may queue at an engine, as a fraction of its slots: the engine fills a free slot at once, whereas the
      * processes learn of it only after some 400 ms.
@@ -112,7 +118,9 @@
                     ? 0
                     : prefixCaches.uncachedTokens(
                             prompt, call.head().promptTokens(), view.server().id(), view.equals(preferred), nowNanos);
-            double cost = cost(view, service, uncachedTokens, nowNanos) + tieBreak(call, view);
+            double cost = cost(view, service, uncachedTokens, nowNanos)
+                    - (hasNamedLimit(view) ? OPEN_TURN_MILLIS : 0)
+                    + tieBreak(call, view);
             if (cost < bestCost) {
                 bestCost = cost;
                 bestUncachedTokens = uncachedTokens;
@@ -122,6 +130,10 @@
         return best == null ? Optional.empty() : Optional.of(new Selection(best, bestUncachedTokens));
     }
 
+    private boolean hasNamedLimit(ServerView view) {
+        return fleet.limits().perSecond(view.server()).isPresent();
+    }
+
     private boolean isAvailable(ServerView view, RelayCall call, long nowNanos) {
         return fleet.pauseMillis(view, nowNanos) == 0
                 && !view.isEjected(nowNanos)
