Keep the limit of a server that refuses without naming it

A server in need that was full could get many times the rate that it had named. A refusal may bear nothing but its status and that the request did not run; it names no limit, and was taken for the end of the limit. An answer to a request that did not run now says nothing about the limit unless it names one.

--- a/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
@@ -113,7 +113,7 @@
         if (server == null) {
             return;
         }
-        answer.limitPerSecond().ifPresent(perSecond -> onLimit(call, server, perSecond));
+        onLimit(call, server, answer);
         if (!answer.leaving() && answer.pauseMillis().isEmpty()) {
             return;
         }
@@ -128,7 +128,13 @@
         }
     }
 
-    private void onLimit(RelayCall call, ServerView server, double perSecond) {
+    private void onLimit(RelayCall call, ServerView server, ServerHead answer) {
+        double perSecond = answer.limitPerSecond().orElse(Double.NaN);
+        // A refusal may be so short that it bears nothing but its status.
+        boolean saysNothing = answer.notExecuted() && Double.isInfinite(perSecond);
+        if (Double.isNaN(perSecond) || saysNothing) {
+            return;
+        }
         boolean changed =
                 dispatcher.fleet().limits().onAnswer(server.server(), perSecond, call.sentNanos(), System.nanoTime());
         if (changed) {
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerTest.java
@@ -311,6 +311,27 @@
         }
     }
 
+    /** Guards against a refusal without any headers that ends the limit of a server in need. */
+    @Test
+    void keepsTheLimitOfAServerThatRefusesWithoutNamingIt() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        try (FakeServer server = FakeServer.start((_request, c) -> {
+            if (requests.incrementAndGet() == 1) {
+                c.answer(200, SIGNED_HEADERS + "limit: 2\r\n", "x");
+            } else {
+                c.answer(503, "not-run: 1\r\n", "");
+            }
+        })) {
+            register(server);
+            long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(2);
+            while (System.nanoTime() - endNanos < 0) {
+                call("GET", "/safe/", CALL_HEADERS, "");
+            }
+
+            assertThat(requests.get(), lessThanOrEqualTo(11));
+        }
+    }
+
     @Test
     void cancelsAttemptWhenCallerDisconnectsBeforeAnswer() throws Exception {
         CountDownLatch arrived = new CountDownLatch(1);
