--- a/support/src/main/java/org/geraniumstand/support/net/UnreadInput.java
+++ b/support/src/main/java/org/geraniumstand/support/net/UnreadInput.java
@@ -2,10 +2,15 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.support.log.Log;
+import org.geraniumstand.support.log.StackSummary;
 import org.xnio.conduits.ConduitStreamSourceChannel;
 
 /** Tells whether an idle connection has input, which belongs to no answer; confined to one I/O thread. */
 final class UnreadInput {
+    private static final Log LOG = Log.of(UnreadInput.class);
+
     private ConduitStreamSourceChannel source;
 
     /**
@@ -21,7 +26,8 @@
     boolean present() {
         try {
             return source.read(ByteBuffer.allocate(1)) != 0;
-        } catch (IOException _e) {
+        } catch (IOException e) {
+            LOG.debug("idle-connection-failed", Field.of("reason", StackSummary.of(e)));
             return true;
         }
     }
