--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -118,9 +118,7 @@
                     ? 0
                     : prefixCaches.uncachedTokens(
                             prompt, call.head().promptTokens(), view.server().id(), view.equals(preferred), nowNanos);
-            double cost = cost(view, service, uncachedTokens, nowNanos)
-                    - (hasNamedLimit(view) ? OPEN_TURN_MILLIS : 0)
-                    + tieBreak(call, view);
+            double cost = cost(view, service, uncachedTokens, nowNanos) + tieBreak(call, view);
             if (cost < bestCost) {
                 bestCost = cost;
                 bestUncachedTokens = uncachedTokens;
@@ -245,6 +243,9 @@
         if (view.cold(service, nowNanos)) {
             cost += COLD_SERVER_MILLIS;
         }
+        if (hasNamedLimit(view)) {
+            cost -= OPEN_TURN_MILLIS;
+        }
         if (service.engineCapacity().isPresent()) {
             // Uncached tokens count twice: they delay this call and those that already run at the server.
             return cost
