Log events that are out of order in a stream

Callers saw events of a resumed stream twice, and no line of the logs held the position of a stream or the ids that a server sends: a server that resumes elsewhere than it was told to could not be told from a wrong position of ours. EventOrder compares the id of each event with the last one that the caller has, and the first deviation of an attempt is logged (event-out-of-order: request, server, position, received). Events are relayed as before.

EventSplitterTest creates the splitter with an order; its checks are unchanged.

--- /dev/null
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
@@ -0,0 +1,125 @@
+package org.geraniumstand.http.opaque;
+
+import java.util.Optional;
+import org.geraniumstand.decisions.Decision;
+
+/** Decides which events of a stream's runs continue what its caller has received; not thread-safe. */
+@Decision(
+        name = "event-order",
+        summary = "Drops the events up to the caller's position, and ends a resumed run that skips an event or does not"
+                + " number one.")
+final class EventOrder {
+    /** Maximum length of an id that is compared, in digits; the number fits a {@code long}. */
+    private static final int MAX_DIGITS = 18;
+
+    private static final long NONE = -1;
+    private static final long FIRST = 1;
+
+    private Optional<String> lastId;
+    private long position;
+    private Numbering numbering;
+    private boolean resumed;
+    private long furthest;
+    private long dropped;
+
+    /** Tells what to do with an event. */
+    enum Verdict {
+        /** Relay the event. */
+        RELAY,
+
+        /** Leave the event out, because the caller has it. */
+        DROP,
+
+        /** End the run before the event. */
+        BREAK_OFF
+    }
+
+    /** Tells what is known of the steps between the ids of the stream. */
+    private enum Numbering {
+        UNKNOWN,
+        CONSECUTIVE,
+        SPARSE
+    }
+
+    /**
+     * Creates the order of a stream.
+     *
+     * @param lastId the id of the last event that the caller already has, as it was sent
+     * @param resumable whether servers resume the stream after that id
+     */
+    EventOrder(Optional<String> lastId, boolean resumable) {
+        this.lastId = lastId;
+        this.position = resumable ? lastId.map(EventOrder::parse).orElse(NONE) : NONE;
+        this.numbering = position == NONE ? Numbering.UNKNOWN : Numbering.CONSECUTIVE;
+        startRun();
+    }
+
+    /** Starts a run at another server, which is to resume after the last event that was relayed. */
+    void startRun() {
+        resumed = position != NONE;
+        furthest = NONE;
+        dropped = 0;
+    }
+
+    /** Returns the id after which the next run is to resume. */
+    Optional<String> lastId() {
+        return lastId;
+    }
+
+    /** Returns whether the current run, if it ends now, has reached the position at which it was to resume. */
+    boolean reachedPosition() {
+        return furthest == NONE || furthest >= position;
+    }
+
+    /**
+     * Decides about the next event of the current run.
+     *
+     * @param id the id of the event, if it has one
+     * @param hasData whether the event has data; a comment has neither an id nor data
+     */
+    Verdict onEvent(Optional<String> id, boolean hasData) {
+        if (id.isEmpty() && !hasData) {
+            return Verdict.RELAY;
+        }
+        long number = id.map(EventOrder::parse).orElse(NONE);
+        if (number == NONE) {
+            return resumed ? Verdict.BREAK_OFF : Verdict.RELAY;
+        }
+        furthest = Math.max(furthest, number);
+        if (number <= position) {
+            return onPassed();
+        }
+        if (resumed && numbering == Numbering.CONSECUTIVE && number != position + 1) {
+            return Verdict.BREAK_OFF;
+        }
+        if (!resumed) {
+            numbering = numberingAfter(number);
+        }
+        position = number;
+        lastId = id;
+        return Verdict.RELAY;
+    }
+
+    /** Bounds a run that repeats itself without end, as a run that begins again passes each id once. */
+    private Verdict onPassed() {
+        dropped++;
+        return dropped > position + 1 ? Verdict.BREAK_OFF : Verdict.DROP;
+    }
+
+    /** Returns what a run from the beginning shows; ids only have to increase, so a step over one is no gap there. */
+    private Numbering numberingAfter(long number) {
+        if (position == NONE) {
+            return number == FIRST ? Numbering.CONSECUTIVE : Numbering.UNKNOWN;
+        }
+        if (number > position + 1) {
+            return Numbering.SPARSE;
+        }
+        return numbering == Numbering.UNKNOWN ? Numbering.CONSECUTIVE : numbering;
+    }
+
+    private static long parse(String id) {
+        boolean number =
+                !id.isEmpty() && id.length() <= MAX_DIGITS && id.chars().allMatch(c -> c >= '0' && c <= '9');
+        return number ? Long.parseLong(id) : NONE;
+    }
+}
--- a/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
@@ -12,17 +12,46 @@
  */
 final class EventSplitter {
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] DATA_FIELD = "data".getBytes(StandardCharsets.UTF_8);
 
+    private final EventOrder order;
+    private final OutOfOrderListener listener;
     private byte[] incomplete = new byte[0];
     private int size;
     private int lineStart;
     private boolean hasLine;
+    private boolean hasData;
     private Optional<String> lastId;
     private Optional<String> incompleteId = Optional.empty();
 
-    /** Creates a splitter for a caller that already received the events up to this id. */
-    EventSplitter(Optional<String> lastId) {
-        this.lastId = lastId;
+    /** Is told of the events that do not continue what the caller has received. */
+    @FunctionalInterface
+    interface OutOfOrderListener {
+        /**
+         * Called for an event before its bytes are returned.
+         *
+         * @param id the id of the event, if it has one
+         * @param verdict what the order of the stream requires
+         */
+        void onOutOfOrder(Optional<String> id, EventOrder.Verdict verdict);
+    }
+
+    /**
+     * Creates a splitter.
+     *
+     * @param order the order of the stream's events
+     * @param listener is told of the events that are out of order
+     */
+    EventSplitter(EventOrder order, OutOfOrderListener listener) {
+        this.order = order;
+        this.listener = listener;
+        this.lastId = order.lastId();
+    }
+
+    /** Discards the bytes after the last complete event and starts a run at another server. */
+    void startRun() {
+        discardIncomplete();
+        order.startRun();
     }
 
     /** Returns the id of the last complete event. */
@@ -65,6 +94,7 @@
         size = 0;
         lineStart = 0;
         hasLine = false;
+        hasData = false;
         incompleteId = Optional.empty();
     }
 
@@ -90,16 +120,26 @@
         boolean ends = emptyLine && hasLine;
         if (!emptyLine) {
             readId(lineFeed);
+            hasData |= isData(lineFeed);
         }
         if (ends) {
+            checkOrder();
             lastId = incompleteId.or(() -> lastId);
             incompleteId = Optional.empty();
+            hasData = false;
         }
         hasLine = !emptyLine;
         lineStart = lineFeed + 1;
         return ends;
     }
 
+    private void checkOrder() {
+        EventOrder.Verdict verdict = order.onEvent(incompleteId, hasData);
+        if (verdict != EventOrder.Verdict.RELAY) {
+            listener.onOutOfOrder(incompleteId, verdict);
+        }
+    }
+
     private boolean isEmptyLine(int end) {
         return end == lineStart || (end == lineStart + 1 && incomplete[lineStart] == '\r');
     }
@@ -110,4 +150,11 @@
             incompleteId = Optional.of(new String(incomplete, start, end - start, StandardCharsets.UTF_8).trim());
         }
     }
+
+    private boolean isData(int end) {
+        int next = lineStart + DATA_FIELD.length;
+        return next <= end
+                && Arrays.equals(incomplete, lineStart, next, DATA_FIELD, 0, DATA_FIELD.length)
+                && (incomplete[next] == ':' || incomplete[next] == '\r' || incomplete[next] == '\n');
+    }
 }
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -37,6 +37,9 @@
 
     private static final int MAX_LOGGED_PARTS = 8;
 
+    /** Maximum length of an event's id in a line of the log, in characters; servers and callers choose it. */
+    private static final int MAX_LOGGED_ID_CHARS = 32;
+
     /** Retry delay of a call that a stopping process did not send, in milliseconds; other processes can take it at once. */
     private static final long STOPPING_RETRY_MILLIS = 50;
 
@@ -45,7 +48,10 @@
     private final HttpBody body;
     private final OpaqueContext context;
     private final CallerAnswer answer;
+    private final EventOrder order;
     private final EventSplitter splitter;
+    private ServerId sentTo;
+    private boolean loggedOutOfOrder;
     private XnioExecutor.Key deadline;
     private Optional<CallerWatch> watch = Optional.empty();
     private Attempt attempt;
@@ -57,7 +63,8 @@
         this.body = body;
         this.context = context;
         this.answer = new CallerAnswer(exchange, context.date(), context.codec());
-        this.splitter = new EventSplitter(call.head().lastEventId());
+        this.order = new EventOrder(call.head().lastEventId(), call.route().resumable());
+        this.splitter = new EventSplitter(order, this::onOutOfOrder);
     }
 
     /**
@@ -163,11 +170,35 @@
                 new Action.AttemptLimits(
                         send.firstByteMillis(), remainingMillis, !call.route().retryable()),
                 context.protocol());
-        splitter.discardIncomplete();
+        splitter.startRun();
+        sentTo = server.id();
+        loggedOutOfOrder = false;
         attempt = context.upstream().prepare(spec, context.thread(), new AnswerListener());
         attempt.start();
     }
 
+    /** Logs the first event of an attempt that is out of order. */
+    private void onOutOfOrder(Optional<String> id, EventOrder.Verdict verdict) {
+        if (loggedOutOfOrder) {
+            return;
+        }
+        loggedOutOfOrder = true;
+        LOG.warn(
+                "event-out-of-order",
+                Field.of("request", call.head().attempt()),
+                Field.of("attempt", call.attempts()),
+                Field.of("server", sentTo),
+                Field.of("position", shorten(order.lastId())),
+                Field.of("received", shorten(id)),
+                Field.of("expected", verdict),
+                Field.of("outcome", "RELAYED"));
+    }
+
+    private static String shorten(Optional<String> id) {
+        return id.map(text -> text.substring(0, Math.min(text.length(), MAX_LOGGED_ID_CHARS)))
+                .orElse("");
+    }
+
     private String target() {
         String query = exchange.getQueryString();
         return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + "?" + query;
--- /dev/null
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
@@ -0,0 +1,165 @@
+package org.geraniumstand.http.opaque;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import org.geraniumstand.http.opaque.EventOrder.Verdict;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+final class EventOrderTest {
+    private static final String WITHOUT_ID = "-";
+
+    private final EventOrder order = new EventOrder(Optional.empty(), true);
+
+    private static EventOrder after(String callerId) {
+        return new EventOrder(Optional.of(callerId), true);
+    }
+
+    /** Returns a letter for each event of a run: relayed, dropped or broken off, after which the run ends. */
+    private static String run(EventOrder order, String ids) {
+        order.startRun();
+        StringBuilder verdicts = new StringBuilder();
+        for (String id : ids.split(" ", -1)) {
+            Verdict verdict = order.onEvent(id.equals(WITHOUT_ID) ? Optional.empty() : Optional.of(id), true);
+            verdicts.append(verdict.name().charAt(0));
+            if (verdict == Verdict.BREAK_OFF) {
+                break;
+            }
+        }
+        return verdicts.toString();
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'3 4 5', RRR",
+        "'1 2 3 4', DDRR",
+        "'2 3 4', DRR",
+        "'3 3 4', RDR",
+        "'3 2 4', RDR",
+        "'3 4 1 2 3 4 5', RRDDDDR",
+        "'4', B",
+        "'3 5', RB",
+        "'1 4', DB",
+        "'-', B",
+        "'3 -', RB",
+        "'x 3', B",
+        "'-3', B",
+        "'3.5', B",
+        "'99999999999999999999', B",
+    })
+    void resumedRunGoesOnAtThePosition(String ids, String verdicts) {
+        run(order, "1 2");
+
+        assertThat(run(order, ids), is(verdicts));
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "'13 14', RR",
+        "'1 2 3', DDD",
+        "'11 12 13', DDR",
+        "'14', B",
+        "'-', B",
+    })
+    void runThatTheCallerResumesGoesOnAtItsPosition(String ids, String verdicts) {
+        assertThat(run(after("12"), ids), is(verdicts));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "x", "-1", "1.5", "99999999999999999999"})
+    void anyRunFollowsAPositionThatIsNoNumber(String callerId) {
+        EventOrder unknown = after(callerId);
+
+        assertThat(run(unknown, "7 8 8 9"), is("RRDR"));
+        assertThat(run(unknown, "9 10 12"), is("DRB"));
+    }
+
+    @Test
+    void positionOfTheCallerIsKeptAsItWasSent() {
+        EventOrder padded = after("007");
+
+        assertThat(padded.lastId(), is(Optional.of("007")));
+        assertThat(run(padded, "8"), is("R"));
+        assertThat(padded.lastId(), is(Optional.of("8")));
+        assertThat(after("x").lastId(), is(Optional.of("x")));
+    }
+
+    @Test
+    void serversOfOtherRoutesBeginAnewWhateverTheCallerHas() {
+        EventOrder notResumable = new EventOrder(Optional.of("12"), false);
+
+        assertThat(notResumable.lastId(), is(Optional.of("12")));
+        assertThat(run(notResumable, "1 2 3"), is("RRR"));
+        assertThat(notResumable.reachedPosition(), is(true));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"1 2 3", "0 1 2", "7 8 9", "5 10 15", "1 2 4 5", "100 7000 7001", "- - -", "1 - 2", "x y"})
+    void runFromTheBeginningIsRelayedWhole(String ids) {
+        assertThat(run(order, ids), is("R".repeat(ids.split(" ", -1).length)));
+    }
+
+    @Test
+    void runFromTheBeginningRepeatsNoEvent() {
+        assertThat(run(order, "1 2 2 3 1 4"), is("RRDRDR"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"5 10, 15 20", "1 2 4, 6 7", "7, 9 12"})
+    void stepsOverOneAreNoGapWhereIdsDoNotCountTheEvents(String first, String resumed) {
+        run(order, first);
+
+        assertThat(run(order, resumed), is("RR"));
+    }
+
+    @Test
+    void positionRemainsThatOfTheLastEventRelayed() {
+        run(order, "1 2 3");
+        List<String> runs = Arrays.asList("1 2", "5", "-");
+
+        for (String ids : runs) {
+            run(order, ids);
+            assertThat(order.lastId(), is(Optional.of("3")));
+        }
+        assertThat(run(order, "4"), is("R"));
+    }
+
+    @Test
+    void commentsAreNoEvents() {
+        run(order, "1 2");
+        order.startRun();
+
+        assertThat(order.onEvent(Optional.empty(), false), is(Verdict.RELAY));
+        assertThat(run(order, "3"), is("R"));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"'1 2', false", "'1 2 3', true", "'1 2 3 4', true", "'4', true", "'2', false"})
+    void runThatEndsBeforeThePositionIsIncomplete(String ids, boolean reached) {
+        run(order, "1 2 3");
+        run(order, ids);
+
+        assertThat(order.reachedPosition(), is(reached));
+    }
+
+    @Test
+    void runWithoutEventsHasNothingToRepeat() {
+        run(order, "1 2 3");
+        order.startRun();
+
+        assertThat(order.reachedPosition(), is(true));
+    }
+
+    @Test
+    void runThatRepeatsItselfWithoutEndIsBrokenOff() {
+        run(order, "1 2 3");
+
+        assertThat(run(order, "1 2 1 2 1 2 1 2"), is("DDDDB"));
+    }
+}
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
@@ -11,7 +11,8 @@
 import org.junit.jupiter.api.Test;
 
 final class EventSplitterTest {
-    private final EventSplitter splitter = new EventSplitter(Optional.of("3"));
+    private final EventSplitter splitter =
+            new EventSplitter(new EventOrder(Optional.of("3"), true), (_id, _verdict) -> {});
 
     private String accept(String text) {
         return new String(
@@ -105,7 +106,7 @@
     void returnsTheSameBytesForEverySplitOfTheInput() {
         String text = "id: 4\ndata: a\n\nid: 5\ndata: b\n\n";
         for (int split = 0; split <= text.length(); split++) {
-            EventSplitter fresh = new EventSplitter(Optional.empty());
+            EventSplitter fresh = new EventSplitter(new EventOrder(Optional.empty(), true), (_id, _verdict) -> {});
             String relayed = new String(
                             fresh.accept(
                                     ByteBuffer.wrap(text.substring(0, split).getBytes(StandardCharsets.UTF_8))),
