Relay only events that continue a resumed stream

Callers of a stream that broke off got events twice (1 2 1 2 3 4 5), or missed some, and the stream ended as complete. A server that has lost the position of a stream begins again, at the first event or elsewhere, while this process and the caller still hold the position: the id of whatever event came was taken for the new position, and the event was relayed.

EventOrder now decides for each event. Events up to the position are left out, by whole events; their arrival still counts as a sign of life. A resumed run that skips an event, or sends one whose id is missing or no number, ends and is retried like any other failed attempt, but does not count as a crash of its server. So does a run that ends before it reaches the position. Ids only have to increase, so runs from the beginning may have steps over one, and are then resumed at any later id. A run that goes back more than three times without a new event ends.

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
@@ -12,6 +12,9 @@
     /** Maximum length of an id that is compared, in digits; the number fits a {@code long}. */
     private static final int MAX_DIGITS = 18;
 
+    /** Maximum number of times that a run may go back without an event that is new. */
+    private static final int MAX_RETURNS = 3;
+
     private static final long NONE = -1;
     private static final long FIRST = 1;
 
@@ -20,7 +23,8 @@
     private Numbering numbering;
     private boolean resumed;
     private long furthest;
-    private long dropped;
+    private long previous;
+    private int returns;
 
     /** Tells what to do with an event. */
     enum Verdict {
@@ -58,7 +62,8 @@
     void startRun() {
         resumed = position != NONE;
         furthest = NONE;
-        dropped = 0;
+        previous = NONE;
+        returns = 0;
     }
 
     /** Returns the id after which the next run is to resume. */
@@ -85,9 +90,14 @@
         if (number == NONE) {
             return resumed ? Verdict.BREAK_OFF : Verdict.RELAY;
         }
+        if (number <= previous) {
+            returns++;
+        }
+        previous = number;
         furthest = Math.max(furthest, number);
         if (number <= position) {
-            return onPassed();
+            // A run that repeats itself without end would last until the deadline.
+            return returns > MAX_RETURNS ? Verdict.BREAK_OFF : Verdict.DROP;
         }
         if (resumed && numbering == Numbering.CONSECUTIVE && number != position + 1) {
             return Verdict.BREAK_OFF;
@@ -96,16 +106,11 @@
             numbering = numberingAfter(number);
         }
         position = number;
+        returns = 0;
         lastId = id;
         return Verdict.RELAY;
     }
 
-    /** Bounds a run that repeats itself without end, as a run that begins again passes each id once. */
-    private Verdict onPassed() {
-        dropped++;
-        return dropped > position + 1 ? Verdict.BREAK_OFF : Verdict.DROP;
-    }
-
     /** Returns what a run from the beginning shows; ids only have to increase, so a step over one is no gap there. */
     private Numbering numberingAfter(long number) {
         if (position == NONE) {
--- a/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
@@ -1,12 +1,14 @@
 package org.geraniumstand.http.opaque;
 
+import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
 
 /**
- * Splits the bytes of a server-sent event stream at the ends of events without changing any byte.
+ * Splits the bytes of a server-sent event stream at the ends of events and leaves out events that are out of order; the bytes
+ * of all others are unchanged.
  *
  * <p>Source: WHATWG HTML, "Server-sent events". An event ends with an empty line; empty lines outside an event are no event.
  */
@@ -21,7 +23,7 @@
     private int lineStart;
     private boolean hasLine;
     private boolean hasData;
-    private Optional<String> lastId;
+    private boolean brokenOff;
     private Optional<String> incompleteId = Optional.empty();
 
     /** Is told of the events that do not continue what the caller has received. */
@@ -45,18 +47,23 @@
     EventSplitter(EventOrder order, OutOfOrderListener listener) {
         this.order = order;
         this.listener = listener;
-        this.lastId = order.lastId();
     }
 
     /** Discards the bytes after the last complete event and starts a run at another server. */
     void startRun() {
         discardIncomplete();
+        brokenOff = false;
         order.startRun();
     }
 
-    /** Returns the id of the last complete event. */
+    /** Returns the id of the last event that was returned. */
     Optional<String> lastId() {
-        return lastId;
+        return order.lastId();
+    }
+
+    /** Returns whether the run has sent an event that does not continue the stream; no more bytes are returned then. */
+    boolean brokenOff() {
+        return brokenOff;
     }
 
     /** Returns the number of bytes after the last complete event. */
@@ -69,17 +76,26 @@
         return hasLine || !isEmptyLine(size);
     }
 
-    /** Adds bytes and returns those of all events that are now complete, or an empty array if none is. */
+    /** Adds bytes and returns those of all events that are now complete and in order, or an empty array if none is. */
     byte[] accept(ByteBuffer bytes) {
         int from = size;
         append(bytes);
-        int completeBytes = 0;
-        for (int i = from; i < size; i++) {
+        ByteArrayOutputStream inOrder = new ByteArrayOutputStream(0);
+        int start = 0;
+        for (int i = from; i < size && !brokenOff; i++) {
             if (incomplete[i] == '\n' && endsEvent(i)) {
-                completeBytes = i + 1;
+                if (endEvent() == EventOrder.Verdict.RELAY) {
+                    inOrder.write(incomplete, start, i + 1 - start);
+                }
+                start = i + 1;
             }
         }
-        return completeBytes == 0 ? new byte[0] : removePrefix(completeBytes);
+        if (brokenOff) {
+            discardIncomplete();
+        } else if (start > 0) {
+            removePrefix(start);
+        }
+        return inOrder.toByteArray();
     }
 
     /** Removes and returns the bytes after the last complete event. */
@@ -107,12 +123,10 @@
         size += count;
     }
 
-    private byte[] removePrefix(int count) {
-        byte[] prefix = Arrays.copyOf(incomplete, count);
+    private void removePrefix(int count) {
         size -= count;
         System.arraycopy(incomplete, count, incomplete, 0, size);
         lineStart -= count;
-        return prefix;
     }
 
     private boolean endsEvent(int lineFeed) {
@@ -122,22 +136,20 @@
             readId(lineFeed);
             hasData |= isData(lineFeed);
         }
-        if (ends) {
-            checkOrder();
-            lastId = incompleteId.or(() -> lastId);
-            incompleteId = Optional.empty();
-            hasData = false;
-        }
         hasLine = !emptyLine;
         lineStart = lineFeed + 1;
         return ends;
     }
 
-    private void checkOrder() {
+    private EventOrder.Verdict endEvent() {
         EventOrder.Verdict verdict = order.onEvent(incompleteId, hasData);
         if (verdict != EventOrder.Verdict.RELAY) {
             listener.onOutOfOrder(incompleteId, verdict);
         }
+        brokenOff = verdict == EventOrder.Verdict.BREAK_OFF;
+        incompleteId = Optional.empty();
+        hasData = false;
+        return verdict;
     }
 
     private boolean isEmptyLine(int end) {
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -51,7 +51,7 @@
     private final EventOrder order;
     private final EventSplitter splitter;
     private ServerId sentTo;
-    private boolean loggedOutOfOrder;
+    private boolean loggedDrop;
     private XnioExecutor.Key deadline;
     private Optional<CallerWatch> watch = Optional.empty();
     private Attempt attempt;
@@ -172,26 +172,29 @@
                 context.protocol());
         splitter.startRun();
         sentTo = server.id();
-        loggedOutOfOrder = false;
+        loggedDrop = false;
         attempt = context.upstream().prepare(spec, context.thread(), new AnswerListener());
         attempt.start();
     }
 
-    /** Logs the first event of an attempt that is out of order. */
+    /** Logs the first event of an attempt that is left out, and the one that ends it. */
     private void onOutOfOrder(Optional<String> id, EventOrder.Verdict verdict) {
-        if (loggedOutOfOrder) {
+        if (verdict == EventOrder.Verdict.DROP && loggedDrop) {
             return;
         }
-        loggedOutOfOrder = true;
+        loggedDrop = true;
+        logOutOfOrder(id, verdict.name());
+    }
+
+    private void logOutOfOrder(Optional<String> received, String outcome) {
         LOG.warn(
                 "event-out-of-order",
                 Field.of("request", call.head().attempt()),
                 Field.of("attempt", call.attempts()),
                 Field.of("server", sentTo),
                 Field.of("position", shorten(order.lastId())),
-                Field.of("received", shorten(id)),
-                Field.of("expected", verdict),
-                Field.of("outcome", "RELAYED"));
+                Field.of("received", shorten(received)),
+                Field.of("outcome", outcome));
     }
 
     private static String shorten(Optional<String> id) {
@@ -306,7 +309,11 @@
             }
             if (handling == BodyHandling.RELAY_EVENTS) {
                 relay(splitter.accept(bytes));
-                abortIfTooLarge(splitter.incompleteBytes());
+                if (splitter.brokenOff()) {
+                    breakOff();
+                } else {
+                    abortIfTooLarge(splitter.incompleteBytes());
+                }
                 return;
             }
             byte[] part = new byte[bytes.remaining()];
@@ -324,6 +331,14 @@
             abortIfTooLarge(buffered.size());
         }
 
+        /** Ends a run that does not continue the stream; its server has not crashed. */
+        private void breakOff() {
+            if (!done) {
+                attempt.cancel();
+                onEnd(AttemptEnd.SERVER_ERROR);
+            }
+        }
+
         /** Aborts an answer that needs too much buffer memory, because a faulty server may send without end. */
         private void abortIfTooLarge(int incompleteBytes) {
             if (done || incompleteBytes <= AnswerLimits.MAX_INCOMPLETE_BYTES) {
@@ -401,13 +416,26 @@
                 // A stream without length and chunks ends with its connection, so the server may have been cut off.
                 return AttemptEnd.BROKEN;
             }
+            if (handling == BodyHandling.RELAY_EVENTS && !inOrder()) {
+                return AttemptEnd.SERVER_ERROR;
+            }
             boolean usable = handling != BodyHandling.REJECT && head.status() < SERVER_ERROR;
             return usable ? AttemptEnd.ANSWERED : AttemptEnd.SERVER_ERROR;
         }
 
+        /** Returns whether the run, which has ended, is no shorter than what the caller has received. */
+        private boolean inOrder() {
+            if (!splitter.brokenOff() && !order.reachedPosition()) {
+                logOutOfOrder(Optional.empty(), "ENDED_EARLY");
+                return false;
+            }
+            return !splitter.brokenOff();
+        }
+
         /** Returns whether a server's error answer is relayed because the call must not be retried. */
         private boolean isFinalFailure(AttemptEnd classified) {
             return classified == AttemptEnd.SERVER_ERROR
+                    && !success
                     && !answer.started()
                     && !context.dispatcherTask().mayRetry(call, classified);
         }
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
@@ -160,6 +160,8 @@
     void runThatRepeatsItselfWithoutEndIsBrokenOff() {
         run(order, "1 2 3");
 
-        assertThat(run(order, "1 2 1 2 1 2 1 2"), is("DDDDB"));
+        assertThat(run(order, "1 2 1 2 1 2 1 2 1"), is("DDDDDDDDB"));
+        assertThat(run(order, "3 3 3 3 3 4"), is("DDDDB"));
+        assertThat(run(order, "2 1 2 1 4 3 2 4 5"), is("DDDDRDDDR"));
     }
 }
