Never resume a stream after an event without an id

Callers of a resumable stream whose events have no ids got its first events twice after a break: no id said how far the run had come, so the next server was asked for the stream from its beginning, and all of its events were relayed. The same held after an id that is no number, which a server can't place.

A call now knows whether the last event relayed had a readable id. If it had none, the stream is broken off like one that may not be resumed; the next event with an id makes the position known again.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
@@ -32,6 +32,7 @@
     private double pendingTokens;
     private boolean mayHaveRun;
     private boolean relayed;
+    private boolean positionKnown = true;
     private boolean withinLimit;
     private OptionalLong beganNanos = OptionalLong.empty();
     private boolean sound;
@@ -137,6 +138,20 @@
         relayed = true;
     }
 
+    /** Returns whether a server can be told after which event to resume what has been relayed. */
+    boolean positionKnown() {
+        return positionKnown;
+    }
+
+    /**
+     * Records whether a server can be told after which event to resume what has been relayed.
+     *
+     * @param next whether the last event relayed had an id
+     */
+    public void setPositionKnown(boolean next) {
+        positionKnown = next;
+    }
+
     /** Returns whether the current attempt was counted against the limit of its server. */
     boolean withinLimit() {
         return withinLimit;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryRule.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryRule.java
@@ -37,8 +37,7 @@
         if (end == AttemptEnd.ANSWERED || end == AttemptEnd.CANCELLED) {
             return false;
         }
-        if (call.relayed()
-                && !(call.route().kind() == CallKind.STREAM && call.route().resumable())) {
+        if (call.relayed() && !canBeResumed(call)) {
             // The caller has received part of the answer, and no other server can continue it.
             return false;
         }
@@ -58,6 +57,10 @@
         return call.deadlineNanos() - nowNanos > MIN_REMAINING_MILLIS * Timestamp.NANOS_PER_MILLI;
     }
 
+    private static boolean canBeResumed(RelayCall call) {
+        return call.route().kind() == CallKind.STREAM && call.route().resumable() && call.positionKnown();
+    }
+
     /**
      * Returns whether the server may have run the call of an attempt.
      *
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryRuleTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryRuleTest.java
@@ -41,6 +41,17 @@
         assertThat(RelayRetryRule.mayRetry(call, AttemptEnd.BROKEN, 0), is(false));
     }
 
+    @Test
+    void neverResumesStreamWhosePositionIsUnknown() {
+        RelayCall call = sent(Calls.route(CallKind.STREAM, true, 3, 0), 1);
+        call.onRelayed();
+        call.setPositionKnown(false);
+
+        assertThat(RelayRetryRule.mayRetry(call, AttemptEnd.BROKEN, 0), is(false));
+        call.setPositionKnown(true);
+        assertThat(RelayRetryRule.mayRetry(call, AttemptEnd.BROKEN, 0), is(true));
+    }
+
     @Test
     void neverRetriesUnsafeCallThatMayHaveRun() {
         RelayRoute route = Calls.route(CallKind.UNSAFE, false, 3, 0);
--- a/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
@@ -25,6 +25,7 @@
     private long furthest;
     private long previous;
     private int returns;
+    private boolean positionKnown = true;
 
     /** Tells what to do with an event. */
     enum Verdict {
@@ -71,6 +72,11 @@
         return lastId;
     }
 
+    /** Returns whether {@link #lastId} covers all events that were relayed; events without an id have followed it otherwise. */
+    boolean positionKnown() {
+        return positionKnown;
+    }
+
     /** Returns whether the current run, if it ends now, has reached the position at which it was to resume. */
     boolean reachedPosition() {
         return furthest == NONE || furthest >= position;
@@ -88,6 +94,7 @@
         }
         long number = id.map(EventOrder::parse).orElse(NONE);
         if (number == NONE) {
+            positionKnown &= resumed;
             return resumed ? Verdict.BREAK_OFF : Verdict.RELAY;
         }
         if (number <= previous) {
@@ -106,6 +113,7 @@
             numbering = numberingAfter(number);
         }
         position = number;
+        positionKnown = true;
         returns = 0;
         lastId = id;
         return Verdict.RELAY;
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -362,6 +362,7 @@
                 answer.setUpstream(attempt);
                 call.onRelayed();
             }
+            call.setPositionKnown(order.positionKnown());
             answer.send(bytes);
         }
 
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
@@ -130,6 +130,22 @@
         assertThat(run(order, "4"), is("R"));
     }
 
+    @ParameterizedTest
+    @CsvSource({"'1 2', true", "'1 -', false", "'1 x', false", "'1 - 2', true", "'-', false"})
+    void positionIsUnknownAfterAnEventWithoutAnId(String ids, boolean known) {
+        run(order, ids);
+
+        assertThat(order.positionKnown(), is(known));
+    }
+
+    @Test
+    void eventWithoutAnIdThatIsNotRelayedLeavesThePositionKnown() {
+        run(order, "1 2");
+        run(order, "-");
+
+        assertThat(order.positionKnown(), is(true));
+    }
+
     @Test
     void commentsAreNoEvents() {
         run(order, "1 2");
--- a/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against events that callers miss or get twice, as a server resumes a stream elsewhere than at its position. */
 final class ResumedStreamTest extends OpaqueListenerFixture {
@@ -112,6 +113,28 @@
                 is(event("5") + event("10") + event("15") + event("17")));
     }
 
+    /** Guards against events that the caller gets twice, as no id says how far the run came that broke off. */
+    @ParameterizedTest
+    @ValueSource(strings = {"- - !", "1 2 - !", "x !", "1 x !"})
+    void neverResumesStreamAfterAnEventWithoutAnId(String first) throws Exception {
+        Caller.Answer answer = read("/stream/", "", first, "- - -");
+
+        StringBuilder received = new StringBuilder();
+        for (String id : first.replace(" !", "").split(" ", -1)) {
+            received.append(event(id));
+        }
+        assertThat(answer.body(), is(received.toString()));
+        assertThat(answer.complete(), is(false));
+    }
+
+    @Test
+    void resumesStreamAfterTheNextEventWithAnId() throws Exception {
+        Caller.Answer answer = read("/stream/", "", "1 - 2 !", "3 4");
+
+        assertThat(answer.body(), is(event("1") + event("-") + event("2") + event("3") + event("4")));
+        assertThat(answer.complete(), is(true));
+    }
+
     /** Events that are left out show that the server is alive. */
     @Test
     void waitsForARunThatBeginsAnewAsLongAsItSendsEvents() throws Exception {
