Keep the newer state of a stream that is handed over twice

A caller that reconnected to a stream was refused with 409, as if no process held it: an older state of the stream, handed over late by another process, had replaced the newer one from which the caller had gone on. The process that holds the newer state now declines the older one, which is offered to the next process, and logs it (stream-state-older).

HandoverTest#keepsTheNewerStateOfAStreamThatIsTakenOverTwice failed before (409 in place of event 6) and holds after.

--- a/http/src/main/java/org/geraniumstand/http/caller/HeldStream.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/HeldStream.java
@@ -23,6 +23,7 @@
 
     private final XnioIoThread thread;
     private final Runnable onRemoved;
+    private final int firstLastEventId;
     private final EventHistory history = new EventHistory(2 * MAX_CHARACTERS);
     private Optional<AttachedCaller> caller = Optional.empty();
     private Optional<FlowControl> flow = Optional.empty();
@@ -41,10 +42,16 @@
     HeldStream(XnioIoThread thread, StreamSnapshot snapshot, Runnable onRemoved) {
         this.thread = thread;
         this.onRemoved = onRemoved;
+        this.firstLastEventId = snapshot.lastEventId();
         history.restore(snapshot.recentEvents(), snapshot.lastEventId());
         scheduleExpiry();
     }
 
+    /** Returns the id of the last event that was relayed before the stream was handed over; may be called on any thread. */
+    int firstLastEventId() {
+        return firstLastEventId;
+    }
+
     /** Sends the rest of the stream to a caller whose exchange has been dispatched; may be called on any thread. */
     void attach(HttpServerExchange exchange, String callerRequestId, int lastEventId, Runnable onUnknown) {
         thread.execute(() -> {
--- a/http/src/main/java/org/geraniumstand/http/caller/HeldStreams.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/HeldStreams.java
@@ -14,6 +14,8 @@
 import org.geraniumstand.model.config.Configuration;
 import org.geraniumstand.model.config.Team;
 import org.geraniumstand.model.id.RequestId;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.support.log.Log;
 import org.geraniumstand.support.net.HttpBody;
 import org.geraniumstand.support.net.HttpRequest.Header;
 import org.xnio.XnioIoThread;
@@ -23,6 +25,8 @@
     /** Maximum number of streams that are held at the same time. */
     public static final int MAX_STREAMS = 256;
 
+    private static final Log LOG = Log.of(HeldStreams.class);
+
     private static final Filter FILTERS = Filter.chain(List.of(new MatchRoute(), new ParseCompletion()));
 
     private final RequestContext context;
@@ -39,14 +43,14 @@
     }
 
     /**
-     * Takes over a stream and continues it as a request of this process.
+     * Takes over a stream and continues it as a request of this process, unless this process holds a newer state of it.
      *
      * @param snapshot the state of the stream
      * @param id the id of the request in this process
      * @return whether the stream was accepted
      */
     public boolean takeOver(StreamSnapshot snapshot, RequestId id) {
-        if (streams.size() >= MAX_STREAMS) {
+        if (streams.size() >= MAX_STREAMS || holdsNewer(snapshot)) {
             return false;
         }
         Optional<Admission> admission = context.core().configuration().flatMap(c -> admit(snapshot, c));
@@ -64,6 +68,20 @@
         return streams.containsKey(new StreamKey(team, callerRequestId));
     }
 
+    /** Returns whether a caller may have gone on from a later event than that of the snapshot. */
+    private boolean holdsNewer(StreamSnapshot snapshot) {
+        Optional<HeldStream> held = find(snapshot.team(), snapshot.callerRequestId());
+        if (held.isEmpty() || held.get().firstLastEventId() <= snapshot.lastEventId()) {
+            return false;
+        }
+        LOG.warn(
+                "stream-state-older",
+                Field.of("request", snapshot.callerRequestId()),
+                Field.of("position", held.get().firstLastEventId()),
+                Field.of("received", snapshot.lastEventId()));
+        return true;
+    }
+
     Optional<HeldStream> find(String team, String callerRequestId) {
         return Optional.ofNullable(streams.get(new StreamKey(team, callerRequestId)));
     }
--- a/http/src/test/java/org/geraniumstand/http/caller/HandoverTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/HandoverTest.java
@@ -8,6 +8,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.http.fake.Caller;
@@ -66,6 +68,33 @@
         }
     }
 
+    /** Guards against an older state of a stream that replaces the newer one, which the caller goes on from. */
+    @Test
+    void keepsTheNewerStateOfAStreamThatIsTakenOverTwice() throws IOException, InterruptedException {
+        try (ListenerFixture receiver = new ListenerFixture(STALLS_AFTER_TWO_TOKENS, STALLS_AFTER_TWO_TOKENS)) {
+            HeldStreams held = receiver.listener().heldStreams();
+            boolean newer = held.takeOver(snapshot("t0 t1 t2 t3 ", 4), new RequestId("taken-1"));
+            Eventually.await("the receiving process holds the stream", () -> held.holds("counter", "mine"));
+            boolean older = held.takeOver(snapshot("t0 ", 1), new RequestId("taken-2"));
+            Thread.sleep(200);
+            try (Caller caller = new Caller(receiver.listener().port())) {
+                caller.send("POST", PATH, ID + "Last-Event-ID: 5\r\n", BODY);
+
+                assertThat(caller.readUntil("\n\n"), containsString("id: 6"));
+            }
+            assertThat(newer, is(true));
+            assertThat(older, is(false));
+        }
+    }
+
+    private static StreamSnapshot snapshot(String generated, int tokens) {
+        List<String> events = Arrays.stream(generated.split(" ", -1))
+                .filter(token -> !token.isEmpty())
+                .map(token -> "{\"choices\":[{\"delta\":{\"content\":\"" + token + " \"}}]}")
+                .toList();
+        return new StreamSnapshot("counter", "mine", PATH, BODY, generated, tokens, tokens, 30_000, events);
+    }
+
     @Test
     void relaysStreamFromItsHolder() throws IOException, InterruptedException {
         AtomicReference<HolderLookup.Holder> holder = new AtomicReference<>();
