Add a test of an engine that begins its text again, which fails

Own interface: where a stream breaks off, the next engine gets the text so far and is asked to go on from it (continue_final_message). One that ignores this begins again, and the caller gets t0 t1 t0 t1 t2 t3 as a complete answer. The events of engines have no ids, and a sound engine may repeat the text so far, so a comparison of texts would cut sound streams.

--- a/http/src/test/java/org/geraniumstand/http/caller/StreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/StreamTest.java
@@ -94,6 +94,24 @@
         }
     }
 
+    /** Guards against tokens that a caller gets twice, as the engine that resumes ignores the text generated so far. */
+    @Test
+    void neverRepeatsTokensOfAnEngineThatBeginsAnew() throws IOException {
+        FakeServer.Script beginsAnew = (request, connection) -> {
+            connection.startStream();
+            for (int i = 0; i < requestedTokens(request); i++) {
+                connection.token("t" + i + " ");
+            }
+            connection.endStream();
+        };
+        try (ListenerFixture fixture = new ListenerFixture(abortAfter(2), beginsAnew)) {
+            Caller.Answer answer = fixture.call("POST", PATH, "", BODY);
+
+            assertThat("t0 t1 t2 t3 t4 t5 ", startsWith(text(answer)));
+            assertThat(answer.complete() && !text(answer).equals("t0 t1 t2 t3 t4 t5 "), is(false));
+        }
+    }
+
     @Test
     void resumesAfterResponseTimeout() throws IOException {
         try (ListenerFixture fixture = new ListenerFixture(stallAfter(3), ENGINE)) {
