Tell which retries the budget denied, and why

When a service got more retries than allowed, no log line or metric showed what a process had counted, what it was allowed and for how many processes. The event retries-denied does, once a second for each service at most; the metrics geraniumstand_call_retries and geraniumstand_call_retries_denied add up over processes. Decisions are unchanged.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.decisions.relay;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -62,7 +63,10 @@
     private final Map<ServiceId, RelayRetryBudget> retryBudgets = new HashMap<>();
     private final Map<ServiceId, QueueWaitEstimate> waitEstimates = new HashMap<>();
     private final Map<ServiceId, ArrivalRate> arrivals = new HashMap<>();
+    private final RetryDenials retryDenials;
+    private final List<DeniedRetries> deniedRetries = new ArrayList<>();
     private Optional<RelayConfiguration> configuration = Optional.empty();
+    private long retryCount;
 
     /**
      * Creates a dispatcher without a configuration.
@@ -77,6 +81,7 @@
         this.processes = new ProcessCount(bounds.assumedProcesses(), nowNanos);
         this.quotas = new QuotaLimiter(bounds.quotaSlack(), bounds.quotaOverrun(), processes);
         this.rate = new SharedServerRate(random);
+        this.retryDenials = new RetryDenials(nowNanos);
         this.crashingPrompts = new CrashingPrompts(random);
         this.selector = new RelayServerSelector(localDataCentre, fleet, prefixCaches, rate);
     }
@@ -349,7 +354,7 @@
         boolean retry = RelayRetryRule.mayRetry(call, end, nowNanos)
                 && crashingPrompts.blockedMillis(call, nowNanos).isEmpty()
                 && selector.hasEligibleServer(call.service())
-                && retryBudget(call.service()).tryAcquire(processes.senderCount(nowNanos), nowNanos);
+                && acquireRetry(call.service(), nowNanos);
         if (retry) {
             queue(call.service()).add(call);
             return;
@@ -357,6 +362,36 @@
         refuse(call, refusal(call, end), steps);
     }
 
+    private boolean acquireRetry(ServiceId service, long nowNanos) {
+        RelayRetryBudget budget = retryBudget(service);
+        int sharing = processes.senderCount(nowNanos);
+        if (budget.tryAcquire(sharing, nowNanos)) {
+            retryCount++;
+            return true;
+        }
+        retryDenials
+                .onDenied(service, budget.usage(sharing, nowNanos), sharing, nowNanos)
+                .ifPresent(deniedRetries::add);
+        return false;
+    }
+
+    /** Returns the reports of denied retries since the last call of this method; at most one a second for each service. */
+    public List<DeniedRetries> takeDeniedRetries() {
+        List<DeniedRetries> reports = List.copyOf(deniedRetries);
+        deniedRetries.clear();
+        return reports;
+    }
+
+    /** Returns the number of calls that were retried since the process started; a call may count several times. */
+    public long retryCount() {
+        return retryCount;
+    }
+
+    /** Returns the number of retries that the retry budgets denied since the process started. */
+    public long deniedRetryCount() {
+        return retryDenials.total();
+    }
+
     private void refuse(RelayCall call, Refusal refusal, List<RelayStep> steps) {
         if (!call.mayHaveRun()) {
             call.team().ifPresent(team -> quotas.refund(team, QuotaLimiter.cost(team, call.head())));
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
@@ -25,6 +25,15 @@
     private final int[] retries = new int[SLOTS];
     private long latestSlot = Long.MIN_VALUE;
 
+    /**
+     * Holds the state of a budget.
+     *
+     * @param requests requests of this process in the window
+     * @param retries its retries in the window
+     * @param allowed retries that it may make in the window
+     */
+    public record Usage(int requests, int retries, double allowed) {}
+
     /**
      * Creates a budget.
      *
@@ -54,21 +63,28 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public boolean tryAcquire(int processes, long nowNanos) {
-        int index = slotIndex(nowNanos);
-        int requestCount = 0;
-        int retryCount = 0;
-        for (int i = 0; i < SLOTS; i++) {
-            requestCount += requests[i];
-            retryCount += retries[i];
-        }
-        double allowed = USED_SHARE * (ratio * requestCount + slack / Math.max(1, processes));
-        if (retryCount + 1 > allowed) {
+        Usage usage = usage(processes, nowNanos);
+        if (usage.retries() + 1 > usage.allowed()) {
             return false;
         }
-        retries[index]++;
+        retries[slotIndex(nowNanos)]++;
         return true;
     }
 
+    /**
+     * Returns what the budget allows now and how much of it is used.
+     *
+     * @param processes number of processes that share the slack
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public Usage usage(int processes, long nowNanos) {
+        slotIndex(nowNanos);
+        int requestCount = Arrays.stream(requests).sum();
+        int retryCount = Arrays.stream(retries).sum();
+        double allowed = USED_SHARE * (ratio * requestCount + slack / Math.max(1, processes));
+        return new Usage(requestCount, retryCount, allowed);
+    }
+
     private int slotIndex(long nowNanos) {
         long current = Math.floorDiv(nowNanos, slotNanos);
         if (latestSlot == Long.MIN_VALUE || current - latestSlot >= SLOTS) {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -207,6 +207,8 @@
                 "geraniumstand_prompts_quarantined", dispatcherTask.dispatcher().crashingPrompts()::quarantined);
         metrics.gauge(
                 "geraniumstand_servers_listed", () -> dispatcher.fleet().all().size());
+        metrics.gauge("geraniumstand_call_retries", dispatcher::retryCount);
+        metrics.gauge("geraniumstand_call_retries_denied", dispatcher::deniedRetryCount);
         metrics.gauge("geraniumstand_servers_limited", dispatcher.fleet().limits()::limitedServers);
         metrics.gauge(
                 "geraniumstand_configuration_version",
--- a/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.geraniumstand.decisions.relay.DeniedRetries;
 import org.geraniumstand.decisions.relay.RelayCall;
 import org.geraniumstand.decisions.relay.RelayDispatcher;
 import org.geraniumstand.decisions.relay.RelayRetryRule;
@@ -164,9 +165,22 @@
     void onAttemptEnded(RelayCall call, AttemptEnd end) {
         List<RelayStep> steps = new ArrayList<>();
         dispatcher.onEnded(call, end, System.nanoTime(), steps);
+        dispatcher.takeDeniedRetries().forEach(DispatcherTask::logDenied);
         executeSteps(steps);
     }
 
+    private static void logDenied(DeniedRetries denied) {
+        LOG.info(
+                "retries-denied",
+                Field.of("service", denied.service()),
+                Field.of("count", denied.count()),
+                Field.of("requests", denied.budget().requests()),
+                Field.of("retries", denied.budget().retries()),
+                Field.of("allowed", denied.budget().allowed()),
+                Field.of("processes", denied.processes()),
+                Field.of("ageMillis", denied.ageMillis()));
+    }
+
     void onCallAbandoned(RelayCall call) {
         List<RelayStep> steps = new ArrayList<>();
         dispatcher.onAbandoned(call, System.nanoTime(), steps);
