--- a/proofs/src/test/java/org/geraniumstand/proofs/process/RepeatedRefusalProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/RepeatedRefusalProofTest.java
@@ -264,37 +264,17 @@
     private List<String> retriesBeyondBudget() {
         List<String> beyond = new ArrayList<>();
         for (String service : List.of("desk", "model")) {
-            List<Long> requests = sent.stream()
-                    .filter(s -> s.kind().service.equals(service))
-                    .map(Sent::nanos)
-                    .sorted()
-                    .toList();
-            List<Long> retries = arrivals.stream()
+            RetryBudgetOracle oracle = new RetryBudgetOracle();
+            sent.stream().filter(s -> s.kind().service.equals(service)).forEach(s -> oracle.sent(s.nanos()));
+            arrivals.stream()
                     .filter(a ->
                             !a.first() && Kind.ofAttempt(a.attempt()).service.equals(service))
-                    .map(Arrival::nanos)
-                    .sorted()
-                    .toList();
-            long window = RelayHost.RETRY_WINDOW_SECONDS * 1_000_000_000L;
-            for (long start : retries) {
-                long count = count(retries, start, window);
-                long most = Math.max(
-                        count(requests, start, window),
-                        Math.max(count(requests, start - window, window), count(requests, start - window / 2, window)));
-                if (count > RelayHost.RETRY_RATIO * most + RelayHost.RETRY_SLACK) {
-                    beyond.add(service + ": " + count + " retries for " + most + " requests");
-                }
-            }
+                    .forEach(a -> oracle.retried(a.nanos()));
+            oracle.exceeded().forEach(window -> beyond.add(service + ": " + window));
         }
         return beyond;
     }
 
-    private static long count(List<Long> sortedNanos, long start, long length) {
-        return sortedNanos.stream()
-                .filter(nanos -> nanos >= start && nanos < start + length)
-                .count();
-    }
-
     private List<String> failed() {
         return sent.stream()
                 .filter(s -> s.answer().status() == 502 || s.answer().status() == 0)
