Give a starting process no share of the retry slack

Callers' retries reached services beyond the budget when processes started again: each life spent its whole share of the slack, although what its predecessor had spent still counted. A process now uses its share only when a window and the 5 s within which others learn of it have passed since its start. All processes with a share in a window were thus live together one window earlier and count each other, so that their shares add up to one; retries that own requests earn are not affected.

Changes of tests: the budget takes a share of the slack in place of a number of processes. Tests of dispatchers whose calls are retried at time 0 use processes that started 15 s earlier, so that retries are allowed as before; their checks are unchanged.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
@@ -19,6 +19,10 @@
      */
     private static final long PEAK_WINDOW_MILLIS = 60_000;
 
+    /** Milliseconds within which all processes learn of one that has started. */
+    private static final long DISCOVERY_MILLIS = 5_000;
+
+    private final long startNanos;
     private int live = 1;
     private int listed = 1;
     private long listedNanos;
@@ -33,6 +37,7 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public ProcessCount(int assumed, long nowNanos) {
+        this.startNanos = nowNanos;
         this.peak = Math.max(1, assumed);
         this.peakNanos = nowNanos;
         this.listedNanos = nowNanos;
@@ -85,6 +90,20 @@
         return recent ? Math.max(live, listed) : live;
     }
 
+    /**
+     * Returns the fraction of a fixed allowance for each window of time that this process may use.
+     *
+     * <p>A process that has just started knows neither what its predecessor used nor how many processes share the
+     * allowance. It has no share until what was used before its start no longer counts and the others know of it.
+     *
+     * @param windowMillis length of the window in milliseconds
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    double allowanceShare(long windowMillis, long nowNanos) {
+        boolean starting = nowNanos - startNanos < (windowMillis + DISCOVERY_MILLIS) * Timestamp.NANOS_PER_MILLI;
+        return starting ? 0 : 1.0 / senderCount(nowNanos);
+    }
+
     /** Returns the number of processes that may send to servers, including those without contact. */
     int senderCount(long nowNanos) {
         updatePeak(nowNanos);
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -364,13 +364,13 @@
 
     private boolean acquireRetry(ServiceId service, long nowNanos) {
         RelayRetryBudget budget = retryBudget(service);
-        int sharing = processes.senderCount(nowNanos);
-        if (budget.tryAcquire(sharing, nowNanos)) {
+        double slackShare = processes.allowanceShare(bounds.retryWindowMillis(), nowNanos);
+        if (budget.tryAcquire(slackShare, nowNanos)) {
             retryCount++;
             return true;
         }
         retryDenials
-                .onDenied(service, budget.usage(sharing, nowNanos), sharing, nowNanos)
+                .onDenied(service, budget.usage(slackShare, nowNanos), slackShare, nowNanos)
                 .ifPresent(deniedRetries::add);
         return false;
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
@@ -59,11 +59,11 @@
     /**
      * Acquires a retry from the budget and returns whether one was available.
      *
-     * @param processes number of processes that share the slack
+     * @param slackShare fraction of the slack that this process may use
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public boolean tryAcquire(int processes, long nowNanos) {
-        Usage usage = usage(processes, nowNanos);
+    public boolean tryAcquire(double slackShare, long nowNanos) {
+        Usage usage = usage(slackShare, nowNanos);
         if (usage.retries() + 1 > usage.allowed()) {
             return false;
         }
@@ -74,14 +74,14 @@
     /**
      * Returns what the budget allows now and how much of it is used.
      *
-     * @param processes number of processes that share the slack
+     * @param slackShare fraction of the slack that this process may use
      * @param nowNanos the monotonic time in nanoseconds
      */
-    public Usage usage(int processes, long nowNanos) {
+    public Usage usage(double slackShare, long nowNanos) {
         slotIndex(nowNanos);
         int requestCount = Arrays.stream(requests).sum();
         int retryCount = Arrays.stream(retries).sum();
-        double allowed = USED_SHARE * (ratio * requestCount + slack / Math.max(1, processes));
+        double allowed = USED_SHARE * (ratio * requestCount + slack * slackShare);
         return new Usage(requestCount, retryCount, allowed);
     }
 
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RetryDenials.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RetryDenials.java
@@ -37,11 +37,11 @@
      *
      * @param service the service of the call
      * @param budget the budget that denied it
-     * @param processes number of processes that share the slack
+     * @param slackShare fraction of the slack that this process may use
      * @param nowNanos the monotonic time in nanoseconds
      * @return the report, if one is due
      */
-    Optional<DeniedRetries> onDenied(ServiceId service, RelayRetryBudget.Usage budget, int processes, long nowNanos) {
+    Optional<DeniedRetries> onDenied(ServiceId service, RelayRetryBudget.Usage budget, double slackShare, long nowNanos) {
         total++;
         Pending denied = pending.computeIfAbsent(
                 service, _key -> new Pending(nowNanos - REPORT_MILLIS * Timestamp.NANOS_PER_MILLI));
@@ -53,7 +53,7 @@
         denied.count = 0;
         denied.reportedNanos = nowNanos;
         long ageMillis = (nowNanos - startNanos) / Timestamp.NANOS_PER_MILLI;
-        return Optional.of(new DeniedRetries(service, count, budget, processes, ageMillis));
+        return Optional.of(new DeniedRetries(service, count, budget, slackShare, ageMillis));
     }
 
     /** Returns the number of retries denied since the process started. */
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/Calls.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/Calls.java
@@ -25,6 +25,10 @@
 /** Provides calls, servers and configurations for the tests of relay decisions. */
 final class Calls {
     static final long MILLI = 1_000_000L;
+
+    /** Start of a process that has run for long enough at time 0 to use its share of fixed allowances. */
+    static final long EARLIER_START = -15_000 * MILLI;
+
     static final DataCentreId WEST = new DataCentreId("west");
     static final DataCentreId EAST = new DataCentreId("east");
     static final ServiceId ENGINE_SERVICE = new ServiceId("engines");
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetSimulation.java
@@ -93,7 +93,7 @@
         RelayConfiguration configuration = Calls.configuration(1, COLD_PER_SECOND);
         for (int i = 0; i < PROCESSES; i++) {
             RelayDispatcher dispatcher =
-                    new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(random.nextLong()), 0);
+                    new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(random.nextLong()), Calls.EARLIER_START);
             dispatcher.onConfiguration(configuration, 0);
             dispatcher.processes().onLive(PROCESSES, 0);
             dispatchers.add(dispatcher);
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryBudgetTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryBudgetTest.java
@@ -11,7 +11,7 @@
     void allowsShareOfSlackWithoutRequests() {
         RelayRetryBudget budget = new RelayRetryBudget(0.2, 50, 10_000);
 
-        assertThat(acquired(budget, 5, 0), is(8));
+        assertThat(acquired(budget, 1.0 / 5, 0), is(8));
     }
 
     @Test
@@ -27,9 +27,9 @@
     @Test
     void refillsAfterWindow() {
         RelayRetryBudget budget = new RelayRetryBudget(0.2, 50, 10_000);
-        acquired(budget, 5, 0);
+        acquired(budget, 1.0 / 5, 0);
 
-        assertThat(acquired(budget, 5, 20_000 * Calls.MILLI), is(8));
+        assertThat(acquired(budget, 1.0 / 5, 20_000 * Calls.MILLI), is(8));
     }
 
     /** All answers of a service are lost for ten seconds, so that each request needs a retry. */
@@ -39,15 +39,15 @@
         int retries = 0;
         for (int i = 0; i < 1_000; i++) {
             budget.onRequest(i * 10L * Calls.MILLI);
-            retries += budget.tryAcquire(7, i * 10L * Calls.MILLI) ? 1 : 0;
+            retries += budget.tryAcquire(1.0 / 7, i * 10L * Calls.MILLI) ? 1 : 0;
         }
 
         assertThat(retries, lessThanOrEqualTo((int) (0.2 * 1_000 + 54.0 / 7)));
     }
 
-    private static int acquired(RelayRetryBudget budget, int processes, long nowNanos) {
+    private static int acquired(RelayRetryBudget budget, double slackShare, long nowNanos) {
         int acquired = 0;
-        while (acquired < 1_000 && budget.tryAcquire(processes, nowNanos)) {
+        while (acquired < 1_000 && budget.tryAcquire(slackShare, nowNanos)) {
             acquired++;
         }
         return acquired;
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryBudgetSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryBudgetSimulation.java
@@ -91,7 +91,7 @@
         private void onRequest() {
             budget.onRequest(now());
             for (int attempt = 1; attempt < MAX_ATTEMPTS && fails(); attempt++) {
-                if (!budget.tryAcquire(count.senderCount(now()), now())) {
+                if (!budget.tryAcquire(count.allowanceShare(WINDOW_MILLIS, now()), now())) {
                     return;
                 }
                 int arrival = millis + random.nextInt(MAX_TRANSIT_MILLIS);
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerLimitReplayTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerLimitReplayTest.java
@@ -31,7 +31,7 @@
     private static final RelayServer ONE = Calls.startedAt("one", Calls.PLAIN_SERVICE, 100);
     private static final RelayServer TWO = Calls.startedAt("two", Calls.PLAIN_SERVICE, 100);
 
-    private final RelayDispatcher dispatcher = new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(1), 0);
+    private final RelayDispatcher dispatcher = new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(1), Calls.EARLIER_START);
     private final ServerLimitExchange exchange = new ServerLimitExchange(dispatcher);
     private final List<RelayStep> steps = new ArrayList<>();
     private long number;
@@ -181,7 +181,7 @@
 
     @Test
     void processLearnsALimitFromAnAggregator() {
-        RelayDispatcher other = new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(2), 0);
+        RelayDispatcher other = new RelayDispatcher(Calls.WEST, Calls.bounds(), new Random(2), Calls.EARLIER_START);
         other.fleet().onListed(ONE, 0);
         ServerLimitExchange otherExchange = new ServerLimitExchange(other);
         answer(arrive(SAFE, 0, 5_000), 2, 10);
--- a/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
@@ -177,7 +177,7 @@
                 Field.of("requests", denied.budget().requests()),
                 Field.of("retries", denied.budget().retries()),
                 Field.of("allowed", denied.budget().allowed()),
-                Field.of("processes", denied.processes()),
+                Field.of("slackShare", denied.slackShare()),
                 Field.of("ageMillis", denied.ageMillis()));
     }
 
--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerFixture.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerFixture.java
@@ -47,6 +47,9 @@
     private static final long TIMEOUT_MILLIS = 1_500;
     private static final long TARGET_MILLIS = 200;
 
+    /** Time since the start of the process, after which it uses its share of the retry budget. */
+    private static final long STARTED_NANOS = TimeUnit.SECONDS.toNanos(15);
+
     static final String SIGNED_HEADERS = "attempt: a-1\r\nsigned: yes\r\n";
     static final String CALL_HEADERS = "attempt: a-1\r\nkey: right\r\nwait: 1500\r\n";
 
@@ -63,7 +66,7 @@
         worker = Xnio.getInstance()
                 .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.WORKER_TASK_MAX_THREADS, 1));
         dispatcher = new RelayDispatcher(
-                DATA_CENTRE, new RelayBounds(1, 50, 10_000, 0, 0, 1), new Random(1), System.nanoTime());
+                DATA_CENTRE, new RelayBounds(1, 50, 10_000, 0, 0, 1), new Random(1), System.nanoTime() - STARTED_NANOS);
         dispatcherTask = new DispatcherTask(dispatcher, worker.getIoThread(0), _team -> {});
         port = freePort();
         listener = OpaqueListener.start(new OpaqueListener.Setup(
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/RetryBudgetProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/RetryBudgetProofTest.java
@@ -42,6 +42,7 @@
     private static final int FREEZES = 3;
     /** Time that a killed process has served. */
     private static final long LIFE_MILLIS = 1_000;
+
     private static final int KILLS = 6;
     private static final long OVERLAP_MILLIS = 700;
     private static final double LEAST_USE = 0.8;
