Count a process that was frozen for long as starting

A process that was frozen soon after its start had seen few others, used a large share of the retry slack when it went on, and the others did not count it. An interruption of more than 5 s now counts as a start, also before the first report after it.

Red before: half of the processes frozen for 20 s, 1 s after their start: 1.01, 1.20 and 1.06 times the allowed retries with 7, 30 and 95 processes.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.decisions.relay;
 
+import java.util.OptionalLong;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.time.Timestamp;
 
@@ -22,7 +23,8 @@
     /** Milliseconds within which all processes learn of one that has started. */
     private static final long DISCOVERY_MILLIS = 5_000;
 
-    private final long startNanos;
+    private long runningSinceNanos;
+    private OptionalLong activeNanos = OptionalLong.empty();
     private int live = 1;
     private int listed = 1;
     private long listedNanos;
@@ -37,12 +39,30 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public ProcessCount(int assumed, long nowNanos) {
-        this.startNanos = nowNanos;
+        this.runningSinceNanos = nowNanos;
         this.peak = Math.max(1, assumed);
         this.peakNanos = nowNanos;
         this.listedNanos = nowNanos;
     }
 
+    /**
+     * Records that this process is running. Called several times a second; a longer interruption counts as a start,
+     * because the process may have missed that others started.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onActive(long nowNanos) {
+        if (isInterrupted(nowNanos)) {
+            runningSinceNanos = nowNanos;
+        }
+        activeNanos = OptionalLong.of(nowNanos);
+    }
+
+    private boolean isInterrupted(long nowNanos) {
+        return activeNanos.isPresent()
+                && nowNanos - activeNanos.getAsLong() > DISCOVERY_MILLIS * Timestamp.NANOS_PER_MILLI;
+    }
+
     /**
      * Records how many processes are live according to the membership protocol.
      *
@@ -100,8 +120,9 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     double allowanceShare(long windowMillis, long nowNanos) {
-        boolean starting = nowNanos - startNanos < (windowMillis + DISCOVERY_MILLIS) * Timestamp.NANOS_PER_MILLI;
-        return starting ? 0 : 1.0 / senderCount(nowNanos);
+        boolean starting =
+                nowNanos - runningSinceNanos < (windowMillis + DISCOVERY_MILLIS) * Timestamp.NANOS_PER_MILLI;
+        return starting || isInterrupted(nowNanos) ? 0 : 1.0 / senderCount(nowNanos);
     }
 
     /** Returns the number of processes that may send to servers, including those without contact. */
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryBudgetSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryBudgetSimulation.java
@@ -78,6 +78,7 @@
         }
 
         void updateMembers() {
+            count.onActive(now());
             count.onLive((int) participants.stream().filter(this::counts).count(), now());
             every(MEMBERSHIP_MILLIS, this::updateMembers);
         }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -357,6 +357,7 @@
         requestConfiguration();
         sendVersion();
         long now = System.nanoTime();
+        dispatcher.processes().onActive(now);
         PeerMessage.QuotaUsageReport report = new PeerMessage.QuotaUsageReport(
                 dispatcher.quotas().localUsage(),
                 dispatcher.fleet().inFlight(),
