Share the retry slack with peers that were lost minutes ago

Processes that were cut off from each other for over a minute forgot the others and used their shares of the slack too. Lost peers now share it for 600 s. Rates of servers keep the 60 s.

The share stays small for 600 s after processes have gone for good.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
@@ -20,6 +20,12 @@
      */
     private static final long PEAK_WINDOW_MILLIS = 60_000;
 
+    /**
+     * Milliseconds for which processes without contact still share fixed allowances, which a process that is cut off
+     * keeps using.
+     */
+    private static final long SHARING_WINDOW_MILLIS = 600_000;
+
     /** Milliseconds within which all processes learn of one that has started. */
     private static final long DISCOVERY_MILLIS = 5_000;
 
@@ -28,10 +34,30 @@
     private int live = 1;
     private int listed = 1;
     private long listedNanos;
-    private int peak;
-    private long peakNanos;
+    private final Peak senders;
+    private final Peak sharers;
     private boolean otherSeen;
 
+    /** The highest number of processes that were live at once. */
+    private static final class Peak {
+        private final long windowNanos;
+        private int count;
+        private long reachedNanos;
+
+        Peak(long windowMillis, int assumed, long nowNanos) {
+            this.windowNanos = windowMillis * Timestamp.NANOS_PER_MILLI;
+            this.count = Math.max(1, assumed);
+            this.reachedNanos = nowNanos;
+        }
+
+        void update(int live, long nowNanos) {
+            if (live >= count || nowNanos - reachedNanos >= windowNanos) {
+                count = live;
+                reachedNanos = nowNanos;
+            }
+        }
+    }
+
     /**
      * Creates a count for a process that has no contact to any other.
      *
@@ -40,8 +66,8 @@
      */
     public ProcessCount(int assumed, long nowNanos) {
         this.runningSinceNanos = nowNanos;
-        this.peak = Math.max(1, assumed);
-        this.peakNanos = nowNanos;
+        this.senders = new Peak(PEAK_WINDOW_MILLIS, assumed, nowNanos);
+        this.sharers = new Peak(SHARING_WINDOW_MILLIS, assumed, nowNanos);
         this.listedNanos = nowNanos;
     }
 
@@ -93,15 +119,14 @@
     private void dropAssumption(int count) {
         if (!otherSeen && count > 1) {
             otherSeen = true;
-            peak = 0;
+            senders.count = 0;
+            sharers.count = 0;
         }
     }
 
     private void updatePeak(long nowNanos) {
-        if (live >= peak || nowNanos - peakNanos >= PEAK_WINDOW_MILLIS * Timestamp.NANOS_PER_MILLI) {
-            peak = live;
-            peakNanos = nowNanos;
-        }
+        senders.update(live, nowNanos);
+        sharers.update(live, nowNanos);
     }
 
     /** Returns the number of live processes, including those in the store if they were read recently. */
@@ -122,12 +147,16 @@
     double allowanceShare(long windowMillis, long nowNanos) {
         boolean starting =
                 nowNanos - runningSinceNanos < (windowMillis + DISCOVERY_MILLIS) * Timestamp.NANOS_PER_MILLI;
-        return starting || isInterrupted(nowNanos) ? 0 : 1.0 / senderCount(nowNanos);
+        if (starting || isInterrupted(nowNanos)) {
+            return 0;
+        }
+        updatePeak(nowNanos);
+        return 1.0 / Math.max(sharers.count, liveCount(nowNanos));
     }
 
     /** Returns the number of processes that may send to servers, including those without contact. */
     int senderCount(long nowNanos) {
         updatePeak(nowNanos);
-        return Math.max(peak, liveCount(nowNanos));
+        return Math.max(senders.count, liveCount(nowNanos));
     }
 }
