Count retries for the whole window of the budget

The window of the budget was up to a twentieth shorter than that of the rule: retries at the end of a slot expired half a second early, so that a whole budget could be spent twice in 9.5 s. It now has slots of a hundredth and one more for the current one. In turn 0.87 of the budget is used in place of 0.8, as processes that start no longer need a part of the slack.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
@@ -145,8 +145,7 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     double allowanceShare(long windowMillis, long nowNanos) {
-        boolean starting =
-                nowNanos - runningSinceNanos < (windowMillis + DISCOVERY_MILLIS) * Timestamp.NANOS_PER_MILLI;
+        boolean starting = nowNanos - runningSinceNanos < (windowMillis + DISCOVERY_MILLIS) * Timestamp.NANOS_PER_MILLI;
         if (starting || isInterrupted(nowNanos)) {
             return 0;
         }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
@@ -10,13 +10,16 @@
         summary = "Retries stay within a fraction of the requests of the last "
                 + "seconds plus this process's share of a fixed allowance.")
 public final class RelayRetryBudget {
-    private static final int SLOTS = 20;
+    private static final int SLOTS_PER_WINDOW = 100;
+
+    /** The current slot has only begun, so that the window reaches into one more. */
+    private static final int SLOTS = SLOTS_PER_WINDOW + 1;
 
     /**
      * Fraction of the budget that is used; requests are counted when they arrive here, slightly later than the caller
      * sent them.
      */
-    private static final double USED_SHARE = 0.8;
+    private static final double USED_SHARE = 0.87;
 
     private final double ratio;
     private final double slack;
@@ -44,7 +47,7 @@
     public RelayRetryBudget(double ratio, double slack, long windowMillis) {
         this.ratio = ratio;
         this.slack = slack;
-        this.slotNanos = windowMillis * Timestamp.NANOS_PER_MILLI / SLOTS;
+        this.slotNanos = windowMillis * Timestamp.NANOS_PER_MILLI / SLOTS_PER_WINDOW;
     }
 
     /**
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RetryDenials.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RetryDenials.java
@@ -41,7 +41,8 @@
      * @param nowNanos the monotonic time in nanoseconds
      * @return the report, if one is due
      */
-    Optional<DeniedRetries> onDenied(ServiceId service, RelayRetryBudget.Usage budget, double slackShare, long nowNanos) {
+    Optional<DeniedRetries> onDenied(
+            ServiceId service, RelayRetryBudget.Usage budget, double slackShare, long nowNanos) {
         total++;
         Pending denied = pending.computeIfAbsent(
                 service, _key -> new Pending(nowNanos - REPORT_MILLIS * Timestamp.NANOS_PER_MILLI));
