Compare what a resumed run repeats with what was relayed

Callers of resumable streams got pieces of two runs as a complete answer (ORDER): run A relayed `1:A1 2:A2` and broke off, run B ignored Last-Event-Id and sent `1:B1 2:B2 3:B3`, and the caller had A1 A2 B3.

Cause: what a run repeated was left out by its number alone, so the prefix of another text passed for the one that the caller has.

An event that is left out has to be the one that was relayed; a run of other text is ended like one that skips an event, so another server is tried, or the stream is broken off. Where the caller received the events elsewhere, or they are no longer kept, there is nothing to compare with and the number decides as before.

ResumedStreamProofTest has one case more, runs that begin anew with other text; checks and bounds are unchanged. Its text differs only where the process has relayed an event of the call, as nothing can be compared otherwise.

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
@@ -6,8 +6,9 @@
 /** Decides which events of a stream's runs continue what its caller has received; not thread-safe. */
 @Decision(
         name = "event-order",
-        summary = "Drops the events up to the caller's position, and ends a resumed run that skips an event or does not"
-                + " number one.")
+        summary =
+                "Drops the events up to the caller's position, and ends a run that differs from them or, if it resumes,"
+                        + " skips an event or does not number one.")
 final class EventOrder {
     /** Maximum length of an id that is compared, in digits; the number fits a {@code long}. */
     private static final int MAX_DIGITS = 18;
@@ -18,6 +19,7 @@
     private static final long NONE = -1;
     private static final long FIRST = 1;
 
+    private final RelayedEvents relayed = new RelayedEvents();
     private Optional<String> lastId;
     private long position;
     private Numbering numbering;
@@ -87,8 +89,9 @@
      *
      * @param id the id of the event, if it has one
      * @param hasData whether the event has data; a comment has neither an id nor data
+     * @param hash the {@linkplain RelayedEvents#hash hash} of the event's bytes
      */
-    Verdict onEvent(Optional<String> id, boolean hasData) {
+    Verdict onEvent(Optional<String> id, boolean hasData, long hash) {
         if (id.isEmpty() && !hasData) {
             return Verdict.RELAY;
         }
@@ -104,7 +107,7 @@
         furthest = Math.max(furthest, number);
         if (number <= position) {
             // A run that repeats itself without end would last until the deadline.
-            return returns > MAX_RETURNS ? Verdict.BREAK_OFF : Verdict.DROP;
+            return returns > MAX_RETURNS || relayed.differs(number, hash) ? Verdict.BREAK_OFF : Verdict.DROP;
         }
         if (resumed && numbering == Numbering.CONSECUTIVE && number != position + 1) {
             return Verdict.BREAK_OFF;
@@ -113,6 +116,7 @@
             numbering = numberingAfter(number);
         }
         position = number;
+        relayed.add(number, hash);
         positionKnown = true;
         returns = 0;
         lastId = id;
--- a/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
@@ -84,7 +84,7 @@
         int start = 0;
         for (int i = from; i < size && !brokenOff; i++) {
             if (incomplete[i] == '\n' && endsEvent(i)) {
-                if (endEvent() == EventOrder.Verdict.RELAY) {
+                if (endEvent(start, i + 1) == EventOrder.Verdict.RELAY) {
                     inOrder.write(incomplete, start, i + 1 - start);
                 }
                 start = i + 1;
@@ -141,8 +141,9 @@
         return ends;
     }
 
-    private EventOrder.Verdict endEvent() {
-        EventOrder.Verdict verdict = order.onEvent(incompleteId, hasData);
+    private EventOrder.Verdict endEvent(int start, int end) {
+        long hash = RelayedEvents.hash(incomplete, skipEmptyLines(start), end);
+        EventOrder.Verdict verdict = order.onEvent(incompleteId, hasData, hash);
         if (verdict != EventOrder.Verdict.RELAY) {
             listener.onOutOfOrder(incompleteId, verdict);
         }
@@ -152,6 +153,15 @@
         return verdict;
     }
 
+    /** Returns the index of the first byte that is no part of an empty line; an event has one. */
+    private int skipEmptyLines(int start) {
+        int index = start;
+        while (incomplete[index] == '\n' || incomplete[index] == '\r') {
+            index++;
+        }
+        return index;
+    }
+
     private boolean isEmptyLine(int end) {
         return end == lineStart || (end == lineStart + 1 && incomplete[lineStart] == '\r');
     }
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
@@ -21,12 +21,17 @@
         return new EventOrder(Optional.of(callerId), true);
     }
 
-    /** Returns a letter for each event of a run: relayed, dropped or broken off, after which the run ends. */
+    /**
+     * Returns a letter for each event of a run: relayed, dropped or broken off, after which the run ends. An event with content
+     * of its own is "id:content".
+     */
     private static String run(EventOrder order, String ids) {
         order.startRun();
         StringBuilder verdicts = new StringBuilder();
-        for (String id : ids.split(" ", -1)) {
-            Verdict verdict = order.onEvent(id.equals(WITHOUT_ID) ? Optional.empty() : Optional.of(id), true);
+        for (String event : ids.split(" ", -1)) {
+            String id = event.split(":", -1)[0];
+            Verdict verdict =
+                    order.onEvent(id.equals(WITHOUT_ID) ? Optional.empty() : Optional.of(id), true, event.hashCode());
             verdicts.append(verdict.name().charAt(0));
             if (verdict == Verdict.BREAK_OFF) {
                 break;
@@ -59,6 +64,23 @@
         assertThat(run(order, ids), is(verdicts));
     }
 
+    @ParameterizedTest
+    @CsvSource({"'1:b 2:b 3', B", "'1 2:b 3', DB", "'2:b 3', B", "'3 2:b', RB", "'3 3:b', RB"})
+    void runOfOtherContentIsBrokenOff(String ids, String verdicts) {
+        run(order, "1 2");
+
+        assertThat(run(order, ids), is(verdicts));
+        assertThat(run(order, "3 4"), is(verdicts.startsWith("R") ? "DR" : "RR"));
+    }
+
+    @Test
+    void numberDecidesWhereTheCallerReceivedTheEventsElsewhere() {
+        EventOrder elsewhere = after("2");
+
+        assertThat(run(elsewhere, "1:b 2:b 3"), is("DDR"));
+        assertThat(run(elsewhere, "1 2 3:b"), is("DDB"));
+    }
+
     @ParameterizedTest
     @CsvSource({
         "'13 14', RR",
@@ -151,7 +173,7 @@
         run(order, "1 2");
         order.startRun();
 
-        assertThat(order.onEvent(Optional.empty(), false), is(Verdict.RELAY));
+        assertThat(order.onEvent(Optional.empty(), false, 0), is(Verdict.RELAY));
         assertThat(run(order, "3"), is("R"));
     }
 
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventSplitterTest.java
@@ -102,6 +102,24 @@
         assertThat(accept("\n").length(), is(1_000_001));
     }
 
+    @Test
+    void leavesOutTheSameEventWhateverEmptyLinesPrecedeIt() {
+        accept("id: 4\ndata: a\n\n\n");
+        splitter.startRun();
+
+        assertThat(accept("\n\r\nid: 4\ndata: a\n\nid: 5\ndata: b\n\n"), is("id: 5\ndata: b\n\n"));
+        assertThat(splitter.brokenOff(), is(false));
+    }
+
+    @Test
+    void breaksOffRunWhoseEventDiffersFromTheOneReturned() {
+        accept("id: 4\ndata: a\n\n");
+        splitter.startRun();
+
+        assertThat(accept("id: 4\ndata: b\n\nid: 5\ndata: b\n\n"), is(""));
+        assertThat(splitter.brokenOff(), is(true));
+    }
+
     @Test
     void returnsTheSameBytesForEverySplitOfTheInput() {
         String text = "id: 4\ndata: a\n\nid: 5\ndata: b\n\n";
--- a/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
@@ -17,7 +17,10 @@
 final class ResumedStreamTest extends OpaqueListenerFixture {
     private static final int EVENTS = 4;
 
-    /** Ids that a run sends, in order; an event without an id is "-", and a run that breaks off ends with "!". */
+    /**
+     * Ids that a run sends, in order; an event without an id is "-", one with text of its own is "id:text", and a run that
+     * breaks off ends with "!".
+     */
     private static void send(String run, FakeServer.Connection connection) throws IOException {
         startChunks(connection);
         for (String id : run.split(" ", -1)) {
@@ -30,7 +33,8 @@
     }
 
     private static String event(String id) {
-        return id.equals("-") ? "data: none\n\n" : "id: " + id + "\ndata: " + id + "\n\n";
+        String[] parts = id.split(":", 2);
+        return id.equals("-") ? "data: none\n\n" : "id: " + parts[0] + "\ndata: " + parts[parts.length - 1] + "\n\n";
     }
 
     private static String events(int last) {
@@ -71,6 +75,15 @@
         assertThat(answer.complete(), is(false));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"1:B1 2:B2 3:B3", "1 2:B2 3:B3", "2:B2 3:B3", "3 2:B2 4"})
+    void neverJoinsRunsOfDifferentText(String resumed) throws Exception {
+        Caller.Answer answer = read("/stream/", "", "1 2 !", resumed);
+
+        assertThat(events(EVENTS).startsWith(answer.body()), is(true));
+        assertThat(answer.complete(), is(false));
+    }
+
     @ParameterizedTest
     @CsvSource({"1 2 3 4", "3 4"})
     void dropsEventsThatTheCallerHadBefore(String run) throws Exception {
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/ResumedStreamProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/ResumedStreamProofTest.java
@@ -46,6 +46,10 @@
     private final Queue<Received> streams = new ConcurrentLinkedQueue<>();
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Map<Resume, AtomicInteger> resumes = new EnumMap<>(Resume.class);
+
+    /** Position at the first run of each attempt of a caller, in events. */
+    private final Map<String, Integer> firstPositions = new ConcurrentHashMap<>();
+
     private final Queue<String> soundRunsCut = new ConcurrentLinkedQueue<>();
 
     /** Where a run goes on that is to resume a stream. */
@@ -53,6 +57,7 @@
         SOUND,
         ANEW,
         ANEW_AND_SHORT,
+        ANEW_WITH_OTHER_TEXT,
         BACK,
         SKIPPED,
         SKIPPED_LATER,
@@ -76,7 +81,7 @@
 
         private int first(int position, SplittableRandom random) {
             return switch (this) {
-                case ANEW, ANEW_AND_SHORT -> 1;
+                case ANEW, ANEW_AND_SHORT, ANEW_WITH_OTHER_TEXT -> 1;
                 case BACK -> 1 + random.nextInt(position);
                 case SKIPPED -> Math.min(EVENTS, position + 2 + random.nextInt(3));
                 default -> position + 1;
@@ -141,7 +146,8 @@
         SplittableRandom random = new SplittableRandom(Objects.hash(SEED, name, number));
         String lastId = request.header("Last-Event-Id");
         int position = lastId.isEmpty() ? 0 : Integer.parseInt(lastId);
-        Resume resume = resume(position, random);
+        int firstPosition = firstPositions.computeIfAbsent(attempt, _attempt -> position);
+        Resume resume = resume(position, firstPosition, random);
         List<Integer> ids = resume.ids(position, random);
         int brokenAt = random.nextDouble() < BROKEN_RUNS ? random.nextInt(EVENTS) : Integer.MAX_VALUE;
         connection.write("HTTP/1.1 200 OK\r\nAttempt-Id: " + attempt + "\r\nReplica-Seal: s." + connection.serverId()
@@ -149,7 +155,7 @@
         int sent = 0;
         for (int id : ids) {
             Thread.sleep(EVENT_MILLIS);
-            String event = event(name, id);
+            String event = event(resume == Resume.ANEW_WITH_OTHER_TEXT ? name + " other" : name, id);
             if (sent == brokenAt) {
                 String half = event.substring(0, event.length() / 2);
                 connection.write(Integer.toHexString(half.length()) + "\r\n" + half + "\r\n");
@@ -169,13 +175,17 @@
         connection.write("0\r\n\r\n");
     }
 
-    private Resume resume(int position, SplittableRandom random) {
+    /** Returns where a run goes on; its text differs only where the process has relayed events that it can compare. */
+    private Resume resume(int position, int firstPosition, SplittableRandom random) {
         if (position == 0) {
             return Resume.SOUND;
         }
         Resume resume = random.nextDouble() < FAULTY_RESUMES
                 ? Resume.values()[1 + random.nextInt(Resume.values().length - 1)]
                 : Resume.SOUND;
+        if (resume == Resume.ANEW_WITH_OTHER_TEXT && position == firstPosition) {
+            resume = Resume.ANEW;
+        }
         resumes.get(resume).incrementAndGet();
         return resume;
     }
