Relay the only run of a stream that can't be resumed unchanged

Callers of streams on routes without resuming missed events of a run, or got it cut: `1 1 1 1 1 1` ended broken off, `1 2 2 3` came as a complete `1 2 3`.

Cause: the order of events was checked on all routes, though a stream has one run where it can't be resumed: nothing of it can come twice from another one, and what the server sends is what the caller has to get.

The order now relays every event of such a route. On resumable routes nothing changes.

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
@@ -20,6 +20,7 @@
     private static final long FIRST = 1;
 
     private final RelayedEvents relayed = new RelayedEvents();
+    private final boolean resumable;
     private Optional<String> lastId;
     private long position;
     private Numbering numbering;
@@ -52,9 +53,10 @@
      * Creates the order of a stream.
      *
      * @param lastId the id of the last event that the caller already has, as it was sent
-     * @param resumable whether servers resume the stream after that id
+     * @param resumable whether servers resume the stream after that id; a stream has one run otherwise, which is not changed
      */
     EventOrder(Optional<String> lastId, boolean resumable) {
+        this.resumable = resumable;
         this.lastId = lastId;
         this.position = resumable ? lastId.map(EventOrder::parse).orElse(NONE) : NONE;
         this.numbering = position == NONE ? Numbering.UNKNOWN : Numbering.CONSECUTIVE;
@@ -92,7 +94,7 @@
      * @param hash the {@linkplain RelayedEvents#hash hash} of the event's bytes
      */
     Verdict onEvent(Optional<String> id, boolean hasData, long hash) {
-        if (id.isEmpty() && !hasData) {
+        if (!resumable || (id.isEmpty() && !hasData)) {
             return Verdict.RELAY;
         }
         long number = id.map(EventOrder::parse).orElse(NONE);
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
@@ -121,6 +121,14 @@
         assertThat(notResumable.reachedPosition(), is(true));
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"1 1 1 1 1 1", "1 2 2 3", "5 4 3 2 1", "2 1 2 1 2 1 2 1 2 1"})
+    void onlyRunOfOtherRoutesIsRelayedWhole(String ids) {
+        EventOrder notResumable = new EventOrder(Optional.empty(), false);
+
+        assertThat(run(notResumable, ids), is("R".repeat(ids.split(" ", -1).length)));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"1 2 3", "0 1 2", "7 8 9", "5 10 15", "1 2 4 5", "100 7000 7001", "- - -", "1 - 2", "x y"})
     void runFromTheBeginningIsRelayedWhole(String ids) {
--- a/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
@@ -114,6 +114,20 @@
         assertThat(read("/once/", "after: 2\r\n", "1 2 3 4").body(), is(events(EVENTS)));
     }
 
+    /** Guards against the only run of a stream that is thinned or cut, as its ids do not increase. */
+    @ParameterizedTest
+    @ValueSource(strings = {"1 1 1 1 1 1", "1 2 2 3", "5 4 3 2 1", "1:a 1:b 2"})
+    void neverChangesRunWhereTheRouteIsNotResumable(String run) throws Exception {
+        Caller.Answer answer = read("/once/", "", run);
+
+        StringBuilder sent = new StringBuilder();
+        for (String id : run.split(" ", -1)) {
+            sent.append(event(id));
+        }
+        assertThat(answer.body(), is(sent.toString()));
+        assertThat(answer.complete(), is(true));
+    }
+
     @Test
     void relaysAnyRunToACallerWithoutAReadablePosition() throws Exception {
         assertThat(read("/stream/", "after: x\r\n", "3 4").body(), is(event("3") + event("4")));
