Break off a run that goes back to an event that was never relayed

A first run `2 3 1 4` of a resumable stream reached its caller as a complete `2 3 4`, and a run `5 4 6` as `5 6`: a piece was missing (ORDER).

Cause: every number up to the position was taken for a duplicate, also one that was never relayed.

Where the caller received nothing elsewhere and the hashes of all relayed events are kept, an event before the oldest is no duplicate. The run is ended and another one resumes the stream, or it is broken off. Duplicates of relayed events are still left out, in a first run as well.

Red before: EventOrderTest#runThatGoesBackToAnEventThatWasNotRelayedIsBrokenOff in 2 of 3 cases (the third was covered by the comparison of events), ResumedStreamTest#neverCompletesStreamWhoseEventComesTooLate in 2 of 2. All green after, and RelayedEventsTest 7 of 7.

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
@@ -19,7 +19,7 @@
     private static final long NONE = -1;
     private static final long FIRST = 1;
 
-    private final RelayedEvents relayed = new RelayedEvents();
+    private final RelayedEvents relayed;
     private final boolean resumable;
     private Optional<String> lastId;
     private long position;
@@ -56,6 +56,7 @@
      * @param resumable whether servers resume the stream after that id; a stream has one run otherwise, which is not changed
      */
     EventOrder(Optional<String> lastId, boolean resumable) {
+        this.relayed = new RelayedEvents(lastId.isEmpty());
         this.resumable = resumable;
         this.lastId = lastId;
         this.position = resumable ? lastId.map(EventOrder::parse).orElse(NONE) : NONE;
--- a/http/src/main/java/org/geraniumstand/http/opaque/RelayedEvents.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/RelayedEvents.java
@@ -14,6 +14,16 @@
     private long[] numbers = new long[0];
     private long[] hashes = new long[0];
     private int size;
+    private boolean whole;
+
+    /**
+     * Creates an empty list.
+     *
+     * @param whole whether all events that the caller will have are added, as it received none elsewhere
+     */
+    RelayedEvents(boolean whole) {
+        this.whole = whole;
+    }
 
     /** Returns the 64-bit FNV-1a hash of the bytes between two indices, the latter exclusive. */
     static long hash(byte[] bytes, int from, int to) {
@@ -34,6 +44,7 @@
         if (size == MAX_EVENTS) {
             // Removes half of the events at once, so that the cost of an event is constant on average.
             size = MAX_EVENTS / 2;
+            whole = false;
             System.arraycopy(numbers, MAX_EVENTS - size, numbers, 0, size);
             System.arraycopy(hashes, MAX_EVENTS - size, hashes, 0, size);
         } else if (size == numbers.length) {
@@ -48,14 +59,14 @@
 
     /**
      * Returns whether an event can't be one that was relayed: it differs from the one of its number, or none of its number was
-     * relayed. Events before the oldest that is kept can't be told apart.
+     * relayed. Events before the oldest that is kept can't be told apart unless all are kept.
      *
      * @param number the number of the event
      * @param hash the hash of its bytes
      */
     boolean differs(long number, long hash) {
         if (size == 0 || number < numbers[0]) {
-            return false;
+            return whole;
         }
         int index = Arrays.binarySearch(numbers, 0, size, number);
         return index < 0 || hashes[index] != hash;
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
@@ -121,6 +121,12 @@
         assertThat(notResumable.reachedPosition(), is(true));
     }
 
+    @ParameterizedTest
+    @CsvSource({"'5 4 3', RB", "'2 3 1 4', RRB", "'5 10 7 15', RRB"})
+    void runThatGoesBackToAnEventThatWasNotRelayedIsBrokenOff(String ids, String verdicts) {
+        assertThat(run(order, ids), is(verdicts));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"1 1 1 1 1 1", "1 2 2 3", "5 4 3 2 1", "2 1 2 1 2 1 2 1 2 1"})
     void onlyRunOfOtherRoutesIsRelayedWhole(String ids) {
--- a/http/src/test/java/org/geraniumstand/http/opaque/RelayedEventsTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/RelayedEventsTest.java
@@ -8,7 +8,7 @@
 import org.junit.jupiter.api.Test;
 
 final class RelayedEventsTest {
-    private final RelayedEvents events = new RelayedEvents();
+    private final RelayedEvents events = new RelayedEvents(false);
 
     private static long hash(String text) {
         byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
@@ -58,6 +58,18 @@
         assertThat(events.differs(1, 10), is(false));
     }
 
+    @Test
+    void eventBeforeTheOldestIsAnotherWhereAllAreKept() {
+        RelayedEvents whole = new RelayedEvents(true);
+        whole.add(3, 30);
+
+        assertThat(whole.differs(1, 10), is(true));
+        for (int i = 4; i <= RelayedEvents.MAX_EVENTS + 3; i++) {
+            whole.add(i, 10L * i);
+        }
+        assertThat(whole.differs(1, 10), is(false));
+    }
+
     @Test
     void keepsTheLatestEvents() {
         int added = 3 * RelayedEvents.MAX_EVENTS;
--- a/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
@@ -114,6 +114,19 @@
         assertThat(read("/once/", "after: 2\r\n", "1 2 3 4").body(), is(events(EVENTS)));
     }
 
+    @ParameterizedTest
+    @CsvSource({"5, 4 6", "2 3, 1 4"})
+    void neverCompletesStreamWhoseEventComesTooLate(String relayed, String rest) throws Exception {
+        Caller.Answer answer = read("/stream/", "", relayed + ' ' + rest);
+
+        StringBuilder expected = new StringBuilder();
+        for (String id : relayed.split(" ", -1)) {
+            expected.append(event(id));
+        }
+        assertThat(answer.body(), is(expected.toString()));
+        assertThat(answer.complete(), is(false));
+    }
+
     /** Guards against the only run of a stream that is thinned or cut, as its ids do not increase. */
     @ParameterizedTest
     @ValueSource(strings = {"1 1 1 1 1 1", "1 2 2 3", "5 4 3 2 1", "1:a 1:b 2"})
