Read positions with leading zeros and of 19 digits

Cause: an id was read as a number by its length, up to 18 digits with leading zeros; any other counted as no position.

Leading zeros are skipped, and what then fits a long is a number.

Red before, green after: ResumedStreamTest#dropsEventsThatTheCallerHasWhateverTheLengthOfItsId (2 of 2 cases) and EventOrderTest#positionIsReadWhateverTheLengthOfItsId (7 of 7).

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
@@ -10,8 +10,8 @@
                 "Drops the events up to the caller's position, and ends a run that differs from them or, if it resumes,"
                         + " skips an event or does not number one.")
 final class EventOrder {
-    /** Maximum length of an id that is compared, in digits; the number fits a {@code long}. */
-    private static final int MAX_DIGITS = 18;
+    /** Maximum length of a number that may fit a {@code long}, in digits without leading zeros. */
+    private static final int MAX_DIGITS = 19;
 
     /** Maximum number of times that a run may go back without an event that is new. */
     private static final int MAX_RETURNS = 3;
@@ -137,9 +137,22 @@
         return numbering == Numbering.UNKNOWN ? Numbering.CONSECUTIVE : numbering;
     }
 
+    /** Returns the number that an id is, or {@link #NONE} if it is none or does not fit a {@code long}. */
     private static long parse(String id) {
-        boolean number =
-                !id.isEmpty() && id.length() <= MAX_DIGITS && id.chars().allMatch(c -> c >= '0' && c <= '9');
-        return number ? Long.parseLong(id) : NONE;
+        if (id.isEmpty() || !id.chars().allMatch(c -> c >= '0' && c <= '9')) {
+            return NONE;
+        }
+        int start = 0;
+        while (start < id.length() - 1 && id.charAt(start) == '0') {
+            start++;
+        }
+        if (id.length() - start > MAX_DIGITS) {
+            return NONE;
+        }
+        try {
+            return Long.parseLong(id, start, id.length(), 10);
+        } catch (NumberFormatException _e) {
+            return NONE;
+        }
     }
 }
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
@@ -135,6 +135,20 @@
         assertThat(run(notResumable, ids), is("R".repeat(ids.split(" ", -1).length)));
     }
 
+    @ParameterizedTest
+    @CsvSource({
+        "0000000000000000000002, '1 2 3', DDR",
+        "2, '0000000000000000000001 0000000000000000000002 0000000000000000000003', DDR",
+        "0000000000000000000000, '1 3', RB",
+        "1000000000000000002, '1000000000000000001 1000000000000000003', DR",
+        "9223372036854775806, '9223372036854775806 9223372036854775807', DR",
+        "9223372036854775807, '9223372036854775807 1', DD",
+        "9223372036854775807, '9223372036854775808', B",
+    })
+    void positionIsReadWhateverTheLengthOfItsId(String callerId, String ids, String verdicts) {
+        assertThat(run(after(callerId), ids), is(verdicts));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"1 2 3", "0 1 2", "7 8 9", "5 10 15", "1 2 4 5", "100 7000 7001", "- - -", "1 - 2", "x y"})
     void runFromTheBeginningIsRelayedWhole(String ids) {
--- a/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
@@ -141,6 +141,20 @@
         assertThat(answer.complete(), is(true));
     }
 
+    /** Guards against a caller that gets the whole stream again, as its position has leading zeros or 19 digits. */
+    @ParameterizedTest
+    @CsvSource({
+        "0000000000000000000002, 1 2 3, 3",
+        "1000000000000000002, 1000000000000000001 1000000000000000002 1000000000000000003, 1000000000000000003",
+    })
+    void dropsEventsThatTheCallerHasWhateverTheLengthOfItsId(String position, String run, String relayed)
+            throws Exception {
+        Caller.Answer answer = read("/stream/", "after: " + position + "\r\n", run);
+
+        assertThat(answer.body(), is(event(relayed)));
+        assertThat(answer.complete(), is(true));
+    }
+
     @Test
     void relaysAnyRunToACallerWithoutAReadablePosition() throws Exception {
         assertThat(read("/stream/", "after: x\r\n", "3 4").body(), is(event("3") + event("4")));
