Learn from a resumed run whether ids count the events

A caller got `7 8 9 11` as a complete stream, with event 10 missing (ORDER): the first run broke off after `7`, the next one sent `8 9 11`.

Cause: whether ids count the events was learned from runs from the beginning only. One event that isn't numbered 1 shows nothing, so no later gap was seen.

Every event that is relayed now tells: a step of one shows that ids count, as in a first run, and a step over one that they don't. A run is ended at a step over one only after a step of one, which was so for `7 8` and then `10`, too.

Red before, green after: ResumedStreamTest#neverCompletesStreamThatMissesAnEventAfterOneThatBrokeOffAtItsFirstEvent and one case of EventOrderTest#resumedRunShowsWhetherIdsCountTheEvents, whose 3 other cases show that sparse ids stay uncut (green before and after).

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
@@ -115,9 +115,7 @@
         if (resumed && numbering == Numbering.CONSECUTIVE && number != position + 1) {
             return Verdict.BREAK_OFF;
         }
-        if (!resumed) {
-            numbering = numberingAfter(number);
-        }
+        numbering = numberingAfter(number);
         position = number;
         relayed.add(number, hash);
         positionKnown = true;
@@ -126,7 +124,7 @@
         return Verdict.RELAY;
     }
 
-    /** Returns what a run from the beginning shows; ids only have to increase, so a step over one is no gap there. */
+    /** Returns what an event that is relayed shows; ids only have to increase, so a step over one is no gap until they count. */
     private Numbering numberingAfter(long number) {
         if (position == NONE) {
             return number == FIRST ? Numbering.CONSECUTIVE : Numbering.UNKNOWN;
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
@@ -168,6 +168,14 @@
         assertThat(run(order, resumed), is("RR"));
     }
 
+    @ParameterizedTest
+    @CsvSource({"7, '8 9 11', RRB", "7, '8', R", "7, '9 10 12', RRR", "'5 10', '11 12 20', RRR"})
+    void resumedRunShowsWhetherIdsCountTheEvents(String first, String resumed, String verdicts) {
+        run(order, first);
+
+        assertThat(run(order, resumed), is(verdicts));
+    }
+
     @Test
     void positionRemainsThatOfTheLastEventRelayed() {
         run(order, "1 2 3");
--- a/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/ResumedStreamTest.java
@@ -155,6 +155,14 @@
         assertThat(answer.complete(), is(true));
     }
 
+    @Test
+    void neverCompletesStreamThatMissesAnEventAfterOneThatBrokeOffAtItsFirstEvent() throws Exception {
+        Caller.Answer answer = read("/stream/", "", "7 !", "8 9 11");
+
+        assertThat(answer.body(), is(event("7") + event("8") + event("9")));
+        assertThat(answer.complete(), is(false));
+    }
+
     @Test
     void relaysAnyRunToACallerWithoutAReadablePosition() throws Exception {
         assertThat(read("/stream/", "after: x\r\n", "3 4").body(), is(event("3") + event("4")));
