Break off streams of more than text instead of resuming them

Callers of the completions interface lost tool calls, or parts of them, in streams that ended as complete: after a break the next engine was asked to go on after the text generated so far, or, without text, from the beginning, and every event of it without content was taken for its opening event and dropped. The same held for other deltas without content, such as reasoning_content.

An engine can be told only of text. Once a relayed delta holds anything but role and text, or belongs to another choice, the position is now unknown: the stream is neither resumed, nor moved, nor handed over, but broken off as incomplete, unless all of its content has been relayed. Only events without such a delta count as opening events, so what the engine that resumes generates is relayed. Null and empty fields, which some engines send, change nothing.

--- a/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
@@ -181,6 +181,10 @@
             cancelAttempt();
             relay.finish();
             report(dispatch.attempt(), new AttemptResult(AttemptEnd.ANSWERED, -1, 0, relay.tokens(), -1));
+        } else if (relay.committed()) {
+            abandon();
+            callerDone = true;
+            relay.finish();
         } else if (dispatch.attempt() == 1 && gate.isPresent()) {
             gate.get().requestClaim(dispatch);
         } else {
--- a/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
@@ -6,21 +6,30 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.ByteBuffer;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.geraniumstand.http.filter.Completion;
 import org.geraniumstand.http.upstream.AnswerHead;
 import org.geraniumstand.http.upstream.EventStreamParser;
 import org.geraniumstand.http.upstream.FlowControl;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.Refusal;
+import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.support.json.Json;
 import org.geraniumstand.support.net.HttpBody;
 
-/** Relays a stream of completion events; if an attempt breaks, the next one resumes after the last relayed token. */
+/**
+ * Relays a stream of completion events; if an attempt breaks, the next one resumes after the last relayed token.
+ *
+ * <p>An engine can be told only of text that was generated so far, so a stream of which anything else was relayed, such as
+ * a tool call, is broken off instead.
+ */
 final class StreamRelay implements Relay {
     /** Maximum number of characters of events that are stored for a caller that reconnects. */
     static final int HISTORY_CHARACTERS = 32 * 1024;
 
+    private static final Set<String> TEXT_FIELDS = Set.of("role", "content");
     private static final String DONE = "[DONE]";
     private static final String LENGTH_REACHED =
             "{\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"length\"}]}";
@@ -38,6 +47,7 @@
     private boolean resumed;
     private boolean finishReasonSeen;
     private boolean doneSent;
+    private boolean positionKnown = true;
     private int tokens;
     private int cachedTokens = -1;
 
@@ -143,7 +153,7 @@
 
     @Override
     public boolean committed() {
-        return errorRelay.map(AnswerRelay::committed).orElse(false);
+        return !positionKnown || errorRelay.map(AnswerRelay::committed).orElse(false);
     }
 
     @Override
@@ -162,6 +172,10 @@
             errorRelay.ifPresent(AnswerRelay::finish);
             return;
         }
+        if (!positionKnown && !doneSent && !contentComplete()) {
+            sink.refuse(Refusal.unknown(RefusalReason.SERVER_FAILED));
+            return;
+        }
         if (!doneSent) {
             doneSent = true;
             if (!finishReasonSeen) {
@@ -209,7 +223,9 @@
         }
         finishReasonSeen |= hasFinishReason;
         cachedTokens = usage.path("prompt_tokens_details").path("cached_tokens").asInt(cachedTokens);
-        boolean openingEvent = content.isEmpty() && !hasFinishReason && !usage.isObject();
+        boolean resumable = holdsOnlyText(event.path("choices"));
+        positionKnown &= resumable;
+        boolean openingEvent = resumable && content.isEmpty() && !hasFinishReason && !usage.isObject();
         if (!(resumed && openingEvent)) {
             send(data);
         }
@@ -219,6 +235,29 @@
         sink.event(history.add(data), data);
     }
 
+    /** Returns whether choices are only the first one, and its delta holds nothing but the role and text. */
+    private static boolean holdsOnlyText(JsonNode choices) {
+        for (JsonNode choice : choices) {
+            JsonNode content = choice.path("delta").path("content");
+            if (choice.path("index").asInt(0) != 0 || !(isEmpty(content) || content.isTextual())) {
+                return false;
+            }
+            for (Map.Entry<String, JsonNode> field : choice.path("delta").properties()) {
+                if (!TEXT_FIELDS.contains(field.getKey()) && !isEmpty(field.getValue())) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    private static boolean isEmpty(JsonNode node) {
+        return node.isMissingNode()
+                || node.isNull()
+                || (node.isTextual() && node.textValue().isEmpty())
+                || (node.isContainerNode() && node.isEmpty());
+    }
+
     private static JsonNode parse(String data) {
         try {
             return Json.LENIENT.readTree(data);
--- a/http/src/test/java/org/geraniumstand/http/caller/StreamTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/StreamTest.java
@@ -54,6 +54,21 @@
         connection.endStream();
     };
 
+    private static final String TOOL_CALL = "{\"choices\":[{\"index\":0,\"delta\":{\"tool_calls\":"
+            + "[{\"index\":0,\"function\":{\"arguments\":\"A\"}}]}}]}";
+    private static final String REASONING = "{\"choices\":[{\"index\":0,\"delta\":{\"reasoning_content\":\"A\"}}]}";
+
+    private static FakeServer.Script sends(String... events) {
+        return (_request, connection) -> {
+            connection.startStream();
+            for (String event : events) {
+                connection.event(event);
+            }
+            connection.event("{\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}");
+            connection.endStream();
+        };
+    }
+
     private static FakeServer.Script abortAfter(int tokens) {
         return (request, connection) -> {
             writeTokens(request, connection, tokens);
@@ -112,6 +127,84 @@
         }
     }
 
+    /** Guards against deltas without content that are lost after a break, while the stream ends as complete. */
+    @ParameterizedTest
+    @ValueSource(strings = {TOOL_CALL, REASONING})
+    void breaksOffStreamThatBreaksAfterDeltaWithoutContent(String delta) throws IOException {
+        for (int tokens : List.of(0, 2)) {
+            FakeServer.Script breaks = (request, connection) -> {
+                writeTokens(request, connection, tokens);
+                connection.event(delta);
+                connection.abort();
+            };
+            try (ListenerFixture fixture = new ListenerFixture(breaks, sends(delta, delta.replace("A", "B")))) {
+                Caller.Answer answer = fixture.call("POST", PATH, "", BODY);
+
+                assertThat(answer.complete(), is(false));
+                assertThat(answer.body(), containsString(delta));
+                assertThat(answer.body(), not(containsString("[DONE]")));
+                assertThat(fixture.server(1).requests().size(), is(0));
+            }
+        }
+    }
+
+    /** Guards against deltas without content that are taken for the opening event of a run that resumes. */
+    @ParameterizedTest
+    @ValueSource(strings = {TOOL_CALL, REASONING})
+    void relaysDeltasWithoutContentOfARunThatResumes(String delta) throws IOException {
+        FakeServer.Script opens = (_request, connection) -> {
+            connection.startStream();
+            connection.event("{\"choices\":[{\"delta\":{\"role\":\"assistant\"}}]}");
+            connection.abort();
+        };
+        for (FakeServer.Script first : List.of(opens, abortAfter(2))) {
+            String next = delta.replace("A", "B");
+            try (ListenerFixture fixture = new ListenerFixture(first, sends(delta, next))) {
+                Caller.Answer answer = fixture.call("POST", PATH, "", BODY);
+
+                assertThat(answer.complete(), is(true));
+                assertThat(answer.body(), containsString(delta));
+                assertThat(answer.body(), containsString(next));
+            }
+        }
+    }
+
+    /** Guards against empty fields that keep a stream of text from being resumed. */
+    @Test
+    void resumesStreamWhoseDeltasHaveEmptyFields() throws IOException {
+        FakeServer.Script breaks = (_request, connection) -> {
+            connection.startStream();
+            connection.event("{\"choices\":[{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":\"t0 \","
+                    + "\"reasoning_content\":null,\"refusal\":\"\",\"tool_calls\":[]}}]}");
+            connection.abort();
+        };
+        try (ListenerFixture fixture = new ListenerFixture(breaks, ENGINE)) {
+            assertThat(text(fixture.call("POST", PATH, "", BODY)), is("t0 t1 t2 t3 t4 t5 "));
+        }
+    }
+
+    /** Guards against a stream that moves to another server, which sends what the caller has again. */
+    @Test
+    void breaksOffStreamThatIsMovedAfterDeltaWithoutContent() throws IOException, InterruptedException {
+        FakeServer.Script stalls = (request, connection) -> {
+            writeTokens(request, connection, 1);
+            connection.event(TOOL_CALL);
+            connection.token("t1 ");
+            connection.stallUntilClosed();
+        };
+        try (ListenerFixture fixture = new ListenerFixture(stalls, ENGINE);
+                Caller caller = new Caller(fixture.listener().port())) {
+            caller.send("POST", PATH, "", BODY);
+            Eventually.await("two tokens are relayed", () -> tokens(fixture) == 2);
+            fixture.core().migrateTo(2);
+            Caller.Answer answer = caller.read("POST");
+
+            assertThat(answer.complete(), is(false));
+            assertThat(text(answer), is("t0 t1 "));
+            assertThat(fixture.server(1).requests().size(), is(0));
+        }
+    }
+
     @Test
     void resumesAfterResponseTimeout() throws IOException {
         try (ListenerFixture fixture = new ListenerFixture(stallAfter(3), ENGINE)) {
