Check and store a state of a handed-over stream at once

A process that got two states of one stream in a row took over both, and could hold the older one at the end, so that a caller that had gone on from the newer one was refused. Whether a newer state was held was checked in the calling thread, but the state was stored later, by an I/O thread.

The check and the storing are now one step in the calling thread; the I/O thread only starts the stream.

--- a/http/src/main/java/org/geraniumstand/http/caller/HeldStreams.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/HeldStreams.java
@@ -49,7 +49,7 @@
      * @param id the id of the request in this process
      * @return whether the stream was accepted
      */
-    public boolean takeOver(StreamSnapshot snapshot, RequestId id) {
+    public synchronized boolean takeOver(StreamSnapshot snapshot, RequestId id) {
         if (streams.size() >= MAX_STREAMS || holdsNewer(snapshot)) {
             return false;
         }
@@ -89,13 +89,14 @@
     private void start(StreamSnapshot snapshot, RequestId id, Admission admission) {
         XnioIoThread thread = threads.get(Math.floorMod(nextThread.getAndIncrement(), threads.size()));
         StreamKey key = new StreamKey(snapshot.team(), snapshot.callerRequestId());
+        Removal removal = new Removal();
+        HeldStream sink = new HeldStream(thread, snapshot, removal::run);
+        // The stream is stored at once, so that the next state of it is compared with this one.
+        streams.put(key, sink);
         thread.execute(() -> {
-            Removal removal = new Removal();
-            HeldStream sink = new HeldStream(thread, snapshot, removal::run);
             StreamRelay relay = new StreamRelay(admission.completion().orElseThrow(), sink, Optional.empty());
             relay.restore(snapshot);
             RequestTask task = new RequestTask(id, admission, relay, thread, context);
-            streams.put(key, sink);
             removal.action = () -> {
                 streams.remove(key, sink);
                 task.onCallerDisconnected();
--- a/http/src/test/java/org/geraniumstand/http/caller/HandoverTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/HandoverTest.java
@@ -87,6 +87,26 @@
         }
     }
 
+    /** Guards against a check for a newer state that doesn't see a state which arrived just before. */
+    @Test
+    void keepsTheNewerOfTwoStatesThatArriveTogether() throws IOException, InterruptedException {
+        for (int round = 0; round < 10; round++) {
+            try (ListenerFixture receiver = new ListenerFixture(STALLS_AFTER_TWO_TOKENS, STALLS_AFTER_TWO_TOKENS)) {
+                HeldStreams held = receiver.listener().heldStreams();
+                boolean newer = held.takeOver(snapshot("t0 t1 t2 t3 ", 4), new RequestId("taken-1"));
+                boolean older = held.takeOver(snapshot("t0 ", 1), new RequestId("taken-2"));
+
+                assertThat(newer, is(true));
+                assertThat(older, is(false));
+                try (Caller caller = new Caller(receiver.listener().port())) {
+                    caller.send("POST", PATH, ID + "Last-Event-ID: 4\r\n", BODY);
+
+                    assertThat(caller.readUntil("id: 6"), containsString("id: 5"));
+                }
+            }
+        }
+    }
+
     private static StreamSnapshot snapshot(String generated, int tokens) {
         List<String> events = Arrays.stream(generated.split(" ", -1))
                 .filter(token -> !token.isEmpty())
