Compare a handed-over stream with the current position of the held one

A caller that reconnected was refused with 409, although its stream was held: a state of it that was the same as the one taken over first, or newer than that but older than what the caller had received since, replaced it. Its position at take-over was compared, not the current one. The run of a replaced stream went on at its engine, beside the new one.

The held stream now knows the id of the last event that it gave out. A state that isn't newer is declined. A newer one ends the held stream: no event is sent from the moment of the comparison, its caller's connection is closed as incomplete and its run is cancelled.

--- a/http/src/main/java/org/geraniumstand/http/caller/HeldStream.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/HeldStream.java
@@ -23,8 +23,10 @@
 
     private final XnioIoThread thread;
     private final Runnable onRemoved;
-    private final int firstLastEventId;
     private final EventHistory history = new EventHistory(2 * MAX_CHARACTERS);
+    private final Object positionLock = new Object();
+    private int position;
+    private boolean replaced;
     private Optional<AttachedCaller> caller = Optional.empty();
     private Optional<FlowControl> flow = Optional.empty();
     private long detachedSinceNanos;
@@ -42,14 +44,33 @@
     HeldStream(XnioIoThread thread, StreamSnapshot snapshot, Runnable onRemoved) {
         this.thread = thread;
         this.onRemoved = onRemoved;
-        this.firstLastEventId = snapshot.lastEventId();
+        this.position = snapshot.lastEventId();
         history.restore(snapshot.recentEvents(), snapshot.lastEventId());
         scheduleExpiry();
     }
 
-    /** Returns the id of the last event that was relayed before the stream was handed over; may be called on any thread. */
-    int firstLastEventId() {
-        return firstLastEventId;
+    /** Returns the id of the last event that a caller may have received; may be called on any thread. */
+    int position() {
+        synchronized (positionLock) {
+            return position;
+        }
+    }
+
+    /**
+     * Ends the stream if its position is older than that of another state of it; may be called on any thread.
+     *
+     * @param lastEventId id of the last event that was relayed in the other state
+     * @return whether the stream ends; no event is sent from then on
+     */
+    boolean replaceIfOlder(int lastEventId) {
+        synchronized (positionLock) {
+            if (position >= lastEventId) {
+                return false;
+            }
+            replaced = true;
+        }
+        thread.execute(this::endForHandover);
+        return true;
     }
 
     /** Sends the rest of the stream to a caller whose exchange has been dispatched; may be called on any thread. */
@@ -91,6 +112,12 @@
 
     @Override
     public void event(int id, String data) {
+        synchronized (positionLock) {
+            if (replaced) {
+                return;
+            }
+            position = id;
+        }
         history.add(data);
         caller.ifPresent(attached -> attached.run(() -> attached.events().event(id, data)));
         updateBackpressure();
@@ -98,6 +125,11 @@
 
     @Override
     public void end() {
+        synchronized (positionLock) {
+            if (replaced) {
+                return;
+            }
+        }
         ended = true;
         caller.ifPresent(attached -> attached.run(() -> attached.events().end()));
         scheduleExpiry();
--- a/http/src/main/java/org/geraniumstand/http/caller/HeldStreams.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/HeldStreams.java
@@ -43,19 +43,22 @@
     }
 
     /**
-     * Takes over a stream and continues it as a request of this process, unless this process holds a newer state of it.
+     * Takes over a stream and continues it as a request of this process, unless this process holds the same or a newer state.
      *
      * @param snapshot the state of the stream
      * @param id the id of the request in this process
      * @return whether the stream was accepted
      */
     public synchronized boolean takeOver(StreamSnapshot snapshot, RequestId id) {
-        if (streams.size() >= MAX_STREAMS || holdsNewer(snapshot)) {
+        if (streams.size() >= MAX_STREAMS) {
             return false;
         }
         Optional<Admission> admission = context.core().configuration().flatMap(c -> admit(snapshot, c));
-        admission.ifPresent(admitted -> start(snapshot, id, admitted));
-        return admission.isPresent();
+        if (admission.isEmpty() || keepsHeld(snapshot)) {
+            return false;
+        }
+        start(snapshot, id, admission.get());
+        return true;
     }
 
     /**
@@ -68,16 +71,16 @@
         return streams.containsKey(new StreamKey(team, callerRequestId));
     }
 
-    /** Returns whether a caller may have gone on from a later event than that of the snapshot. */
-    private boolean holdsNewer(StreamSnapshot snapshot) {
+    /** Ends the held stream if the snapshot is newer; returns whether one is held that isn't older. */
+    private boolean keepsHeld(StreamSnapshot snapshot) {
         Optional<HeldStream> held = find(snapshot.team(), snapshot.callerRequestId());
-        if (held.isEmpty() || held.get().firstLastEventId() <= snapshot.lastEventId()) {
+        if (held.isEmpty() || held.get().replaceIfOlder(snapshot.lastEventId())) {
             return false;
         }
         LOG.warn(
                 "stream-state-older",
                 Field.of("request", snapshot.callerRequestId()),
-                Field.of("position", held.get().firstLastEventId()),
+                Field.of("position", held.get().position()),
                 Field.of("received", snapshot.lastEventId()));
         return true;
     }
--- a/http/src/test/java/org/geraniumstand/http/caller/HandoverTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/HandoverTest.java
@@ -2,12 +2,15 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.instanceOf;
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.not;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
+import java.net.SocketTimeoutException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
@@ -20,6 +23,8 @@
 import org.geraniumstand.support.json.Json;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(60)
 final class HandoverTest {
@@ -107,6 +112,59 @@
         }
     }
 
+    /** Guards against a state at which the stream was taken over, or passed since, that replaces what the caller has. */
+    @ParameterizedTest
+    @ValueSource(ints = {4, 5, 6})
+    void keepsStreamThatHasReachedTheStateOfALaterOne(int position) throws IOException, InterruptedException {
+        try (ListenerFixture receiver = new ListenerFixture(STALLS_AFTER_TWO_TOKENS, STALLS_AFTER_TWO_TOKENS)) {
+            HeldStreams held = receiver.listener().heldStreams();
+            held.takeOver(snapshot("t0 t1 t2 t3 ", 4), new RequestId("taken-1"));
+            try (Caller caller = new Caller(receiver.listener().port())) {
+                caller.send("POST", PATH, ID + "Last-Event-ID: 4\r\n", BODY);
+                caller.readUntil("id: 6");
+            }
+            boolean taken = held.takeOver(
+                    snapshot("t0 t1 t2 t3 t4 t5 ".substring(0, 3 * position), position), new RequestId("taken-2"));
+            try (Caller caller = new Caller(receiver.listener().port())) {
+                caller.send("POST", PATH, ID + "Last-Event-ID: 6\r\n", BODY);
+
+                assertThat(taken, is(false));
+                assertThat(receiver.server(1).requests().size(), is(0));
+                assertThat(receiver.server(0).disconnects(), is(0));
+            }
+        }
+    }
+
+    /** Guards against the run of a replaced stream that goes on at its engine, and sends events to its caller. */
+    @Test
+    void endsStreamThatIsReplacedByANewerState() throws IOException, InterruptedException {
+        try (ListenerFixture receiver = new ListenerFixture(STALLS_AFTER_TWO_TOKENS, STALLS_AFTER_TWO_TOKENS)) {
+            HeldStreams held = receiver.listener().heldStreams();
+            receiver.core().setResponseTimeout(60_000);
+            held.takeOver(snapshot("t0 ", 1), new RequestId("taken-1"));
+            try (Caller old = new Caller(receiver.listener().port())) {
+                old.send("POST", PATH, ID + "Last-Event-ID: 1\r\n", BODY);
+                old.readUntil("id: 3");
+                boolean newer = held.takeOver(snapshot("t0 t1 t2 t3 ", 4), new RequestId("taken-2"));
+
+                assertThat(newer, is(true));
+                Eventually.await(
+                        "the replaced run is ended",
+                        () -> receiver.server(0).disconnects()
+                                        + receiver.server(1).disconnects()
+                                == 1);
+                assertThat(held.holds("counter", "mine"), is(true));
+                IOException end = assertThrows(IOException.class, () -> old.readUntil("[DONE]"));
+                assertThat(end, not(instanceOf(SocketTimeoutException.class)));
+            }
+            try (Caller caller = new Caller(receiver.listener().port())) {
+                caller.send("POST", PATH, ID + "Last-Event-ID: 4\r\n", BODY);
+
+                assertThat(caller.readUntil("id: 6"), containsString("id: 5"));
+            }
+        }
+    }
+
     private static StreamSnapshot snapshot(String generated, int tokens) {
         List<String> events = Arrays.stream(generated.split(" ", -1))
                 .filter(token -> !token.isEmpty())
