Don't earn retries twice when processes are killed after spending them

Callers saw servers get up to 1.58 times the retries that the budget allows, while servers refused most calls: running processes spent the budget of a whole window in about a second, were killed, and their successors earned the ratio's part again from the requests after the start. The same happened without any start: the callers of killed processes moved to running ones, which earned the ratio's part for them.

Cause: each process allowed the ratio of its own requests of a window, on the assumption that these add up to the requests of one window. They don't where requests move between processes (or lives): the spent part was earned by the requests before the move, the new one by those after.

A process now earns most of the ratio's part (0.82) only for as many requests as it had in the window before, which are requests from before the move for as long as retries from before it count. Every request earns the rest (0.06). A move may double only that rest.

RelayRetryBudgetTest#allowsFractionOfRequests spent the ratio's part of the first window, which isn't available any more. It now sends the same requests in two windows and still expects exactly 17; two tests state what the first window and an earlier peak earn.

A process retries little in its first window: 0.012 of its requests at a ratio of 0.2. Its part grows to the whole within the second one.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.decisions.relay;
 
 import java.util.Arrays;
+import java.util.stream.IntStream;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.time.Timestamp;
 
@@ -8,18 +9,30 @@
 @Decision(
         name = "repeat-allowance",
         summary = "Retries stay within a fraction of the requests of the last "
-                + "seconds plus this process's share of a fixed allowance.")
+                + "seconds, most of it only for as many as in the window before, "
+                + "plus this process's share of a fixed allowance.")
 public final class RelayRetryBudget {
     private static final int SLOTS_PER_WINDOW = 100;
 
     /** The current slot has only begun, so that the window reaches into one more. */
-    private static final int SLOTS = SLOTS_PER_WINDOW + 1;
+    private static final int COUNTED_SLOTS = SLOTS_PER_WINDOW + 1;
+
+    private static final int SLOTS = 2 * COUNTED_SLOTS;
 
     /**
-     * Fraction of the budget that is used; requests are counted when they arrive here, slightly later than the caller
+     * Fraction of the slack that is used; requests are counted when they arrive here, slightly later than the caller
      * sent them.
      */
-    private static final double USED_SHARE = 0.87;
+    private static final double SLACK_SHARE = 0.87;
+
+    /** Fraction of the ratio that requests earn if the process had as many in the window before. */
+    private static final double ESTABLISHED_SHARE = 0.82;
+
+    /**
+     * Fraction of the ratio that every request earns. Another process may have spent what its own requests earned
+     * before it was killed and its callers moved here, so that such requests earn this fraction twice.
+     */
+    private static final double FRESH_SHARE = 0.06;
 
     private final double ratio;
     private final double slack;
@@ -82,10 +95,18 @@
      */
     public Usage usage(double slackShare, long nowNanos) {
         slotIndex(nowNanos);
-        int requestCount = Arrays.stream(requests).sum();
-        int retryCount = Arrays.stream(retries).sum();
-        double allowed = USED_SHARE * (ratio * requestCount + slack * slackShare);
-        return new Usage(requestCount, retryCount, allowed);
+        int requestCount = sum(requests, latestSlot);
+        int retryCount = sum(retries, latestSlot);
+        int established = Math.min(requestCount, sum(requests, latestSlot - COUNTED_SLOTS));
+        double earned = ratio * (ESTABLISHED_SHARE * established + FRESH_SHARE * requestCount);
+        return new Usage(requestCount, retryCount, earned + SLACK_SHARE * slack * slackShare);
+    }
+
+    /** Returns the sum of the counts of a window that ends with a slot. */
+    private static int sum(int[] counts, long lastSlot) {
+        return IntStream.range(0, COUNTED_SLOTS)
+                .map(age -> counts[(int) Math.floorMod(lastSlot - age, (long) SLOTS)])
+                .sum();
     }
 
     private int slotIndex(long nowNanos) {
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryBudgetTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryBudgetTest.java
@@ -17,11 +17,32 @@
     @Test
     void allowsFractionOfRequests() {
         RelayRetryBudget budget = new RelayRetryBudget(0.2, 0, 10_000);
-        for (int i = 0; i < 100; i++) {
-            budget.onRequest(0);
-        }
+        request(budget, 100, 0);
+        request(budget, 100, 10_200 * Calls.MILLI);
+
+        assertThat(acquired(budget, 1, 10_200 * Calls.MILLI), is(17));
+    }
+
+    /** A killed process may have spent the budget just before its callers moved here. */
+    @Test
+    void requestsBeyondThoseOfTheWindowBeforeEarnLittle() {
+        RelayRetryBudget budget = new RelayRetryBudget(0.2, 0, 10_000);
+        request(budget, 100, 0);
+
+        assertThat(acquired(budget, 1, 0), is(1));
+
+        request(budget, 400, 10_200 * Calls.MILLI);
 
-        assertThat(acquired(budget, 1, 0), is(17));
+        assertThat(acquired(budget, 1, 10_200 * Calls.MILLI), is(21));
+    }
+
+    /** The rule counts the requests of the window of the retries, so that an earlier peak of load does not help. */
+    @Test
+    void requestsOfTheWindowBeforeAloneEarnNothing() {
+        RelayRetryBudget budget = new RelayRetryBudget(0.2, 0, 10_000);
+        request(budget, 1_000, 0);
+
+        assertThat(acquired(budget, 1, 10_200 * Calls.MILLI), is(0));
     }
 
     @Test
@@ -53,6 +74,12 @@
         assertThat(before + acquired(budget, 1, 10_001 * Calls.MILLI), lessThanOrEqualTo(50));
     }
 
+    private static void request(RelayRetryBudget budget, int count, long nowNanos) {
+        for (int i = 0; i < count; i++) {
+            budget.onRequest(nowNanos);
+        }
+    }
+
     private static int acquired(RelayRetryBudget budget, double slackShare, long nowNanos) {
         int acquired = 0;
         while (acquired < 1_000 && budget.tryAcquire(slackShare, nowNanos)) {
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryBudgetOverloadTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryBudgetOverloadTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.greaterThanOrEqualTo;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.function.IntPredicate;
 import java.util.function.UnaryOperator;
@@ -17,9 +18,12 @@
     private static final int CUT_MILLIS = 90_000;
     private static final int DISTURBED_MILLIS = 25_000;
     private static final double CALLS_PER_SECOND = 10;
+    private static final double CALLS_OF_ALL_PER_SECOND = 33;
     private static final double LEAST_USE = 0.8;
     private static final long SEEDS = 2;
 
+    private static final List<Integer> KILL_DELAYS_MILLIS = List.of(500, 1_000, 2_000, 3_000, 5_000, 9_000);
+
     @ParameterizedTest
     @ValueSource(ints = {2, 7, 30, 95, 330})
     void usesMostOfBudgetInCalm(int processes) {
@@ -133,6 +137,38 @@
         assertWithin(processes, "bursts", DURATION_MILLIS, RetryBudgetOverloadTest::inBursts, s -> s);
     }
 
+    /** The running processes spend the budget of a whole window before they are killed. */
+    @ParameterizedTest
+    @ValueSource(ints = {2, 7, 30, 95, 330})
+    void budgetSpentBeforeProcessesAreKilled(int processes) {
+        for (int delay : KILL_DELAYS_MILLIS) {
+            int killed = DISTURBED_MILLIS + delay;
+            for (double rate : new double[] {CALLS_PER_SECOND, CALLS_OF_ALL_PER_SECOND / processes}) {
+                String fault = "spent-%d-rate-%.1f".formatted(delay, rate);
+                assertWithin(processes, fault, rate, s -> s.restart(1, killed, 1));
+                assertWithin(processes, fault + "-down", rate, s -> s.restart(1, killed, 1_000));
+                assertWithin(processes, fault + "-half", rate, s -> s.restart(0.5, killed, 1));
+                assertWithin(processes, fault + "-again", rate, s -> s.kill(1, killed, 50_000, 3_000));
+                assertWithin(
+                        processes,
+                        fault + "-one-by-one",
+                        rate,
+                        s -> s.roll(killed, killed + 5_000, Math.max(10, 5_000 / processes + 1), 1));
+            }
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {2, 7, 30, 95, 330})
+    void budgetSpentBeforeCallersMoveToOtherProcesses(int processes) {
+        for (int delay : KILL_DELAYS_MILLIS) {
+            for (double rate : new double[] {CALLS_PER_SECOND, CALLS_OF_ALL_PER_SECOND / processes}) {
+                String fault = "moved-%d-rate-%.1f".formatted(delay, rate);
+                assertWithin(processes, fault, rate, s -> s.remove(0.5, DISTURBED_MILLIS + delay));
+            }
+        }
+    }
+
     private static boolean always(int _millis) {
         return true;
     }
@@ -147,6 +183,10 @@
         return millis > DISTURBED_MILLIS && millis % 9_700 < 900;
     }
 
+    private static boolean later(int millis) {
+        return millis >= DISTURBED_MILLIS;
+    }
+
     private static double used(int processes) {
         return LongStream.rangeClosed(1, SEEDS)
                 .mapToDouble(seed -> new RetryBudgetSimulation(
@@ -157,10 +197,25 @@
                 .orElse(0);
     }
 
+    private static void assertWithin(
+            int processes, String fault, double callsPerSecond, UnaryOperator<RetryBudgetSimulation> disturb) {
+        assertWithin(processes, fault, callsPerSecond, DURATION_MILLIS, RetryBudgetOverloadTest::later, disturb);
+    }
+
+    private static void assertWithin(
+            int processes,
+            String fault,
+            int durationMillis,
+            IntPredicate failing,
+            UnaryOperator<RetryBudgetSimulation> disturb) {
+        assertWithin(processes, fault, CALLS_PER_SECOND, durationMillis, failing, disturb);
+    }
+
     @SuppressWarnings("SystemOut")
     private static void assertWithin(
             int processes,
             String fault,
+            double callsPerSecond,
             int durationMillis,
             IntPredicate failing,
             UnaryOperator<RetryBudgetSimulation> disturb) {
@@ -168,7 +223,7 @@
         double used = 0;
         for (long seed = 1; seed <= SEEDS; seed++) {
             RetryBudgetSimulation.Figures figures = disturb.apply(
-                            new RetryBudgetSimulation(processes, CALLS_PER_SECOND, durationMillis, failing, seed))
+                            new RetryBudgetSimulation(processes, callsPerSecond, durationMillis, failing, seed))
                     .run();
             worst = Math.max(worst, figures.worst());
             used += figures.used() / SEEDS;
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryBudgetSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryBudgetSimulation.java
@@ -30,7 +30,7 @@
 
     private final Random random;
     private final int durationMillis;
-    private final double callsPerSecond;
+    private double callsPerSecond;
     private final IntPredicate failing;
     private final List<Participant> participants = new ArrayList<>();
     private final PriorityQueue<Event> events =
@@ -190,6 +190,27 @@
         return this;
     }
 
+    /** Kills a fraction of the processes, which start again after a while. */
+    RetryBudgetSimulation restart(double fraction, int fromMillis, int downMillis) {
+        at(
+                fromMillis,
+                () -> sample(fraction).forEach(process -> {
+                    process.end();
+                    at(millis + downMillis, this::start);
+                }));
+        return this;
+    }
+
+    /** Kills a fraction of the processes for good; the others receive their calls. */
+    RetryBudgetSimulation remove(double fraction, int fromMillis) {
+        at(fromMillis, () -> {
+            List<Participant> ended = sample(fraction);
+            callsPerSecond /= 1 - (double) ended.size() / participants.size();
+            ended.forEach(Participant::end);
+        });
+        return this;
+    }
+
     /** Replaces the processes one by one, oldest first; old and new run side by side for a while. */
     RetryBudgetSimulation roll(int fromMillis, int untilMillis, int intervalMillis, int overlapMillis) {
         for (int time = fromMillis; time < untilMillis; time += intervalMillis) {
