Read the era of the store

The store states its era in each answer; it rises when the store is restored from a copy. Revisions and leases now bear it, so that those of different eras compare by era first. An answer of an earlier era fails, and so does a call that depends on a revision or a lease of an earlier era.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/LeadershipState.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/LeadershipState.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.relay.StoreLease;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.time.Timestamp;
 
 /** Tracks whether this process holds the leader lease and may act for all processes. */
@@ -14,7 +16,7 @@
     private static final double SAFE_SHARE = 0.8;
 
     private final long ttlMillis;
-    private long lease;
+    private StoreLease lease = StoreLease.NONE;
     private long fencingToken;
     private long safeUntilNanos;
     private boolean held;
@@ -31,13 +33,13 @@
     /**
      * Records that this process became leader.
      *
-     * @param acquired the id of the lease that holds the leader key
+     * @param acquired the lease that holds the leader key
      * @param revision the store revision at which the leader key was acquired
      * @param requestedNanos when the lease was requested, on the monotonic clock in nanoseconds
      */
-    public void onAcquired(long acquired, long revision, long requestedNanos) {
+    public void onAcquired(StoreLease acquired, StoreRevision revision, long requestedNanos) {
         lease = acquired;
-        fencingToken = revision;
+        fencingToken = revision.toNumber();
         held = true;
         onRenewed(requestedNanos);
     }
@@ -61,8 +63,8 @@
         return held;
     }
 
-    /** Returns the id of the lease. */
-    public long lease() {
+    /** Returns the lease. */
+    public StoreLease lease() {
         return lease;
     }
 
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreReadPolicy.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreReadPolicy.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.decisions.relay;
 
 import org.geraniumstand.decisions.Decision;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.time.Timestamp;
 
 /** Decides whether this process reads changes directly from the store. Not thread-safe. */
@@ -33,7 +34,7 @@
     private final long readerTimeoutNanos;
     private final long watchMillis;
     private boolean reader;
-    private long missedRevision;
+    private StoreRevision missedRevision = StoreRevision.NONE;
     private boolean behind;
     private boolean readerSeen;
     private long readerSeenNanos;
@@ -79,9 +80,9 @@
      *
      * @param revision the highest revision that may have been missed
      */
-    public void onMissed(long revision) {
+    public void onMissed(StoreRevision revision) {
         behind = true;
-        missedRevision = Math.max(missedRevision, revision);
+        missedRevision = StoreRevision.max(missedRevision, revision);
     }
 
     /**
@@ -89,8 +90,8 @@
      *
      * @param revision the highest revision that the store delivered
      */
-    public void onDelivered(long revision) {
-        behind = behind && revision < missedRevision;
+    public void onDelivered(StoreRevision revision) {
+        behind = behind && missedRevision.isAfter(revision);
     }
 
     /** Records that all entries were read. */
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/StoreReadPolicyTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/StoreReadPolicyTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import org.geraniumstand.model.relay.StoreRevision;
 import org.junit.jupiter.api.Test;
 
 final class StoreReadPolicyTest {
@@ -15,14 +16,14 @@
     }
 
     private StoreReadPolicy withReader() {
-        policy.onDelivered(100);
+        policy.onDelivered(new StoreRevision(3, 100));
         policy.onForwarded(at(0));
         return policy;
     }
 
     @Test
     void readsStoreWithoutKnownReader() {
-        policy.onDelivered(100);
+        policy.onDelivered(new StoreRevision(3, 100));
 
         assertThat(policy.shouldRead(at(0)), is(true));
     }
@@ -39,9 +40,9 @@
 
     @Test
     void readsStoreAfterMissedChangeUntilDelivered() {
-        withReader().onMissed(120);
+        withReader().onMissed(new StoreRevision(3, 120));
         assertThat(policy.shouldRead(at(100)), is(true));
-        policy.onDelivered(120);
+        policy.onDelivered(new StoreRevision(3, 120));
 
         assertThat(policy.shouldRead(at(100)), is(false));
     }
@@ -49,8 +50,8 @@
     /** Watches deliver nothing for a second before the store drops its history. */
     @Test
     void isBehindUntilStoreDeliversMissedRevision() {
-        withReader().onMissed(120);
-        policy.onDelivered(110);
+        withReader().onMissed(new StoreRevision(3, 120));
+        policy.onDelivered(new StoreRevision(3, 110));
         assertThat(policy.behind(), is(true));
         policy.onFullRead();
 
--- a/entry/src/main/java/org/geraniumstand/entry/relay/LeaderElection.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/LeaderElection.java
@@ -5,6 +5,8 @@
 import org.geraniumstand.decisions.relay.LeaderElectionTiming;
 import org.geraniumstand.decisions.relay.LeadershipState;
 import org.geraniumstand.entry.task.Timer;
+import org.geraniumstand.model.relay.StoreLease;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.outside.relay.LeaderApi;
 import org.geraniumstand.outside.relay.RevisionStore;
@@ -114,8 +116,8 @@
         store.openLease(
                 ttlMillis,
                 result -> result.fold(
-                        leaseId -> {
-                            acquire(leaseId, startNanos);
+                        lease -> {
+                            acquire(lease, startNanos);
                             return true;
                         },
                         _error -> {
@@ -124,20 +126,24 @@
                         }));
     }
 
-    private void acquire(long leaseId, long startNanos) {
-        Commit commit = Commit.put(KEY, holder, leaseId).expecting(KEY, 0);
+    private void acquire(StoreLease lease, long startNanos) {
+        Commit commit = Commit.put(KEY, holder, lease).expecting(KEY, StoreRevision.NONE);
         store.commit(commit, result -> {
             attempting = false;
             result.fold(
                     revision -> {
-                        leadership.onAcquired(leaseId, revision, startNanos);
-                        LOG.info("duty-taken", Field.of("holder", holder), Field.of("fence", revision));
+                        leadership.onAcquired(lease, revision, startNanos);
+                        LOG.info(
+                                "duty-taken",
+                                Field.of("holder", holder),
+                                Field.of("fence", revision.toNumber()),
+                                Field.of("revision", revision));
                         timer.after(this::renew, ttlMillis / RENEWALS_PER_LEASE);
                         return true;
                     },
                     _error -> {
                         // If the write took effect after all, ending the lease also removes the record.
-                        store.endLease(leaseId, _ended -> {});
+                        store.endLease(lease, _ended -> {});
                         return false;
                     });
         });
@@ -151,7 +157,7 @@
         store.renewLease(
                 leadership.lease(),
                 result -> result.fold(
-                        _leaseId -> {
+                        _lease -> {
                             leadership.onRenewed(startNanos);
                             timer.after(this::renew, ttlMillis / RENEWALS_PER_LEASE);
                             return true;
--- a/entry/src/main/java/org/geraniumstand/entry/relay/MoveOrderReverter.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/MoveOrderReverter.java
@@ -7,6 +7,8 @@
 import java.util.Set;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.id.ServiceId;
+import org.geraniumstand.model.relay.StoreLease;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.relay.VersionMoveOrder;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.outside.relay.MoveStatusFormat;
@@ -86,8 +88,8 @@
             return;
         }
         String key = statusFormat.key(order.service());
-        Commit commit = Commit.put(key, statusFormat.reverted(order), 0)
-                .expecting(key, status.map(Item::revision).orElse(0L));
+        Commit commit = Commit.put(key, statusFormat.reverted(order), StoreLease.NONE)
+                .expecting(key, status.map(Item::revision).orElse(StoreRevision.NONE));
         store.commit(
                 commit,
                 result -> result.fold(
--- a/entry/src/main/java/org/geraniumstand/entry/relay/QuarantineStore.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/QuarantineStore.java
@@ -10,6 +10,7 @@
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.relay.QuarantinedPrompt;
 import org.geraniumstand.model.relay.ServicePart;
+import org.geraniumstand.model.relay.StoreLease;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.outside.relay.RevisionStore;
 import org.geraniumstand.outside.relay.RevisionStore.Commit;
@@ -84,7 +85,7 @@
         }
         busy = true;
         store.commit(
-                Commit.put(KEY, QuarantineDocument.write(prompts, epochMillis.getAsLong()), 0),
+                Commit.put(KEY, QuarantineDocument.write(prompts, epochMillis.getAsLong()), StoreLease.NONE),
                 result -> result.fold(
                         _revision -> {
                             stored = next;
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreRegistration.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreRegistration.java
@@ -6,6 +6,7 @@
 import org.geraniumstand.entry.task.MemberDocument;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.member.Member;
+import org.geraniumstand.model.relay.StoreLease;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.outside.relay.RevisionStore;
 import org.geraniumstand.outside.relay.RevisionStore.Commit;
@@ -30,7 +31,7 @@
     private final RevisionStore store;
     private final Timer timer;
     private final PeerTask peers;
-    private long leaseId;
+    private StoreLease lease = StoreLease.NONE;
 
     StoreRegistration(RevisionStore store, Timer timer, PeerTask peers) {
         this.store = store;
@@ -40,8 +41,8 @@
 
     /** Removes the registration by ending its lease. */
     void deregister() {
-        if (leaseId != 0) {
-            store.endLease(leaseId, _result -> {});
+        if (!lease.equals(StoreLease.NONE)) {
+            store.endLease(lease, _result -> {});
         }
     }
 
@@ -50,13 +51,13 @@
         store.openLease(LEASE_MILLIS, result -> result.fold(this::writeEntry, _error -> retry(this::register)));
     }
 
-    private boolean writeEntry(long openedLeaseId) {
+    private boolean writeEntry(StoreLease opened) {
         Member self = peers.self();
         store.commit(
-                Commit.put(PREFIX + self.id(), MemberDocument.write(self), openedLeaseId),
+                Commit.put(PREFIX + self.id(), MemberDocument.write(self), opened),
                 result -> result.fold(
                         _revision -> {
-                            leaseId = openedLeaseId;
+                            lease = opened;
                             LOG.info("member-registered", Field.of("process", self.id()));
                             timer.after(this::renew, RENEW_MILLIS);
                             return true;
@@ -67,9 +68,9 @@
 
     private void renew() {
         store.renewLease(
-                leaseId,
+                lease,
                 result -> result.fold(
-                        _lease -> {
+                        _renewed -> {
                             timer.after(this::renew, RENEW_MILLIS);
                             return true;
                         },
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -15,6 +16,7 @@
 import org.geraniumstand.decisions.relay.StoreReadPolicy;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.relay.StoreEntry;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.time.Timestamp;
 import org.geraniumstand.model.timeline.Field;
@@ -68,15 +70,15 @@
     private Consumer<PeerMessage.StoreUpdate> changeForwarder = _update -> {};
 
     /** Revision up to which all changes were applied. */
-    private long revision;
+    private StoreRevision revision = StoreRevision.NONE;
 
     /** Revision up to which this process read all changes from the store itself; changes from peers do not count. */
-    private long ownRevision;
+    private StoreRevision ownRevision = StoreRevision.NONE;
 
     private boolean initialized;
     private int peerCount;
 
-    private long forwardedRevision;
+    private StoreRevision forwardedRevision = StoreRevision.NONE;
     private long forwardedNanos;
 
     /** Origin of a change. */
@@ -135,7 +137,7 @@
     }
 
     void start() {
-        readAll(new ArrayList<>(reader.prefixes()), new ArrayList<>(), Long.MAX_VALUE);
+        readAll(new ArrayList<>(reader.prefixes()), new ArrayList<>(), Optional.empty());
     }
 
     /** Returns the number of listeners and own steps that threw an exception. */
@@ -166,7 +168,8 @@
             return;
         }
         reachability.onPeerContact();
-        boolean gap = update.throughRevision() > revision && (update.afterRevision() > revision || update.incomplete());
+        boolean gap = update.throughRevision().isAfter(revision)
+                && (update.afterRevision().isAfter(revision) || update.incomplete());
         if (gap) {
             readPolicy.onMissed(update.throughRevision());
             return;
@@ -174,11 +177,12 @@
         readPolicy.onForwarded(now);
         applyNewer(update.changes(), Source.PEER);
         markUpToDate();
-        revision = Math.max(revision, update.throughRevision());
+        revision = StoreRevision.max(revision, update.throughRevision());
     }
 
-    private void readAll(List<String> prefixes, List<Item> items, long snapshotRevision) {
+    private void readAll(List<String> prefixes, List<Item> items, Optional<StoreRevision> earliest) {
         if (prefixes.isEmpty()) {
+            StoreRevision snapshotRevision = earliest.orElse(StoreRevision.NONE);
             revision = snapshotRevision;
             initialized = true;
             // The changes up to this revision were not read one by one, so they are not forwarded; peers read them from
@@ -195,7 +199,7 @@
         reachability.onCall(0);
         store.list(prefix, orRestart(listing -> {
             items.addAll(listing.items());
-            readAll(prefixes, items, Math.min(snapshotRevision, listing.revision()));
+            readAll(prefixes, items, Optional.of(earliest.orElseGet(listing::revision)));
         }));
     }
 
@@ -232,7 +236,7 @@
             timer.after(this::watch, CHECK_MILLIS);
             return;
         }
-        long since = readPolicy.reader() ? ownRevision : revision;
+        StoreRevision since = readPolicy.reader() ? ownRevision : revision;
         boolean wasBehind = readPolicy.behind();
         store.watch(
                 "",
@@ -253,8 +257,8 @@
                 changes.changes().stream().filter(this::isRelevant).toList();
         applyNewer(relevant, Source.STORE);
         markUpToDate();
-        revision = Math.max(revision, changes.revision());
-        ownRevision = Math.max(ownRevision, changes.revision());
+        revision = StoreRevision.max(revision, changes.revision());
+        ownRevision = StoreRevision.max(ownRevision, changes.revision());
         if (readPolicy.reader()) {
             forwardNew(relevant);
         }
@@ -326,8 +330,8 @@
 
     /** Applies the changes that are newer than the current revision. */
     private void applyNewer(List<Change> changes, Source source) {
-        long from = revision;
-        changes.stream().filter(change -> change.revision() > from).forEach(change -> {
+        StoreRevision from = revision;
+        changes.stream().filter(change -> change.revision().isAfter(from)).forEach(change -> {
             if (!guard.run("change", change.key(), () -> apply(change, source))) {
                 // The entry counts as changed when it is written again.
                 appliedEntries.remove(change.key());
@@ -354,7 +358,7 @@
         listener.onEntry(entry);
     }
 
-    private void remove(String key, long removedAt, Source source) {
+    private void remove(String key, StoreRevision removedAt, Source source) {
         EntryChange.Observed previous = appliedEntries.remove(key);
         StoreEntry.Removed removed = reader.readRemoved(key);
         if (removed instanceof StoreEntry.Removed.Server server
--- a/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
@@ -15,6 +15,8 @@
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.TeamId;
+import org.geraniumstand.model.relay.StoreLease;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.relay.WindowCounts;
 import org.geraniumstand.model.relay.WindowTotal;
 import org.geraniumstand.model.time.Timestamp;
@@ -222,7 +224,7 @@
         }
         writtenTotals.put(window, total);
         String document = UsageCountsJson.writeByProcess(collected.window(window));
-        store.commit(Commit.put(COUNT_PREFIX + window + "/" + process, document, 0), result -> {
+        store.commit(Commit.put(COUNT_PREFIX + window + "/" + process, document, StoreLease.NONE), result -> {
             if (result.error().isPresent()) {
                 // The next tick writes them again, which is harmless as counts only increase.
                 writtenTotals.remove(window);
@@ -292,8 +294,8 @@
         Map<TeamId, Long> teamTotals = table.sums(window);
         store.commit(
                 new Commit(
-                        List.of(new RevisionStore.Expected(key, 0)),
-                        List.of(new RevisionStore.Put(key, UsageCountsJson.writeByTeam(teamTotals), 0)),
+                        List.of(new RevisionStore.Expected(key, StoreRevision.NONE)),
+                        List.of(new RevisionStore.Put(key, UsageCountsJson.writeByTeam(teamTotals), StoreLease.NONE)),
                         removals(window, items)),
                 result -> result.fold(
                         _revision -> {
--- a/entry/src/test/java/org/geraniumstand/entry/relay/FakeRevisionStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/FakeRevisionStore.java
@@ -7,19 +7,23 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import org.geraniumstand.model.relay.StoreLease;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.outside.relay.RevisionStore;
+import org.geraniumstand.outside.relay.StoreEra;
 import org.geraniumstand.outside.store.StoreError;
 
 /** An in-memory store that answers at once, fails while it is unavailable, and lets the test answer watches. */
 final class FakeRevisionStore implements RevisionStore {
     private final TreeMap<String, Item> items = new TreeMap<>();
-    private final Map<Long, List<String>> leases = new HashMap<>();
+    private final Map<StoreLease, List<String>> leases = new HashMap<>();
     private final List<Consumer<Result<Changes, StoreError>>> watches = new ArrayList<>();
+    private final StoreEra era = new StoreEra();
     private long revision = 100;
-    private long lastLeaseId;
+    private StoreLease lastLease = StoreLease.NONE;
     private boolean unavailable;
-    private long lastWatchRevision;
+    private StoreRevision lastWatchRevision = StoreRevision.NONE;
 
     void setUnavailable(boolean isUnavailable) {
         unavailable = isUnavailable;
@@ -28,7 +32,21 @@
     /** Writes a key as another client would. */
     void write(String key, String value) {
         revision++;
-        items.put(key, new Item(key, value, revision));
+        items.put(key, new Item(key, value, revision()));
+    }
+
+    /** Returns a revision of a store that states no era. */
+    static StoreRevision at(long number) {
+        return new StoreRevision(StoreRevision.UNKNOWN_ERA, number);
+    }
+
+    private StoreRevision revision() {
+        return new StoreRevision(era.latest(), revision);
+    }
+
+    @Override
+    public StoreEra era() {
+        return era;
     }
 
     Optional<String> value(String key) {
@@ -40,15 +58,15 @@
     }
 
     /** Expires a lease and removes its keys. */
-    void expire(long lease) {
+    void expire(StoreLease lease) {
         List<String> keys = leases.remove(lease);
         if (keys != null) {
             keys.forEach(items::remove);
         }
     }
 
-    long lastLeaseId() {
-        return lastLeaseId;
+    StoreLease lastLease() {
+        return lastLease;
     }
 
     /** Answers the oldest pending watch. */
@@ -57,7 +75,7 @@
     }
 
     /** Returns the revision from which the last watch started. */
-    long lastWatchRevision() {
+    StoreRevision lastWatchRevision() {
         return lastWatchRevision;
     }
 
@@ -85,56 +103,58 @@
             List<Item> found = items.values().stream()
                     .filter(item -> item.key().startsWith(prefix))
                     .toList();
-            callback.accept(Result.ok(new Listing(found, revision)));
+            callback.accept(Result.ok(new Listing(found, revision())));
         }
     }
 
     @Override
-    public void watch(String _prefix, long since, long _waitMillis, Consumer<Result<Changes, StoreError>> callback) {
+    public void watch(
+            String _prefix, StoreRevision since, long _waitMillis, Consumer<Result<Changes, StoreError>> callback) {
         lastWatchRevision = since;
         watches.add(callback);
     }
 
     @Override
-    public void commit(Commit commit, Consumer<Result<Long, StoreError>> callback) {
+    public void commit(Commit commit, Consumer<Result<StoreRevision, StoreError>> callback) {
         if (failsAsUnavailable(callback)) {
             return;
         }
         for (Expected expected : commit.expected()) {
             Item item = items.get(expected.key());
-            if ((item == null ? 0 : item.revision()) != expected.revision()) {
+            StoreRevision current = item == null ? StoreRevision.NONE : item.revision();
+            if (!current.equals(expected.revision())) {
                 callback.accept(Result.err(StoreError.CONFLICT));
                 return;
             }
         }
         for (Put put : commit.puts()) {
             write(put.key(), put.value());
-            if (put.lease() != 0) {
+            if (!put.lease().equals(StoreLease.NONE)) {
                 leases.get(put.lease()).add(put.key());
             }
         }
         commit.removals().forEach(items::remove);
-        callback.accept(Result.ok(revision));
+        callback.accept(Result.ok(revision()));
     }
 
     @Override
-    public void openLease(long _ttlMillis, Consumer<Result<Long, StoreError>> callback) {
+    public void openLease(long _ttlMillis, Consumer<Result<StoreLease, StoreError>> callback) {
         if (!failsAsUnavailable(callback)) {
-            lastLeaseId++;
-            leases.put(lastLeaseId, new ArrayList<>());
-            callback.accept(Result.ok(lastLeaseId));
+            lastLease = new StoreLease(era.latest(), lastLease.id() + 1);
+            leases.put(lastLease, new ArrayList<>());
+            callback.accept(Result.ok(lastLease));
         }
     }
 
     @Override
-    public void renewLease(long lease, Consumer<Result<Long, StoreError>> callback) {
+    public void renewLease(StoreLease lease, Consumer<Result<StoreLease, StoreError>> callback) {
         if (!failsAsUnavailable(callback)) {
             callback.accept(leases.containsKey(lease) ? Result.ok(lease) : Result.err(StoreError.LEASE_LOST));
         }
     }
 
     @Override
-    public void endLease(long lease, Consumer<Result<Long, StoreError>> callback) {
+    public void endLease(StoreLease lease, Consumer<Result<StoreLease, StoreError>> callback) {
         expire(lease);
         callback.accept(Result.ok(lease));
     }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/LeaderElectionTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/LeaderElectionTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.util.Random;
+import org.geraniumstand.model.relay.StoreLease;
 import org.junit.jupiter.api.Test;
 
 final class LeaderElectionTest {
@@ -51,7 +52,7 @@
         election.start();
         runTimers();
         long previousToken = election.fencingToken().orElseThrow().token();
-        store.expire(store.lastLeaseId());
+        store.expire(store.lastLease());
         timer.run(SHORT_DELAY_MILLIS);
         assertThat(election.fencingToken().isPresent(), is(false));
         election.onRecord(false);
@@ -101,12 +102,12 @@
         preferred.onRecord(false);
         runTimers();
         assertThat(preferred.fencingToken().isPresent(), is(true));
-        long previousLeaseId = store.lastLeaseId();
+        StoreLease previous = store.lastLease();
         election.onRecord(true);
         timer.run(LONG_DELAY_MILLIS);
 
         assertThat(election.fencingToken().isPresent(), is(false));
-        assertThat(store.lastLeaseId(), is(previousLeaseId));
+        assertThat(store.lastLease(), is(previous));
     }
 
     @Test
--- a/entry/src/test/java/org/geraniumstand/entry/relay/SimulatedStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/SimulatedStore.java
@@ -9,8 +9,11 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import org.geraniumstand.model.relay.StoreLease;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.outside.relay.RevisionStore;
+import org.geraniumstand.outside.relay.StoreEra;
 import org.geraniumstand.outside.store.StoreError;
 
 /**
@@ -48,6 +51,7 @@
     private final Map<String, Long> removedRevisions = new TreeMap<>();
     private final Map<Integer, Map<String, Long>> removalReportMillis = new TreeMap<>();
     private Availability availability = Availability.ANSWERS;
+    private final StoreEra era = new StoreEra();
     private long revision = 100;
     private long compactedRevision;
     private boolean compacting;
@@ -122,6 +126,10 @@
         compactedRevision = revision;
     }
 
+    private StoreRevision at(long number) {
+        return new StoreRevision(era.latest(), number);
+    }
+
     private void failWatches(Predicate<Watch> filter) {
         List<Watch> ended = watches.stream().filter(filter).toList();
         watches.removeAll(ended);
@@ -146,7 +154,7 @@
         long now = timer.millis();
         writtenMillis.put(key, now);
         timer.after(() -> expire(key, now), EXPIRY_MILLIS);
-        record(new RevisionStore.Change(key, Optional.of(value), revision));
+        record(new RevisionStore.Change(key, Optional.of(value), at(revision)));
     }
 
     private void expire(String key, long writtenAt) {
@@ -159,7 +167,7 @@
         revision++;
         items.remove(key);
         removedRevisions.put(key, revision);
-        record(new RevisionStore.Change(key, Optional.empty(), revision));
+        record(new RevisionStore.Change(key, Optional.empty(), at(revision)));
     }
 
     private void record(RevisionStore.Change change) {
@@ -179,12 +187,14 @@
                 ? Result.err(StoreError.HISTORY_GONE)
                 : Result.ok(new RevisionStore.Changes(
                         history.stream()
-                                .filter(change -> change.revision() > watch.since())
+                                .filter(change -> change.revision().number() > watch.since())
                                 .toList(),
-                        revision));
+                        at(revision)));
         timer.after(
                 () -> {
-                    changes.value().ifPresent(result -> recordReported(watch.process(), result.revision()));
+                    changes.value()
+                            .ifPresent(result -> recordReported(
+                                    watch.process(), result.revision().number()));
                     watch.callback().accept(changes);
                 },
                 ANSWER_MILLIS);
@@ -208,28 +218,33 @@
             this.process = process;
         }
 
+        @Override
+        public StoreEra era() {
+            return era;
+        }
+
         @Override
         public void read(String _key, Consumer<Result<Optional<RevisionStore.Item>, StoreError>> _callback) {
             throw new UnsupportedOperationException("read");
         }
 
         @Override
-        public void commit(Commit _commit, Consumer<Result<Long, StoreError>> _callback) {
+        public void commit(Commit _commit, Consumer<Result<StoreRevision, StoreError>> _callback) {
             throw new UnsupportedOperationException("commit");
         }
 
         @Override
-        public void openLease(long _ttlMillis, Consumer<Result<Long, StoreError>> _callback) {
+        public void openLease(long _ttlMillis, Consumer<Result<StoreLease, StoreError>> _callback) {
             throw new UnsupportedOperationException("openLease");
         }
 
         @Override
-        public void renewLease(long _lease, Consumer<Result<Long, StoreError>> _callback) {
+        public void renewLease(StoreLease _lease, Consumer<Result<StoreLease, StoreError>> _callback) {
             throw new UnsupportedOperationException("renewLease");
         }
 
         @Override
-        public void endLease(long _lease, Consumer<Result<Long, StoreError>> _callback) {
+        public void endLease(StoreLease _lease, Consumer<Result<StoreLease, StoreError>> _callback) {
             throw new UnsupportedOperationException("endLease");
         }
 
@@ -251,18 +266,24 @@
             }
             List<RevisionStore.Item> matches = new ArrayList<>();
             items.tailMap(prefix)
-                    .forEach((key, item) -> matches.add(new RevisionStore.Item(key, item.value(), item.revision())));
-            Listing listing = new Listing(matches, revision);
+                    .forEach(
+                            (key, item) -> matches.add(new RevisionStore.Item(key, item.value(), at(item.revision()))));
+            Listing listing = new Listing(matches, at(revision));
             timer.after(
                     () -> {
-                        recordReported(process, listing.revision());
+                        recordReported(process, listing.revision().number());
                         callback.accept(Result.ok(listing));
                     },
                     ANSWER_MILLIS);
         }
 
         @Override
-        public void watch(String _prefix, long since, long waitMillis, Consumer<Result<Changes, StoreError>> next) {
+        public void watch(
+                String _prefix,
+                StoreRevision sinceRevision,
+                long waitMillis,
+                Consumer<Result<Changes, StoreError>> next) {
+            long since = sinceRevision.number();
             Consumer<Result<Changes, StoreError>> callback = once(next);
             if (fails(waitMillis + CALL_TIMEOUT_MILLIS, callback)) {
                 return;
@@ -285,7 +306,7 @@
 
         private void onWaitExpired(Watch watch) {
             if (compacting) {
-                watch.callback().accept(Result.ok(new Changes(List.of(), watch.since())));
+                watch.callback().accept(Result.ok(new Changes(List.of(), at(watch.since()))));
             } else {
                 answer(watch);
             }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreWatcherFailureTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreWatcherFailureTest.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.entry.relay;
 
+import static org.geraniumstand.entry.relay.FakeRevisionStore.at;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.is;
@@ -109,7 +110,7 @@
     }
 
     private static Change ready(String key, long revision) {
-        return new Change(key, Optional.of(FakeEntryReader.READY), revision);
+        return new Change(key, Optional.of(FakeEntryReader.READY), at(revision));
     }
 
     private void change(String... keys) {
@@ -119,7 +120,7 @@
     }
 
     private void answer(List<Change> changes) {
-        store.answerWatch(Result.ok(new Changes(changes, revision)));
+        store.answerWatch(Result.ok(new Changes(changes, at(revision))));
         timer.run(DELAY_MILLIS);
     }
 
@@ -151,7 +152,7 @@
         watcher.start();
         failing.add("removed a");
         revision++;
-        answer(List.of(new Change("s/a", Optional.empty(), revision), ready("s/b", revision)));
+        answer(List.of(new Change("s/a", Optional.empty(), at(revision)), ready("s/b", revision)));
         change("s/c");
 
         assertThat(events, contains("snapshot 1", "updated b", "updated c"));
@@ -195,8 +196,8 @@
         watcher.start();
         failing.add("updated a");
         watcher.onPeerChanges(
-                new PeerMessage.StoreUpdate(100, 202, false, List.of(ready("s/a", 201), ready("s/b", 202))));
-        watcher.onPeerChanges(new PeerMessage.StoreUpdate(202, 203, false, List.of(ready("s/c", 203))));
+                new PeerMessage.StoreUpdate(at(100), at(202), false, List.of(ready("s/a", 201), ready("s/b", 202))));
+        watcher.onPeerChanges(new PeerMessage.StoreUpdate(at(202), at(203), false, List.of(ready("s/c", 203))));
 
         assertThat(events, contains("snapshot 0", "updated b", "updated c"));
     }
@@ -216,7 +217,7 @@
 
         assertThat(events, contains("snapshot 0", "updated a", "updated b"));
         assertThat(
-                forwarded.stream().map(PeerMessage.StoreUpdate::afterRevision).toList(), contains(lost));
+                forwarded.stream().map(PeerMessage.StoreUpdate::afterRevision).toList(), contains(at(lost)));
     }
 
     @Test
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreWatcherTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreWatcherTest.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.entry.relay;
 
+import static org.geraniumstand.entry.relay.FakeRevisionStore.at;
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.empty;
@@ -63,16 +64,16 @@
 
     private void change(String key, Optional<String> value) {
         revision++;
-        store.answerWatch(Result.ok(new Changes(List.of(new Change(key, value, revision)), revision)));
+        store.answerWatch(Result.ok(new Changes(List.of(new Change(key, value, at(revision))), at(revision))));
         timer.run(SHORT_DELAY_MILLIS);
     }
 
-    private static PeerMessage.StoreUpdate peerChanges(long since, long at, Change... changes) {
-        return new PeerMessage.StoreUpdate(since, at, false, List.of(changes));
+    private static PeerMessage.StoreUpdate peerChanges(long since, long through, Change... changes) {
+        return new PeerMessage.StoreUpdate(at(since), at(through), false, List.of(changes));
     }
 
     private static Change ready(String key, long revision) {
-        return new Change(key, Optional.of("ready"), revision);
+        return new Change(key, Optional.of("ready"), at(revision));
     }
 
     private void failCall() {
@@ -147,7 +148,8 @@
         watcher.start();
         watcher.setReader(true, PEERS);
         watcher.setChangeForwarder(forwarded::add);
-        watcher.onPeerChanges(peerChanges(101, revision + 1, new Change("s/a", Optional.of("leaving"), revision + 1)));
+        watcher.onPeerChanges(
+                peerChanges(101, revision + 1, new Change("s/a", Optional.of("leaving"), at(revision + 1))));
         change("s/a", Optional.of("leaving"));
 
         assertThat(events, contains("snapshot 1", "updated a"));
@@ -250,7 +252,7 @@
     @Test
     void appliesChangesFromPeersWithoutWatchingTheStore() {
         watcher.start();
-        store.answerWatch(Result.ok(new Changes(List.of(), 100)));
+        store.answerWatch(Result.ok(new Changes(List.of(), at(100))));
         watcher.onPeerChanges(peerChanges(100, 100));
         timer.run(SHORT_DELAY_MILLIS);
         watcher.onPeerChanges(peerChanges(100, 105, ready("s/a", 103)));
@@ -264,7 +266,7 @@
     void watchesTheStoreWhenChangesFromAPeerLeaveAGap() {
         watcher.start();
         watcher.onPeerChanges(peerChanges(100, 100));
-        store.answerWatch(Result.ok(new Changes(List.of(), 100)));
+        store.answerWatch(Result.ok(new Changes(List.of(), at(100))));
         timer.run(SHORT_DELAY_MILLIS);
         assertThat(store.pendingWatches(), is(0));
         watcher.onPeerChanges(peerChanges(110, 120, ready("s/a", 115)));
@@ -278,9 +280,9 @@
     void watchesTheStoreWhenAPeerWithheldChanges() {
         watcher.start();
         watcher.onPeerChanges(peerChanges(100, 100));
-        store.answerWatch(Result.ok(new Changes(List.of(), 100)));
+        store.answerWatch(Result.ok(new Changes(List.of(), at(100))));
         timer.run(SHORT_DELAY_MILLIS);
-        watcher.onPeerChanges(new PeerMessage.StoreUpdate(100, 120, true, List.of()));
+        watcher.onPeerChanges(new PeerMessage.StoreUpdate(at(100), at(120), true, List.of()));
         timer.run(SHORT_DELAY_MILLIS);
 
         assertThat(store.pendingWatches(), is(1));
@@ -291,12 +293,12 @@
     void watchesOnceMoreBeforeItReadsANewSnapshot() {
         watcher.start();
         watcher.setReader(true, PEERS);
-        watcher.onPeerChanges(new PeerMessage.StoreUpdate(100, 120, true, List.of()));
-        store.answerWatch(Result.ok(new Changes(List.of(), 110)));
+        watcher.onPeerChanges(new PeerMessage.StoreUpdate(at(100), at(120), true, List.of()));
+        store.answerWatch(Result.ok(new Changes(List.of(), at(110))));
         timer.run(SHORT_DELAY_MILLIS);
         assertThat(events, contains("snapshot 0"));
         assertThat(store.pendingWatches(), is(1));
-        store.answerWatch(Result.ok(new Changes(List.of(), 110)));
+        store.answerWatch(Result.ok(new Changes(List.of(), at(110))));
 
         assertThat(events, contains("snapshot 0", "snapshot 0"));
     }
@@ -305,8 +307,8 @@
     @Test
     void ignoresChangesThatAreOlderThanTheAppliedRevision() {
         watcher.start();
-        watcher.onPeerChanges(peerChanges(100, 120, ready("s/a", 110), new Change("s/a", Optional.empty(), 120)));
-        store.answerWatch(Result.ok(new Changes(List.of(ready("s/a", 110)), 110)));
+        watcher.onPeerChanges(peerChanges(100, 120, ready("s/a", 110), new Change("s/a", Optional.empty(), at(120))));
+        store.answerWatch(Result.ok(new Changes(List.of(ready("s/a", 110)), at(110))));
 
         assertThat(events, contains("snapshot 0", "updated a", "removed a"));
     }
@@ -317,7 +319,7 @@
         store.write("s/a", "ready");
         watcher.start();
         outage();
-        watcher.onPeerChanges(peerChanges(100, 120, new Change("s/a", Optional.empty(), 120)));
+        watcher.onPeerChanges(peerChanges(100, 120, new Change("s/a", Optional.empty(), at(120))));
         assertThat(events, contains("snapshot 1"));
         nowNanos += LONG_DELAY_MILLIS * Timestamp.NANOS_PER_MILLI;
         timer.run(LONG_DELAY_MILLIS);
@@ -335,7 +337,7 @@
         watcher.onPeerChanges(peerChanges(100, 110));
         nowNanos += SHORT_DELAY_MILLIS * Timestamp.NANOS_PER_MILLI;
         failCall();
-        watcher.onPeerChanges(peerChanges(110, 120, new Change("s/a", Optional.empty(), 120)));
+        watcher.onPeerChanges(peerChanges(110, 120, new Change("s/a", Optional.empty(), at(120))));
 
         assertThat(events, contains("snapshot 1", "removed a"));
     }
@@ -384,11 +386,11 @@
         watcher.start();
         watcher.setReader(true, PEERS);
         watcher.onPeerChanges(peerChanges(100, 150, ready("s/a", 140)));
-        store.answerWatch(Result.ok(new Changes(List.of(ready("s/b", 120)), 120)));
+        store.answerWatch(Result.ok(new Changes(List.of(ready("s/b", 120)), at(120))));
         timer.run(SHORT_DELAY_MILLIS);
 
         assertThat(forwarded, contains(peerChanges(100, 120, ready("s/b", 120))));
-        assertThat(store.lastWatchRevision(), is(120L));
+        assertThat(store.lastWatchRevision(), is(at(120)));
     }
 
     @Test
@@ -398,7 +400,7 @@
         watcher.setReader(true, PEERS);
         change("s/a", Optional.of("x".repeat(20_000)));
 
-        assertThat(forwarded, contains(new PeerMessage.StoreUpdate(100, 201, true, List.of())));
+        assertThat(forwarded, contains(new PeerMessage.StoreUpdate(at(100), at(201), true, List.of())));
     }
 
     @Test
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -16,6 +16,7 @@
 import org.geraniumstand.model.relay.LimitShare;
 import org.geraniumstand.model.relay.LostServer;
 import org.geraniumstand.model.relay.ServerInFlight;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.relay.TeamUsage;
 import org.geraniumstand.model.relay.WindowCounts;
 import org.geraniumstand.model.relay.WindowTotal;
@@ -287,12 +288,16 @@
      *
      * <p>The changes are all relevant ones after revision {@code afterRevision}, up to and including revision {@code throughRevision}.
      *
-     * @param afterRevision revision that precedes the changes
+     * @param afterRevision revision that precedes the changes, in the same era as they
      * @param throughRevision last revision that the changes cover
      * @param incomplete true if changes were omitted because they are too large
      * @param changes the changes in the order of their revisions
      */
-    record StoreUpdate(long afterRevision, long throughRevision, boolean incomplete, List<RevisionStore.Change> changes)
+    record StoreUpdate(
+            StoreRevision afterRevision,
+            StoreRevision throughRevision,
+            boolean incomplete,
+            List<RevisionStore.Change> changes)
             implements PeerMessage {
         /** Copies the list. */
         public StoreUpdate {
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -46,6 +46,7 @@
 import org.geraniumstand.model.relay.ServerLimit;
 import org.geraniumstand.model.relay.ServicePart;
 import org.geraniumstand.model.relay.SoundPart;
+import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.relay.TeamUsage;
 import org.geraniumstand.model.relay.WindowCounts;
 import org.geraniumstand.model.relay.WindowTotal;
@@ -156,17 +157,27 @@
                         .map(PeerMessage.RequestCountAck::new),
                 numbers().map(PeerMessage.RelayConfigurationVersion::new),
                 numbers().map(PeerMessage.RelayConfigurationRequest::new),
-                Combinators.combine(
-                                numbers(),
-                                numbers(),
-                                Arbitraries.of(true, false),
-                                changes().list().ofMaxSize(4))
-                        .as(PeerMessage.StoreUpdate::new),
+                storeUpdates(),
                 Combinators.combine(numbers(), texts()).as(PeerMessage.RelayConfigurationResponse::new),
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamFound::new),
                 Combinators.combine(processes(), numbers(), contents()).as(PeerMessage.BroadcastEnvelope::new));
     }
 
+    private static Arbitrary<PeerMessage.StoreUpdate> storeUpdates() {
+        return Arbitraries.longs()
+                .between(StoreRevision.UNKNOWN_ERA, 1_000)
+                .flatMap(era -> Combinators.combine(
+                                revisions(era),
+                                revisions(era),
+                                Arbitraries.of(true, false),
+                                changes(era).list().ofMaxSize(4))
+                        .as(PeerMessage.StoreUpdate::new));
+    }
+
+    private static Arbitrary<StoreRevision> revisions(long era) {
+        return numbers().map(number -> new StoreRevision(era, number));
+    }
+
     private static Arbitrary<MemberUpdate> memberUpdates() {
         Arbitrary<Member> members = Combinators.combine(
                         processes(),
@@ -272,8 +283,8 @@
                 .ofMaxSize(4);
     }
 
-    private static Arbitrary<RevisionStore.Change> changes() {
-        return Combinators.combine(texts(), texts().optional(), numbers()).as(RevisionStore.Change::new);
+    private static Arbitrary<RevisionStore.Change> changes(long era) {
+        return Combinators.combine(texts(), texts().optional(), revisions(era)).as(RevisionStore.Change::new);
     }
 
     private static Arbitrary<EvidenceRow> evidenceRows() {
