Show the era in which entries were read

A log could not tell a read before a restoration of the store from one after it. The line of each full read names its revision with the era, and the first update of a peer from another era is logged; the next full read states how many there were.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
@@ -81,6 +81,9 @@
     private StoreRevision forwardedRevision = StoreRevision.NONE;
     private long forwardedNanos;
 
+    /** Updates of peers from another era than the applied revision since the last read of all entries. */
+    private long updatesOfOtherEras;
+
     /** Origin of a change. */
     private enum Source {
         STORE,
@@ -167,6 +170,7 @@
         if (!initialized) {
             return;
         }
+        logOtherEra(update);
         reachability.onPeerContact();
         boolean gap = update.throughRevision().isAfter(revision)
                 && (update.afterRevision().isAfter(revision) || update.incomplete());
@@ -180,6 +184,20 @@
         revision = StoreRevision.max(revision, update.throughRevision());
     }
 
+    /** Logs the first of the updates from another era; late messages may be many. */
+    private void logOtherEra(PeerMessage.StoreUpdate update) {
+        if (update.throughRevision().era() == revision.era()) {
+            return;
+        }
+        if (updatesOfOtherEras == 0) {
+            LOG.info(
+                    "store-update-of-other-era",
+                    Field.of("through", update.throughRevision()),
+                    Field.of("revision", revision));
+        }
+        updatesOfOtherEras++;
+    }
+
     private void readAll(List<String> prefixes, List<Item> items, Optional<StoreRevision> earliest) {
         if (prefixes.isEmpty()) {
             StoreRevision snapshotRevision = earliest.orElse(StoreRevision.NONE);
@@ -223,7 +241,13 @@
         }
         // Servers in their grace period stay listed.
         snapshot.addAll(missingServers.entries());
-        LOG.info("store-read", Field.of("entries", items.size()), Field.of("missing", snapshot.size() - items.size()));
+        LOG.info(
+                "store-read",
+                Field.of("entries", items.size()),
+                Field.of("missing", snapshot.size() - items.size()),
+                Field.of("revision", revision),
+                Field.of("updatesOfOtherEras", updatesOfOtherEras));
+        updatesOfOtherEras = 0;
         guard.run("snapshot", items.size(), () -> listener.onSnapshot(snapshot));
     }
 
