--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -59,6 +59,7 @@
 
 final class MessageCodecsTest {
     private static final int UNKNOWN_TYPE = 9_999;
+    private static final int STORE_UPDATE_TYPE = 23;
 
     @Property(tries = 1_000, seed = "11")
     void decodesEveryEncodedMessage(@ForAll("messages") PeerMessage message) {
@@ -111,6 +112,31 @@
         assertThat(MessageCodecs.decode(earlier), is(Result.ok(Optional.of(new PeerMessage.Heartbeat(3, 4, 0, 0, 0)))));
     }
 
+    /** An earlier build sends five fields, without the era. */
+    @Test
+    void readsStoreUpdateOfAnEarlierBuildAsOneWithoutEra() {
+        byte[] earlier = new FieldWriter()
+                .number(STORE_UPDATE_TYPE)
+                .fields(5)
+                .number(100)
+                .number(120)
+                .flag(false)
+                .flag(false)
+                .list(
+                        List.of("key"),
+                        (out, key) ->
+                                out.fields(4).text(key).flag(true).text("value").number(110))
+                .toBytes();
+        StoreRevision changed = new StoreRevision(StoreRevision.UNKNOWN_ERA, 110);
+        assertThat(
+                MessageCodecs.decode(earlier),
+                is(Result.ok(Optional.of(new PeerMessage.StoreUpdate(
+                        new StoreRevision(StoreRevision.UNKNOWN_ERA, 100),
+                        new StoreRevision(StoreRevision.UNKNOWN_ERA, 120),
+                        false,
+                        List.of(new RevisionStore.Change("key", Optional.of("value"), changed)))))));
+    }
+
     @Test
     void skipsMessageTypesOfLaterProtocolLevel() {
         byte[] later =
