Simulate a store that is restored from an older copy

The simulated store can be away for a moment and come back in the state of some seconds before, in a new era; servers and the operator write again, and processes may be frozen, cut off or get messages late. A server entry has room for its sequence number.

--- a/entry/src/test/java/org/geraniumstand/entry/relay/FakeRevisionStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/FakeRevisionStore.java
@@ -49,6 +49,15 @@
         return era;
     }
 
+    /** Replaces the items by older ones, assigns revisions again from an earlier one, loses the leases and begins an era. */
+    void restore(long newEra, long oldRevision, Map<String, String> oldItems) {
+        items.clear();
+        leases.clear();
+        revision = oldRevision;
+        oldItems.forEach((key, value) -> items.put(key, new Item(key, value, new StoreRevision(newEra, oldRevision))));
+        era.onReported(newEra);
+    }
+
     Optional<String> value(String key) {
         return Optional.ofNullable(items.get(key)).map(Item::value);
     }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/ServerRemovalSimulation.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/ServerRemovalSimulation.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import org.geraniumstand.decisions.relay.StoreBounds;
 import org.geraniumstand.decisions.relay.TaskCoordinators;
+import org.geraniumstand.model.id.DataCentreId;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.RelayServer;
@@ -26,12 +27,14 @@
     private final SimulatedStore store = new SimulatedStore(timer);
     private final List<SimulatedProcess> processes = new ArrayList<>();
     private final StoreBounds bounds;
+    private long messageDelayMillis = MESSAGE_DELAY_MILLIS;
 
     /** An entry process with the set of servers to which it sends requests. */
     private final class SimulatedProcess implements StoreWatcher.Listener {
         private final int number;
         private final ProcessId id;
         private final Set<ServerId> servers = new HashSet<>();
+        private final Set<DataCentreId> dataCentresOut = new HashSet<>();
         private final StoreWatcher watcher;
         private boolean alive = true;
 
@@ -52,7 +55,7 @@
 
         private void ifAlive(Runnable action) {
             if (alive) {
-                action.run();
+                store.run(number, action);
             }
         }
 
@@ -62,13 +65,17 @@
             }
             for (SimulatedProcess other : processes) {
                 if (other != this) {
-                    timer.after(() -> other.ifAlive(() -> other.watcher.onPeerChanges(changes)), MESSAGE_DELAY_MILLIS);
+                    timer.after(() -> other.ifAlive(() -> other.watcher.onPeerChanges(changes)), messageDelayMillis);
                 }
             }
         }
 
         @Override
         public void onEntry(StoreEntry entry) {
+            if (entry instanceof StoreEntry.DataCentreOut out) {
+                dataCentresOut.add(out.dataCentre());
+                return;
+            }
             RelayServer server = ((StoreEntry.ServerEntry) entry).server();
             if (server.draining()) {
                 servers.remove(server.id());
@@ -81,6 +88,8 @@
         public void onRemoved(StoreEntry.Removed removed, long _retainedMillis) {
             if (removed instanceof StoreEntry.Removed.Server server) {
                 servers.remove(server.server());
+            } else if (removed instanceof StoreEntry.Removed.DataCentreIn in) {
+                dataCentresOut.remove(in.dataCentre());
             }
         }
 
@@ -90,6 +99,7 @@
         @Override
         public void onSnapshot(List<StoreEntry> snapshot) {
             servers.clear();
+            dataCentresOut.clear();
             snapshot.forEach(this::onEntry);
         }
     }
@@ -106,6 +116,24 @@
         assignReaders();
     }
 
+    /** Delays the messages between processes that are sent from now on, in milliseconds. */
+    void setMessageDelay(long millis) {
+        messageDelayMillis = millis;
+    }
+
+    /** Returns the names of the servers to which a process sends requests. */
+    Set<String> serversInUse(int process) {
+        return processes.get(process).servers.stream().map(ServerId::toString).collect(Collectors.toSet());
+    }
+
+    /** Returns the numbers of the live processes that count a data centre as evacuated. */
+    Set<Integer> processesWithout(String dataCentre) {
+        return processes.stream()
+                .filter(process -> process.alive && process.dataCentresOut.contains(new DataCentreId(dataCentre)))
+                .map(process -> process.number)
+                .collect(Collectors.toSet());
+    }
+
     SimulatedStore store() {
         return store;
     }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/SimulatedStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/SimulatedStore.java
@@ -20,7 +20,8 @@
  * Simulates, in virtual time, the operations of the platform's store that entry processes use to watch server entries.
  *
  * <p>Each server writes its entry every {@link #HEARTBEAT_MILLIS}. An entry expires after three missing writes, even while the
- * store is down, and is written again soon after the store recovers.
+ * store is down, and is written again soon after the store recovers. The store may be restored to the state of some seconds
+ * before, in a new era; the operator then writes again what it wrote since.
  */
 final class SimulatedStore {
     private static final long ANSWER_MILLIS = 4;
@@ -34,6 +35,9 @@
     /** Interval between the attempts of a server to write its entry while the store is down, in milliseconds. */
     private static final long RETRY_MILLIS = 500;
 
+    /** Delay after a restoration at which the operator writes again what was lost, in milliseconds. */
+    private static final long OPERATOR_REWRITE_MILLIS = 1_000;
+
     /** How the store responds to calls. */
     enum Availability {
         ANSWERS,
@@ -43,7 +47,7 @@
 
     private final VirtualTimer timer;
     private final TreeMap<String, Item> items = new TreeMap<>();
-    private final List<RevisionStore.Change> history = new ArrayList<>();
+    private final List<Recorded> history = new ArrayList<>();
     private final Map<String, Long> writtenMillis = new TreeMap<>();
     private final Set<String> liveKeys = new HashSet<>();
     private final List<Watch> watches = new ArrayList<>();
@@ -51,7 +55,14 @@
     private final Map<String, Long> removedRevisions = new TreeMap<>();
     private final Map<Integer, Map<String, Long>> removalReportMillis = new TreeMap<>();
     private Availability availability = Availability.ANSWERS;
-    private final StoreEra era = new StoreEra();
+    private final Map<String, Long> sequences = new TreeMap<>();
+    private final Set<String> drainingKeys = new HashSet<>();
+    private final Map<Integer, Long> frozenUntilMillis = new TreeMap<>();
+
+    /** What the operator wants the store to hold: the keys it wrote, true until it removed them. */
+    private final Map<String, Boolean> operatorKeys = new TreeMap<>();
+
+    private long era = 1;
     private long revision = 100;
     private long compactedRevision;
     private boolean compacting;
@@ -60,6 +71,9 @@
 
     private record Watch(int process, long since, Consumer<Result<RevisionStore.Changes, StoreError>> callback) {}
 
+    /** A change of the current history and the time at which it was made, in milliseconds. */
+    private record Recorded(String key, Optional<String> value, long number, long atMillis) {}
+
     SimulatedStore(VirtualTimer timer) {
         this.timer = timer;
     }
@@ -68,10 +82,97 @@
     void addServer(String name, long phaseMillis) {
         String key = FakeEntryReader.KEY_PREFIX + name;
         liveKeys.add(key);
-        write(key, FakeEntryReader.READY);
+        write(key, nextValue(key));
         timer.after(() -> heartbeat(key), phaseMillis % HEARTBEAT_MILLIS);
     }
 
+    /** Returns what a server writes next; the names of servers state no start, so all have the same. */
+    private String nextValue(String key) {
+        String state = drainingKeys.contains(key) ? FakeEntryReader.DRAINING : FakeEntryReader.READY;
+        return FakeEntryReader.numbered(state, 1, sequences.merge(key, 1L, Long::sum));
+    }
+
+    /** Lets a server announce that it drains. */
+    void drain(String name) {
+        String key = FakeEntryReader.KEY_PREFIX + name;
+        drainingKeys.add(key);
+        write(key, nextValue(key));
+    }
+
+    /** Writes the evacuation of a data centre, or removes it. */
+    void setEvacuated(String dataCentre, boolean evacuated) {
+        String key = FakeEntryReader.OUT_PREFIX + dataCentre;
+        operatorKeys.put(key, evacuated);
+        writeAsOperator(key);
+    }
+
+    private void writeAsOperator(String key) {
+        boolean wanted = operatorKeys.get(key);
+        if (wanted && !items.containsKey(key)) {
+            revision++;
+            items.put(key, new Item("{}", revision));
+            record(key, Optional.of("{}"));
+        } else if (!wanted && items.containsKey(key)) {
+            remove(key);
+        }
+    }
+
+    /** Returns the names of the servers that live and have not announced that they drain. */
+    Set<String> readyServers() {
+        Set<String> names = new HashSet<>();
+        liveKeys.stream()
+                .filter(key -> !drainingKeys.contains(key))
+                .forEach(key -> names.add(key.substring(FakeEntryReader.KEY_PREFIX.length())));
+        return names;
+    }
+
+    /** Brings the store back in the state of some time ago, in a new era, and makes it answer. */
+    void restore(long backMillis) {
+        long copiedMillis = timer.millis() - backMillis;
+        failWatches(_watch -> true);
+        history.removeIf(change -> change.atMillis() > copiedMillis);
+        revision =
+                history.isEmpty() ? revision : history.get(history.size() - 1).number();
+        compactedRevision = Math.min(compactedRevision, revision);
+        removedRevisions.values().removeIf(removed -> removed > revision);
+        items.clear();
+        history.forEach(change -> change.value()
+                .ifPresentOrElse(
+                        value -> items.put(change.key(), new Item(value, change.number())),
+                        () -> items.remove(change.key())));
+        era++;
+        setAvailability(Availability.ANSWERS);
+        long now = timer.millis();
+        items.keySet().stream()
+                .filter(key -> key.startsWith(FakeEntryReader.KEY_PREFIX))
+                .forEach(key -> {
+                    writtenMillis.put(key, now);
+                    timer.after(() -> expire(key, now), EXPIRY_MILLIS);
+                });
+        timer.after(
+                () -> {
+                    if (availability == Availability.ANSWERS) {
+                        operatorKeys.keySet().forEach(this::writeAsOperator);
+                    }
+                },
+                OPERATOR_REWRITE_MILLIS);
+    }
+
+    /** Freezes a process; what would happen in it until then happens when it goes on. */
+    void freeze(int process, long untilMillis) {
+        frozenUntilMillis.put(process, untilMillis);
+    }
+
+    /** Runs a step of a process, at once or when the process is no longer frozen. */
+    void run(int process, Runnable step) {
+        long until = frozenUntilMillis.getOrDefault(process, 0L);
+        if (until > timer.millis()) {
+            timer.at(until, step);
+        } else {
+            step.run();
+        }
+    }
+
     /** Removes the entry of a server that shuts down without announcing that it drains. */
     void removeUnannounced(String name) {
         String key = FakeEntryReader.KEY_PREFIX + name;
@@ -127,13 +228,13 @@
     }
 
     private StoreRevision at(long number) {
-        return new StoreRevision(era.latest(), number);
+        return new StoreRevision(era, number);
     }
 
     private void failWatches(Predicate<Watch> filter) {
         List<Watch> ended = watches.stream().filter(filter).toList();
         watches.removeAll(ended);
-        ended.forEach(watch -> watch.callback().accept(Result.err(StoreError.REFUSED)));
+        ended.forEach(watch -> run(watch.process(), () -> watch.callback().accept(Result.err(StoreError.REFUSED))));
     }
 
     private void heartbeat(String key) {
@@ -141,7 +242,7 @@
             return;
         }
         if (availability == Availability.ANSWERS) {
-            write(key, FakeEntryReader.READY);
+            write(key, nextValue(key));
             timer.after(() -> heartbeat(key), HEARTBEAT_MILLIS);
         } else {
             timer.after(() -> heartbeat(key), RETRY_MILLIS);
@@ -154,7 +255,7 @@
         long now = timer.millis();
         writtenMillis.put(key, now);
         timer.after(() -> expire(key, now), EXPIRY_MILLIS);
-        record(new RevisionStore.Change(key, Optional.of(value), at(revision)));
+        record(key, Optional.of(value));
     }
 
     private void expire(String key, long writtenAt) {
@@ -167,11 +268,11 @@
         revision++;
         items.remove(key);
         removedRevisions.put(key, revision);
-        record(new RevisionStore.Change(key, Optional.empty(), at(revision)));
+        record(key, Optional.empty());
     }
 
-    private void record(RevisionStore.Change change) {
-        history.add(change);
+    private void record(String key, Optional<String> value) {
+        history.add(new Recorded(key, value, revision, timer.millis()));
         if (availability != Availability.ANSWERS || compacting) {
             return;
         }
@@ -187,16 +288,18 @@
                 ? Result.err(StoreError.HISTORY_GONE)
                 : Result.ok(new RevisionStore.Changes(
                         history.stream()
-                                .filter(change -> change.revision().number() > watch.since())
+                                .filter(change -> change.number() > watch.since())
+                                .map(change ->
+                                        new RevisionStore.Change(change.key(), change.value(), at(change.number())))
                                 .toList(),
                         at(revision)));
         timer.after(
-                () -> {
+                () -> run(watch.process(), () -> {
                     changes.value()
                             .ifPresent(result -> recordReported(
                                     watch.process(), result.revision().number()));
                     watch.callback().accept(changes);
-                },
+                }),
                 ANSWER_MILLIS);
     }
 
@@ -213,6 +316,7 @@
     /** The store client of one process, which supports only the calls of a {@link StoreWatcher}. */
     private final class ProcessClient implements RevisionStore {
         private final int process;
+        private final StoreEra known = new StoreEra();
 
         private ProcessClient(int process) {
             this.process = process;
@@ -220,7 +324,19 @@
 
         @Override
         public StoreEra era() {
-            return era;
+            return known;
+        }
+
+        /** Returns a callback that fails for answers of an earlier era, as the client of the real store does. */
+        private <T> Consumer<Result<T, StoreError>> inEra(long answered, Consumer<Result<T, StoreError>> callback) {
+            return result -> {
+                if (known.isOutdated(answered)) {
+                    callback.accept(Result.err(StoreError.UNAVAILABLE));
+                    return;
+                }
+                known.onReported(answered);
+                callback.accept(result);
+            };
         }
 
         @Override
@@ -252,9 +368,10 @@
         private <T> boolean fails(long timeoutMillis, Consumer<Result<T, StoreError>> callback) {
             Availability state = availabilityFor(process);
             if (state == Availability.REFUSES) {
-                timer.after(() -> callback.accept(Result.err(StoreError.REFUSED)), ANSWER_MILLIS);
+                timer.after(() -> run(process, () -> callback.accept(Result.err(StoreError.REFUSED))), ANSWER_MILLIS);
             } else if (state == Availability.SILENT) {
-                timer.after(() -> callback.accept(Result.err(StoreError.UNAVAILABLE)), timeoutMillis);
+                timer.after(
+                        () -> run(process, () -> callback.accept(Result.err(StoreError.UNAVAILABLE))), timeoutMillis);
             }
             return state != Availability.ANSWERS;
         }
@@ -265,15 +382,18 @@
                 return;
             }
             List<RevisionStore.Item> matches = new ArrayList<>();
-            items.tailMap(prefix)
-                    .forEach(
-                            (key, item) -> matches.add(new RevisionStore.Item(key, item.value(), at(item.revision()))));
+            items.tailMap(prefix).forEach((key, item) -> {
+                if (key.startsWith(prefix)) {
+                    matches.add(new RevisionStore.Item(key, item.value(), at(item.revision())));
+                }
+            });
             Listing listing = new Listing(matches, at(revision));
+            Consumer<Result<Listing, StoreError>> answer = inEra(era, callback);
             timer.after(
-                    () -> {
+                    () -> run(process, () -> {
                         recordReported(process, listing.revision().number());
-                        callback.accept(Result.ok(listing));
-                    },
+                        answer.accept(Result.ok(listing));
+                    }),
                     ANSWER_MILLIS);
         }
 
@@ -284,7 +404,7 @@
                 long waitMillis,
                 Consumer<Result<Changes, StoreError>> next) {
             long since = sinceRevision.number();
-            Consumer<Result<Changes, StoreError>> callback = once(next);
+            Consumer<Result<Changes, StoreError>> callback = once(result -> answerWatch(sinceRevision, result, next));
             if (fails(waitMillis + CALL_TIMEOUT_MILLIS, callback)) {
                 return;
             }
@@ -301,12 +421,27 @@
                         }
                     },
                     waitMillis);
-            timer.after(() -> callback.accept(Result.err(StoreError.UNAVAILABLE)), waitMillis + CALL_TIMEOUT_MILLIS);
+            timer.after(
+                    () -> run(process, () -> callback.accept(Result.err(StoreError.UNAVAILABLE))),
+                    waitMillis + CALL_TIMEOUT_MILLIS);
+        }
+
+        private void answerWatch(
+                StoreRevision since,
+                Result<Changes, StoreError> result,
+                Consumer<Result<Changes, StoreError>> callback) {
+            Consumer<Result<Changes, StoreError>> inSameEra = answer ->
+                    callback.accept(known.isOutdated(since.era()) ? Result.err(StoreError.HISTORY_GONE) : answer);
+            if (result instanceof Result.Ok<Changes, StoreError> ok) {
+                inEra(ok.held().revision().era(), inSameEra).accept(result);
+            } else {
+                callback.accept(result);
+            }
         }
 
         private void onWaitExpired(Watch watch) {
             if (compacting) {
-                watch.callback().accept(Result.ok(new Changes(List.of(), at(watch.since()))));
+                run(process, () -> watch.callback().accept(Result.ok(new Changes(List.of(), at(watch.since())))));
             } else {
                 answer(watch);
             }
--- a/model/src/main/java/org/geraniumstand/model/relay/StoreEntry.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/StoreEntry.java
@@ -18,13 +18,22 @@
      * Registers a backend server.
      *
      * @param server the server
+     * @param sequence number that the server counts up with each write since its start, or {@link #NO_SEQUENCE}
      */
-    record ServerEntry(RelayServer server) implements StoreEntry {
+    record ServerEntry(RelayServer server, long sequence) implements StoreEntry {
+        /** Stands for the sequence number of an entry that states none. */
+        public static final long NO_SEQUENCE = -1;
+
+        /** Creates an entry without a sequence number. */
+        public ServerEntry(RelayServer server) {
+            this(server, NO_SEQUENCE);
+        }
+
         // Compiler-generated record methods are linked at run time, which adds some milliseconds per type to each
         // start.
         @Override
         public boolean equals(Object other) {
-            return other instanceof ServerEntry same && server.equals(same.server);
+            return other instanceof ServerEntry same && server.equals(same.server) && sequence == same.sequence;
         }
 
         @Override
