Keep a server that a full read lists again after an outage

Callers saw a live server drop out of use some seconds after an outage of the store. The entry of a server that expires in the outage is retained for a grace period; a full read that listed the server again did not end the retention, so that the old entry replaced the new one and the server was removed at the end of the period, until its entry changed. A full read now ends the retention as a change does.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
@@ -229,6 +229,7 @@
             keys.add(item.key());
             guard.run("read", item.key(), () -> {
                 EntryChange.Observed observed = observe(read(item.key(), item.value()));
+                endRetention(observed.entry());
                 snapshot.add(observed.entry());
                 appliedEntries.put(item.key(), observed);
                 ownEntries.put(item.key(), observed);
@@ -376,10 +377,15 @@
         if (!recordIfChanged(appliedEntries, change.key(), observe(entry))) {
             return;
         }
+        endRetention(entry);
+        listener.onEntry(entry);
+    }
+
+    /** Ends the retention of a server whose entry is in the store again. */
+    private void endRetention(StoreEntry entry) {
         if (entry instanceof StoreEntry.ServerEntry listed) {
             missingServers.onListed(listed.server().id());
         }
-        listener.onEntry(entry);
     }
 
     private void remove(String key, StoreRevision removedAt, Source source) {
--- a/entry/src/test/java/org/geraniumstand/entry/relay/StoreWatcherTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/StoreWatcherTest.java
@@ -217,6 +217,20 @@
         assertThat(events, contains("snapshot 1", "updated a"));
     }
 
+    /** The server was removed at the end of its grace period, though a full read had listed it again. */
+    @Test
+    void keepsAServerThatANewSnapshotListsAgainAfterAnOutage() {
+        store.write("s/a", "ready");
+        watcher.start();
+        outage();
+        change("s/a", Optional.empty());
+        store.answerWatch(Result.err(StoreError.HISTORY_GONE));
+        nowNanos += LONG_DELAY_MILLIS * Timestamp.NANOS_PER_MILLI;
+        timer.run(LONG_DELAY_MILLIS);
+
+        assertThat(events, contains("snapshot 1", "snapshot 1"));
+    }
+
     /** Some servers never announce that they drain: their entries are removed, and they accept requests for another 2 s. */
     @Test
     void removesAServerAtOnceAfterASingleFailedCall() {
