--- a/outside/src/main/java/org/geraniumstand/outside/relay/StoreEra.java
+++ b/outside/src/main/java/org/geraniumstand/outside/relay/StoreEra.java
@@ -43,7 +43,12 @@
         boolean restored = latest != StoreRevision.UNKNOWN_ERA;
         latest = era;
         if (restored) {
-            List.copyOf(listeners).forEach(listener -> listener.accept(era));
+            for (LongConsumer listener : List.copyOf(listeners)) {
+                // A listener may have learned of a further restoration, of which all listeners know then.
+                if (era == latest) {
+                    listener.accept(era);
+                }
+            }
         }
     }
 
