Read all entries again when the store was restored

Callers may have seen old entries until they changed again: a process went on in the history of an earlier era, took a peer's late update of it for contact with the store, or put together a full read from two eras. A build that receives updates without an era from peers of an earlier build took itself for up to date and read nothing.

A new era, told by any answer of the store or by a peer, now starts the watch anew, and answers and delays of the earlier start have no effect. Updates of an earlier or an unknown era are ignored and are no contact; those of a later era are applied entry by entry while the full read is pending, but do not make the process count as up to date.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
@@ -34,6 +34,9 @@
  *
  * <p>Changes come from a watch on the store or from peers. In larger deployments only two processes, the store readers, watch
  * the store, and they forward the changes to all others.
+ *
+ * <p>When the store was restored from a backup, all entries are read again: revisions that this process has reached may have
+ * been assigned again.
  */
 final class StoreWatcher {
     private static final Log LOG = Log.of(StoreWatcher.class);
@@ -78,11 +81,14 @@
     private boolean initialized;
     private int peerCount;
 
+    /** Counts the starts of this watcher; answers and delays of an earlier start have no effect. */
+    private long starts;
+
     private StoreRevision forwardedRevision = StoreRevision.NONE;
     private long forwardedNanos;
 
-    /** Updates of peers from another era than the applied revision since the last read of all entries. */
-    private long updatesOfOtherEras;
+    /** Updates of peers that were ignored since the last read of all entries, as they were of another era. */
+    private long ignoredUpdates;
 
     /** Origin of a change. */
     private enum Source {
@@ -137,12 +143,43 @@
         this.reachability = new StoreReachability(bounds, clock);
         this.missingServers = new MissingServers(timer, clock, reachability::gracePeriodMillis, listener::onRemoved);
         this.listener = listener;
+        store.era().onRestored(this::onRestored);
     }
 
     void start() {
+        starts++;
         readAll(new ArrayList<>(reader.prefixes()), new ArrayList<>(), Optional.empty());
     }
 
+    private void onRestored(long era) {
+        LOG.info("store-restored", Field.of("era", era), Field.of("revision", revision));
+        restartOnFailure("restored", this::start);
+    }
+
+    /** Returns a step that does nothing once this watcher has been started again. */
+    private Runnable unlessRestarted(Runnable step) {
+        long current = starts;
+        return () -> {
+            if (current == starts) {
+                step.run();
+            }
+        };
+    }
+
+    /** Returns a callback that does nothing once this watcher has been started again. */
+    private <T> Consumer<T> unlessRestarted(Consumer<T> callback) {
+        long current = starts;
+        return value -> {
+            if (current == starts) {
+                callback.accept(value);
+            }
+        };
+    }
+
+    private void schedule(Runnable step, long delayMillis) {
+        timer.after(unlessRestarted(step), delayMillis);
+    }
+
     /** Returns the number of listeners and own steps that threw an exception. */
     long failures() {
         return guard.failures();
@@ -167,11 +204,20 @@
     /** Applies changes that a peer forwarded, or schedules a read from the store if there is a gap before them. */
     void onPeerChanges(PeerMessage.StoreUpdate update) {
         long now = clock.getAsLong();
+        store.era().onReported(update.throughRevision().era());
         if (!initialized) {
             return;
         }
-        logOtherEra(update);
+        if (update.throughRevision().era() < revision.era()) {
+            ignore(update);
+            return;
+        }
         reachability.onPeerContact();
+        if (update.throughRevision().era() > revision.era()) {
+            // The read of all entries is pending, and the store may reject the calls of this process for long.
+            applyNewer(update.changes(), Source.PEER);
+            return;
+        }
         boolean gap = update.throughRevision().isAfter(revision)
                 && (update.afterRevision().isAfter(revision) || update.incomplete());
         if (gap) {
@@ -184,18 +230,18 @@
         revision = StoreRevision.max(revision, update.throughRevision());
     }
 
-    /** Logs the first of the updates from another era; late messages may be many. */
-    private void logOtherEra(PeerMessage.StoreUpdate update) {
-        if (update.throughRevision().era() == revision.era()) {
-            return;
-        }
-        if (updatesOfOtherEras == 0) {
+    /**
+     * Ignores an update of an earlier era or of a peer that states no era. Only the first one is logged, as late messages may be
+     * many.
+     */
+    private void ignore(PeerMessage.StoreUpdate update) {
+        if (ignoredUpdates == 0) {
             LOG.info(
-                    "store-update-of-other-era",
+                    "store-update-ignored",
                     Field.of("through", update.throughRevision()),
                     Field.of("revision", revision));
         }
-        updatesOfOtherEras++;
+        ignoredUpdates++;
     }
 
     private void readAll(List<String> prefixes, List<Item> items, Optional<StoreRevision> earliest) {
@@ -247,8 +293,8 @@
                 Field.of("entries", items.size()),
                 Field.of("missing", snapshot.size() - items.size()),
                 Field.of("revision", revision),
-                Field.of("updatesOfOtherEras", updatesOfOtherEras));
-        updatesOfOtherEras = 0;
+                Field.of("ignoredUpdates", ignoredUpdates));
+        ignoredUpdates = 0;
         guard.run("snapshot", items.size(), () -> listener.onSnapshot(snapshot));
     }
 
@@ -258,7 +304,7 @@
 
     private void watchOrWait() {
         if (!readPolicy.shouldRead(clock.getAsLong())) {
-            timer.after(this::watch, CHECK_MILLIS);
+            schedule(this::watch, CHECK_MILLIS);
             return;
         }
         StoreRevision since = readPolicy.reader() ? ownRevision : revision;
@@ -267,7 +313,7 @@
                 "",
                 since,
                 reachability.onCall(readPolicy.watchMillis()),
-                result -> restartOnFailure("changes", () -> onWatched(result, wasBehind)));
+                unlessRestarted(result -> restartOnFailure("changes", () -> onWatched(result, wasBehind))));
     }
 
     private void onWatched(Result<RevisionStore.Changes, StoreError> result, boolean wasBehind) {
@@ -293,13 +339,13 @@
             start();
             return;
         }
-        timer.after(this::watch, changes.changes().isEmpty() ? 0 : BATCH_MILLIS);
+        schedule(this::watch, changes.changes().isEmpty() ? 0 : BATCH_MILLIS);
     }
 
     /** Runs a step of the watch, and reads a new snapshot after a delay if it throws. */
     private void restartOnFailure(String name, Runnable step) {
         if (!guard.run(name, revision, step)) {
-            timer.after(this::start, reachability.onFailed(StoreError.MALFORMED));
+            schedule(this::start, reachability.onFailed(StoreError.MALFORMED));
         }
     }
 
@@ -432,14 +478,14 @@
     }
 
     private <T> Consumer<Result<T, StoreError>> orRestart(Consumer<T> onValue) {
-        return result -> restartOnFailure("snapshot-read", () -> {
+        return unlessRestarted(result -> restartOnFailure("snapshot-read", () -> {
             if (result instanceof Result.Ok<T, StoreError> ok) {
                 reachability.onAnswered();
                 onValue.accept(ok.held());
             } else {
                 onError(result.error().orElse(StoreError.MALFORMED), this::start);
             }
-        });
+        }));
     }
 
     private void onError(StoreError error, Runnable retry) {
@@ -448,6 +494,6 @@
             start();
             return;
         }
-        timer.after(retry, reachability.onFailed(error));
+        schedule(retry, reachability.onFailed(error));
     }
 }
