Keep live servers that a restored store lacks

Callers lost servers that had started in the seconds that the restored store lacks, and all servers whose entries had expired, for up to 2 s: a server whose entry is missing was kept only after an outage of 1.5 s or more. A restoration now counts as such an outage, however short the store was away; the time is bounded as after an outage.

Failed before: StoreWatcherRestorationTest.liveServerThatTheCopyLacksStaysInUse and serverThatTheCopyLacksAndThatDoesNotWriteAgainIsRemoved (the server was removed with the first read).

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreOutage.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/StoreOutage.java
@@ -7,8 +7,9 @@
 @Decision(
         name = "store-outage",
         summary = "An entry deleted in or shortly after a store outage, in which neither "
-                + "this process nor any peer reached the store, may belong to a live "
-                + "server until live servers have had time to register again.")
+                + "this process nor any peer reached the store, or after the store was restored "
+                + "from a backup, may belong to a live server until live servers have had time "
+                + "to register again.")
 public final class StoreOutage {
     /**
      * Minimum duration of an outage in milliseconds: an entry expires after three missing heartbeats of about 1,200 ms,
@@ -28,6 +29,7 @@
     private final long gracePeriodNanos;
     private final long contactNanos;
     private long lastFailedCallNanos;
+    private boolean failing;
     private boolean ongoing;
     private long reachedNanos;
     private long graceUntilNanos;
@@ -55,6 +57,7 @@
      */
     public boolean onFailed(long callNanos, long nowNanos) {
         lastFailedCallNanos = callNanos;
+        failing = true;
         boolean wasOngoing = ongoing;
         ongoing = nowNanos - reachedNanos >= MIN_OUTAGE_MILLIS * Timestamp.NANOS_PER_MILLI;
         return ongoing && !wasOngoing;
@@ -70,10 +73,25 @@
             // The store may have recovered just after the last failed call was made.
             graceUntilNanos = Math.min(nowNanos + gracePeriodNanos, lastFailedCallNanos + contactNanos);
         }
+        failing = false;
         ongoing = false;
         reachedNanos = nowNanos;
     }
 
+    /**
+     * Records that the store was restored from a backup, which lacks the entries of servers that started since.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onRestored(long nowNanos) {
+        graceUntilNanos = nowNanos + gracePeriodNanos;
+        if (failing) {
+            // The store may have been restored just after the last failed call was made.
+            graceUntilNanos = Math.min(graceUntilNanos, lastFailedCallNanos + contactNanos);
+        }
+        ongoing = false;
+    }
+
     /**
      * Returns how long to keep a server whose entry is deleted now, in milliseconds; zero if the server must be removed
      * immediately.
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreReachability.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreReachability.java
@@ -76,6 +76,11 @@
         }
     }
 
+    /** Records that the store was restored from a backup, which may lack entries of live servers. */
+    void onRestored() {
+        outage.onRestored(clock.getAsLong());
+    }
+
     /** Records that a peer received an answer from the store; an overdue call of this process counts as failed. */
     void onPeerContact() {
         if (callPending && millisSince(callStartNanos) > callWaitMillis + OVERDUE_MILLIS) {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
@@ -153,6 +153,7 @@
 
     private void onRestored(long era) {
         LOG.info("store-restored", Field.of("era", era), Field.of("revision", revision));
+        reachability.onRestored();
         restartOnFailure("restored", this::start);
     }
 
