End leadership when the store was restored

Leases are lost with the copy.

A leader now resigns as soon as it learns of the new era. The record states the era of its lease, and one of an earlier era is replaced. A renewal belongs to its lease, so that a late one neither ends a newer leadership nor renews it twice.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/LeaderElection.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/LeaderElection.java
@@ -11,13 +11,15 @@
 import org.geraniumstand.outside.relay.LeaderApi;
 import org.geraniumstand.outside.relay.RevisionStore;
 import org.geraniumstand.outside.relay.RevisionStore.Commit;
+import org.geraniumstand.outside.relay.RevisionStore.Item;
 import org.geraniumstand.outside.store.StoreError;
 import org.geraniumstand.support.log.Log;
 
 /**
  * Acquires leadership for this process when there is no leader, and holds it by a lease in the store.
  *
- * <p>Only the leader orders backend servers and reports usage.
+ * <p>Only the leader orders backend servers and reports usage. A leader resigns when the store was restored from a backup, as
+ * leases are lost with it, and the record of a leader of an earlier era is replaced.
  */
 final class LeaderElection {
     private static final Log LOG = Log.of(LeaderElection.class);
@@ -36,6 +38,10 @@
     private final LeadershipState leadership;
     private boolean preferred = true;
     private boolean vacant;
+
+    /** Revision of the record to replace, which an earlier era of the store left behind; none if there is no record. */
+    private StoreRevision abandonedRecord = StoreRevision.NONE;
+
     private boolean attempting;
     private boolean resigned;
 
@@ -46,6 +52,7 @@
         this.holder = holder;
         this.ttlMillis = ttlMillis;
         this.leadership = new LeadershipState(ttlMillis);
+        store.era().onRestored(this::onRestored);
     }
 
     void start() {
@@ -75,6 +82,16 @@
         }
     }
 
+    private void onRestored(long era) {
+        if (leadership.held()) {
+            LOG.warn("duty-lost", Field.of("holder", holder), Field.of("era", era));
+            leadership.onLost();
+        }
+        if (preferred) {
+            readRecord();
+        }
+    }
+
     /** Sets whether this process is one of the preferred candidates when there is no leader. */
     void setPreferred(boolean next) {
         preferred = next;
@@ -85,6 +102,7 @@
      * is not.
      */
     void onRecord(boolean present) {
+        abandonedRecord = StoreRevision.NONE;
         vacant = !present;
         if (vacant && !leadership.held()) {
             scheduleAttempt();
@@ -93,10 +111,21 @@
 
     private void checkRecord() {
         timer.after(this::checkRecord, LeaderElectionTiming.pollDelayMillis(preferred, random.nextDouble()));
+        readRecord();
+    }
+
+    private void readRecord() {
         if (leadership.held() || attempting || resigned) {
             return;
         }
-        store.read(KEY, result -> result.value().ifPresent(item -> onRecord(item.isPresent())));
+        store.read(KEY, result -> result.value().ifPresent(this::onRead));
+    }
+
+    private void onRead(Optional<Item> record) {
+        Optional<Item> abandoned = record.filter(
+                item -> store.era().isOutdated(LeaderRecord.read(item.value()).era()));
+        onRecord(record.isPresent() && abandoned.isEmpty());
+        abandonedRecord = abandoned.map(Item::revision).orElse(StoreRevision.NONE);
     }
 
     private void scheduleAttempt() {
@@ -127,7 +156,8 @@
     }
 
     private void acquire(StoreLease lease, long startNanos) {
-        Commit commit = Commit.put(KEY, holder, lease).expecting(KEY, StoreRevision.NONE);
+        String record = new LeaderRecord(holder, lease.era()).write();
+        Commit commit = Commit.put(KEY, record, lease).expecting(KEY, abandonedRecord);
         store.commit(commit, result -> {
             attempting = false;
             result.fold(
@@ -138,7 +168,7 @@
                                 Field.of("holder", holder),
                                 Field.of("fence", revision.toNumber()),
                                 Field.of("revision", revision));
-                        timer.after(this::renew, ttlMillis / RENEWALS_PER_LEASE);
+                        scheduleRenewal(lease, ttlMillis / RENEWALS_PER_LEASE);
                         return true;
                     },
                     _error -> {
@@ -149,31 +179,41 @@
         });
     }
 
-    private void renew() {
-        if (!leadership.held()) {
+    private void scheduleRenewal(StoreLease lease, long delayMillis) {
+        timer.after(() -> renew(lease), delayMillis);
+    }
+
+    private boolean holds(StoreLease lease) {
+        return leadership.held() && leadership.lease().equals(lease);
+    }
+
+    private void renew(StoreLease lease) {
+        if (!holds(lease)) {
             return;
         }
         long startNanos = System.nanoTime();
-        store.renewLease(
-                leadership.lease(),
-                result -> result.fold(
+        store.renewLease(lease, result -> {
+            if (holds(lease)) {
+                result.fold(
                         _lease -> {
                             leadership.onRenewed(startNanos);
-                            timer.after(this::renew, ttlMillis / RENEWALS_PER_LEASE);
+                            scheduleRenewal(lease, ttlMillis / RENEWALS_PER_LEASE);
                             return true;
                         },
                         error -> {
-                            onRenewFailed(error);
+                            onRenewFailed(lease, error);
                             return false;
-                        }));
+                        });
+            }
+        });
     }
 
-    private void onRenewFailed(StoreError error) {
+    private void onRenewFailed(StoreLease lease, StoreError error) {
         if (error == StoreError.LEASE_LOST) {
             LOG.warn("duty-lost", Field.of("holder", holder));
             leadership.onLost();
         } else {
-            timer.after(this::renew, ttlMillis / RENEWALS_PER_LEASE / 2);
+            scheduleRenewal(lease, ttlMillis / RENEWALS_PER_LEASE / 2);
         }
     }
 }
--- a/entry/src/test/java/org/geraniumstand/entry/relay/LeaderElectionTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/LeaderElectionTest.java
@@ -1,11 +1,16 @@
 package org.geraniumstand.entry.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
+import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.geraniumstand.model.relay.StoreLease;
+import org.geraniumstand.outside.relay.LeaderApi;
 import org.junit.jupiter.api.Test;
 
 final class LeaderElectionTest {
@@ -72,6 +77,66 @@
         assertThat(election.fencingToken().isPresent(), is(false));
     }
 
+    /** The lease was lost with the copy, and another process could have taken over under the same revision. */
+    @Test
+    void stopsActingAtOnceWhenTheStoreWasRestored() {
+        store.era().onReported(1);
+        election.start();
+        runTimers();
+        assertThat(election.fencingToken().isPresent(), is(true));
+        store.restore(2, 50, Map.of());
+
+        assertThat(election.fencingToken().isPresent(), is(false));
+    }
+
+    @Test
+    void fencingTokenRisesThoughRevisionsAreAssignedAgain() {
+        store.era().onReported(1);
+        election.start();
+        runTimers();
+        long previousToken = election.fencingToken().orElseThrow().token();
+        store.restore(2, 100, Map.of());
+        LeaderElection other = candidate("two");
+        other.start();
+        runTimers();
+        List<Long> tokens = Stream.of(election, other)
+                .flatMap(process -> process.fencingToken().stream())
+                .map(LeaderApi.Claim::token)
+                .toList();
+
+        assertThat(tokens, contains(greaterThan(previousToken)));
+    }
+
+    /** No lease removes the record, as leases are lost. */
+    @Test
+    void replacesTheRecordOfALeaderWhoseLeaseWasLostWithTheCopy() {
+        store.era().onReported(1);
+        election.start();
+        runTimers();
+        String record = store.value(LeaderElection.KEY).orElseThrow();
+        election.resign();
+        store.restore(2, 50, Map.of(LeaderElection.KEY, record));
+        LeaderElection other = candidate("two");
+        other.start();
+        runTimers();
+
+        assertThat(other.fencingToken().isPresent(), is(true));
+    }
+
+    @Test
+    void doesNotReplaceTheRecordOfALeaderOfTheSameEra() {
+        store.era().onReported(1);
+        store.restore(2, 50, Map.of());
+        election.start();
+        runTimers();
+        LeaderElection other = candidate("two");
+        other.start();
+        runTimers();
+
+        assertThat(election.fencingToken().isPresent(), is(true));
+        assertThat(other.fencingToken().isPresent(), is(false));
+    }
+
     @Test
     void losesLeadershipWhenItsFencingTokenIsRejected() {
         election.start();
