Write the quarantine again after a restoration of the store

The copy may lack the prompts that crash servers, and they were written only when they changed: a restart of all processes then forgot them.

QuarantineStoreTest.writesAgainWhatARestoredStoreLost failed before (the entry was absent).

--- a/entry/src/main/java/org/geraniumstand/entry/relay/QuarantineStore.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/QuarantineStore.java
@@ -34,6 +34,10 @@
     private final LongSupplier epochMillis;
     private Map<Set<ServicePart>, Integer> stored = Map.of();
     private boolean read;
+
+    /** Whether the store was restored since the last write, so that it may hold other prompts than were written. */
+    private boolean restored;
+
     private boolean busy;
 
     /**
@@ -47,6 +51,7 @@
         this.store = store;
         this.timer = timer;
         this.epochMillis = epochMillis;
+        store.era().onRestored(_era -> restored = true);
     }
 
     /** Reads the prompts that an earlier process wrote, as soon as the store answers. */
@@ -77,10 +82,10 @@
         }
     }
 
-    /** Writes the prompts in quarantine if they differ from what the store has. */
+    /** Writes the prompts in quarantine if they differ from what the store has or if it was restored from a backup. */
     void write(List<QuarantinedPrompt> prompts) {
         Map<Set<ServicePart>, Integer> next = trials(prompts);
-        if (!read || busy || next.equals(stored)) {
+        if (!read || busy || (next.equals(stored) && !restored)) {
             return;
         }
         busy = true;
@@ -89,6 +94,7 @@
                 result -> result.fold(
                         _revision -> {
                             stored = next;
+                            restored = false;
                             busy = false;
                             LOG.info("quarantine-written", Field.of("prompts", prompts.size()));
                             return true;
--- a/entry/src/test/java/org/geraniumstand/entry/relay/QuarantineStoreTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/QuarantineStoreTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.relay.QuarantinedPrompt;
@@ -55,6 +56,17 @@
         assertThat(store.value(QuarantineStore.KEY), is(Optional.of("other")));
     }
 
+    @Test
+    void writesAgainWhatARestoredStoreLost() {
+        store.era().onReported(1);
+        read(quarantine);
+        quarantine.write(List.of(PROMPT));
+        store.restore(2, 50, Map.of());
+        quarantine.write(List.of(PROMPT));
+
+        assertThat(store.value(QuarantineStore.KEY).isPresent(), is(true));
+    }
+
     @Test
     void writesNothingBeforeItHasRead() {
         quarantine.write(List.of(PROMPT));
