--- a/entry/src/test/java/org/geraniumstand/entry/relay/MoveOrderReverterTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/MoveOrderReverterTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
@@ -83,6 +84,22 @@
         assertThat(format.hasEnded(store.value(key).orElseThrow(), ORDER.target()), is(true));
     }
 
+    /** All entries are read again after a restoration, the order too. */
+    @Test
+    void writesAgainAStatusThatARestoredStoreLost() {
+        store.era().onReported(1);
+        acquireLeadership();
+        reverter.onOrder(ORDER);
+        reverter.start();
+        store.restore(2, 50, Map.of());
+        assertThat(store.value(key), is(Optional.empty()));
+        acquireLeadership();
+        reverter.onOrder(ORDER);
+        timer.run(TICK_MILLIS);
+
+        assertThat(format.hasEnded(store.value(key).orElseThrow(), ORDER.target()), is(true));
+    }
+
     @Test
     void dropsAnOrderThatIsMissingFromASnapshot() {
         acquireLeadership();
