Log the totals, revision and era of usage reports

The log showed only the outcome of a report. It now tells whether the totals were found in the store or summed, from how many entries, at which era and revision, and with which fence they were sent: at most two lines a window and attempt. No logic is changed.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
@@ -270,7 +270,13 @@
     /** Sends the recorded totals unchanged, as a report with these totals may already have been accepted. */
     private void resend(long window, Item item) {
         try {
-            sendReport(window, UsageCountsJson.readByTeam(item.value()));
+            Map<TeamId, Long> teamTotals = UsageCountsJson.readByTeam(item.value());
+            LOG.info(
+                    "usage-found",
+                    Field.of("window", window),
+                    Field.of("requests", sum(teamTotals)),
+                    Field.of("revision", item.revision()));
+            sendReport(window, teamTotals);
         } catch (IOException | IllegalArgumentException e) {
             LOG.warn("report-unreadable", Field.of("entry", item.key()), Field.of("reason", e.getClass()));
         }
@@ -298,7 +304,13 @@
                         List.of(new RevisionStore.Put(key, UsageCountsJson.writeByTeam(teamTotals), StoreLease.NONE)),
                         removals(window, items)),
                 result -> result.fold(
-                        _revision -> {
+                        revision -> {
+                            LOG.info(
+                                    "usage-recorded",
+                                    Field.of("window", window),
+                                    Field.of("requests", sum(teamTotals)),
+                                    Field.of("entries", items.size()),
+                                    Field.of("revision", revision));
                             sendReport(window, teamTotals);
                             return true;
                         },
@@ -326,7 +338,13 @@
             return;
         }
         cloudApi.reportUsage(token.get(), window, teamTotals, outcome -> {
-            LOG.info("usage-reported", Field.of("window", window), Field.of("outcome", outcome));
+            LOG.info(
+                    "usage-reported",
+                    Field.of("window", window),
+                    Field.of("requests", sum(teamTotals)),
+                    Field.of("era", store.era().latest()),
+                    Field.of("fence", token.get().token()),
+                    Field.of("outcome", outcome));
             if (outcome == LeaderApi.Outcome.DONE) {
                 reportStates.put(window, ReportState.SENT);
             } else {
@@ -338,6 +356,10 @@
         });
     }
 
+    private static long sum(Map<TeamId, Long> teamTotals) {
+        return teamTotals.values().stream().mapToLong(Long::longValue).sum();
+    }
+
     private static void addCounts(RequestCountTable table, long window, Item item) {
         try {
             UsageCountsJson.readByProcess(item.value())
