Show usage reported twice after the store was restored

The stand-in for the store can be restored from an older copy: it is away for a time, loses what was written since, leases too, gives revisions and leases out again, and states the next era in each answer. It keeps the usage reports that it accepted.

--- a/entry/src/test/java/org/geraniumstand/entry/relay/FakeRevisionStore.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/FakeRevisionStore.java
@@ -22,6 +22,8 @@
     private final StoreEra era = new StoreEra();
     private long revision = 100;
     private StoreLease lastLease = StoreLease.NONE;
+    private final List<Commit> delayedCommits = new ArrayList<>();
+    private String delayedPrefix = "";
     private boolean unavailable;
     private StoreRevision lastWatchRevision = StoreRevision.NONE;
 
@@ -40,6 +42,54 @@
         return new StoreRevision(StoreRevision.UNKNOWN_ERA, number);
     }
 
+    /** Holds the state of the store at a moment. */
+    record Copy(Map<String, String> values, long revision) {}
+
+    /** States an era in all further answers. */
+    void startEra(long number) {
+        era.onReported(number);
+    }
+
+    /** Returns a copy of the state, without the keys of leases. */
+    Copy copy() {
+        Map<String, String> values = new TreeMap<>();
+        items.forEach((key, item) -> values.put(key, item.value()));
+        leases.values().forEach(keys -> keys.forEach(values::remove));
+        return new Copy(values, revision);
+    }
+
+    /** Restores a copy, which begins the next era; all leases are lost. */
+    void restore(Copy copy) {
+        items.clear();
+        leases.clear();
+        revision = copy.revision();
+        long next = era.latest() + 1;
+        copy.values().forEach((key, value) -> items.put(key, new Item(key, value, new StoreRevision(next, revision))));
+        era.onReported(next);
+    }
+
+    /** Leaves the next commit that writes a key with a prefix without an answer until it is executed. */
+    void delayCommit(String prefix) {
+        delayedPrefix = prefix;
+    }
+
+    /** Executes the delayed commits if their conditions hold. */
+    void executeDelayedCommits() {
+        List<Commit> due = List.copyOf(delayedCommits);
+        delayedCommits.clear();
+        due.forEach(commit -> commit(commit, _result -> {}));
+    }
+
+    private boolean isDelayed(Commit commit) {
+        boolean delayed = !delayedPrefix.isEmpty()
+                && commit.puts().stream().anyMatch(put -> put.key().startsWith(delayedPrefix));
+        if (delayed) {
+            delayedPrefix = "";
+            delayedCommits.add(commit);
+        }
+        return delayed;
+    }
+
     private StoreRevision revision() {
         return new StoreRevision(era.latest(), revision);
     }
@@ -128,6 +178,10 @@
         if (failsAsUnavailable(callback)) {
             return;
         }
+        if (isDelayed(commit)) {
+            callback.accept(Result.err(StoreError.UNAVAILABLE));
+            return;
+        }
         for (Expected expected : commit.expected()) {
             Item item = items.get(expected.key());
             StoreRevision current = item == null ? StoreRevision.NONE : item.revision();
--- a/entry/src/test/java/org/geraniumstand/entry/relay/UsageTaskTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/UsageTaskTest.java
@@ -84,6 +84,11 @@
             leaderElection.start();
             timer.run(300);
         }
+
+        /** Renews the lease, which fails if it is lost. */
+        void renewLease() {
+            timer.run(1_000);
+        }
     }
 
     private final class RecordingCloudApi implements LeaderApi {
@@ -253,4 +258,122 @@
         assertThat(store.keys(), hasSize(lessThanOrEqualTo(6)));
         assertThat(reported.keySet().stream().filter(w -> w == 1_000).toList(), contains(1_000L));
     }
+
+    /** Starts two collectors, of which the first is the leader, at a store that states its era. */
+    private List<CountingProcess> startInFirstEra() {
+        store.startEra(1);
+        CountingProcess one = process("one");
+        CountingProcess two = process("two");
+        assignCollectors(one, two);
+        one.acquireLeadership();
+        return List.of(one, two);
+    }
+
+    /** The copy lacks the record of the report and some of the counts in it. */
+    @Test
+    void windowReportedBeforeRestorationIsNotReportedAgainWhenAllProcessesWereKilled() {
+        List<CountingProcess> all = startInFirstEra();
+        all.get(1).countRequests(4);
+        advanceMillis(2_000);
+        FakeRevisionStore.Copy copy = store.copy();
+        all.get(1).countRequests(5);
+        advanceMillis(6_000);
+        assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 9L)));
+        all.forEach(process -> process.killed = true);
+        store.restore(copy);
+        CountingProcess next = process("next");
+        assignCollectors(next);
+        next.acquireLeadership();
+        next.countRequests(1);
+        advanceMillis(WINDOW_MILLIS + 5_000);
+
+        assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 9L)));
+        assertThat(reportFor(START_MILLIS + 2 * WINDOW_MILLIS), is(Map.of(TEAM, 1L)));
+    }
+
+    @Test
+    void windowReportedBeforeRestorationIsNotReportedAgainByTheNextLeader() {
+        List<CountingProcess> all = startInFirstEra();
+        all.get(0).countRequests(4);
+        advanceMillis(2_000);
+        FakeRevisionStore.Copy copy = store.copy();
+        all.get(0).countRequests(5);
+        advanceMillis(6_000);
+        assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 9L)));
+        store.restore(copy);
+        all.get(0).killed = true;
+        assignCollectors(all.get(1));
+        all.get(1).acquireLeadership();
+        advanceMillis(WINDOW_MILLIS + 5_000);
+
+        assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 9L)));
+    }
+
+    @Test
+    void windowReportedBeforeTwoRestorationsIsNotReportedAgain() {
+        List<CountingProcess> all = startInFirstEra();
+        all.get(0).countRequests(4);
+        advanceMillis(2_000);
+        FakeRevisionStore.Copy copy = store.copy();
+        all.get(0).countRequests(5);
+        advanceMillis(6_000);
+        store.restore(copy);
+        advanceMillis(500);
+        store.restore(copy);
+        all.get(0).killed = true;
+        assignCollectors(all.get(1));
+        all.get(1).acquireLeadership();
+        advanceMillis(WINDOW_MILLIS + 5_000);
+
+        assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 9L)));
+    }
+
+    /** The first write of the totals gets no answer, and its condition holds again after the restoration. */
+    @Test
+    void delayedWriteOfAnEarlierEraIsNotReported() {
+        List<CountingProcess> all = startInFirstEra();
+        all.get(0).countRequests(4);
+        advanceMillis(6_000);
+        FakeRevisionStore.Copy copy = store.copy();
+        store.delayCommit("geraniumstand/report/1000");
+        advanceMillis(1_250);
+        store.write("geraniumstand/usage/1000/late", "{\"late\":{\"shops\":2}}");
+        advanceMillis(750);
+        assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 6L)));
+        store.restore(copy);
+        store.executeDelayedCommits();
+        all.get(0).killed = true;
+        assignCollectors(all.get(1));
+        all.get(1).acquireLeadership();
+        advanceMillis(WINDOW_MILLIS);
+
+        assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 6L)));
+    }
+
+    /** A total that was written before counts as written although the copy lacks it. */
+    @Test
+    void reportsCountsThatTheCopyLacks() {
+        List<CountingProcess> all = startInFirstEra();
+        FakeRevisionStore.Copy copy = store.copy();
+        all.get(1).countRequests(4);
+        advanceMillis(6_250);
+        store.restore(copy);
+        all.get(0).renewLease();
+        all.get(0).acquireLeadership();
+        advanceMillis(3_750);
+
+        assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 4L)));
+    }
+
+    @Test
+    void leaderWritesTotalsAgainAfterRestoration() {
+        List<CountingProcess> all = startInFirstEra();
+        FakeRevisionStore.Copy copy = store.copy();
+        all.get(0).countRequests(4);
+        advanceMillis(8_000);
+        store.restore(copy);
+        advanceMillis(500);
+
+        assertThat(store.value("geraniumstand/report/1000").isPresent(), is(true));
+    }
 }
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/RelayCluster.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/RelayCluster.java
@@ -43,6 +43,11 @@
         store.put("op/config", configuration);
     }
 
+    /** Returns the store, which is also the cloud API. */
+    RelayStore store() {
+        return store;
+    }
+
     /** Starts a backend server, in the data centres of the processes in turn. */
     ScriptedServer addServer(String service, int slots, ScriptedServer.Script script) {
         int number = servers.size();
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/RelayConfigurations.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/RelayConfigurations.java
@@ -9,10 +9,12 @@
     private static final int ENGINE_SLOTS = 64;
     private static final int ENGINE_TOKENS = 475_895;
     private static final int MAX_CONNECTIONS = 360;
+    private static final int TENANT_RATE = 100_000;
     private static final double COLD_REQUESTS_PER_SECOND = 17;
 
     private final ObjectNode configuration = JsonTree.object().put("version", 7);
     private final ArrayNode routes = configuration.putArray("routes");
+    private final ArrayNode tenants = configuration.putArray("tenants");
     private final ArrayNode services = configuration.putArray("services");
 
     private RelayConfigurations() {
@@ -52,6 +54,16 @@
         return this;
     }
 
+    /** Adds a tenant with one API key and an ample quota. */
+    RelayConfigurations tenant(String name, String apiKey) {
+        ObjectNode tenant = tenants.addObject().put("name", name).put("priority", 1);
+        tenant.put("ratePerS", TENANT_RATE)
+                .put("burst", TENANT_RATE)
+                .putArray("apiKeys")
+                .add(apiKey);
+        return this;
+    }
+
     private ObjectNode newService(String name) {
         return services.addObject()
                 .put("name", name)
