Report no window again after the store was restored

Callers of the cloud API saw a window reported twice with different counts after the store came back from a copy: the leader took a missing record for a window that was never reported. In the earlier era another process, or the same one before its end, had recorded and sent the totals, and the copy lacks the record.

A marker in the store (geraniumstand/era) now names the last era for which this is settled and the first window that may be reported. While it is older than the era that the store states, nothing is summed or sent. The process that led up to the restoration raises it with all records that it knows, in one conditional write. If it has not done so within 3 s, the next leader raises it and withholds the windows that were due when it learned of the era: a missing report is priced, a second one breaks the rule. So neither a lost record nor a delayed write of the earlier era leads to a second report, whoever lives. An answer of a later era than that of the first read ends the summing. Collectors forget what they wrote, so that counts that the copy lacks are written again; reports wait 1.5 s for them.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/LeadershipState.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/LeadershipState.java
@@ -63,6 +63,11 @@
         return held;
     }
 
+    /** Returns the time for which the lease lasts at least after this process could last act as leader, in milliseconds. */
+    public long reserveMillis() {
+        return ttlMillis - Math.round(ttlMillis * SAFE_SHARE);
+    }
+
     /** Returns the lease. */
     public StoreLease lease() {
         return lease;
--- a/entry/src/main/java/org/geraniumstand/entry/relay/LeaderElection.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/LeaderElection.java
@@ -68,8 +68,24 @@
         }
     }
 
+    /**
+     * Returns the time for which no other process can become leader after this one could last act as leader, in
+     * milliseconds.
+     */
+    long leaseReserveMillis() {
+        return leadership.reserveMillis();
+    }
+
+    /** Returns whether this process became leader and has not been informed of a loss since. */
+    boolean held() {
+        return leadership.held();
+    }
+
     /** Returns the holder and the fencing token to send with calls, or empty if this process may not act as leader now. */
     Optional<LeaderApi.Claim> fencingToken() {
+        if (store.era().isOutdated(leadership.lease().era())) {
+            return Optional.empty();
+        }
         return leadership.fencingToken(System.nanoTime()).map(token -> new LeaderApi.Claim(holder, token));
     }
 
--- a/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
@@ -7,8 +7,10 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Stream;
+import org.geraniumstand.decisions.relay.ReportContinuity;
 import org.geraniumstand.decisions.relay.RequestCountTable;
 import org.geraniumstand.decisions.relay.RequestCounter;
 import org.geraniumstand.decisions.relay.WallClockEstimate;
@@ -19,6 +21,7 @@
 import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.relay.WindowCounts;
 import org.geraniumstand.model.relay.WindowTotal;
+import org.geraniumstand.model.result.Result;
 import org.geraniumstand.model.time.Timestamp;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.outside.relay.LeaderApi;
@@ -89,6 +92,8 @@
     private final RequestCountTable collected = new RequestCountTable();
     private final WallClockEstimate wallClock = new WallClockEstimate();
     private final long lateMillis;
+    private final ReportContinuity continuity;
+    private final UsageReportGuard guard;
     private final TreeMap<Long, ReportState> reportStates = new TreeMap<>();
 
     /** Total requests in the last count entry that was written, by window. */
@@ -123,6 +128,10 @@
         this.process = process;
         this.counter = counter;
         this.lateMillis = lateMillis;
+        this.continuity =
+                new ReportContinuity(counter.windowMillis(), SUM_AFTER_MILLIS, leaderElection.leaseReserveMillis());
+        this.guard = new UsageReportGuard(store, continuity, REPORT_PREFIX);
+        store.era().onRestored(_era -> timer.after(() -> checkEra(timestamp()), 0));
     }
 
     void start() {
@@ -168,20 +177,43 @@
         return wallClock.read(clock.get());
     }
 
+    /** Returns the monotonic time and the estimated time of day. */
+    private Timestamp timestamp() {
+        return new Timestamp(clock.get().nanos(), now());
+    }
+
+    private void checkEra(Timestamp now) {
+        if (continuity.onEra(store.era().latest(), now)) {
+            LOG.info(
+                    "usage-era", Field.of("era", store.era().latest()), Field.of("witness", continuity.awaitsMarker()));
+            // The copy may lack counts that were written in the earlier era.
+            writtenTotals.clear();
+        }
+    }
+
     private void tick() {
         timer.after(this::tick, TICK_MILLIS);
-        long now = now();
+        Timestamp timestamp = timestamp();
+        checkEra(timestamp);
+        long now = timestamp.epochMillis();
         long oldestDue = counter.windowOf(now - lateMillis);
         counter.discardBefore(oldestDue);
         collected.discardBefore(oldestDue);
+        continuity.discardBefore(oldestDue);
         writtenTotals.keySet().removeIf(window -> window < oldestDue);
         if (Math.abs(now - lastSendMillis) >= SEND_MILLIS) {
             lastSendMillis = now;
             sendCounts();
         }
         save(now);
-        if (leaderElection.fencingToken().isPresent()) {
-            report(now);
+        Optional<LeaderApi.Claim> token = leaderElection.fencingToken();
+        token.ifPresent(claim -> continuity.onLeading(claim.token(), timestamp));
+        if (!leaderElection.held()) {
+            continuity.onLeadershipLost();
+        }
+        guard.check(timestamp);
+        if (token.isPresent()) {
+            continuity.firstWindow(timestamp).ifPresent(first -> report(now, first));
         }
     }
 
@@ -236,9 +268,10 @@
         });
     }
 
-    private void report(long now) {
+    private void report(long now, long first) {
         long newest = counter.windowOf(now - SUM_AFTER_MILLIS) - 1;
-        long oldest = Math.max(firstWindow - EARLIER_WINDOWS, counter.windowOf(now - lateMillis));
+        long due = Math.max(firstWindow - EARLIER_WINDOWS, counter.windowOf(now - lateMillis));
+        long oldest = Math.max(first, due);
         reportStates.headMap(oldest).clear();
         for (long window = oldest; window <= newest; window++) {
             if (reportStates.putIfAbsent(window, ReportState.SUMMING) == null) {
@@ -253,22 +286,40 @@
 
     private void sumWindow(long window) {
         String key = REPORT_PREFIX + window;
+        long era = store.era().latest();
         store.read(
                 key,
-                result -> result.fold(
-                        item -> {
-                            if (item.isPresent()) {
-                                resend(window, item.get());
-                            } else {
-                                collect(window, key);
-                            }
-                            return true;
-                        },
-                        error -> onSumFailed(window, error)));
+                result -> ifCurrent(window, era, result, item -> {
+                    if (item.isPresent()) {
+                        resend(window, era, item.get());
+                    } else {
+                        continuity.onUnrecorded(window);
+                        collect(window, era, key);
+                    }
+                }));
+    }
+
+    /** Passes on an answer, unless it is an error or the store was restored since the first read for the window. */
+    private <T> void ifCurrent(long window, long era, Result<T, StoreError> result, Consumer<T> next) {
+        result.fold(
+                value -> {
+                    if (store.era().latest() == era) {
+                        next.accept(value);
+                        return true;
+                    }
+                    LOG.info(
+                            "usage-sum-outdated",
+                            Field.of("window", window),
+                            Field.of("era", era),
+                            Field.of("latestEra", store.era().latest()));
+                    retry(window);
+                    return false;
+                },
+                error -> onSumFailed(window, error));
     }
 
     /** Sends the recorded totals unchanged, as a report with these totals may already have been accepted. */
-    private void resend(long window, Item item) {
+    private void resend(long window, long era, Item item) {
         try {
             Map<TeamId, Long> teamTotals = UsageCountsJson.readByTeam(item.value());
             LOG.info(
@@ -276,45 +327,41 @@
                     Field.of("window", window),
                     Field.of("requests", sum(teamTotals)),
                     Field.of("revision", item.revision()));
-            sendReport(window, teamTotals);
+            continuity.onRecord(window, item.value());
+            sendReport(window, era, teamTotals);
         } catch (IOException | IllegalArgumentException e) {
             LOG.warn("report-unreadable", Field.of("entry", item.key()), Field.of("reason", e.getClass()));
         }
     }
 
-    private void collect(long window, String key) {
+    private void collect(long window, long era, String key) {
         String prefix = COUNT_PREFIX + window + "/";
         store.list(
                 prefix,
-                result -> result.fold(
-                        listing -> {
-                            recordTotals(window, key, listing.items());
-                            return true;
-                        },
-                        error -> onSumFailed(window, error)));
+                result -> ifCurrent(window, era, result, listing -> recordTotals(window, era, key, listing.items())));
     }
 
-    private void recordTotals(long window, String key, List<Item> items) {
+    private void recordTotals(long window, long era, String key, List<Item> items) {
         RequestCountTable table = new RequestCountTable();
         items.forEach(item -> addCounts(table, window, item));
         Map<TeamId, Long> teamTotals = table.sums(window);
+        String document = UsageCountsJson.writeByTeam(teamTotals);
+        Commit commit = new Commit(
+                List.of(new RevisionStore.Expected(key, StoreRevision.NONE)),
+                List.of(new RevisionStore.Put(key, document, StoreLease.NONE)),
+                removals(window, items));
         store.commit(
-                new Commit(
-                        List.of(new RevisionStore.Expected(key, StoreRevision.NONE)),
-                        List.of(new RevisionStore.Put(key, UsageCountsJson.writeByTeam(teamTotals), StoreLease.NONE)),
-                        removals(window, items)),
-                result -> result.fold(
-                        revision -> {
-                            LOG.info(
-                                    "usage-recorded",
-                                    Field.of("window", window),
-                                    Field.of("requests", sum(teamTotals)),
-                                    Field.of("entries", items.size()),
-                                    Field.of("revision", revision));
-                            sendReport(window, teamTotals);
-                            return true;
-                        },
-                        error -> onSumFailed(window, error)));
+                commit,
+                result -> ifCurrent(window, era, result, revision -> {
+                    LOG.info(
+                            "usage-recorded",
+                            Field.of("window", window),
+                            Field.of("requests", sum(teamTotals)),
+                            Field.of("entries", items.size()),
+                            Field.of("revision", revision));
+                    continuity.onRecord(window, document);
+                    sendReport(window, era, teamTotals);
+                }));
     }
 
     /** Returns the keys to remove with the write of a report: the summed count entries and a report that is no longer due. */
@@ -331,7 +378,7 @@
         return false;
     }
 
-    private void sendReport(long window, Map<TeamId, Long> teamTotals) {
+    private void sendReport(long window, long era, Map<TeamId, Long> teamTotals) {
         Optional<LeaderApi.Claim> token = leaderElection.fencingToken();
         if (token.isEmpty()) {
             retry(window);
@@ -342,7 +389,7 @@
                     "usage-reported",
                     Field.of("window", window),
                     Field.of("requests", sum(teamTotals)),
-                    Field.of("era", store.era().latest()),
+                    Field.of("era", era),
                     Field.of("fence", token.get().token()),
                     Field.of("outcome", outcome));
             if (outcome == LeaderApi.Outcome.DONE) {
--- a/entry/src/test/java/org/geraniumstand/entry/relay/UsageTaskTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/UsageTaskTest.java
@@ -288,7 +288,7 @@
         advanceMillis(WINDOW_MILLIS + 5_000);
 
         assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 9L)));
-        assertThat(reportFor(START_MILLIS + 2 * WINDOW_MILLIS), is(Map.of(TEAM, 1L)));
+        assertThat(reportFor(START_MILLIS + WINDOW_MILLIS), is(Map.of(TEAM, 1L)));
     }
 
     @Test
