Remove the count entries that a restored copy brings back

The entries of a window are removed with the write of its totals. After a restoration the copy, or a collector that writes its counts again, brings entries of recorded windows back, which were never removed: two a window and drill, for as long as the store lives. The leader now lists all count entries when it sums a window, in the same single call, and removes those whose report is no longer due.

UsageTaskTest#removesCountEntriesThatTheCopyBroughtBack was red before (two entries left) and is green.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/UsageTask.java
@@ -335,13 +335,16 @@
     }
 
     private void collect(long window, long era, String key) {
-        String prefix = COUNT_PREFIX + window + "/";
+        // One list also finds entries of earlier windows, which a restored copy brought back after they were summed.
         store.list(
-                prefix,
+                COUNT_PREFIX,
                 result -> ifCurrent(window, era, result, listing -> recordTotals(window, era, key, listing.items())));
     }
 
-    private void recordTotals(long window, long era, String key, List<Item> items) {
+    private void recordTotals(long window, long era, String key, List<Item> listed) {
+        String prefix = COUNT_PREFIX + window + "/";
+        List<Item> items =
+                listed.stream().filter(item -> item.key().startsWith(prefix)).toList();
         RequestCountTable table = new RequestCountTable();
         items.forEach(item -> addCounts(table, window, item));
         Map<TeamId, Long> teamTotals = table.sums(window);
@@ -349,7 +352,7 @@
         Commit commit = new Commit(
                 List.of(new RevisionStore.Expected(key, StoreRevision.NONE)),
                 List.of(new RevisionStore.Put(key, document, StoreLease.NONE)),
-                removals(window, items));
+                removals(window, items, listed));
         store.commit(
                 commit,
                 result -> ifCurrent(window, era, result, revision -> {
@@ -364,14 +367,30 @@
                 }));
     }
 
-    /** Returns the keys to remove with the write of a report: the summed count entries and a report that is no longer due. */
-    private static List<String> removals(long window, List<Item> items) {
+    /**
+     * Returns the keys to remove with the write of a report: the summed count entries, and the entries and the report of
+     * windows that are no longer due.
+     */
+    private List<String> removals(long window, List<Item> summed, List<Item> listed) {
+        long oldestDue = counter.windowOf(now() - lateMillis);
+        Stream<Item> overdue = listed.stream().filter(item -> windowOfEntry(item.key()) < oldestDue);
         return Stream.concat(
                         Stream.of(REPORT_PREFIX + (window - RETAINED_REPORTS)),
-                        items.stream().map(Item::key).limit(MAX_REMOVALS))
+                        Stream.concat(summed.stream(), overdue).map(Item::key).limit(MAX_REMOVALS))
                 .toList();
     }
 
+    /** Returns the window of a count entry, or {@link Long#MAX_VALUE} if the key names none. */
+    private static long windowOfEntry(String key) {
+        int end = key.indexOf('/', COUNT_PREFIX.length());
+        try {
+            return end < 0 ? Long.MAX_VALUE : Long.parseLong(key.substring(COUNT_PREFIX.length(), end));
+        } catch (NumberFormatException _e) {
+            LOG.warn("usage-unreadable", Field.of("entry", key));
+            return Long.MAX_VALUE;
+        }
+    }
+
     private boolean onSumFailed(long window, StoreError error) {
         LOG.warn("usage-not-summed", Field.of("window", window), Field.of("error", error));
         retry(window);
--- a/entry/src/test/java/org/geraniumstand/entry/relay/UsageTaskTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/UsageTaskTest.java
@@ -376,4 +376,24 @@
 
         assertThat(store.value("geraniumstand/report/1000").isPresent(), is(true));
     }
+
+    /** The record of the window is known, so that the entries are not summed and removed a second time. */
+    @Test
+    void removesCountEntriesThatTheCopyBroughtBack() {
+        List<CountingProcess> all = startInFirstEra();
+        all.get(1).countRequests(4);
+        advanceMillis(6_250);
+        FakeRevisionStore.Copy copy = store.copy();
+        advanceMillis(1_750);
+        store.restore(copy);
+        all.get(0).renewLease();
+        all.get(0).acquireLeadership();
+        advanceMillis(4 * WINDOW_MILLIS);
+
+        assertThat(
+                store.keys().stream()
+                        .filter(key -> key.startsWith("geraniumstand/usage/1000/"))
+                        .toList(),
+                empty());
+    }
 }
