Let a new leader report nothing for 1.5 s

A new leader now reports nothing for 1.5 s, so that the previous one knows for as much longer that nobody else has reported.

ReportContinuityTest: a leader that could last act 2,099 ms before the restoration writes its records again, one at 2,100 ms does not; these two cases stood at 500 and 600 ms. The cases of the first report expect it 1.5 s after the leadership began. The new cases were not run on the code before.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ReportContinuity.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ReportContinuity.java
@@ -26,6 +26,9 @@
     /** Time for which a new leader waits for the process that led in the previous era, in milliseconds. */
     private static final long WITNESS_MILLIS = 3_000;
 
+    /** Time for which a new leader reports nothing, in milliseconds; its predecessor may testify for as much longer. */
+    private static final long TAKEOVER_MILLIS = 1_500;
+
     /** Maximum difference between the clocks of two processes, in milliseconds. */
     private static final long CLOCK_ERROR_MILLIS = 100;
 
@@ -111,7 +114,7 @@
     private boolean isOnlyLeader(Timestamp now) {
         return marker.isPresent()
                 && leadership
-                        .map(held -> now.millisSince(held.latest()) < leaseReserveMillis)
+                        .map(held -> now.millisSince(held.latest()) < leaseReserveMillis + TAKEOVER_MILLIS)
                         .orElse(false);
     }
 
@@ -223,7 +226,11 @@
         if (era == StoreRevision.UNKNOWN_ERA) {
             return Optional.of(0L);
         }
-        return now.millisSince(eraStart) < SETTLE_MILLIS ? Optional.empty() : marker.map(Marker::firstWindow);
+        boolean settled = now.millisSince(eraStart) >= SETTLE_MILLIS
+                && leadership
+                        .map(held -> now.millisSince(held.start()) >= TAKEOVER_MILLIS)
+                        .orElse(false);
+        return settled ? marker.map(Marker::firstWindow) : Optional.empty();
     }
 
     /**
