Add a test of a leader that starts with a slow clock after a restoration, which fails

If all processes are killed in a restoration of the store, the next leader withholds the windows that were due by its own clock. A clock that is slow when it starts is believed for 8 s, so a window that was reported before may be reported again.

--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ReportContinuityTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ReportContinuityTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.LongFunction;
 import org.geraniumstand.decisions.relay.ReportContinuity.Marker;
 import org.geraniumstand.decisions.relay.ReportContinuity.Renewal;
 import org.geraniumstand.model.time.Timestamp;
@@ -177,4 +178,26 @@
         assertThat(renewal.marker(), is(new Marker(5, FIRST + 1)));
         assertThat(renewal.records().size(), is(14));
     }
+
+    /** The window was reported 7.2 s after its start; the leader starts 9 s after it, with a clock that is 6 s slow. */
+    @Test
+    void withholdsReportedWindowsIfTheClockOfAStartingLeaderIsSlow() {
+        long reported = 1_000;
+        long windowMillis = 5_000;
+        ReportContinuity starting = new ReportContinuity(windowMillis, 2_200, 600);
+        WallClockEstimate wallClock = new WallClockEstimate();
+        LongFunction<Timestamp> slowClock = millis -> {
+            long nanos = millis * Timestamp.NANOS_PER_MILLI;
+            long slowMillis = reported * windowMillis + millis - 6_000;
+            return new Timestamp(nanos, wallClock.read(new Timestamp(nanos, slowMillis)));
+        };
+        starting.onEra(5, slowClock.apply(9_000));
+        starting.onLeading(9, slowClock.apply(10_000));
+
+        Marker renewed = starting.renewal(new Marker(4, 7), slowClock.apply(12_100))
+                .orElseThrow()
+                .marker();
+
+        assertThat(renewed.firstWindow(), is(reported + 1));
+    }
 }
