Check the red seeds of restored stores apart from the others

One listed test hid 143 seeds that are green. The seven red ones are a test of their own now; checks, bounds and seeds are unchanged. Seeds 75 and 136 are traced: the process was frozen through the restoration.

--- a/entry/src/test/java/org/geraniumstand/entry/relay/RestoredStoreFuzzTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/RestoredStoreFuzzTest.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.IntStream;
 import org.geraniumstand.decisions.relay.StoreBounds;
 import org.junit.jupiter.api.Test;
 
@@ -20,6 +21,9 @@
  * cut off, and messages between processes come late.
  */
 final class RestoredStoreFuzzTest {
+    /** Seeds that fail and are listed in KNOWN-RED.txt; a test of their own keeps the others checked. */
+    private static final List<Integer> RED_SEEDS = List.of(18, 38, 44, 59, 75, 136, 149);
+
     private static final int SEEDS = 150;
     private static final int PROCESSES = 8;
     private static final int SERVERS = 14;
@@ -179,17 +183,22 @@
 
     @Test
     void noProcessForgetsOrBringsBackWhatTheRestoredStoreLost() {
-        Map<String, List<String>> seedsByProblem = new TreeMap<>();
-        for (int seed = 1; seed <= SEEDS; seed++) {
-            String name = "seed " + seed + ": ";
-            new Scenario(seed)
-                    .run()
-                    .forEach((problem, detail) -> seedsByProblem
-                            .computeIfAbsent(problem, _problem -> new ArrayList<>())
-                            .add(name + detail));
-        }
+        assertThat(problems(IntStream.rangeClosed(1, SEEDS).filter(seed -> !RED_SEEDS.contains(seed))), is(empty()));
+    }
 
-        assertThat(summary(seedsByProblem), is(empty()));
+    @Test
+    void noProcessForgetsOrBringsBackWhatTheRestoredStoreLostInRedSeeds() {
+        assertThat(problems(RED_SEEDS.stream().mapToInt(Integer::intValue)), is(empty()));
+    }
+
+    private static List<String> problems(IntStream seeds) {
+        Map<String, List<String>> seedsByProblem = new TreeMap<>();
+        seeds.forEach(seed -> new Scenario(seed)
+                .run()
+                .forEach((problem, detail) -> seedsByProblem
+                        .computeIfAbsent(problem, _problem -> new ArrayList<>())
+                        .add("seed " + seed + ": " + detail)));
+        return summary(seedsByProblem);
     }
 
     private static List<String> summary(Map<String, List<String>> seedsByProblem) {
