Use four fifths of the retry budget in calm

RetryBudgetProofTest ended with an exception since requests earn most of their retries by two windows: processes that are killed or replaced within their first window retry nothing, so a phase may have no window to print. The time until a process uses the whole budget is now two windows, so the calm phase lasts longer. The used share in calm is the mean of all windows, in place of the best one, which is stricter.

Two unit tests of the slack expect 9 retries of 10 allowed, before 8, as the used share is larger.

--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryBudgetTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryBudgetTest.java
@@ -11,7 +11,7 @@
     void allowsShareOfSlackWithoutRequests() {
         RelayRetryBudget budget = new RelayRetryBudget(0.2, 50, 10_000);
 
-        assertThat(acquired(budget, 1.0 / 5, 0), is(8));
+        assertThat(acquired(budget, 1.0 / 5, 0), is(9));
     }
 
     @Test
@@ -50,7 +50,7 @@
         RelayRetryBudget budget = new RelayRetryBudget(0.2, 50, 10_000);
         acquired(budget, 1.0 / 5, 0);
 
-        assertThat(acquired(budget, 1.0 / 5, 20_000 * Calls.MILLI), is(8));
+        assertThat(acquired(budget, 1.0 / 5, 20_000 * Calls.MILLI), is(9));
     }
 
     /** All answers of a service are lost for ten seconds, so that each request needs a retry. */
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/RetryBudgetProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/RetryBudgetProofTest.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -34,10 +35,10 @@
     private static final int DEADLINE_MILLIS = 2_000;
     private static final int SLOTS = 32;
 
-    /** Time after which processes that have started use the whole budget, and the length of a window. */
-    private static final long CALM_MILLIS = 27_000;
+    /** Time after which processes that have started use the whole budget, which takes two windows, and a window after it. */
+    private static final long CALM_MILLIS = 37_000;
 
-    private static final long SETTLED_MILLIS = 15_000;
+    private static final long SETTLED_MILLIS = 21_000;
     private static final long FREEZE_MILLIS = 2_500;
     private static final int FREEZES = 3;
     /** Time that a killed process has served. */
@@ -184,25 +185,25 @@
         return oracle.windows().stream()
                 .filter(window -> window.startNanos() >= from && window.startNanos() < until)
                 .mapToDouble(RetryBudgetOracle.Window::used)
-                .max()
+                .average()
                 .orElse(0);
     }
 
     /** Returns the window of a phase with the most retries, compared with what was allowed. */
-    private RetryBudgetOracle.Window worst(Phase phase) {
+    private Optional<RetryBudgetOracle.Window> worst(Phase phase) {
         long from = starts.get(phase);
         long until = ends.get(phase);
         return oracle.windows().stream()
                 .filter(window -> window.startNanos() >= from && window.startNanos() < until)
-                .max(Comparator.comparingDouble(RetryBudgetOracle.Window::used))
-                .orElseThrow();
+                .max(Comparator.comparingDouble(RetryBudgetOracle.Window::used));
     }
 
     @SuppressWarnings("SystemOut")
     private void print() {
         List<String> worst = Set.of(Phase.CALM, Phase.FROZEN, Phase.ROLLED, Phase.KILLED).stream()
                 .sorted()
-                .map(phase -> phase.id() + ": " + worst(phase))
+                .map(phase ->
+                        phase.id() + ": " + worst(phase).map(Object::toString).orElse("no retries"))
                 .toList();
         System.out.printf(
                 Locale.ROOT,
