--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayRetryBudget.java
@@ -23,7 +23,7 @@
      * Fraction of the slack that is used; requests are counted when they arrive here, slightly later than the caller
      * sent them.
      */
-    private static final double SLACK_SHARE = 0.92;
+    private static final double SLACK_SHARE = 0.90;
 
     /** Fraction of the ratio that requests earn if the process had as many in the window before. */
     private static final double ESTABLISHED_SHARE = 0.82;
