Read the retry budget again only for a report of denied retries

Each denied retry summed the counts of the budget twice, the second time for a report that is due once a second at most. The report now asks for them. The log line and its values are unchanged; RetryDenialsTest passes the same budget as a supplier.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -370,7 +370,7 @@
             return true;
         }
         retryDenials
-                .onDenied(service, budget.usage(slackShare, nowNanos), slackShare, nowNanos)
+                .onDenied(service, () -> budget.usage(slackShare, nowNanos), slackShare, nowNanos)
                 .ifPresent(deniedRetries::add);
         return false;
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RetryDenials.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RetryDenials.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.time.Timestamp;
 
@@ -36,13 +37,13 @@
      * Records a denied retry.
      *
      * @param service the service of the call
-     * @param budget the budget that denied it
+     * @param budget supplies the budget that denied it, if a report is due
      * @param slackShare fraction of the slack that this process may use
      * @param nowNanos the monotonic time in nanoseconds
      * @return the report, if one is due
      */
     Optional<DeniedRetries> onDenied(
-            ServiceId service, RelayRetryBudget.Usage budget, double slackShare, long nowNanos) {
+            ServiceId service, Supplier<RelayRetryBudget.Usage> budget, double slackShare, long nowNanos) {
         total++;
         Pending denied = pending.computeIfAbsent(
                 service, _key -> new Pending(nowNanos - REPORT_MILLIS * Timestamp.NANOS_PER_MILLI));
@@ -54,7 +55,7 @@
         denied.count = 0;
         denied.reportedNanos = nowNanos;
         long ageMillis = (nowNanos - startNanos) / Timestamp.NANOS_PER_MILLI;
-        return Optional.of(new DeniedRetries(service, count, budget, slackShare, ageMillis));
+        return Optional.of(new DeniedRetries(service, count, budget.get(), slackShare, ageMillis));
     }
 
     /** Returns the number of retries denied since the process started. */
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryDenialsTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RetryDenialsTest.java
@@ -13,15 +13,15 @@
 
     @Test
     void reportsEachServiceOnceASecond() {
-        assertThat(denials.onDenied(Calls.PLAIN_SERVICE, FULL, 0.25, 0).isPresent(), is(true));
-        assertThat(denials.onDenied(Calls.PLAIN_SERVICE, FULL, 0.25, 400 * Calls.MILLI), is(Optional.empty()));
+        assertThat(denials.onDenied(Calls.PLAIN_SERVICE, () -> FULL, 0.25, 0).isPresent(), is(true));
+        assertThat(denials.onDenied(Calls.PLAIN_SERVICE, () -> FULL, 0.25, 400 * Calls.MILLI), is(Optional.empty()));
         assertThat(
-                denials.onDenied(Calls.ENGINE_SERVICE, FULL, 0.25, 400 * Calls.MILLI)
+                denials.onDenied(Calls.ENGINE_SERVICE, () -> FULL, 0.25, 400 * Calls.MILLI)
                         .isPresent(),
                 is(true));
 
         assertThat(
-                denials.onDenied(Calls.PLAIN_SERVICE, FULL, 0.25, 1_000 * Calls.MILLI),
+                denials.onDenied(Calls.PLAIN_SERVICE, () -> FULL, 0.25, 1_000 * Calls.MILLI),
                 is(Optional.of(new DeniedRetries(Calls.PLAIN_SERVICE, 2, FULL, 0.25, 1_000))));
         assertThat(denials.total(), is(4L));
     }
