Look at the last entry of a removed server once

The removal of an entry asked twice in a row whether the previous entry was a server's. Conditions and order are unchanged; the tests of StoreWatcher are green.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/StoreWatcher.java
@@ -493,19 +493,16 @@
         StoreEntry.Removed removed = reader.readRemoved(key);
         if (previous != null && previous.entry() instanceof StoreEntry.ServerEntry last) {
             restoredEntries.onRemoved(key, last);
-        }
-        if (removed instanceof StoreEntry.Removed.Server server
-                && previous != null
-                && previous.entry() instanceof StoreEntry.ServerEntry listed
-                && missingServers.retain(server, listed)) {
-            LOG.info(
-                    "server-missing",
-                    Field.of("server", server.server()),
-                    Field.of("revision", removedAt),
-                    Field.of("source", source),
-                    Field.of("informedMillis", reachability.staleMillis()),
-                    Field.of("holdMillis", reachability.gracePeriodMillis()));
-            return;
+            if (removed instanceof StoreEntry.Removed.Server server && missingServers.retain(server, last)) {
+                LOG.info(
+                        "server-missing",
+                        Field.of("server", server.server()),
+                        Field.of("revision", removedAt),
+                        Field.of("source", source),
+                        Field.of("informedMillis", reachability.staleMillis()),
+                        Field.of("holdMillis", reachability.gracePeriodMillis()));
+                return;
+            }
         }
         listener.onRemoved(removed, 0);
     }
