Name the change of leader in the tests of usage reports

Three tests killed the leader and made the other process the only collector and the leader, line by line, and two listed the counts of the first window. Each now calls one method; no assertion changed.

--- a/entry/src/test/java/org/geraniumstand/entry/relay/UsageTaskTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/UsageTaskTest.java
@@ -250,11 +250,7 @@
         one.countRequests(3);
         advanceMillis(WINDOW_MILLIS + 4_000);
 
-        assertThat(
-                store.keys().stream()
-                        .filter(key -> key.startsWith("geraniumstand/usage/1000/"))
-                        .toList(),
-                empty());
+        assertThat(countEntries(), empty());
         assertThat(store.keys(), hasSize(lessThanOrEqualTo(6)));
         assertThat(reported.keySet().stream().filter(w -> w == 1_000).toList(), contains(1_000L));
     }
@@ -269,6 +265,20 @@
         return List.of(one, two);
     }
 
+    /** Kills the leader of two processes; the other one becomes the only collector and the leader. */
+    private void replaceLeader(List<CountingProcess> all) {
+        all.get(0).killed = true;
+        assignCollectors(all.get(1));
+        all.get(1).acquireLeadership();
+    }
+
+    /** Returns the keys of the counts of the first window. */
+    private List<String> countEntries() {
+        return store.keys().stream()
+                .filter(key -> key.startsWith("geraniumstand/usage/1000/"))
+                .toList();
+    }
+
     /** The copy lacks the record of the report and some of the counts in it. */
     @Test
     void windowReportedBeforeRestorationIsNotReportedAgainWhenAllProcessesWereKilled() {
@@ -301,9 +311,7 @@
         advanceMillis(6_000);
         assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 9L)));
         store.restore(copy);
-        all.get(0).killed = true;
-        assignCollectors(all.get(1));
-        all.get(1).acquireLeadership();
+        replaceLeader(all);
         advanceMillis(WINDOW_MILLIS + 5_000);
 
         assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 9L)));
@@ -320,9 +328,7 @@
         store.restore(copy);
         advanceMillis(500);
         store.restore(copy);
-        all.get(0).killed = true;
-        assignCollectors(all.get(1));
-        all.get(1).acquireLeadership();
+        replaceLeader(all);
         advanceMillis(WINDOW_MILLIS + 5_000);
 
         assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 9L)));
@@ -342,9 +348,7 @@
         assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 6L)));
         store.restore(copy);
         store.executeDelayedCommits();
-        all.get(0).killed = true;
-        assignCollectors(all.get(1));
-        all.get(1).acquireLeadership();
+        replaceLeader(all);
         advanceMillis(WINDOW_MILLIS);
 
         assertThat(reportFor(START_MILLIS), is(Map.of(TEAM, 6L)));
@@ -390,10 +394,6 @@
         all.get(0).acquireLeadership();
         advanceMillis(4 * WINDOW_MILLIS);
 
-        assertThat(
-                store.keys().stream()
-                        .filter(key -> key.startsWith("geraniumstand/usage/1000/"))
-                        .toList(),
-                empty());
+        assertThat(countEntries(), empty());
     }
 }
