--- a/proofs/src/test/java/org/geraniumstand/proofs/process/ResumedStreamProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/ResumedStreamProofTest.java
@@ -20,6 +20,8 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Checks that the numbers of a stream never go back or skip one when a server resumes it elsewhere than at its position. */
@@ -195,11 +197,7 @@
     }
 
     private static String wholeBody(String name) {
-        StringBuilder body = new StringBuilder();
-        for (int id = 1; id <= EVENTS; id++) {
-            body.append(event(name, id));
-        }
-        return body.toString();
+        return IntStream.rangeClosed(1, EVENTS).mapToObj(id -> event(name, id)).collect(Collectors.joining());
     }
 
     private void readStreams(RelayCluster cluster) {
