Hash and copy the events of a stream only where needed

Each event of each stream was hashed, also where nothing is compared, as on routes that can't be resumed; the hash is now asked for where it is compared or kept. The events in order were collected in a growing buffer and copied out of it, for each part of an answer; they are now moved together in place and copied once, as before.

--- a/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventOrder.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.http.opaque;
 
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.geraniumstand.decisions.Decision;
 
 /** Decides which events of a stream's runs continue what its caller has received; not thread-safe. */
@@ -92,9 +93,9 @@
      *
      * @param id the id of the event, if it has one
      * @param hasData whether the event has data; a comment has neither an id nor data
-     * @param hash the {@linkplain RelayedEvents#hash hash} of the event's bytes
+     * @param hash supplies the {@linkplain RelayedEvents#hash hash} of the event's bytes, where it is compared or kept
      */
-    Verdict onEvent(Optional<String> id, boolean hasData, long hash) {
+    Verdict onEvent(Optional<String> id, boolean hasData, LongSupplier hash) {
         if (!resumable || (id.isEmpty() && !hasData)) {
             return Verdict.RELAY;
         }
@@ -110,14 +111,16 @@
         furthest = Math.max(furthest, number);
         if (number <= position) {
             // A run that repeats itself without end would last until the deadline.
-            return returns > MAX_RETURNS || relayed.differs(number, hash) ? Verdict.BREAK_OFF : Verdict.DROP;
+            return returns > MAX_RETURNS || relayed.differs(number, hash.getAsLong())
+                    ? Verdict.BREAK_OFF
+                    : Verdict.DROP;
         }
         if (resumed && numbering == Numbering.CONSECUTIVE && number != position + 1) {
             return Verdict.BREAK_OFF;
         }
         numbering = numberingAfter(number);
         position = number;
-        relayed.add(number, hash);
+        relayed.add(number, hash.getAsLong());
         positionKnown = true;
         returns = 0;
         lastId = id;
--- a/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/EventSplitter.java
@@ -1,6 +1,5 @@
 package org.geraniumstand.http.opaque;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -80,22 +79,26 @@
     byte[] accept(ByteBuffer bytes) {
         int from = size;
         append(bytes);
-        ByteArrayOutputStream inOrder = new ByteArrayOutputStream(0);
+        int inOrder = 0;
         int start = 0;
         for (int i = from; i < size && !brokenOff; i++) {
             if (incomplete[i] == '\n' && endsEvent(i)) {
-                if (endEvent(start, i + 1) == EventOrder.Verdict.RELAY) {
-                    inOrder.write(incomplete, start, i + 1 - start);
+                int next = i + 1;
+                if (endEvent(start, next) == EventOrder.Verdict.RELAY) {
+                    // Moves the event up to the previous one that is in order.
+                    System.arraycopy(incomplete, start, incomplete, inOrder, next - start);
+                    inOrder += next - start;
                 }
-                start = i + 1;
+                start = next;
             }
         }
+        byte[] complete = Arrays.copyOf(incomplete, inOrder);
         if (brokenOff) {
             discardIncomplete();
         } else if (start > 0) {
             removePrefix(start);
         }
-        return inOrder.toByteArray();
+        return complete;
     }
 
     /** Removes and returns the bytes after the last complete event. */
@@ -142,8 +145,8 @@
     }
 
     private EventOrder.Verdict endEvent(int start, int end) {
-        long hash = RelayedEvents.hash(incomplete, skipEmptyLines(start), end);
-        EventOrder.Verdict verdict = order.onEvent(incompleteId, hasData, hash);
+        EventOrder.Verdict verdict =
+                order.onEvent(incompleteId, hasData, () -> RelayedEvents.hash(incomplete, skipEmptyLines(start), end));
         if (verdict != EventOrder.Verdict.RELAY) {
             listener.onOutOfOrder(incompleteId, verdict);
         }
--- a/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/EventOrderTest.java
@@ -31,7 +31,7 @@
         for (String event : ids.split(" ", -1)) {
             String id = event.split(":", -1)[0];
             Verdict verdict =
-                    order.onEvent(id.equals(WITHOUT_ID) ? Optional.empty() : Optional.of(id), true, event.hashCode());
+                    order.onEvent(id.equals(WITHOUT_ID) ? Optional.empty() : Optional.of(id), true, event::hashCode);
             verdicts.append(verdict.name().charAt(0));
             if (verdict == Verdict.BREAK_OFF) {
                 break;
@@ -209,7 +209,7 @@
         run(order, "1 2");
         order.startRun();
 
-        assertThat(order.onEvent(Optional.empty(), false, 0), is(Verdict.RELAY));
+        assertThat(order.onEvent(Optional.empty(), false, () -> 0), is(Verdict.RELAY));
         assertThat(run(order, "3"), is("R"));
     }
 
