--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
@@ -7,9 +7,10 @@
 /** Counts the processes that share limits. Not thread-safe. */
 @Decision(
         name = "process-count",
-        summary = "The retry budget and the rate limits of servers are shared by the "
-                + "highest number of processes that were live at once within the last "
-                + "minute, because a process without contact to its peers may still send.")
+        summary = "The rate limits of servers are shared by the highest number of "
+                + "processes that were live at once within the last minute, and the "
+                + "slack of the retry budget by that of the last ten minutes, because "
+                + "a process without contact to its peers may still send.")
 public final class ProcessCount {
     /** Milliseconds for which the processes registered in the store count as live; their leases last 12,000 ms. */
     private static final long LISTED_MILLIS = 15_000;
