--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/InFlightSums.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/InFlightSums.java
@@ -22,8 +22,20 @@
     /** Milliseconds after which the report of a process expires; processes report several times a second. */
     private static final long REPORT_VALID_MILLIS = 1_500;
 
+    private static final Sum NONE = new Sum(0, 0);
+
     private final Map<ProcessId, Report> reports = new HashMap<>();
-    private final Map<ServerId, Integer> sums = new HashMap<>();
+    private final Map<ServerId, Sum> sums = new HashMap<>();
+
+    private record Sum(int calls, long pendingTokens) {
+        Sum plus(ServerInFlight added, int sign) {
+            return new Sum(calls + sign * added.calls(), pendingTokens + sign * added.pendingTokens());
+        }
+
+        boolean isZero() {
+            return calls == 0 && pendingTokens == 0;
+        }
+    }
 
     private record Report(List<ServerInFlight> uses, long atNanos) {}
 
@@ -48,7 +60,10 @@
     private void add(List<ServerInFlight> inFlightByServer, int sign) {
         for (ServerInFlight serverInFlight : inFlightByServer) {
             // Removes entries with a sum of zero, so that servers that no longer exist are not retained.
-            sums.merge(serverInFlight.server(), sign * serverInFlight.calls(), (a, b) -> a + b == 0 ? null : a + b);
+            sums.compute(serverInFlight.server(), (_server, before) -> {
+                Sum after = (before == null ? NONE : before).plus(serverInFlight, sign);
+                return after.isZero() ? null : after;
+            });
         }
     }
 
@@ -76,16 +91,17 @@
      * @param process the process to exclude
      */
     public List<ServerInFlight> sumExcluding(ProcessId process) {
-        Map<ServerId, Integer> ownCalls = new HashMap<>();
+        Map<ServerId, ServerInFlight> own = new HashMap<>();
         Report ownReport = reports.get(process);
         if (ownReport != null) {
-            ownReport.uses().forEach(serverInFlight -> ownCalls.put(serverInFlight.server(), serverInFlight.calls()));
+            ownReport.uses().forEach(serverInFlight -> own.put(serverInFlight.server(), serverInFlight));
         }
         List<ServerInFlight> others = new ArrayList<>();
-        sums.forEach((server, calls) -> {
-            int remaining = calls - ownCalls.getOrDefault(server, 0);
-            if (remaining > 0) {
-                others.add(new ServerInFlight(server, remaining));
+        sums.forEach((server, sum) -> {
+            ServerInFlight mine = own.get(server);
+            Sum remaining = mine == null ? sum : sum.plus(mine, -1);
+            if (remaining.calls() > 0) {
+                others.add(new ServerInFlight(server, remaining.calls(), Math.max(0, remaining.pendingTokens())));
             }
         });
         return others;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -222,7 +222,8 @@
         List<ServerInFlight> inFlightByServer = new ArrayList<>();
         for (ServerView view : servers.values()) {
             if (view.inFlight() > 0) {
-                inFlightByServer.add(new ServerInFlight(view.server().id(), view.inFlight()));
+                inFlightByServer.add(
+                        new ServerInFlight(view.server().id(), view.inFlight(), Math.round(view.pendingTokens())));
             }
         }
         return inFlightByServer;
@@ -235,11 +236,11 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void onRemoteInFlight(List<ServerInFlight> inFlightByServer, long nowNanos) {
-        servers.values().forEach(view -> view.onRemoteInFlight(0, nowNanos));
+        servers.values().forEach(view -> view.onRemoteInFlight(0, 0, nowNanos));
         for (ServerInFlight serverInFlight : inFlightByServer) {
             ServerView view = servers.get(serverInFlight.server());
             if (view != null) {
-                view.onRemoteInFlight(serverInFlight.calls(), nowNanos);
+                view.onRemoteInFlight(serverInFlight.calls(), serverInFlight.pendingTokens(), nowNanos);
             }
         }
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -1,6 +1,8 @@
 package org.geraniumstand.decisions.relay;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import org.geraniumstand.decisions.Decision;
@@ -16,24 +18,6 @@
         summary = "Of the servers with spare capacity, select the one at which the call is expected to start first, "
                 + "with a penalty for tokens that miss the prefix cache and for traffic between data centres.")
 public final class RelayServerSelector {
-    /**
-     * Milliseconds that a model engine takes to process a prompt token; its specification gives 93.6 tokens per
-     * millisecond.
-     */
-    private static final double TOKEN_PREFILL_MILLIS = 1 / 93.6;
-
-    /**
-     * Milliseconds that each running request adds until the next token; the specification gives 0.11 per step, and
-     * several steps pass.
-     */
-    private static final double RUNNING_REQUEST_MILLIS = 0.5;
-
-    /**
-     * Milliseconds that each call ahead in the queue adds at a plain service; a call takes about 20 ms, and several
-     * slots work in parallel.
-     */
-    private static final double PLAIN_CALL_MILLIS = 20;
-
     /** Penalty of another data centre in milliseconds, for the round trip and the cost of the traffic. */
     private static final double REMOTE_DATA_CENTRE_MILLIS = 4;
 
@@ -46,19 +30,13 @@
      */
     private static final double OPEN_TURN_MILLIS = 10;
 
-    /**
-     * Calls that may queue at an engine, as a fraction of its slots: the engine fills a free slot at once, whereas the
-     * processes learn of it only after some 400 ms.
-     */
-    private static final double ENGINE_QUEUE_SHARE = 0.6;
-
-    /** Requests that may queue at a plain server beyond its slots and still start in time. */
-    private static final int PLAIN_QUEUE_LENGTH = 6;
-
     private final DataCentreId localDataCentre;
     private final RelayFleet fleet;
     private final PrefixCacheEstimate prefixCaches;
     private final SharedServerRate rate;
+    private final ServerRoom room = new ServerRoom();
+    private final ExpectedStart expectedStart = new ExpectedStart();
+    private final Map<ServiceId, ServiceSpeed> speeds = new HashMap<>();
 
     /**
      * Creates a selector.
@@ -84,6 +62,11 @@
      */
     public record Selection(ServerView server, double uncachedTokens) {}
 
+    /** Returns how fast the servers of a service work. */
+    ServiceSpeed speed(ServiceId service) {
+        return speeds.computeIfAbsent(service, _key -> new ServiceSpeed());
+    }
+
     /**
      * Returns whether a service has any server that accepts new calls.
      *
@@ -177,11 +160,11 @@
             Optional<SharedLimit> limit = limit(view, service, processes, nowNanos);
             if (limit.isPresent()) {
                 freeSlots += rate.allows(view.server().id(), limit.get(), nowNanos)
-                                && spareCapacity(view, service, nowNanos) > 0
+                                && room.spareCapacity(view, service, nowNanos) > 0
                         ? 1
                         : 0;
             } else {
-                freeSlots += Math.max(0, spareCapacity(view, service, nowNanos));
+                freeSlots += Math.max(0, room.spareCapacity(view, service, nowNanos));
             }
         }
         return freeSlots;
@@ -228,14 +211,7 @@
         boolean throttled = limit(view, service, processes, nowNanos)
                 .filter(limit -> !rate.allows(view.server().id(), limit, nowNanos))
                 .isPresent();
-        return !throttled && spareCapacity(view, service, nowNanos) > 0;
-    }
-
-    private static int spareCapacity(ServerView view, RelayService service, long nowNanos) {
-        int slots = view.server().slots();
-        int limit = slots
-                + (service.engineCapacity().isPresent() ? (int) (slots * ENGINE_QUEUE_SHARE) : PLAIN_QUEUE_LENGTH);
-        return limit - view.occupiedSlots(nowNanos);
+        return !throttled && room.spareCapacity(view, service, nowNanos) > 0;
     }
 
     private double cost(ServerView view, RelayService service, double uncachedTokens, long nowNanos) {
@@ -246,14 +222,7 @@
         if (hasNamedLimit(view)) {
             cost -= OPEN_TURN_MILLIS;
         }
-        if (service.engineCapacity().isPresent()) {
-            // Uncached tokens count twice: they delay this call and those that already run at the server.
-            return cost
-                    + (view.pendingTokens() + 2 * uncachedTokens) * TOKEN_PREFILL_MILLIS
-                    + view.load(nowNanos) * RUNNING_REQUEST_MILLIS;
-        }
-        int ahead = Math.max(0, view.load(nowNanos) + 1 - view.server().slots());
-        return cost + (ahead + (double) view.load(nowNanos) / view.server().slots()) * PLAIN_CALL_MILLIS;
+        return cost + expectedStart.millis(view, service, speed(service.id()), uncachedTokens, nowNanos);
     }
 
     // Distributes calls over servers of equal cost.
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -45,6 +45,9 @@
     private long awaitingSinceNanos;
     private Optional<RemoteCalls> reportedByServer = Optional.empty();
     private Optional<RemoteCalls> reportedByPeers = Optional.empty();
+    private long remotePendingTokens;
+    private OptionalDouble slowness = OptionalDouble.empty();
+    private long slownessNanos;
     private boolean replaced;
     private long ejectionMillis;
     private long ejectedUntilNanos;
@@ -141,9 +144,27 @@
         return pendingTokens;
     }
 
+    /**
+     * Returns the prompt tokens that the server has not yet processed, of this process and, as last reported, of all others.
+     */
+    double allPendingTokens(long nowNanos) {
+        boolean fresh =
+                reportedByPeers.filter(report -> report.isFresh(nowNanos)).isPresent();
+        return pendingTokens + (fresh ? remotePendingTokens : 0);
+    }
+
+    /**
+     * Returns how long work takes at the server, as a multiple of the usual time, as it last stated; 1 if it has not recently.
+     */
+    double slowness(long nowNanos) {
+        boolean fresh = nowNanos - slownessNanos < LOAD_VALID_MILLIS * Timestamp.NANOS_PER_MILLI;
+        return fresh ? slowness.orElse(1) : 1;
+    }
+
     /** Records the calls that other processes have in flight at the server, as reported by an aggregator. */
-    void onRemoteInFlight(int calls, long nowNanos) {
+    void onRemoteInFlight(int calls, long tokens, long nowNanos) {
         reportedByPeers = Optional.of(new RemoteCalls(calls, nowNanos));
+        remotePendingTokens = tokens;
     }
 
     /**
@@ -205,6 +226,8 @@
     void onLoad(ServerLoad load, long nowNanos) {
         reportedByServer =
                 Optional.of(new RemoteCalls(Math.max(0, load.running() + load.waiting() - inFlight), nowNanos));
+        slowness = load.slowness();
+        slownessNanos = nowNanos;
     }
 
     /** Ejects the server until its entry has certainly expired, because another server uses its address. */
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/InFlightSumsTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/InFlightSumsTest.java
@@ -22,7 +22,7 @@
     private final InFlightSums sums = new InFlightSums();
 
     private static ServerInFlight inFlight(ServerId server, int calls) {
-        return new ServerInFlight(server, calls);
+        return new ServerInFlight(server, calls, 100L * calls);
     }
 
     @Test
--- a/model/src/main/java/org/geraniumstand/model/relay/ServerInFlight.java
+++ b/model/src/main/java/org/geraniumstand/model/relay/ServerInFlight.java
@@ -7,5 +7,6 @@
  *
  * @param server the server
  * @param calls number of calls in flight
+ * @param pendingTokens prompt tokens of those calls that the server has not processed yet, as far as the processes know
  */
-public record ServerInFlight(ServerId server, int calls) {}
+public record ServerInFlight(ServerId server, int calls, long pendingTokens) {}
--- a/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
@@ -48,7 +48,7 @@
     }
 
     static void writeServerInFlight(FieldWriter out, ServerInFlight inFlight) {
-        out.fields(2).text(inFlight.server().value()).number(inFlight.calls());
+        out.fields(3).text(inFlight.server().value()).number(inFlight.calls()).number(inFlight.pendingTokens());
     }
 
     static void writeLostServer(FieldWriter out, LostServer lostServer) {
@@ -60,6 +60,6 @@
     }
 
     static ServerInFlight readServerInFlight(FieldReader in) {
-        return new ServerInFlight(new ServerId(in.text()), in.smallNumber());
+        return new ServerInFlight(new ServerId(in.text()), in.smallNumber(), in.number());
     }
 }
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -287,8 +287,8 @@
     }
 
     private static Arbitrary<List<ServerInFlight>> inFlightCounts() {
-        return Combinators.combine(names(), integers())
-                .as((server, calls) -> new ServerInFlight(new ServerId(server), calls))
+        return Combinators.combine(names(), integers(), numbers())
+                .as((server, calls, tokens) -> new ServerInFlight(new ServerId(server), calls, tokens))
                 .list()
                 .ofMaxSize(4);
     }
