Order servers by how fast they process prompts

Cause: the number of servers that a service orders counted with the pace of one deployment's engines (60,000 tokens of demand a second each). Engines that read 38 tokens a ms were ordered as if they read 94: 16 for 900,000 tokens a second, where 39 bear them at the same share of their pace.

RelayServersNeededTest#needsMoreOfSlowerServers was written with the change.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -33,6 +33,7 @@
  */
 public final class RelayDispatcher {
     private static final int MAX_URGENCY = 9;
+    private static final double MILLIS_IN_SECOND = 1_000;
 
     /** Urgency of the highest priority; lower priorities get higher numbers. */
     private static final int BASE_URGENCY = 3;
@@ -134,6 +135,11 @@
         return queue(service).size();
     }
 
+    /** Returns the prompt tokens that a server of a service can process in a second. */
+    public double processedTokensPerSecond(ServiceId service) {
+        return MILLIS_IN_SECOND / selector.speed(service).prefillMillisPerToken();
+    }
+
     /** Returns whether any call is queued. */
     public boolean hasQueuedCalls() {
         return queues.values().stream().anyMatch(queue -> queue.size() > 0);
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServersNeeded.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServersNeeded.java
@@ -9,17 +9,17 @@
 /** Computes how many servers the demand requires. Not thread-safe. */
 @Decision(
         name = "relay-servers-needed",
-        summary = "A service needs one server per unit of measured demand and one spare; "
+        summary = "A service needs the servers that process the measured demand in time and one spare; "
                 + "until demand has been measured for several seconds, it keeps the servers "
                 + "found at the start, up to the number that the teams' full quotas require.")
 public final class RelayServersNeeded {
     /**
-     * Tokens per second of measured demand that one server handles with first tokens in time. A server processes
-     * 93,600, and about half of all tokens hit prefix caches. Measured demand is some 40% too high, because it rises
-     * fast and falls slowly. At 56,000 the calls of a small replica of the full-size site were on time; at twice that,
-     * half of them were late.
+     * Tokens per second of measured demand that one server handles with first tokens in time, as a fraction of the prompt
+     * tokens that it can process in a second. Some tokens hit prefix caches, and measured demand is too high, because it
+     * rises fast and falls slowly; but calls come unevenly, and wait for those before them. At a fraction of 0.6 the calls
+     * of a small replica of a site were on time; at twice that, half of them were late.
      */
-    private static final double TOKENS_PER_SERVER = 60_000;
+    private static final double DEMAND_SHARE = 0.64;
 
     /** Servers in addition to those that the load needs, because one may crash at any time. */
     private static final int SPARE_SERVERS = 1;
@@ -52,6 +52,7 @@
      *
      * @param service the service to compute the number for
      * @param tokensPerSecond tokens per second that callers request
+     * @param processedPerSecond prompt tokens that one server can process in a second
      * @param found number of its servers that remain if one data centre loses its reclaimable servers
      * @param allowedPerSecond tokens per second that the teams' quotas allow
      * @param dataCentres number of data centres in which it may have servers; each has at least one
@@ -60,22 +61,24 @@
     public int decide(
             ServiceId service,
             double tokensPerSecond,
+            double processedPerSecond,
             int found,
             double allowedPerSecond,
             int dataCentres,
             long nowNanos) {
-        int needed = (int) serversForDemand(tokensPerSecond, dataCentres);
+        int needed = (int) serversForDemand(tokensPerSecond, processedPerSecond, dataCentres);
         if (isDemandMeasured(nowNanos)) {
             return needed;
         }
         // Entries are read one by one, so the first reading may show only a few of the servers.
-        int retained = (int)
-                Math.min(maxFound.merge(service, found, Math::max), serversForDemand(allowedPerSecond, dataCentres));
+        int retained = (int) Math.min(
+                maxFound.merge(service, found, Math::max),
+                serversForDemand(allowedPerSecond, processedPerSecond, dataCentres));
         return Math.max(needed, retained);
     }
 
-    private static double serversForDemand(double tokensPerSecond, int dataCentres) {
-        return SPARE_SERVERS + Math.max(dataCentres, Math.ceil(tokensPerSecond / TOKENS_PER_SERVER));
+    private static double serversForDemand(double tokensPerSecond, double processedPerSecond, int dataCentres) {
+        return SPARE_SERVERS + Math.max(dataCentres, Math.ceil(tokensPerSecond / (DEMAND_SHARE * processedPerSecond)));
     }
 
     private boolean isDemandMeasured(long nowNanos) {
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayServersNeededTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayServersNeededTest.java
@@ -12,11 +12,19 @@
 
     private final RelayServersNeeded needed = new RelayServersNeeded();
 
+    private double processedPerSecond = 94_000;
     private double allowedPerSecond = Double.POSITIVE_INFINITY;
 
     private int decide(double tokensPerSecond, int found, long atMillis) {
         needed.onDemand(tokensPerSecond, atMillis * Calls.MILLI);
-        return needed.decide(MODEL, tokensPerSecond, found, allowedPerSecond, DATA_CENTRES, atMillis * Calls.MILLI);
+        return needed.decide(
+                MODEL,
+                tokensPerSecond,
+                processedPerSecond,
+                found,
+                allowedPerSecond,
+                DATA_CENTRES,
+                atMillis * Calls.MILLI);
     }
 
     /** The entries of 19 servers arrive while the process starts; callers arrive 11 s later. */
@@ -58,6 +66,15 @@
         assertThat(decide(900_000, 3, 100), is(16));
     }
 
+    /** Engines that read prompts at two fifths of the pace were ordered as if they were fast: 16 where 39 were needed. */
+    @Test
+    void needsMoreOfSlowerServers() {
+        processedPerSecond = 38_000;
+        decide(900_000, 0, 0);
+
+        assertThat(decide(900_000, 0, 6_000), is(39));
+    }
+
     @Test
     void needsAtLeastOnePerDataCentreAndOneSpare() {
         decide(1, 0, 0);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/ScaleTask.java
@@ -130,6 +130,7 @@
         int needed = serversNeeded.decide(
                 service.id(),
                 demand.perSecond(),
+                dispatcher.processedTokensPerSecond(service.id()),
                 Math.max(onDemandServers, initialServers(service.id())),
                 dispatcher.quotas().allowedPerSecond(),
                 bounds.prices().size(),
