Refuse a team whose burst is small against the slack

Cause: the debt of a bucket was cut at twice the burst. With a slack in use of more than that, no debt was ever large enough to refuse: a team of 10,000 tokens a second (burst 10,000, slack 110,000) that sent six times its limit was passed whole, in calm too.

The cut now lies beyond the slack in use. QuotaLimiterTest#refusesTeamWhoseSlackIsLargerThanItsBurst was red before.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLimiter.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLimiter.java
@@ -262,7 +262,7 @@
         double share = (double) knownProcesses(nowNanos) / processes.liveCount(nowNanos);
         bucket.available =
                 Math.min(team.burst(), bucket.available + team.ratePerSecond() * (1 + overrun) * share * seconds);
-        bucket.available = Math.max(bucket.available, -MAX_DEBT * team.burst());
+        bucket.available = Math.max(bucket.available, -MAX_DEBT * team.burst() - slack);
         bucket.refilledNanos = nowNanos;
         return bucket;
     }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaLimiterTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaLimiterTest.java
@@ -192,6 +192,20 @@
         assertThat((double) admitted, lessThanOrEqualTo(allowed));
     }
 
+    /** The debt of a team with a small burst was cut before it reached the slack, so that nothing was ever refused. */
+    @Test
+    void refusesTeamWhoseSlackIsLargerThanItsBurst() {
+        RelayTeam team = new RelayTeam(new TeamId("small"), List.of("k"), OptionalInt.empty(), true, 0, 10_000, 10_000);
+        QuotaLimiter alone = new QuotaLimiter(110_000, 0.1, processes);
+        alone.onTeams(List.of(team), 0);
+        long admitted = 0;
+        for (int i = 0; i < 8 * 30; i++) {
+            admitted += alone.tryAcquire(team, 2_000, i * SECOND / 30).isEmpty() ? 2_000 : 0;
+        }
+
+        assertThat((double) admitted, lessThanOrEqualTo((8 * 10_000 + 10_000) * 1.1 + 110_000));
+    }
+
     /** A process that starts alone among 95 must not refuse the few requests of a team within its quota. */
     @Test
     void admitsOneRequestPerTeamBeforeFirstSums() {
