Count a process once that has started again at its address

Cause: after all processes are killed, the store lists each twice until the leases end, and every quota was filled at half its rate for 15 s.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ProcessCount.java
@@ -1,6 +1,8 @@
 package org.geraniumstand.decisions.relay;
 
+import java.util.Collection;
 import java.util.OptionalLong;
+import java.util.Set;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.time.Timestamp;
 
@@ -117,6 +119,17 @@
         updatePeak(nowNanos);
     }
 
+    /**
+     * Records where the processes registered in the store listen. The entry of a process that was killed stays for some
+     * seconds; if another one is listed at its address, it has been replaced.
+     *
+     * @param endpoints address and port of each registered process
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onRegisteredAt(Collection<String> endpoints, long nowNanos) {
+        onRegistered(Set.copyOf(endpoints).size(), nowNanos);
+    }
+
     private void dropAssumption(int count) {
         if (!otherSeen && count > 1) {
             otherSeen = true;
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ProcessCountTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ProcessCountTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.is;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 final class ProcessCountTest {
@@ -28,6 +29,14 @@
         assertThat(count.liveCount(2 * SECOND), is(78));
     }
 
+    /** Each of the ended processes took part of every quota for 15 s after a restart of all. */
+    @Test
+    void countsProcessesThatWereReplacedAtTheirAddressOnce() {
+        count.onRegisteredAt(List.of("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.1:7000", "10.0.0.2:7001"), 0);
+
+        assertThat(count.liveCount(SECOND), is(3));
+    }
+
     /** After a restart of all processes the store still lists the ended ones until their leases expire. */
     @Test
     void expiresListedProcessesWithoutContact() {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -153,7 +153,10 @@
     /** Adds the processes that are registered in the store as candidates for peers. */
     void onRegisteredMembers(List<Member> members) {
         network.onListedMembers(members);
-        dispatcher.processes().onRegistered(members.size(), System.nanoTime());
+        List<String> endpoints = members.stream()
+                .map(member -> member.address() + ":" + member.peerPort())
+                .toList();
+        dispatcher.processes().onRegisteredAt(endpoints, System.nanoTime());
     }
 
     /** Returns the number of steps of the exchange with peers that threw an exception. */
