Avoid servers that two other processes could not connect to

Cause: a server that goes without a word stays in the store for seconds, and each process found out by a call of its own.

Processes tell which servers they could not connect to within 2 s, the aggregators count the processes, and all prefer other servers. Apart from the losses that make a server count as cold: LostServer has the number of processes, 0 for those, as a process of before sends.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -343,6 +343,9 @@
                 // An unresponsive server is usually overloaded rather than down.
                 server.onLost(nowNanos);
             }
+            if (end == AttemptEnd.NOT_CONNECTED) {
+                server.onNotConnected(nowNanos);
+            }
         }
         if (end != AttemptEnd.ANSWERED && end != AttemptEnd.CANCELLED) {
             retryOrRefuse(call, end, nowNanos, steps);
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -20,6 +20,9 @@
 
 /** Tracks the backend servers that are registered in the store and the data centres that are out of service. */
 public final class RelayFleet {
+    /** Largest share of all servers that a process tells others it can't connect to. */
+    private static final double MAX_NOT_CONNECTED_SHARE = 0.5;
+
     private final Map<ServerId, ServerView> servers = new HashMap<>();
     private final Map<ServiceId, List<ServerView>> byService = new HashMap<>();
     private final Map<String, ServerView> newestByEndpoint = new HashMap<>();
@@ -255,24 +258,34 @@
     }
 
     /**
-     * Returns the servers that this process lost contact with while their entries may not yet reflect a restart; empty
-     * while the view of the store is up to date.
+     * Returns the servers that this process lost contact with while their entries may not yet reflect a restart, and those
+     * that it could not connect to a moment ago.
      *
      * @param nowNanos the monotonic time in nanoseconds
      */
     public List<LostServer> lostServers(long nowNanos) {
-        if (!storeStaleness.isStale(nowNanos)) {
-            return List.of();
-        }
         List<LostServer> losses = new ArrayList<>();
+        List<LostServer> notConnected = new ArrayList<>();
+        boolean stale = storeStaleness.isStale(nowNanos);
         for (ServerView view : servers.values()) {
-            view.lostLocallyNanos()
-                    .ifPresent(at -> losses.add(
-                            new LostServer(view.server().id(), (nowNanos - at) / Timestamp.NANOS_PER_MILLI)));
+            ServerId id = view.server().id();
+            if (stale) {
+                view.lostLocallyNanos().ifPresent(at -> losses.add(new LostServer(id, ageMillis(at, nowNanos))));
+            }
+            view.notConnectedNanos(nowNanos)
+                    .ifPresent(at -> notConnected.add(new LostServer(id, ageMillis(at, nowNanos), 1)));
+        }
+        // A process that can't connect to most servers is more likely cut off itself.
+        if (notConnected.size() <= MAX_NOT_CONNECTED_SHARE * servers.size()) {
+            losses.addAll(notConnected);
         }
         return losses;
     }
 
+    private static long ageMillis(long atNanos, long nowNanos) {
+        return (nowNanos - atNanos) / Timestamp.NANOS_PER_MILLI;
+    }
+
     /**
      * Records the servers that any process lost contact with.
      *
@@ -282,8 +295,14 @@
     public void onRemoteLosses(List<LostServer> losses, long nowNanos) {
         for (LostServer loss : losses) {
             ServerView view = servers.get(loss.server());
-            if (view != null) {
-                view.onLostRemotely(nowNanos - loss.ageMillis() * Timestamp.NANOS_PER_MILLI);
+            if (view == null) {
+                continue;
+            }
+            long at = nowNanos - loss.ageMillis() * Timestamp.NANOS_PER_MILLI;
+            if (loss.processes() > 0) {
+                view.onNotConnectedRemotely(at, loss.processes());
+            } else {
+                view.onLostRemotely(at);
             }
         }
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -49,6 +49,7 @@
     private OptionalDouble slowness = OptionalDouble.empty();
     private long slownessNanos;
     private boolean replaced;
+    private final GoneServer gone = new GoneServer();
     private long ejectionMillis;
     private long ejectedUntilNanos;
 
@@ -70,6 +71,7 @@
     void onListed(RelayServer next, long nowNanos) {
         if (!next.equals(server)) {
             coldState.onEntryChanged(nowNanos);
+            gone.onUp(nowNanos);
         }
         server = next;
         endpoint = next.endpoint();
@@ -185,7 +187,7 @@
 
     /** Returns whether the server is ejected from selection or unresponsive. */
     public boolean isEjected(long nowNanos) {
-        return nowNanos - ejectedUntilNanos < 0 || isUnresponsive(nowNanos);
+        return nowNanos - ejectedUntilNanos < 0 || isUnresponsive(nowNanos) || gone.avoided(nowNanos);
     }
 
     private boolean isUnresponsive(long nowNanos) {
@@ -210,6 +212,7 @@
         ejectionMillis = 0;
         consecutiveBroken = 0;
         coldState.onAnswered(nowNanos);
+        gone.onUp(nowNanos);
     }
 
     /** Records that bytes arrived from the server. */
@@ -256,11 +259,26 @@
         coldState.onLost(nowNanos);
     }
 
+    /** Records that this process could not connect to the server. */
+    void onNotConnected(long nowNanos) {
+        gone.onNotConnected(nowNanos);
+    }
+
+    /** Returns when this process could not connect to the server if that was a moment ago, in nanoseconds. */
+    OptionalLong notConnectedNanos(long nowNanos) {
+        return gone.notConnectedNanos(nowNanos);
+    }
+
     /** Records that another process lost contact with the server. */
     void onLostRemotely(long atNanos) {
         coldState.onLostByAnyProcess(atNanos);
     }
 
+    /** Records how many processes could not connect to the server, and when the last of them tried. */
+    void onNotConnectedRemotely(long atNanos, int processes) {
+        gone.onNotConnectedRemotely(atNanos, processes);
+    }
+
     /**
      * Returns when this process lost contact with the server, on the monotonic clock in nanoseconds, or empty if the
      * server has been up since.
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetSimulation.java
@@ -234,7 +234,7 @@
             if ((millis + 5L * i) % REPORT_INTERVAL_MILLIS == 0) {
                 RelayDispatcher dispatcher = dispatchers.get(i);
                 sums.onReport(processes.get(i), dispatcher.fleet().inFlight(), now());
-                lost.onReport(dispatcher.fleet().lostServers(now()), now());
+                lost.onReport(processes.get(i), dispatcher.fleet().lostServers(now()), now());
                 dispatcher.fleet().onRemoteLosses(lost.recentLosses(now()), now());
                 sums.retain(Set.copyOf(processes), now());
                 dispatcher.fleet().onRemoteInFlight(sums.sumExcluding(processes.get(i)), now());
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -274,7 +274,7 @@
         long now = System.nanoTime();
         quotaUsage.onReport(from, report.usages(), now);
         inFlightCalls.onReport(from, report.inFlight(), now);
-        lostServers.onReport(report.lostServers(), now);
+        lostServers.onReport(from, report.lostServers(), now);
         crashEvidence.onEvidence(from, report.evidence(), now);
         logLimits(from, serverLimits.onReport(from, report.limits(), now));
         network.send(
--- a/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
@@ -52,11 +52,14 @@
     }
 
     static void writeLostServer(FieldWriter out, LostServer lostServer) {
-        out.fields(2).text(lostServer.server().value()).number(lostServer.ageMillis());
+        out.fields(3)
+                .text(lostServer.server().value())
+                .number(lostServer.ageMillis())
+                .number(lostServer.processes());
     }
 
     static LostServer readLostServer(FieldReader in) {
-        return new LostServer(new ServerId(in.text()), in.number());
+        return new LostServer(new ServerId(in.text()), in.number(), in.smallNumber());
     }
 
     static ServerInFlight readServerInFlight(FieldReader in) {
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -228,8 +228,8 @@
     }
 
     private static Arbitrary<List<LostServer>> lostServers() {
-        return Combinators.combine(names(), numbers())
-                .as((server, age) -> new LostServer(new ServerId(server), age))
+        return Combinators.combine(names(), numbers(), Arbitraries.integers())
+                .as((server, age, processes) -> new LostServer(new ServerId(server), age, processes))
                 .list()
                 .ofMaxSize(4);
     }
