--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -153,7 +153,10 @@
     /** Adds the processes that are registered in the store as candidates for peers. */
     void onRegisteredMembers(List<Member> members) {
         network.onListedMembers(members);
-        dispatcher.processes().onRegistered(members.size(), System.nanoTime());
+        List<String> endpoints = members.stream()
+                .map(member -> member.address() + ":" + member.peerPort())
+                .toList();
+        dispatcher.processes().onRegisteredAt(endpoints, System.nanoTime());
     }
 
     /** Returns the number of steps of the exchange with peers that threw an exception. */
@@ -271,7 +274,7 @@
         long now = System.nanoTime();
         quotaUsage.onReport(from, report.usages(), now);
         inFlightCalls.onReport(from, report.inFlight(), now);
-        lostServers.onReport(report.lostServers(), now);
+        lostServers.onReport(from, report.lostServers(), now);
         crashEvidence.onEvidence(from, report.evidence(), now);
         logLimits(from, serverLimits.onReport(from, report.limits(), now));
         network.send(
