Choose servers by expected time, with learned speeds and the slowness of hosts now

Cause: servers were compared by one deployment's speeds, and what a host states of its pace was not used.

Statements of a host's pace are used at their age, with a learned time for which they hold, and go with the sums of calls in flight. A call goes to its first choice by this process's own knowledge, or to one server drawn at random for it: if that one's host is faster, or with a probability of the time it gains by what all processes sent. call-sent tells slowness and uncachedTokens.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/InFlightSums.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/InFlightSums.java
@@ -2,14 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.ServerInFlight;
+import org.geraniumstand.model.relay.SlownessNews;
 import org.geraniumstand.model.time.Timestamp;
 
 /** Sums the calls that all processes have in flight at each server. Not thread-safe. */
@@ -26,6 +29,8 @@
 
     private final Map<ProcessId, Report> reports = new HashMap<>();
     private final Map<ServerId, Sum> sums = new HashMap<>();
+    private final Map<ServerId, Stated> slowness = new HashMap<>();
+    private long latestNanos;
 
     private record Sum(int calls, long pendingTokens) {
         Sum plus(ServerInFlight added, int sign) {
@@ -37,6 +42,13 @@
         }
     }
 
+    /** Holds the latest that any process heard of a server's host, and when the server stated it. */
+    private record Stated(int percent, long atNanos) {
+        SlownessNews news(long nowNanos) {
+            return new SlownessNews(percent, (nowNanos - atNanos) / Timestamp.NANOS_PER_MILLI);
+        }
+    }
+
     private record Report(List<ServerInFlight> uses, long atNanos) {}
 
     /** Creates sums without any report. */
@@ -55,6 +67,20 @@
             add(before.uses(), -1);
         }
         add(inFlightByServer, 1);
+        latestNanos = nowNanos;
+        for (ServerInFlight reported : inFlightByServer) {
+            reported.slowness().filter(InFlightSums::isRecent).ifPresent(news -> {
+                long atNanos = nowNanos - news.ageMillis() * Timestamp.NANOS_PER_MILLI;
+                slowness.merge(
+                        reported.server(),
+                        new Stated(news.percent(), atNanos),
+                        (known, told) -> told.atNanos() - known.atNanos() > 0 ? told : known);
+            });
+        }
+    }
+
+    private static boolean isRecent(SlownessNews news) {
+        return news.ageMillis() >= 0 && news.ageMillis() <= REPORT_VALID_MILLIS;
     }
 
     private void add(List<ServerInFlight> inFlightByServer, int sign) {
@@ -74,6 +100,9 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public void retain(Set<ProcessId> live, long nowNanos) {
+        latestNanos = nowNanos;
+        slowness.values()
+                .removeIf(stated -> nowNanos - stated.atNanos() > REPORT_VALID_MILLIS * Timestamp.NANOS_PER_MILLI);
         Iterator<Map.Entry<ProcessId, Report>> iterator = reports.entrySet().iterator();
         while (iterator.hasNext()) {
             Map.Entry<ProcessId, Report> entry = iterator.next();
@@ -86,7 +115,8 @@
     }
 
     /**
-     * Returns the in-flight calls of all processes except one, by server.
+     * Returns the in-flight calls of all processes except one, by server, with what any process heard of the hosts, at its age
+     * at the latest report.
      *
      * @param process the process to exclude
      */
@@ -97,11 +127,20 @@
             ownReport.uses().forEach(serverInFlight -> own.put(serverInFlight.server(), serverInFlight));
         }
         List<ServerInFlight> others = new ArrayList<>();
+        Set<ServerId> told = new HashSet<>();
         sums.forEach((server, sum) -> {
             ServerInFlight mine = own.get(server);
             Sum remaining = mine == null ? sum : sum.plus(mine, -1);
             if (remaining.calls() > 0) {
-                others.add(new ServerInFlight(server, remaining.calls(), Math.max(0, remaining.pendingTokens())));
+                Optional<SlownessNews> news =
+                        Optional.ofNullable(slowness.get(server)).map(stated -> stated.news(latestNanos));
+                others.add(new ServerInFlight(server, remaining.calls(), Math.max(0, remaining.pendingTokens()), news));
+                told.add(server);
+            }
+        });
+        slowness.forEach((server, stated) -> {
+            if (!told.contains(server)) {
+                others.add(new ServerInFlight(server, 0, 0, Optional.of(stated.news(latestNanos))));
             }
         });
         return others;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
@@ -30,6 +30,10 @@
     private int attempts;
     private long sentNanos;
     private double pendingTokens;
+    private double uncachedTokens;
+    private double tokensAhead;
+    private int callsAhead;
+    private boolean speedLearned;
     private boolean mayHaveRun;
     private boolean relayed;
     private boolean positionKnown = true;
@@ -170,6 +174,10 @@
         attempts++;
         sentNanos = nowNanos;
         pendingTokens = tokens;
+        uncachedTokens = tokens;
+        tokensAhead = next.allPendingTokens(nowNanos);
+        callsAhead = next.occupiedSlots(nowNanos);
+        speedLearned = false;
         beganNanos = OptionalLong.empty();
         sound = false;
         tried.add(next.server().id());
@@ -185,6 +193,30 @@
         }
     }
 
+    /** Returns the prompt tokens of the last attempt that were expected to miss the server's prefix cache. */
+    public double uncachedTokens() {
+        return uncachedTokens;
+    }
+
+    /** Returns the prompt tokens that the server had to process before the last attempt, as far as known. */
+    double tokensAhead() {
+        return tokensAhead;
+    }
+
+    /** Returns the calls at the server when the last attempt was sent, as far as known. */
+    int callsAhead() {
+        return callsAhead;
+    }
+
+    /** Returns whether the speed of the service was learned from the last attempt. */
+    boolean speedLearned() {
+        return speedLearned;
+    }
+
+    void onSpeedLearned() {
+        speedLearned = true;
+    }
+
     /** Returns the parts of the prompt that other requests to the call's service may share; the service must be known. */
     Set<ServicePart> sharedParts() {
         if (sharedParts == null) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -220,6 +220,7 @@
      */
     public void onProgress(RelayCall call, long nowNanos) {
         crashingPrompts.onProgress(call, nowNanos);
+        learnSpeed(call, nowNanos);
     }
 
     /**
@@ -230,6 +231,15 @@
      */
     public void onSucceeded(RelayCall call, long nowNanos) {
         crashingPrompts.onSound(call, nowNanos);
+        learnSpeed(call, nowNanos);
+    }
+
+    private void learnSpeed(RelayCall call, long nowNanos) {
+        if (!call.speedLearned()) {
+            configuration
+                    .flatMap(c -> c.service(call.service()))
+                    .ifPresent(service -> SpeedLearning.learn(call, service, selector.speed(call.service()), nowNanos));
+        }
     }
 
     /**
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -16,6 +16,7 @@
 import org.geraniumstand.model.relay.LostServer;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.ServerInFlight;
+import org.geraniumstand.model.relay.SlownessNews;
 import org.geraniumstand.model.time.Timestamp;
 
 /** Tracks the backend servers that are registered in the store and the data centres that are out of service. */
@@ -25,6 +26,7 @@
     private final Map<String, ServerView> newestByEndpoint = new HashMap<>();
     private final Set<DataCentreId> outOfService = new HashSet<>();
     private final StoreStaleness storeStaleness = new StoreStaleness();
+    private final SlownessForecast slownessForecast = new SlownessForecast();
 
     /** Versions that services have been ordered to move to. */
     private final Map<ServiceId, VersionId> targetVersions = new HashMap<>();
@@ -59,7 +61,7 @@
             return;
         }
         onRemoved(listed.id());
-        ServerView view = new ServerView(listed, storeStaleness, nowNanos);
+        ServerView view = new ServerView(listed, storeStaleness, slownessForecast, nowNanos);
         servers.put(listed.id(), view);
         byService.computeIfAbsent(listed.service(), _key -> new ArrayList<>()).add(view);
         recordEndpoint(view);
@@ -217,13 +219,19 @@
         return Optional.ofNullable(servers.get(id));
     }
 
-    /** Returns the calls that this process has in flight, by server; servers without calls are omitted. */
-    public List<ServerInFlight> inFlight() {
+    /**
+     * Returns the calls that this process has in flight and what it heard of the hosts, by server; servers with neither are
+     * omitted.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public List<ServerInFlight> inFlight(long nowNanos) {
         List<ServerInFlight> inFlightByServer = new ArrayList<>();
         for (ServerView view : servers.values()) {
-            if (view.inFlight() > 0) {
-                inFlightByServer.add(
-                        new ServerInFlight(view.server().id(), view.inFlight(), Math.round(view.pendingTokens())));
+            Optional<SlownessNews> slowness = view.slownessNews(nowNanos);
+            if (view.inFlight() > 0 || slowness.isPresent()) {
+                inFlightByServer.add(new ServerInFlight(
+                        view.server().id(), view.inFlight(), Math.round(view.pendingTokens()), slowness));
             }
         }
         return inFlightByServer;
@@ -241,6 +249,7 @@
             ServerView view = servers.get(serverInFlight.server());
             if (view != null) {
                 view.onRemoteInFlight(serverInFlight.calls(), serverInFlight.pendingTokens(), nowNanos);
+                serverInFlight.slowness().ifPresent(news -> view.onSlownessNews(news, nowNanos));
             }
         }
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -15,8 +15,10 @@
 /** Selects the backend server of a call. */
 @Decision(
         name = "relay-choice",
-        summary = "Of the servers with spare capacity, select the one at which the call is expected to start first, "
-                + "with a penalty for tokens that miss the prefix cache and for traffic between data centres.")
+        summary = "Of the servers with spare capacity, take the one at which the call is expected to start first by "
+                + "what this process knows, and one drawn at random; go to the drawn one if its host is faster now, or by "
+                + "chance, the likelier the sooner it is by what all processes have sent, with a penalty for tokens that "
+                + "miss the prefix cache and for traffic between data centres.")
 public final class RelayServerSelector {
     /** Penalty of another data centre in milliseconds, for the round trip and the cost of the traffic. */
     private static final double REMOTE_DATA_CENTRE_MILLIS = 4;
@@ -92,6 +94,11 @@
         ServerView best = null;
         double bestUncachedTokens = 0;
         double bestCost = Double.POSITIVE_INFINITY;
+        // The highest of the hashes of call and server draws a server at random.
+        long draw = Hash.of(call.head().attempt()) + call.attempts();
+        ServerView drawn = null;
+        double drawnUncachedTokens = 0;
+        long drawnWeight = Long.MIN_VALUE;
         for (ServerView view : servers) {
             boolean skipped = hasAvailable && !isAvailable(view, call, nowNanos);
             if (skipped || !hasCapacity(view, service, processes, nowNanos)) {
@@ -107,8 +114,36 @@
                 bestUncachedTokens = uncachedTokens;
                 best = view;
             }
+            long weight = Hash.mix(draw ^ view.hash());
+            if (weight >= drawnWeight) {
+                drawnWeight = weight;
+                drawnUncachedTokens = uncachedTokens;
+                drawn = view;
+            }
+        }
+        if (best == null) {
+            return Optional.empty();
+        }
+        Selection first = new Selection(best, bestUncachedTokens);
+        Selection second = new Selection(drawn, drawnUncachedTokens);
+        boolean moves = !drawn.equals(best) && moves(first, second, service, draw, nowNanos);
+        return Optional.of(moves ? second : first);
+    }
+
+    /**
+     * Returns whether a call goes to the server that was drawn for it.
+     *
+     * <p>It does if the hosts' slowness makes that server sooner: calls do not change what hosts state. Otherwise it does
+     * with a probability of the part of the time that it gains by what all processes have sent: all of them hear the same
+     * figures, and a server that looks better would get twice its share until the next ones if calls moved for any gain.
+     */
+    private boolean moves(Selection best, Selection drawn, RelayService service, long draw, long nowNanos) {
+        if (slowCost(drawn, service, nowNanos) < slowCost(best, service, nowNanos)) {
+            return true;
         }
-        return best == null ? Optional.empty() : Optional.of(new Selection(best, bestUncachedTokens));
+        double bestCost = sharedCost(best, service, nowNanos);
+        double chance = Hash.modulo(Hash.mix(~draw), 1_000) / 1_000.0;
+        return chance * bestCost < bestCost - sharedCost(drawn, service, nowNanos);
     }
 
     private boolean hasNamedLimit(ServerView view) {
@@ -215,6 +250,24 @@
     }
 
     private double cost(ServerView view, RelayService service, double uncachedTokens, long nowNanos) {
+        return penalty(view, service, nowNanos)
+                + expectedStart.ownMillis(view, service, speed(service.id()), uncachedTokens, nowNanos);
+    }
+
+    private double slowCost(Selection selection, RelayService service, long nowNanos) {
+        ServerView view = selection.server();
+        double millis =
+                expectedStart.ownMillis(view, service, speed(service.id()), selection.uncachedTokens(), nowNanos);
+        return penalty(view, service, nowNanos) + view.slowness(nowNanos) * millis;
+    }
+
+    private double sharedCost(Selection selection, RelayService service, long nowNanos) {
+        ServerView view = selection.server();
+        return penalty(view, service, nowNanos)
+                + expectedStart.sharedMillis(view, service, speed(service.id()), selection.uncachedTokens(), nowNanos);
+    }
+
+    private double penalty(ServerView view, RelayService service, long nowNanos) {
         double cost = view.server().dataCentre().equals(localDataCentre) ? 0 : REMOTE_DATA_CENTRE_MILLIS;
         if (view.cold(service, nowNanos)) {
             cost += COLD_SERVER_MILLIS;
@@ -222,7 +275,7 @@
         if (hasNamedLimit(view)) {
             cost -= OPEN_TURN_MILLIS;
         }
-        return cost + expectedStart.millis(view, service, speed(service.id()), uncachedTokens, nowNanos);
+        return cost;
     }
 
     // Distributes calls over servers of equal cost.
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -7,6 +7,7 @@
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.RelayService;
 import org.geraniumstand.model.relay.ServerLoad;
+import org.geraniumstand.model.relay.SlownessNews;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.time.Timestamp;
 
@@ -32,6 +33,9 @@
     /** Number of consecutive connections broken without an answer after which a server is ejected. */
     private static final int CONSECUTIVE_BROKEN_THRESHOLD = 2;
 
+    /** Factor from the usual time beyond which statements count as this factor, so that an absurd one spoils no mean. */
+    private static final double MAX_SLOWNESS = 10;
+
     private final long hash;
     private int consecutiveBroken;
     private RelayServer server;
@@ -46,8 +50,10 @@
     private Optional<RemoteCalls> reportedByServer = Optional.empty();
     private Optional<RemoteCalls> reportedByPeers = Optional.empty();
     private long remotePendingTokens;
+    private final SlownessForecast slownessForecast;
     private OptionalDouble slowness = OptionalDouble.empty();
     private long slownessNanos;
+    private boolean slownessToldByServer;
     private boolean replaced;
     private long ejectionMillis;
     private long ejectedUntilNanos;
@@ -59,7 +65,8 @@
         }
     }
 
-    ServerView(RelayServer server, StoreStaleness storeStaleness, long nowNanos) {
+    ServerView(RelayServer server, StoreStaleness storeStaleness, SlownessForecast slownessForecast, long nowNanos) {
+        this.slownessForecast = slownessForecast;
         this.coldState = new ColdStateEstimate(storeStaleness, nowNanos);
         onListed(server, nowNanos);
         this.hash = Hash.of(server.id().value());
@@ -154,11 +161,51 @@
     }
 
     /**
-     * Returns how long work takes at the server, as a multiple of the usual time, as it last stated; 1 if it has not recently.
+     * Returns how long work is expected to take at the server, as a multiple of the usual time, from what it last stated
+     * and how long ago.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
      */
-    double slowness(long nowNanos) {
+    public double slowness(long nowNanos) {
+        return slowness.isEmpty()
+                ? slownessForecast.mean()
+                : slownessForecast.expected(slowness.getAsDouble(), slownessAgeMillis(nowNanos));
+    }
+
+    private double slownessAgeMillis(long nowNanos) {
+        return (double) (nowNanos - slownessNanos) / Timestamp.NANOS_PER_MILLI;
+    }
+
+    /** Returns what the server recently stated of its host in an answer to this process. */
+    Optional<SlownessNews> slownessNews(long nowNanos) {
         boolean fresh = nowNanos - slownessNanos < LOAD_VALID_MILLIS * Timestamp.NANOS_PER_MILLI;
-        return fresh ? slowness.orElse(1) : 1;
+        // What peers told is not told on, as its age would lose the time it was under way each time.
+        return fresh && slownessToldByServer && slowness.isPresent()
+                ? Optional.of(new SlownessNews(
+                        (int) Math.round(100 * slowness.getAsDouble()), Math.round(slownessAgeMillis(nowNanos))))
+                : Optional.empty();
+    }
+
+    /** Records what a peer heard of the server's host, unless this process heard something newer. */
+    void onSlownessNews(SlownessNews news, long nowNanos) {
+        if (news.ageMillis() < 0 || news.ageMillis() > LOAD_VALID_MILLIS) {
+            return;
+        }
+        long statedNanos = nowNanos - news.ageMillis() * Timestamp.NANOS_PER_MILLI;
+        if (slowness.isEmpty() || statedNanos - slownessNanos > 0) {
+            onSlowness(news.percent() / 100.0, statedNanos);
+            slownessToldByServer = false;
+        }
+    }
+
+    private void onSlowness(double unbounded, long statedNanos) {
+        double stated = Math.max(1 / MAX_SLOWNESS, Math.min(MAX_SLOWNESS, unbounded));
+        slownessForecast.onStated(stated);
+        if (slowness.isPresent()) {
+            slownessForecast.onStatedAgain(slowness.getAsDouble(), stated, slownessAgeMillis(statedNanos));
+        }
+        slowness = OptionalDouble.of(stated);
+        slownessNanos = statedNanos;
     }
 
     /** Records the calls that other processes have in flight at the server, as reported by an aggregator. */
@@ -226,8 +273,10 @@
     void onLoad(ServerLoad load, long nowNanos) {
         reportedByServer =
                 Optional.of(new RemoteCalls(Math.max(0, load.running() + load.waiting() - inFlight), nowNanos));
-        slowness = load.slowness();
-        slownessNanos = nowNanos;
+        if (load.slowness().isPresent()) {
+            onSlowness(load.slowness().getAsDouble(), nowNanos);
+            slownessToldByServer = true;
+        }
     }
 
     /** Ejects the server until its entry has certainly expired, because another server uses its address. */
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ColdFleetSimulation.java
@@ -233,7 +233,7 @@
         for (int i = 0; i < dispatchers.size(); i++) {
             if ((millis + 5L * i) % REPORT_INTERVAL_MILLIS == 0) {
                 RelayDispatcher dispatcher = dispatchers.get(i);
-                sums.onReport(processes.get(i), dispatcher.fleet().inFlight(), now());
+                sums.onReport(processes.get(i), dispatcher.fleet().inFlight(now()), now());
                 lost.onReport(dispatcher.fleet().lostServers(now()), now());
                 dispatcher.fleet().onRemoteLosses(lost.recentLosses(now()), now());
                 sums.retain(Set.copyOf(processes), now());
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/InFlightSharingReplayTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/InFlightSharingReplayTest.java
@@ -99,7 +99,7 @@
             end(now);
             for (int i = 0; shared && i < PROCESSES; i++) {
                 if ((millis + i * 4) % REPORT_INTERVAL_MILLIS == 0) {
-                    sums.onReport(id(i), dispatchers.get(i).fleet().inFlight(), now);
+                    sums.onReport(id(i), dispatchers.get(i).fleet().inFlight(now), now);
                     sums.retain(live, now);
                     dispatchers.get(i).fleet().onRemoteInFlight(sums.sumExcluding(id(i)), now);
                 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/InFlightSumsTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/InFlightSumsTest.java
@@ -6,10 +6,12 @@
 import static org.hamcrest.Matchers.empty;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.relay.ServerInFlight;
+import org.geraniumstand.model.relay.SlownessNews;
 import org.junit.jupiter.api.Test;
 
 final class InFlightSumsTest {
@@ -63,4 +65,21 @@
         sums.retain(Set.of(TWO, THREE), 1_600 * Calls.MILLI);
         assertThat(sums.sumExcluding(ONE), contains(inFlight(A, 4)));
     }
+
+    @Test
+    void tellsTheLatestNewsOfHostsAtItsAge() {
+        sums.onReport(ONE, List.of(slow(A, 0, 250, 300)), 1_000 * Calls.MILLI);
+        sums.onReport(TWO, List.of(slow(A, 2, 100, 50)), 1_100 * Calls.MILLI);
+        sums.onReport(THREE, List.of(slow(A, 1, 250, 400)), 1_200 * Calls.MILLI);
+
+        assertThat(sums.sumExcluding(ONE), contains(slow(A, 3, 100, 150)));
+        assertThat(sums.sumExcluding(TWO), contains(slow(A, 1, 100, 150)));
+
+        sums.retain(Set.of(ONE, TWO, THREE), 2_600 * Calls.MILLI);
+        assertThat(sums.sumExcluding(ONE), contains(inFlight(A, 3)));
+    }
+
+    private static ServerInFlight slow(ServerId server, int calls, int percent, long ageMillis) {
+        return new ServerInFlight(server, calls, 100L * calls, Optional.of(new SlownessNews(percent, ageMillis)));
+    }
 }
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryRuleTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayRetryRuleTest.java
@@ -13,7 +13,11 @@
         RelayCall call = Calls.call(1, route);
         for (int i = 0; i < attempts; i++) {
             call.send(
-                    new ServerView(Calls.server("s" + i, Calls.PLAIN_SERVICE, Calls.WEST, 0), new StoreStaleness(), 0),
+                    new ServerView(
+                            Calls.server("s" + i, Calls.PLAIN_SERVICE, Calls.WEST, 0),
+                            new StoreStaleness(),
+                            new SlownessForecast(),
+                            0),
                     0,
                     0);
             call.release(true);
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerSpeedReplay.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerSpeedReplay.java
@@ -212,7 +212,7 @@
         for (int i = 0; i < PROCESSES; i++) {
             if (time >= nextReportMillis[i]) {
                 nextReportMillis[i] = time + MIN_REPORT_MILLIS + random.nextInt(MAX_REPORT_MILLIS - MIN_REPORT_MILLIS);
-                sums.onReport(id(i), dispatchers.get(i).fleet().inFlight(), now);
+                sums.onReport(id(i), dispatchers.get(i).fleet().inFlight(now), now);
                 sums.retain(live, now);
                 dispatchers.get(i).fleet().onRemoteInFlight(sums.sumExcluding(id(i)), now);
             }
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -360,7 +360,7 @@
         dispatcher.processes().onActive(now);
         PeerMessage.QuotaUsageReport report = new PeerMessage.QuotaUsageReport(
                 dispatcher.quotas().localUsage(),
-                dispatcher.fleet().inFlight(),
+                dispatcher.fleet().inFlight(now),
                 dispatcher.fleet().lostServers(now),
                 crashEvidence.evaluate(liveProcesses, isFirstAggregator(), now),
                 serverLimits.report(now));
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -153,6 +153,8 @@
                 Field.of("server", server.id()),
                 Field.of("attempt", call.attempts()),
                 Field.of("load", call.server() == null ? 0 : call.server().inFlight()),
+                Field.of("slowness", call.server() == null ? 1 : call.server().slowness(System.nanoTime())),
+                Field.of("uncachedTokens", Math.round(call.uncachedTokens())),
                 Field.of("coldMillis", send.assumedState().coldMillis()),
                 Field.of("listedMillis", send.assumedState().listedMillis()),
                 Field.of("processes", send.assumedState().processes()),
--- a/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
@@ -1,9 +1,11 @@
 package org.geraniumstand.peer.codec;
 
+import java.util.Optional;
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.id.TeamId;
 import org.geraniumstand.model.relay.LostServer;
 import org.geraniumstand.model.relay.ServerInFlight;
+import org.geraniumstand.model.relay.SlownessNews;
 import org.geraniumstand.model.relay.TeamUsage;
 import org.geraniumstand.peer.PeerMessage;
 
@@ -48,7 +50,13 @@
     }
 
     static void writeServerInFlight(FieldWriter out, ServerInFlight inFlight) {
-        out.fields(3).text(inFlight.server().value()).number(inFlight.calls()).number(inFlight.pendingTokens());
+        out.fields(5)
+                .text(inFlight.server().value())
+                .number(inFlight.calls())
+                .number(inFlight.pendingTokens())
+                // Zero percent stands for no news.
+                .number(inFlight.slowness().map(SlownessNews::percent).orElse(0))
+                .number(inFlight.slowness().map(SlownessNews::ageMillis).orElse(0L));
     }
 
     static void writeLostServer(FieldWriter out, LostServer lostServer) {
@@ -60,6 +68,11 @@
     }
 
     static ServerInFlight readServerInFlight(FieldReader in) {
-        return new ServerInFlight(new ServerId(in.text()), in.smallNumber(), in.number());
+        ServerId server = new ServerId(in.text());
+        int calls = in.smallNumber();
+        long pendingTokens = in.number();
+        SlownessNews news = new SlownessNews(in.smallNumber(), in.number());
+        return new ServerInFlight(
+                server, calls, pendingTokens, news.percent() > 0 ? Optional.of(news) : Optional.empty());
     }
 }
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -45,6 +45,7 @@
 import org.geraniumstand.model.relay.ServerInFlight;
 import org.geraniumstand.model.relay.ServerLimit;
 import org.geraniumstand.model.relay.ServicePart;
+import org.geraniumstand.model.relay.SlownessNews;
 import org.geraniumstand.model.relay.SoundPart;
 import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.relay.TeamUsage;
@@ -287,8 +288,13 @@
     }
 
     private static Arbitrary<List<ServerInFlight>> inFlightCounts() {
-        return Combinators.combine(names(), integers(), numbers())
-                .as((server, calls, tokens) -> new ServerInFlight(new ServerId(server), calls, tokens))
+        Arbitrary<Optional<SlownessNews>> news = Combinators.combine(
+                        Arbitraries.integers().between(1, 100_000), numbers())
+                .as(SlownessNews::new)
+                .optional();
+        return Combinators.combine(names(), integers(), numbers(), news)
+                .as((server, calls, tokens, slowness) ->
+                        new ServerInFlight(new ServerId(server), calls, tokens, slowness))
                 .list()
                 .ofMaxSize(4);
     }
