Move to a drawn server only if it is sooner beyond the spread of equal servers

Cause: the first choice includes the millisecond that spreads calls over equal servers, the comparison with the drawn server did not, so calls moved without any news.

Change: both sides include it.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -126,7 +126,7 @@
         }
         Selection first = new Selection(best, bestUncachedTokens);
         Selection second = new Selection(drawn, drawnUncachedTokens);
-        boolean moves = !drawn.equals(best) && moves(first, second, service, draw, nowNanos);
+        boolean moves = !drawn.equals(best) && moves(call, first, second, service, draw, nowNanos);
         return Optional.of(moves ? second : first);
     }
 
@@ -137,8 +137,10 @@
      * with a probability of the part of the time that it gains by what all processes have sent: all of them hear the same
      * figures, and a server that looks better would get twice its share until the next ones if calls moved for any gain.
      */
-    private boolean moves(Selection best, Selection drawn, RelayService service, long draw, long nowNanos) {
-        if (slowCost(drawn, service, nowNanos) < slowCost(best, service, nowNanos)) {
+    private boolean moves(
+            RelayCall call, Selection best, Selection drawn, RelayService service, long draw, long nowNanos) {
+        if (slowCost(drawn, service, nowNanos) + tieBreak(call, drawn.server())
+                < slowCost(best, service, nowNanos) + tieBreak(call, best.server())) {
             return true;
         }
         double bestCost = sharedCost(best, service, nowNanos);
