Break an answer whose status is not written with three digits

Cause: the HTTP client reads the status as a number and keeps no text, so 0200, 00200 and +200 were relayed as 200. 000 and all others out of 200 to 599 were broken before.

The digits are checked where bytes are read from a server's connection, once for each request. Not checked: a head behind an interim answer or a dropped copy, and answers of the store and the platform.

--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -167,6 +167,7 @@
         connectionPort = localPort(established);
         repeatedAnswers = new RepeatedAnswers(established, buffers, this::readHead, this::failReading);
         connection.framing().onProgress();
+        connection.statusLine().expect();
         ClientRequest request =
                 new ClientRequest().setMethod(Methods.fromString(spec.method())).setPath(spec.path());
         HeaderMap headers = request.getRequestHeaders();
--- a/http/src/test/java/org/geraniumstand/http/opaque/FaultyServerTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/FaultyServerTest.java
@@ -286,6 +286,13 @@
     @ParameterizedTest
     @ValueSource(
             strings = {
+                "HTTP/1.1 000 OK\r\nContent-Length: 4",
+                "HTTP/1.1 000 OK",
+                "HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked",
+                "HTTP/1.1 099 OK\r\nContent-Length: 4",
+                "HTTP/1.1 0200 OK\r\nContent-Length: 4",
+                "HTTP/1.1 00200 OK\r\nContent-Length: 4",
+                "HTTP/1.1 +200 OK\r\nContent-Length: 4",
                 "HTTP/1.1 2000 OK\r\nContent-Length: 4",
                 "HTTP/1.1 1000 OK\r\nContent-Length: 4",
                 "HTTP/1.1 999 OK\r\nContent-Length: 4",
--- a/support/src/main/java/org/geraniumstand/support/net/FramingLimitConduit.java
+++ b/support/src/main/java/org/geraniumstand/support/net/FramingLimitConduit.java
@@ -7,19 +7,24 @@
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
-/** Reports the bytes that are read from a connection to its limit. */
+/** Reports the bytes that are read from a connection to its limit, and those of heads to the check of the status. */
 final class FramingLimitConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private final FramingLimit limit;
+    private final StatusLine statusLine;
 
-    FramingLimitConduit(StreamSourceConduit next, FramingLimit limit) {
+    FramingLimitConduit(StreamSourceConduit next, FramingLimit limit, StatusLine statusLine) {
         super(next);
         this.limit = limit;
+        this.statusLine = statusLine;
     }
 
     @Override
     public int read(ByteBuffer target) throws IOException {
+        int from = target.position();
         int count = next.read(target);
         limit.onRead(count);
+        // The HTTP client reads heads with this method only.
+        statusLine.onRead(target, from, from + count);
         return count;
     }
 
--- a/support/src/main/java/org/geraniumstand/support/net/LimitedIoThread.java
+++ b/support/src/main/java/org/geraniumstand/support/net/LimitedIoThread.java
@@ -19,13 +19,16 @@
 final class LimitedIoThread extends XnioIoThread {
     private final XnioIoThread delegate;
     private final FramingLimit limit;
+    private final StatusLine statusLine;
     private final WriteSwitch writes;
     private final UnreadInput unread;
 
-    LimitedIoThread(XnioIoThread delegate, FramingLimit limit, WriteSwitch writes, UnreadInput unread) {
+    LimitedIoThread(
+            XnioIoThread delegate, FramingLimit limit, StatusLine statusLine, WriteSwitch writes, UnreadInput unread) {
         super(delegate.getWorker(), delegate.getNumber());
         this.delegate = delegate;
         this.limit = limit;
+        this.statusLine = statusLine;
         this.writes = writes;
         this.unread = unread;
     }
@@ -40,7 +43,7 @@
                     connection
                             .getSourceChannel()
                             .setConduit(new FramingLimitConduit(
-                                    connection.getSourceChannel().getConduit(), limit));
+                                    connection.getSourceChannel().getConduit(), limit, statusLine));
                     connection
                             .getSinkChannel()
                             .setConduit(new DiscardingConduit(
--- a/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
@@ -25,14 +25,21 @@
 
     private final ClientConnection client;
     private final FramingLimit framing;
+    private final StatusLine statusLine;
     private final WriteSwitch writes;
     private final UnreadInput unread;
     private final AnsweredIds answeredIds = new AnsweredIds();
     private boolean answeredHead;
 
-    private ServerConnection(ClientConnection client, FramingLimit framing, WriteSwitch writes, UnreadInput unread) {
+    private ServerConnection(
+            ClientConnection client,
+            FramingLimit framing,
+            StatusLine statusLine,
+            WriteSwitch writes,
+            UnreadInput unread) {
         this.client = client;
         this.framing = framing;
+        this.statusLine = statusLine;
         this.writes = writes;
         this.unread = unread;
     }
@@ -47,6 +54,11 @@
         return framing;
     }
 
+    /** Returns the check of the status in an answer's first line. */
+    public StatusLine statusLine() {
+        return statusLine;
+    }
+
     /** Returns the requests that were answered on this connection. */
     public AnsweredIds answeredIds() {
         return answeredIds;
@@ -124,15 +136,17 @@
             Consumer<ServerConnection> onConnected,
             Consumer<IOException> onFailed) {
         FramingLimit limit = new FramingLimit();
+        StatusLine statusLine = new StatusLine();
         WriteSwitch writes = new WriteSwitch();
         UnreadInput unread = new UnreadInput();
         UndertowClient.getInstance()
                 .connect(
                         Callbacks.of(
-                                client -> onConnected.accept(new ServerConnection(client, limit, writes, unread)),
+                                client -> onConnected.accept(
+                                        new ServerConnection(client, limit, statusLine, writes, unread)),
                                 onFailed),
                         origin,
-                        new LimitedIoThread(thread, limit, writes, unread),
+                        new LimitedIoThread(thread, limit, statusLine, writes, unread),
                         buffers,
                         OptionMap.EMPTY);
     }
