Log the servers that begin to be avoided

Each process writes event=server-avoided once when others can't connect to a server; nothing else changes.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayFleet.java
@@ -307,6 +307,21 @@
         }
     }
 
+    /**
+     * Returns the servers that are avoided because other processes could not connect to them.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public Set<ServerId> avoidedServers(long nowNanos) {
+        Set<ServerId> avoided = new HashSet<>();
+        for (ServerView view : servers.values()) {
+            if (view.avoided(nowNanos)) {
+                avoided.add(view.server().id());
+            }
+        }
+        return avoided;
+    }
+
     /**
      * Records that another process answered at a server's address, so that the server's entry no longer supersedes others
      * there.
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -185,9 +185,14 @@
         return inFlight + freshCalls(serverIsNewer ? reportedByServer : reportedByPeers, nowNanos);
     }
 
-    /** Returns whether the server is ejected from selection or unresponsive. */
+    /** Returns whether the server is avoided because other processes could not connect to it. */
+    boolean avoided(long nowNanos) {
+        return gone.avoided(nowNanos);
+    }
+
+    /** Returns whether the server is ejected from selection, unresponsive or avoided. */
     public boolean isEjected(long nowNanos) {
-        return nowNanos - ejectedUntilNanos < 0 || isUnresponsive(nowNanos) || gone.avoided(nowNanos);
+        return nowNanos - ejectedUntilNanos < 0 || isUnresponsive(nowNanos) || avoided(nowNanos);
     }
 
     private boolean isUnresponsive(long nowNanos) {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -17,6 +17,7 @@
 import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.id.ProcessId;
+import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.member.ProtocolLevel;
 import org.geraniumstand.model.relay.ServerLimit;
@@ -72,6 +73,7 @@
     private final ConfigurationPullTiming configurationPull = new ConfigurationPullTiming();
     private Optional<List<Member>> pendingMembers = Optional.empty();
     private Set<ProcessId> liveProcesses = Set.of();
+    private Set<ServerId> avoidedServers = Set.of();
     private List<ProcessId> aggregators = List.of();
     private StoreWatcher storeWatcher;
     private LeaderElection leaderElection;
@@ -289,6 +291,17 @@
                         serverLimits.shares(from, now)));
     }
 
+    private void logAvoided(long nowNanos) {
+        Set<ServerId> avoided = dispatcher.fleet().avoidedServers(nowNanos);
+        for (ServerId server : avoided) {
+            if (!avoidedServers.contains(server)) {
+                LOG.info(
+                        "server-avoided", Field.of("server", server), Field.of("reason", "others can't connect to it"));
+            }
+        }
+        avoidedServers = avoided;
+    }
+
     private static void logLimits(ProcessId source, List<ServerLimit> changed) {
         for (ServerLimit limit : changed) {
             LOG.info(
@@ -309,6 +322,7 @@
         long now = System.nanoTime();
         dispatcher.quotas().onRemoteUsage(aggregator, aggregate.usages(), aggregate.reportingProcesses(), now);
         dispatcher.fleet().onRemoteLosses(aggregate.lostServers(), now);
+        logAvoided(now);
         crashEvidence.onEvidence(aggregator, aggregate.evidence(), now);
         int rank = aggregators.indexOf(aggregator);
         if (rank >= 0) {
