Count room in what work needs, not in places

An engine has more places than calls that it can serve in time. While answers begin late for their targets, an engine has room for a call only while the prompts that wait there, of all processes, let it begin in time and memory holds it; a process uses its share of the free time of the engines, as all see the same room at once, and figures of one engine count less the older they are. Late calls run only where nothing waits. A plain server has room while what waits beyond its slots lets the call be done in time.

Waiting calls aren't turned away early yet.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.geraniumstand.model.id.ServerId;
@@ -30,6 +31,7 @@
     private int attempts;
     private long sentNanos;
     private double pendingTokens;
+    private OptionalDouble expectedMillis = OptionalDouble.empty();
     private boolean mayHaveRun;
     private boolean relayed;
     private boolean positionKnown = true;
@@ -174,6 +176,19 @@
         sound = false;
         tried.add(next.server().id());
         next.onSent(tokens, nowNanos);
+        next.addHeldTokens(CallNeeds.heldTokens(this));
+    }
+
+    /** Records after how many milliseconds the answer of the current attempt is expected to begin. */
+    void setExpectedMillis(double next) {
+        expectedMillis = OptionalDouble.of(next);
+    }
+
+    /** Returns what was expected if the answer of the current attempt hasn't been compared with it yet. */
+    OptionalDouble takeExpectedMillis() {
+        OptionalDouble taken = expectedMillis;
+        expectedMillis = OptionalDouble.empty();
+        return taken;
     }
 
     /** Records the first sign that the server has started to process the call. */
@@ -230,6 +245,7 @@
     void release(boolean possiblyRan) {
         if (server != null) {
             server.onReleased(pendingTokens);
+            server.addHeldTokens(-CallNeeds.heldTokens(this));
             pendingTokens = 0;
             server = null;
         }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -220,6 +220,7 @@
      */
     public void onProgress(RelayCall call, long nowNanos) {
         crashingPrompts.onProgress(call, nowNanos);
+        selector.onProgress(call, nowNanos);
     }
 
     /**
@@ -518,6 +519,7 @@
         if (selection.isEmpty()) {
             return false;
         }
+        selector.onSent(call, service, selection.get(), nowNanos);
         ServerView server = selection.get().server();
         Optional<SharedLimit> limit = selector.limit(server, service, senders, nowNanos);
         limit.ifPresent(l -> rate.onSent(server.server().id(), l, nowNanos));
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -11,6 +11,7 @@
 import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.relay.PromptPart;
 import org.geraniumstand.model.relay.RelayService;
+import org.geraniumstand.model.time.Timestamp;
 
 /** Selects the backend server of a call. */
 @Decision(
@@ -30,13 +31,17 @@
      */
     private static final double OPEN_TURN_MILLIS = 10;
 
+    /** Part of the target that work which waits at an engine may take. */
+    private static final double TARGET_SHARE = 0.8;
+
     private final DataCentreId localDataCentre;
     private final RelayFleet fleet;
     private final PrefixCacheEstimate prefixCaches;
     private final SharedServerRate rate;
-    private final ServerRoom room = new ServerRoom();
+    private final Map<ServiceId, ServerRoom> rooms = new HashMap<>();
     private final ExpectedStart expectedStart = new ExpectedStart();
     private final Map<ServiceId, ServiceSpeed> speeds = new HashMap<>();
+    private final Map<ServiceId, RoomShare> roomShares = new HashMap<>();
 
     /**
      * Creates a selector.
@@ -86,6 +91,9 @@
      */
     public Optional<Selection> choose(RelayCall call, RelayService service, int processes, long nowNanos) {
         List<ServerView> servers = fleet.eligibleServers(call.service());
+        if (!hasShare(call, service, servers, processes, nowNanos)) {
+            return Optional.empty();
+        }
         boolean hasAvailable = anyAvailable(servers, call, nowNanos);
         List<PromptPart> prompt = call.head().promptParts();
         ServerView preferred = prompt.isEmpty() ? null : preferredServer(prompt, servers, nowNanos);
@@ -101,6 +109,9 @@
                     ? 0
                     : prefixCaches.uncachedTokens(
                             prompt, call.head().promptTokens(), view.server().id(), view.equals(preferred), nowNanos);
+            if (!hasRoom(call, view, service, uncachedTokens, nowNanos)) {
+                continue;
+            }
             double cost = cost(view, service, uncachedTokens, nowNanos) + tieBreak(call, view);
             if (cost < bestCost) {
                 bestCost = cost;
@@ -111,6 +122,81 @@
         return best == null ? Optional.empty() : Optional.of(new Selection(best, bestUncachedTokens));
     }
 
+    /** Records that a call is sent to a selected server. */
+    void onSent(RelayCall call, RelayService service, Selection selection, long nowNanos) {
+        CallNeeds needs = CallNeeds.of(call, selection.uncachedTokens(), nowNanos);
+        ServerRoom room = room(service.id());
+        ServiceSpeed speed = speed(service.id());
+        double ownMillis = room.ownMillis(needs, selection.server(), service, speed, nowNanos);
+        roomShare(service.id()).onSent(ownMillis);
+        if (service.engineCapacity().isPresent()) {
+            double aheadMillis = room.aheadMillis(selection.server(), service, speed, nowNanos);
+            call.setExpectedMillis((aheadMillis + ownMillis) / room.pace().factor());
+        }
+    }
+
+    /** Records that a part of a successful answer arrived. */
+    void onProgress(RelayCall call, long nowNanos) {
+        call.takeExpectedMillis()
+                .ifPresent(expectedMillis -> room(call.service())
+                        .pace()
+                        .onStarted(
+                                expectedMillis,
+                                (double) (nowNanos - call.sentNanos()) / Timestamp.NANOS_PER_MILLI,
+                                (double) call.route().targetMillis()));
+    }
+
+    private ServerRoom room(ServiceId service) {
+        return rooms.computeIfAbsent(service, _key -> new ServerRoom());
+    }
+
+    private RoomShare roomShare(ServiceId service) {
+        return roomShares.computeIfAbsent(service, _key -> new RoomShare());
+    }
+
+    // An answer that has begun goes on wherever there is a place.
+    private boolean hasRoom(
+            RelayCall call, ServerView view, RelayService service, double uncachedTokens, long nowNanos) {
+        return call.relayed()
+                || room(service.id())
+                        .fits(
+                                CallNeeds.of(call, uncachedTokens, nowNanos),
+                                view,
+                                service,
+                                speed(service.id()),
+                                nowNanos);
+    }
+
+    private boolean hasShare(
+            RelayCall call, RelayService service, List<ServerView> servers, int processes, long nowNanos) {
+        if (service.engineCapacity().isEmpty() || call.relayed()) {
+            return true;
+        }
+        room(service.id())
+                .onMeanRemoteTokens(servers.stream()
+                        .mapToDouble(view -> view.remotePendingTokens(nowNanos).orElse(0))
+                        .average()
+                        .orElse(0));
+        double freeMillis = 0;
+        int ownCalls = 0;
+        int allCalls = 0;
+        boolean othersKnown = false;
+        for (ServerView view : servers) {
+            freeMillis += call.route().targetMillis() * TARGET_SHARE
+                    - room(service.id()).aheadMillis(view, service, speed(service.id()), nowNanos);
+            ownCalls += view.inFlight();
+            allCalls += view.occupiedSlots(nowNanos);
+            othersKnown |= view.othersKnown(nowNanos);
+        }
+        double share = RoomShare.share(processes, ownCalls, allCalls, othersKnown);
+        RoomShare roomShare = roomShare(service.id());
+        roomShare.accrue(new RoomShare.Room(servers.size(), freeMillis, share), nowNanos);
+        if (!room(service.id()).pace().tight()) {
+            roomShare.refill();
+        }
+        return roomShare.isOpen() || !room(service.id()).pace().tight();
+    }
+
     private boolean hasNamedLimit(ServerView view) {
         return fleet.limits().perSecond(view.server()).isPresent();
     }
@@ -160,11 +246,11 @@
             Optional<SharedLimit> limit = limit(view, service, processes, nowNanos);
             if (limit.isPresent()) {
                 freeSlots += rate.allows(view.server().id(), limit.get(), nowNanos)
-                                && room.spareCapacity(view, service, nowNanos) > 0
+                                && room(service.id()).places(view, service, nowNanos) > 0
                         ? 1
                         : 0;
             } else {
-                freeSlots += Math.max(0, room.spareCapacity(view, service, nowNanos));
+                freeSlots += Math.max(0, room(service.id()).places(view, service, nowNanos));
             }
         }
         return freeSlots;
@@ -211,7 +297,7 @@
         boolean throttled = limit(view, service, processes, nowNanos)
                 .filter(limit -> !rate.allows(view.server().id(), limit, nowNanos))
                 .isPresent();
-        return !throttled && room.spareCapacity(view, service, nowNanos) > 0;
+        return !throttled && room(service.id()).places(view, service, nowNanos) > 0;
     }
 
     private double cost(ServerView view, RelayService service, double uncachedTokens, long nowNanos) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerRoom.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerRoom.java
@@ -1,8 +1,14 @@
 package org.geraniumstand.decisions.relay;
 
+import java.util.OptionalDouble;
+import org.geraniumstand.decisions.Decision;
 import org.geraniumstand.model.relay.RelayService;
 
-/** Decides how many further calls a server has room for. */
+/** Decides whether a server of one service has room for a call. Not thread-safe. */
+@Decision(
+        name = "server-room",
+        summary = "A server has room for a call while its memory holds the call and the work that waits there lets the "
+                + "call's answer begin when its caller needs it; an idle server has room for any call.")
 final class ServerRoom {
     /**
      * Calls that may queue at an engine, as a fraction of its slots: the engine fills a free slot at once, whereas the
@@ -10,20 +16,112 @@
      */
     private static final double ENGINE_QUEUE_SHARE = 0.6;
 
-    /** Requests that may queue at a plain server beyond its slots and still start in time. */
+    /** Fewest requests that may queue at a plain server beyond its slots, if they can be done in time. */
     private static final int PLAIN_QUEUE_LENGTH = 6;
 
     /**
-     * Returns for how many further calls a server has room, negative if it has too many.
+     * Part of a call's wait that the work known at a server may take; the rest is for work that isn't known yet, and for the
+     * way of the answer.
+     */
+    private static final double KNOWN_WORK_SHARE = 0.6;
+
+    /** Part of the target that work ahead of a late call may take, so that calls which come later can still be on time. */
+    private static final double LATE_CALL_SHARE = 0.01;
+
+    /**
+     * Milliseconds after which little of what was known of a single engine holds: it has read by then what waited there, and
+     * others have sent more.
+     */
+    private static final double FIGURES_HOLD_MILLIS = 150;
+
+    private final RoomPace pace = new RoomPace();
+    private double meanRemoteTokens;
+
+    /**
+     * Returns for how many further calls a server has places, negative if it has too many.
      *
      * @param view the server
      * @param service its service
      * @param nowNanos the monotonic time in nanoseconds
      */
-    int spareCapacity(ServerView view, RelayService service, long nowNanos) {
+    int places(ServerView view, RelayService service, long nowNanos) {
         int slots = view.server().slots();
-        int limit = slots
-                + (service.engineCapacity().isPresent() ? (int) (slots * ENGINE_QUEUE_SHARE) : PLAIN_QUEUE_LENGTH);
-        return limit - view.occupiedSlots(nowNanos);
+        int queue = service.engineCapacity().isPresent()
+                ? (int) (slots * ENGINE_QUEUE_SHARE)
+                : Math.max(PLAIN_QUEUE_LENGTH, slots);
+        return slots + queue - view.occupiedSlots(nowNanos);
+    }
+
+    /**
+     * Returns whether a server has room for a call.
+     *
+     * @param needs what the call needs
+     * @param view the server
+     * @param service its service
+     * @param speed how fast the servers of the service work
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    boolean fits(CallNeeds needs, ServerView view, RelayService service, ServiceSpeed speed, long nowNanos) {
+        boolean untroubled = service.engineCapacity().isPresent() && !pace.tight();
+        if (untroubled || view.occupiedSlots(nowNanos) <= 0) {
+            return true;
+        }
+        double ahead = aheadMillis(view, service, speed, nowNanos);
+        boolean inTime =
+                ahead + ownMillis(needs, view, service, speed, nowNanos) <= KNOWN_WORK_SHARE * needs.waitMillis();
+        return (inTime || ahead <= LATE_CALL_SHARE * needs.targetMillis())
+                && fitsMemory(needs, view, service, nowNanos);
+    }
+
+    /** Returns the learned pace. */
+    RoomPace pace() {
+        return pace;
+    }
+
+    private static boolean fitsMemory(CallNeeds needs, ServerView view, RelayService service, long nowNanos) {
+        return service.engineCapacity()
+                .map(capacity -> view.heldTokens(nowNanos) + needs.heldTokens() <= capacity.cacheTokens())
+                .orElse(true);
+    }
+
+    /** Records the unprocessed prompt tokens of other processes at the engines of the service, on average. */
+    void onMeanRemoteTokens(double tokens) {
+        meanRemoteTokens = tokens;
+    }
+
+    /**
+     * Returns the unprocessed prompt tokens to expect at an engine: the older the figures, the nearer to the mean of all
+     * engines.
+     */
+    private double expectedPendingTokens(ServerView view, long nowNanos) {
+        OptionalDouble remote = view.remotePendingTokens(nowNanos);
+        if (remote.isEmpty()) {
+            return view.pendingTokens();
+        }
+        double weight = Math.exp(-view.remoteAgeMillis(nowNanos) / FIGURES_HOLD_MILLIS);
+        return view.pendingTokens() + meanRemoteTokens + weight * (remote.getAsDouble() - meanRemoteTokens);
+    }
+
+    /** Returns the milliseconds that a server needs for the work of all processes that waits there. */
+    double aheadMillis(ServerView view, RelayService service, ServiceSpeed speed, long nowNanos) {
+        if (service.engineCapacity().isPresent()) {
+            double millis =
+                    expectedPendingTokens(view, nowNanos) * speed.prefillMillisPerToken() * view.slowness(nowNanos)
+                            + view.occupiedSlots(nowNanos) * speed.runningRequestMillis();
+            return millis * pace.factor();
+        }
+        int ahead = Math.max(0, view.occupiedSlots(nowNanos) + 1 - view.server().slots());
+        return ahead
+                * speed.plainCallMillis()
+                * view.slowness(nowNanos)
+                / Math.max(1, view.server().slots());
+    }
+
+    /** Returns the milliseconds of a server's time that a call takes before its answer begins. */
+    double ownMillis(CallNeeds needs, ServerView view, RelayService service, ServiceSpeed speed, long nowNanos) {
+        double millis = service.engineCapacity().isPresent()
+                ? needs.uncachedTokens() * speed.prefillMillisPerToken() * pace.factor()
+                : speed.plainCallMillis();
+        return millis * view.slowness(nowNanos);
     }
 }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerView.java
@@ -41,6 +41,7 @@
     private int inFlight;
     private int unanswered;
     private double pendingTokens;
+    private long heldTokens;
     private long lastByteNanos;
     private long awaitingSinceNanos;
     private Optional<RemoteCalls> reportedByServer = Optional.empty();
@@ -153,6 +154,36 @@
         return pendingTokens + (fresh ? remotePendingTokens : 0);
     }
 
+    /** Returns the unprocessed prompt tokens of other processes as last reported, or empty if that isn't known. */
+    OptionalDouble remotePendingTokens(long nowNanos) {
+        return othersKnown(nowNanos) ? OptionalDouble.of((double) remotePendingTokens) : OptionalDouble.empty();
+    }
+
+    /** Returns how old the figures of other processes are, in milliseconds. */
+    double remoteAgeMillis(long nowNanos) {
+        return reportedByPeers
+                .map(report -> (double) (nowNanos - report.atNanos()) / Timestamp.NANOS_PER_MILLI)
+                .orElse(0.0);
+    }
+
+    /** Returns whether it is known how many calls other processes have at the server. */
+    boolean othersKnown(long nowNanos) {
+        return reportedByPeers.filter(report -> report.isFresh(nowNanos)).isPresent();
+    }
+
+    /**
+     * Returns the tokens of memory that calls take at the server; those of other processes are taken to be as large as the
+     * ones of this process.
+     */
+    long heldTokens(long nowNanos) {
+        return inFlight == 0 ? 0 : heldTokens * Math.max(inFlight, occupiedSlots(nowNanos)) / inFlight;
+    }
+
+    /** Records that a call takes tokens of the server's memory, or, if negative, that it no longer does. */
+    void addHeldTokens(long tokens) {
+        heldTokens += tokens;
+    }
+
     /**
      * Returns how long work takes at the server, as a multiple of the usual time, as it last stated; 1 if it has not recently.
      */
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RoomSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RoomSimulation.java
@@ -40,24 +40,17 @@
     private static final int BACK_MILLIS = 30_000;
 
     /** Kinds of calls: large drafts, pages and small chats with long answers. */
-    private enum Kind {
-        DRAFT(1, 1_000, 6_000, 3_190, 40),
-        PAGE(0, 700, 1_500, 700, 20),
-        CHAT(2, 500, 400, 200, 70);
+    private static final List<Kind> KINDS = List.of(
+            new Kind(0, 1, 1_000, 6_000, 3_190, 40),
+            new Kind(1, 0, 700, 1_500, 700, 20),
+            new Kind(2, 2, 500, 400, 200, 70));
 
-        private final RelayRoute route;
-        private final int sharedTokens;
-        private final int ownTokens;
-        private final int answerTokens;
-
-        Kind(int priority, int targetMillis, int sharedTokens, int ownTokens, int answerTokens) {
-            this.sharedTokens = sharedTokens;
-            this.ownTokens = ownTokens;
-            this.answerTokens = answerTokens;
-            this.route = new RelayRoute(
-                    new RouteId(name()),
+    private record Kind(int index, int priority, int targetMillis, int sharedTokens, int ownTokens, int answerTokens) {
+        RelayRoute route() {
+            return new RelayRoute(
+                    new RouteId("kind-" + index),
                     "host.example",
-                    "/" + name() + "/",
+                    "/kind-" + index + "/",
                     CallKind.STREAM,
                     false,
                     DEADLINE_MILLIS,
@@ -86,12 +79,12 @@
     private final Random random;
     private final List<RelayDispatcher> dispatchers = new ArrayList<>();
     private final Map<ServerId, PacedEngine> engines = new HashMap<>();
-    private final Map<RelayCall, RelayDispatcher> owners = new IdentityHashMap<>();
-    private final Set<RelayCall> prompt = new HashSet<>();
+    private final IdentityHashMap<RelayCall, RelayDispatcher> owners = new IdentityHashMap<>();
+    private final Set<Long> prompt = new HashSet<>();
     private final InFlightSums sums = new InFlightSums();
     private final Set<ProcessId> live = new HashSet<>();
-    private final int[][] served = new int[Kind.values().length][120];
-    private final int[][] asked = new int[Kind.values().length][120];
+    private final int[][] served = new int[KINDS.size()][120];
+    private final int[][] asked = new int[KINDS.size()][120];
 
     RoomSimulation(int processCount, double demand, long seed, boolean lost) {
         this.processCount = processCount;
@@ -177,28 +170,32 @@
     }
 
     private void arrive(long number, long now) {
-        Kind kind = Kind.values()[number % 10 < 4 ? 0 : number % 10 < 7 ? 1 : 2];
-        PromptPart topic = new PromptPart(1 + kind.ordinal() * 100L + random.nextInt(60), kind.sharedTokens);
-        PromptPart own = new PromptPart(10_000 + number, kind.ownTokens);
+        Kind kind = KINDS.get(number % 10 < 4 ? 0 : number % 10 < 7 ? 1 : 2);
+        PromptPart topic = new PromptPart(1 + kind.index() * 100L + random.nextInt(60), kind.sharedTokens());
+        PromptPart own = new PromptPart(10_000 + number, kind.ownTokens());
         CallerHead head = new CallerHead(
                 "attempt-" + number,
                 Optional.of("key"),
                 OptionalLong.of(DEADLINE_MILLIS),
                 Optional.empty(),
-                kind.sharedTokens + kind.ownTokens,
-                kind.answerTokens,
+                kind.sharedTokens() + kind.ownTokens(),
+                kind.answerTokens(),
                 true,
                 List.of(topic, own));
         RelayCall call =
-                new RelayCall(number, head, kind.route, Optional.of(TEAM), now, now + DEADLINE_MILLIS * Calls.MILLI);
+                new RelayCall(number, head, kind.route(), Optional.of(TEAM), now, now + DEADLINE_MILLIS * Calls.MILLI);
         RelayDispatcher dispatcher = dispatchers.get(random.nextInt(processCount));
         owners.put(call, dispatcher);
-        asked[kind.ordinal()][second(call)]++;
+        asked[kind.index()][second(call)]++;
         List<RelayStep> steps = new ArrayList<>();
         dispatcher.onArrival(call, now, steps);
         perform(dispatcher, steps);
     }
 
+    private static int kindOf(RelayCall call) {
+        return Integer.parseInt(call.route().id().value().substring("kind-".length()));
+    }
+
     private static int second(RelayCall call) {
         return (int) (call.arrivedNanos() / (1_000 * Calls.MILLI));
     }
@@ -220,12 +217,12 @@
                 owners.get(call).onStarted(call, Optional.empty(), now);
                 owners.get(call).onProgress(call, now);
                 if (now - call.arrivedNanos() <= call.route().targetMillis() * Calls.MILLI) {
-                    prompt.add(call);
+                    prompt.add(call.number());
                 }
             }
             for (RelayCall call : progress.ended()) {
-                if (prompt.remove(call) && now < call.deadlineNanos()) {
-                    served[Kind.valueOf(call.route().id().value()).ordinal()][second(call)]++;
+                if (prompt.remove(call.number()) && now < call.deadlineNanos()) {
+                    served[kindOf(call)][second(call)]++;
                 }
                 RelayDispatcher owner = owners.remove(call);
                 List<RelayStep> steps = new ArrayList<>();
@@ -247,10 +244,10 @@
 
     private static double tokens(int[][] counts, int from, int to) {
         double sum = 0;
-        for (Kind kind : Kind.values()) {
-            sum += (kind.sharedTokens + kind.ownTokens)
+        for (Kind kind : KINDS) {
+            sum += (kind.sharedTokens() + kind.ownTokens())
                     * IntStream.range(from, to)
-                            .mapToDouble(s -> counts[kind.ordinal()][s])
+                            .mapToDouble(s -> counts[kind.index()][s])
                             .sum();
         }
         return sum;
@@ -259,28 +256,12 @@
     /** Returns the number of kinds of which less than a fiftieth was served in time. */
     int kindsWithoutService(int from, int to) {
         int kinds = 0;
-        for (Kind kind : Kind.values()) {
-            int got = IntStream.range(from, to)
-                    .map(s -> served[kind.ordinal()][s])
-                    .sum();
-            int all =
-                    IntStream.range(from, to).map(s -> asked[kind.ordinal()][s]).sum();
+        for (Kind kind : KINDS) {
+            int got =
+                    IntStream.range(from, to).map(s -> served[kind.index()][s]).sum();
+            int all = IntStream.range(from, to).map(s -> asked[kind.index()][s]).sum();
             kinds += got * 50 < all ? 1 : 0;
         }
         return kinds;
     }
-
-    String describe() {
-        StringBuilder text = new StringBuilder();
-        for (Kind kind : Kind.values()) {
-            text.append(kind).append(' ');
-            for (int s = 0; s < 42; s++) {
-                int a = asked[kind.ordinal()][s];
-                text.append(a == 0 ? "-" : Integer.toString(100 * served[kind.ordinal()][s] / a))
-                        .append(' ');
-            }
-            text.append('\n');
-        }
-        return text.toString();
-    }
 }
