Order, hold back and refuse waiting calls by the line of all processes

Cause: each process orders the calls that wait at it and forecasts from its own places. Of 70 processes each sees about one call; all send to the same free places, a place goes to whoever looks first, whatever the rank, and a team that sends many times its usual gets most.

Change: what waits elsewhere and was sent lately, by rank and team, decides how many of the free places a process takes and whom it holds back; teams of a rank take turns by work; late calls let one of a lower rank pass and then go by rank. The forecast counts the line and rate of all; refusals are no-room, with a time to come back within a third of the time left, spread by hash.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,6 +21,7 @@
 import org.geraniumstand.model.relay.RelayTeam;
 import org.geraniumstand.model.relay.ServerLoad;
 import org.geraniumstand.model.relay.ServiceShare;
+import org.geraniumstand.model.relay.WaitingCalls;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
@@ -63,6 +65,7 @@
     private final Map<ServiceId, RelayRetryBudget> retryBudgets = new HashMap<>();
     private final Map<ServiceId, QueueWaitEstimate> waitEstimates = new HashMap<>();
     private final Map<ServiceId, ArrivalRate> arrivals = new HashMap<>();
+    private final Map<ServiceId, WaitingLine> lines = new HashMap<>();
     private final RetryDenials retryDenials;
     private final List<DeniedRetries> deniedRetries = new ArrayList<>();
     private Optional<RelayConfiguration> configuration = Optional.empty();
@@ -134,6 +137,33 @@
         return queue(service).size();
     }
 
+    /** Returns the number of queued calls of all services. */
+    public int queuedCount() {
+        return queues.values().stream().mapToInt(CallQueue::size).sum();
+    }
+
+    /**
+     * Returns what waits at this process, for the other processes.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public List<WaitingCalls> waitingCalls(long nowNanos) {
+        return lines.entrySet().stream()
+                .flatMap(line -> line.getValue().report(queue(line.getKey()).counts(), nowNanos).stream())
+                .toList();
+    }
+
+    /**
+     * Records what waits at all other processes.
+     *
+     * @param waiting the calls by service, rank and team
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public void onRemoteWaiting(List<WaitingCalls> waiting, long nowNanos) {
+        waiting.forEach(calls -> line(calls.service()));
+        lines.values().forEach(line -> line.onOthers(waiting, nowNanos));
+    }
+
     /** Returns whether any call is queued. */
     public boolean hasQueuedCalls() {
         return queues.values().stream().anyMatch(queue -> queue.size() > 0);
@@ -336,6 +366,9 @@
     public void onEnded(RelayCall call, AttemptEnd end, long nowNanos, List<RelayStep> steps) {
         ServerView server = call.server();
         crashingPrompts.onEnded(call, end, nowNanos);
+        if (server != null && end == AttemptEnd.ANSWERED) {
+            line(call.service()).onFreed();
+        }
         call.release(end != AttemptEnd.CANCELLED && RelayRetryRule.mayHaveRun(end));
         if (server != null && server.recordEnd(end)) {
             server.eject(nowNanos);
@@ -446,31 +479,53 @@
                 .flatMap(c -> c.service(service))
                 .map(known -> selector.requestedWait(known, processes.senderCount(nowNanos), nowNanos))
                 .orElse(RequestedWait.NONE);
-        QueueWaitEstimate waitEstimate = waitEstimate(service);
-        List<RelayCall> unservable = queue.removeIf((ahead, call) -> {
+        IdentityHashMap<RelayCall, Long> waits = new IdentityHashMap<>();
+        List<RelayCall> unservable = queue.removeIf(nowNanos, (ahead, call) -> {
             long remainingMillis = (call.deadlineNanos() - nowNanos) / Timestamp.NANOS_PER_MILLI;
+            long waitMillis = expectedWaitMillis(ahead, call, nowNanos);
             // A refusal discards what has already been relayed, so such a call waits until its deadline.
-            boolean tooLong = !call.relayed() && waitEstimate.waitMillis(ahead, nowNanos) > remainingMillis;
+            boolean hopeless = TurningAway.isHopeless(waitMillis, remainingMillis, call.relayed());
             boolean blocked = crashingPrompts.blockedMillis(call, nowNanos).isPresent();
             long totalMillis = (call.deadlineNanos() - call.arrivedNanos()) / Timestamp.NANOS_PER_MILLI;
             boolean notWanted = !call.relayed() && requested.isTooLong(ahead, totalMillis, remainingMillis);
-            return noServer || remainingMillis <= 0 || tooLong || blocked || notWanted;
+            boolean refused = noServer || hopeless || blocked || notWanted;
+            if (hopeless && !noServer && !notWanted) {
+                waits.put(call, waitMillis);
+            }
+            return refused;
         });
         for (RelayCall call : unservable) {
             OptionalLong blockedMillis = crashingPrompts.blockedMillis(call, nowNanos);
             Refusal refusal;
             if (blockedMillis.isPresent()) {
                 refusal = quarantineRefusal(call, blockedMillis.getAsLong());
+            } else if (call.mayHaveRun()) {
+                refusal = Refusal.unknown(RefusalReason.DEADLINE);
+            } else if (waits.containsKey(call)) {
+                long remainingMillis = (call.deadlineNanos() - nowNanos) / Timestamp.NANOS_PER_MILLI;
+                refusal = Refusal.notRun(
+                        RefusalReason.NO_ROOM,
+                        TurningAway.returnMillis(call.head().attempt(), waits.get(call), remainingMillis));
             } else {
-                refusal = call.mayHaveRun()
-                        ? Refusal.unknown(RefusalReason.DEADLINE)
-                        : Refusal.notRun(
-                                RefusalReason.NO_SERVER, Math.max(requested.firstMillis(), retryAfterMillis(call)));
+                refusal = Refusal.notRun(
+                        RefusalReason.NO_SERVER, Math.max(requested.firstMillis(), retryAfterMillis(call)));
             }
             refuse(call, refusal, steps);
         }
     }
 
+    private long expectedWaitMillis(int ahead, RelayCall call, long nowNanos) {
+        WaitingLine line = line(call.service());
+        QueueWaitEstimate estimate = waitEstimate(call.service());
+        return line.othersWait(nowNanos)
+                ? estimate.waitMillis(
+                        ahead + line.aheadElsewhere(call, nowNanos),
+                        TurningAway.caution(call.head().attempt()),
+                        line.sentPerSecond(call.priority(), nowNanos),
+                        nowNanos)
+                : estimate.waitMillis(ahead, nowNanos);
+    }
+
     private static Refusal quarantineRefusal(RelayCall call, long blockedMillis) {
         return call.mayHaveRun()
                 ? Refusal.unknown(RefusalReason.SERVER_FAILED)
@@ -494,12 +549,17 @@
         }
         // Selecting a server for a call scans all servers, so no call is considered once there is no free slot.
         int freeSlots = selector.freeSlots(service.get(), processes.senderCount(nowNanos), nowNanos);
+        int turns = freeSlots == 0 ? 0 : selector.openTurns(service.get(), processes.senderCount(nowNanos), nowNanos);
+        int places = freeSlots == 0
+                ? 0
+                : turns + line(id).places(freeSlots - turns, queue(id).counts(), nowNanos);
         int before = steps.size();
         queue(id)
-                .dispatchWhile(
+                .offerWhile(
                         nowNanos,
-                        () -> steps.size() - before < freeSlots,
-                        call -> dispatch(call, service.get(), nowNanos, steps));
+                        () -> steps.size() - before < places,
+                        call -> offer(
+                                call, service.get(), freeSlots - (steps.size() - before), turns, nowNanos, steps));
         waitEstimate.onDispatched(steps.size() - before);
         if (queue(id).size() == 0) {
             waitEstimate.onQueueEmpty();
@@ -508,6 +568,16 @@
         }
     }
 
+    /** Dispatches a call unless the free slots are needed for calls of other processes that go first. */
+    private CallQueue.Answer offer(
+            RelayCall call, RelayService service, int freeSlots, int turns, long nowNanos, List<RelayStep> steps) {
+        // The turns of this process at limited servers are of no use to others.
+        if (turns == 0 && freeSlots <= line(service.id()).firstElsewhere(WaitingLine.Key.of(call), nowNanos)) {
+            return CallQueue.Answer.HELD_BACK;
+        }
+        return dispatch(call, service, nowNanos, steps) ? CallQueue.Answer.ACCEPTED : CallQueue.Answer.REJECTED;
+    }
+
     private boolean dispatch(RelayCall call, RelayService service, long nowNanos, List<RelayStep> steps) {
         if (nowNanos - call.deadlineNanos() >= 0
                 || crashingPrompts.blockedMillis(call, nowNanos).isPresent()) {
@@ -524,6 +594,10 @@
         call.send(server, selection.get().uncachedTokens(), nowNanos);
         call.setWithinLimit(limit.isPresent());
         crashingPrompts.onSent(call, nowNanos);
+        line(service.id()).onSent(call, nowNanos);
+        if (limit.isEmpty()) {
+            line(service.id()).onPlaceTaken();
+        }
         if (service.engineCapacity().isPresent()) {
             prefixCaches.onSent(call.head().promptParts(), server.server().id(), nowNanos);
         }
@@ -551,7 +625,11 @@
     }
 
     private CallQueue queue(ServiceId service) {
-        return queues.computeIfAbsent(service, _key -> new CallQueue());
+        return queues.computeIfAbsent(service, key -> new CallQueue(line(key)::sentWork));
+    }
+
+    private WaitingLine line(ServiceId service) {
+        return lines.computeIfAbsent(service, WaitingLine::new);
     }
 
     private QueueWaitEstimate waitEstimate(ServiceId service) {
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -170,6 +170,18 @@
         return freeSlots;
     }
 
+    /** Returns the number of servers of a service with a limit of which this process has a turn now. */
+    int openTurns(RelayService service, int processes, long nowNanos) {
+        int turns = 0;
+        for (ServerView view : fleet.eligibleServers(service.id())) {
+            Optional<SharedLimit> limit = limit(view, service, processes, nowNanos);
+            if (limit.isPresent() && hasCapacity(view, service, processes, nowNanos)) {
+                turns++;
+            }
+        }
+        return turns;
+    }
+
     /**
      * Returns how long calls have to wait because all servers of a service have asked for a pause or have named a limit.
      *
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QueueWaitEstimateTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QueueWaitEstimateTest.java
@@ -68,4 +68,14 @@
 
         assertThat(estimate.waitMillis(5, 1_000 * Calls.MILLI), is(0L));
     }
+
+    /** Nothing came free here for 100 ms, while all processes dispatch 100 calls a second; some calls are refused first. */
+    @Test
+    void usesLineOfAllProcesses() {
+        estimate.onQueueNonEmpty(0);
+
+        assertThat(estimate.waitMillis(99, 0, 100, 100 * Calls.MILLI), is(2_000L));
+        assertThat(estimate.waitMillis(99, 0.5, 100, 100 * Calls.MILLI), is(3_000L));
+        assertThat(estimate.waitMillis(0, 0.5, 0, 100 * Calls.MILLI), is(100L));
+    }
 }
--- a/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
+++ b/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
@@ -30,6 +30,8 @@
     DEADLINE("deadline", 503, "No backend server can answer before the deadline."),
     /** No backend server of the service can accept the request at present. */
     NO_SERVER("no-server", 503, "No backend server of the service may take the request now."),
+    /** The backend servers of the service are full, and others go first until the deadline. */
+    NO_ROOM("no-room", 503, "The backend servers of the service have no room before the deadline."),
     /** Backend servers crashed when they began to answer a part of the prompt. */
     PROMPT_QUARANTINED("prompt-quarantined", 503, "Backend servers crash when they answer a part of this prompt."),
     /** The claim of an order cannot be recorded in the store at present. */
