Tell other processes what waits, in the reports of quota use

One field at the end of each of the two messages, empty while no call waits anywhere; older processes leave it out.

--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -14,6 +14,7 @@
 import org.geraniumstand.decisions.relay.RelayDispatcher;
 import org.geraniumstand.decisions.relay.ServerLimitExchange;
 import org.geraniumstand.decisions.relay.TaskCoordinators;
+import org.geraniumstand.decisions.relay.WaitingSums;
 import org.geraniumstand.entry.settings.RelaySettings;
 import org.geraniumstand.entry.task.Timer;
 import org.geraniumstand.model.id.ProcessId;
@@ -66,6 +67,7 @@
     private final ConfigurationListener onPeerConfiguration;
     private final QuotaUsageSums quotaUsage = new QuotaUsageSums();
     private final InFlightSums inFlightCalls = new InFlightSums();
+    private final WaitingSums waitingCalls = new WaitingSums();
     private final LostServers lostServers = new LostServers();
     private final CrashEvidenceExchange crashEvidence;
     private final ServerLimitExchange serverLimits;
@@ -271,6 +273,7 @@
         long now = System.nanoTime();
         quotaUsage.onReport(from, report.usages(), now);
         inFlightCalls.onReport(from, report.inFlight(), now);
+        waitingCalls.onReport(from, report.waiting(), now);
         lostServers.onReport(report.lostServers(), now);
         crashEvidence.onEvidence(from, report.evidence(), now);
         logLimits(from, serverLimits.onReport(from, report.limits(), now));
@@ -283,7 +286,8 @@
                         isFirstAggregator() ? inFlightCalls.sumExcluding(from) : List.of(),
                         lostServers.recentLosses(now),
                         crashEvidence.aggregate(),
-                        serverLimits.shares(from, now)));
+                        serverLimits.shares(from, now),
+                        isFirstAggregator() ? waitingCalls.sumExcluding(from) : List.of()));
     }
 
     private static void logLimits(ProcessId source, List<ServerLimit> changed) {
@@ -311,6 +315,9 @@
         if (rank >= 0) {
             logLimits(aggregator, serverLimits.onShares(rank, aggregate.limits(), now));
         }
+        if (rank == 0) {
+            dispatcher.onRemoteWaiting(aggregate.waiting(), now);
+        }
         // An aggregator that has just started has received reports of only some of the calls in flight.
         if (!aggregate.inFlight().isEmpty()
                 && aggregate.reportingProcesses() >= MIN_REPORTING_FRACTION * liveProcesses.size()) {
@@ -363,9 +370,11 @@
                 dispatcher.fleet().inFlight(),
                 dispatcher.fleet().lostServers(now),
                 crashEvidence.evaluate(liveProcesses, isFirstAggregator(), now),
-                serverLimits.report(now));
+                serverLimits.report(now),
+                dispatcher.waitingCalls(now));
         serverLimits.retain(liveProcesses, now);
         inFlightCalls.retain(liveProcesses, now);
+        waitingCalls.retain(liveProcesses, now);
         // A report to this process itself is delivered like any other message.
         aggregators.forEach(aggregator -> network.send(aggregator, report));
     }
--- a/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/DispatcherTask.java
@@ -61,6 +61,11 @@
         return tasks.size();
     }
 
+    /** Returns the number of calls to the service of a call that wait for a server. */
+    int waitingCalls(RelayCall call) {
+        return call.service() == null ? 0 : dispatcher.queuedCount(call.service());
+    }
+
     /** Returns the number of steps that threw an exception. */
     public long failedSteps() {
         return guard.failures();
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -216,6 +216,9 @@
                 Field.of("reason", refusal.reason().text()),
                 Field.of("outcome", refusal.outcome().text()),
                 Field.of("attempts", call.attempts()),
+                Field.of("rank", call.priority()),
+                Field.of("waiting", context.dispatcherTask().waitingCalls(call)),
+                Field.of("retryAfterMillis", refusal.retryAfterMillis()),
                 Field.of("waitedMillis", millisSinceArrival()));
         context.observer().refused(refusal.reason());
         answer.refuse(refusal, call.head().attempt());
--- a/operator/src/main/java/org/geraniumstand/operator/logs/FailureCause.java
+++ b/operator/src/main/java/org/geraniumstand/operator/logs/FailureCause.java
@@ -41,6 +41,9 @@
                 return "The process had not loaded a configuration yet.";
             case "stopping":
                 return "The process was shutting down.";
+            case "no-room":
+                return "The servers of the service had no room for the request before its deadline"
+                        + describeLastAttempt(requestLines) + ".";
             case "no-server":
                 return "No server of the service accepted requests" + describeLastAttempt(requestLines) + ".";
             case "deadline":
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -18,6 +18,7 @@
 import org.geraniumstand.model.relay.ServerInFlight;
 import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.relay.TeamUsage;
+import org.geraniumstand.model.relay.WaitingCalls;
 import org.geraniumstand.model.relay.WindowCounts;
 import org.geraniumstand.model.relay.WindowTotal;
 import org.geraniumstand.outside.relay.RevisionStore;
@@ -200,13 +201,15 @@
      * @param lostServers servers that became unreachable for the sender while the store is unavailable to it
      * @param evidence the sender's evidence of prompts that crash servers
      * @param limits limits that servers have named, with the sender's demand for these servers
+     * @param waiting the sender's waiting calls; empty while no call waits at any process
      */
     record QuotaUsageReport(
             List<TeamUsage> usages,
             List<ServerInFlight> inFlight,
             List<LostServer> lostServers,
             CrashEvidence evidence,
-            List<LimitDemand> limits)
+            List<LimitDemand> limits,
+            List<WaitingCalls> waiting)
             implements PeerMessage {
         /** Copies the lists. */
         public QuotaUsageReport {
@@ -214,6 +217,7 @@
             inFlight = List.copyOf(inFlight);
             lostServers = List.copyOf(lostServers);
             limits = List.copyOf(limits);
+            waiting = List.copyOf(waiting);
         }
     }
 
@@ -227,6 +231,7 @@
      * @param lostServers servers that recently became unreachable for any process while the store was unavailable to it
      * @param evidence evidence of all processes of prompts that crash servers
      * @param limits limits that servers have named to any process, with the shares granted to the receiver
+     * @param waiting waiting calls of those processes; empty if the sender does not share them with the receiver
      */
     record AggregateQuotaUsage(
             List<TeamUsage> usages,
@@ -234,7 +239,8 @@
             List<ServerInFlight> inFlight,
             List<LostServer> lostServers,
             CrashEvidence evidence,
-            List<LimitShare> limits)
+            List<LimitShare> limits,
+            List<WaitingCalls> waiting)
             implements PeerMessage {
         /** Copies the lists. */
         public AggregateQuotaUsage {
@@ -242,6 +248,7 @@
             inFlight = List.copyOf(inFlight);
             lostServers = List.copyOf(lostServers);
             limits = List.copyOf(limits);
+            waiting = List.copyOf(waiting);
         }
     }
 
--- a/peer/src/main/java/org/geraniumstand/peer/codec/AggregateQuotaUsageCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/AggregateQuotaUsageCodec.java
@@ -16,13 +16,14 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.AggregateQuotaUsage message) {
-        out.fields(5 + CrashEvidenceFields.COUNT)
+        out.fields(6 + CrashEvidenceFields.COUNT)
                 .list(message.usages(), QuotaUsageReportCodec::writeTeamUsage)
                 .number(message.reportingProcesses())
                 .list(message.inFlight(), QuotaUsageReportCodec::writeServerInFlight)
                 .list(message.lostServers(), QuotaUsageReportCodec::writeLostServer);
         CrashEvidenceFields.write(out, message.evidence());
-        out.list(message.limits(), ServerLimitFields::writeShare);
+        out.list(message.limits(), ServerLimitFields::writeShare)
+                .list(message.waiting(), QuotaUsageReportCodec::writeWaiting);
     }
 
     @Override
@@ -33,6 +34,7 @@
                 in.list(QuotaUsageReportCodec::readServerInFlight),
                 in.list(QuotaUsageReportCodec::readLostServer),
                 CrashEvidenceFields.read(in),
-                in.list(ServerLimitFields::readShare));
+                in.list(ServerLimitFields::readShare),
+                in.list(QuotaUsageReportCodec::readWaiting));
     }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
@@ -1,10 +1,12 @@
 package org.geraniumstand.peer.codec;
 
 import org.geraniumstand.model.id.ServerId;
+import org.geraniumstand.model.id.ServiceId;
 import org.geraniumstand.model.id.TeamId;
 import org.geraniumstand.model.relay.LostServer;
 import org.geraniumstand.model.relay.ServerInFlight;
 import org.geraniumstand.model.relay.TeamUsage;
+import org.geraniumstand.model.relay.WaitingCalls;
 import org.geraniumstand.peer.PeerMessage;
 
 /** Encodes and decodes {@link PeerMessage.QuotaUsageReport} messages. */
@@ -21,12 +23,13 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.QuotaUsageReport message) {
-        out.fields(4 + CrashEvidenceFields.COUNT)
+        out.fields(5 + CrashEvidenceFields.COUNT)
                 .list(message.usages(), QuotaUsageReportCodec::writeTeamUsage)
                 .list(message.inFlight(), QuotaUsageReportCodec::writeServerInFlight)
                 .list(message.lostServers(), QuotaUsageReportCodec::writeLostServer);
         CrashEvidenceFields.write(out, message.evidence());
-        out.list(message.limits(), ServerLimitFields::writeDemand);
+        out.list(message.limits(), ServerLimitFields::writeDemand)
+                .list(message.waiting(), QuotaUsageReportCodec::writeWaiting);
     }
 
     @Override
@@ -36,7 +39,8 @@
                 in.list(QuotaUsageReportCodec::readServerInFlight),
                 in.list(QuotaUsageReportCodec::readLostServer),
                 CrashEvidenceFields.read(in),
-                in.list(ServerLimitFields::readDemand));
+                in.list(ServerLimitFields::readDemand),
+                in.list(QuotaUsageReportCodec::readWaiting));
     }
 
     static void writeTeamUsage(FieldWriter out, TeamUsage usage) {
@@ -51,6 +55,21 @@
         out.fields(3).text(inFlight.server().value()).number(inFlight.calls()).number(inFlight.pendingTokens());
     }
 
+    static void writeWaiting(FieldWriter out, WaitingCalls waiting) {
+        out.fields(6)
+                .text(waiting.service().value())
+                .number(waiting.rank())
+                .text(waiting.team())
+                .number(waiting.calls())
+                .number(waiting.sentCalls())
+                .number(waiting.sentWork());
+    }
+
+    static WaitingCalls readWaiting(FieldReader in) {
+        return new WaitingCalls(
+                new ServiceId(in.text()), in.smallNumber(), in.text(), in.smallNumber(), in.smallNumber(), in.number());
+    }
+
     static void writeLostServer(FieldWriter out, LostServer lostServer) {
         out.fields(2).text(lostServer.server().value()).number(lostServer.ageMillis());
     }
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -48,6 +48,7 @@
 import org.geraniumstand.model.relay.SoundPart;
 import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.relay.TeamUsage;
+import org.geraniumstand.model.relay.WaitingCalls;
 import org.geraniumstand.model.relay.WindowCounts;
 import org.geraniumstand.model.relay.WindowTotal;
 import org.geraniumstand.model.result.Result;
@@ -165,7 +166,13 @@
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamHandoverAck::new),
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamLookup::new),
                 fleetChanges().map(PeerMessage.FleetUpdate::new),
-                Combinators.combine(teamUsages(), inFlightCounts(), lostServers(), crashEvidence(), limitDemands())
+                Combinators.combine(
+                                teamUsages(),
+                                inFlightCounts(),
+                                lostServers(),
+                                crashEvidence(),
+                                limitDemands(),
+                                waitingCalls())
                         .as(PeerMessage.QuotaUsageReport::new),
                 Combinators.combine(
                                 teamUsages(),
@@ -173,7 +180,8 @@
                                 inFlightCounts(),
                                 lostServers(),
                                 crashEvidence(),
-                                limitShares())
+                                limitShares(),
+                                waitingCalls())
                         .as(PeerMessage.AggregateQuotaUsage::new),
                 windows().map(PeerMessage.RequestCountReport::new),
                 Combinators.combine(numbers(), numbers())
@@ -286,6 +294,14 @@
                 .as((service, part) -> new ServicePart(new ServiceId(service), part));
     }
 
+    private static Arbitrary<List<WaitingCalls>> waitingCalls() {
+        return Combinators.combine(names(), integers(), names(), integers(), integers(), numbers())
+                .as((service, rank, team, calls, sent, work) ->
+                        new WaitingCalls(new ServiceId(service), rank, team, calls, sent, work))
+                .list()
+                .ofMaxSize(4);
+    }
+
     private static Arbitrary<List<ServerInFlight>> inFlightCounts() {
         return Combinators.combine(names(), integers(), numbers())
                 .as((server, calls, tokens) -> new ServerInFlight(new ServerId(server), calls, tokens))
