--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -207,7 +207,7 @@
                 "geraniumstand_prompts_quarantined", dispatcherTask.dispatcher().crashingPrompts()::quarantined);
         metrics.gauge(
                 "geraniumstand_servers_listed", () -> dispatcher.fleet().all().size());
-        metrics.gauge("geraniumstand_calls_waiting", () -> dispatcher.queuedCount());
+        metrics.gauge("geraniumstand_calls_waiting", dispatcher::queuedCount);
         metrics.gauge("geraniumstand_call_retries", dispatcher::retryCount);
         metrics.gauge("geraniumstand_call_retries_denied", dispatcher::deniedRetryCount);
         metrics.gauge("geraniumstand_servers_limited", dispatcher.fleet().limits()::limitedServers);
