--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerRoomTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerRoomTest.java
@@ -18,8 +18,8 @@
 
     private final RelayService engines = Calls.engineService(0);
     private final ServerRoom room = new ServerRoom();
-    private final ServerView engine =
-            new ServerView(Calls.server("e", Calls.ENGINE_SERVICE, Calls.WEST, 0), new StoreStaleness(), new SlownessForecast(), 0);
+    private final ServerView engine = new ServerView(
+            Calls.server("e", Calls.ENGINE_SERVICE, Calls.WEST, 0), new StoreStaleness(), new SlownessForecast(), 0);
 
     ServerRoomTest() {
         for (int i = 0; i < 100; i++) {
