--- a/proofs/src/test/java/org/geraniumstand/proofs/process/Cluster.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/Cluster.java
@@ -22,6 +22,7 @@
 final class Cluster implements AutoCloseable {
     private static final String CONFIGURATION = "geraniumstand/configuration";
     private static final long CHECK_MILLIS = 200;
+    private static final int HEAP_MEGABYTES = 128;
     private static final long CALL_TIMEOUT_MILLIS = 20_000;
 
     // Strong references: the level of a logger is lost when the logger is garbage-collected.
@@ -30,6 +31,7 @@
             .toList();
 
     private final Closer closer = new Closer();
+    private final int heapMegabytes;
     private final Path directory;
     private final StoreStandin store = closer.add(StoreStandin.start(0));
     private final TcpRelay storeRelay = closer.add(TcpRelay.startForwardingTo(store.port()));
@@ -39,7 +41,8 @@
     private final BalancerStandin balancer;
     private int replacements;
 
-    private Cluster(int entryHosts) {
+    private Cluster(int entryHosts, int heapMegabytes) {
+        this.heapMegabytes = heapMegabytes;
         LIBRARY_LOGGERS.forEach(library -> library.setLevel(Level.SEVERE));
         this.directory = newDirectory();
         this.addresses = IntStream.range(0, entryHosts)
@@ -56,7 +59,11 @@
     }
 
     static Cluster start(int entryHosts, int tokenMillis) {
-        Cluster cluster = new Cluster(entryHosts);
+        return start(entryHosts, tokenMillis, HEAP_MEGABYTES);
+    }
+
+    static Cluster start(int entryHosts, int tokenMillis, int heapMegabytes) {
+        Cluster cluster = new Cluster(entryHosts, heapMegabytes);
         for (String dataCentre : TestConfigurations.DATA_CENTRES) {
             cluster.backends.addEngine(dataCentre, TestConfigurations.OLD_VERSION, tokenMillis);
             cluster.backends.addEngine(dataCentre, TestConfigurations.OLD_VERSION, tokenMillis);
@@ -75,7 +82,7 @@
 
     /** Starts a cluster of one entry host that has another cluster's hosts as seeds, but not their shared key. */
     static Cluster startWithOtherKey(Cluster otherCluster) {
-        Cluster cluster = new Cluster(1);
+        Cluster cluster = new Cluster(1, HEAP_MEGABYTES);
         cluster.configure(TestConfigurations.initial());
         List<Integer> seeds =
                 otherCluster.addresses.stream().map(EntryHost.Address::peerPort).toList();
@@ -84,7 +91,8 @@
                 cluster.storeRelay.port(),
                 cluster.backends.cloud().port(),
                 seeds,
-                "a-key-that-is-not-the-other-cluster's-key");
+                "a-key-that-is-not-the-other-cluster's-key",
+                HEAP_MEGABYTES);
         cluster.hosts.add(EntryHost.start(cluster.addresses.get(0), shared));
         return cluster;
     }
@@ -188,7 +196,12 @@
         List<Integer> seeds =
                 addresses.stream().map(EntryHost.Address::peerPort).toList();
         return new EntryHost.ClusterSettings(
-                directory, storeRelay.port(), backends.cloud().port(), seeds, "a-key-that-all-entry-processes-share");
+                directory,
+                storeRelay.port(),
+                backends.cloud().port(),
+                seeds,
+                "a-key-that-all-entry-processes-share",
+                heapMegabytes);
     }
 
     private static Path newDirectory() {
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/EntryHost.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/EntryHost.java
@@ -20,14 +20,15 @@
     }
 
     /** Holds the settings that all entry processes of a cluster share. */
-    record ClusterSettings(Path directory, int storePort, int cloudPort, List<Integer> seeds, String peerKey) {}
+    record ClusterSettings(
+            Path directory, int storePort, int cloudPort, List<Integer> seeds, String peerKey, int heapMegabytes) {}
 
-    private EntryHost(Address address, Path log, Path settings) {
+    private EntryHost(Address address, Path log, Path settings, int heapMegabytes) {
         super(
                 address.name(),
                 log,
                 List.of(
-                        "-Xmx128m",
+                        "-Xmx" + heapMegabytes + "m",
                         "-Xss512k",
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
@@ -40,7 +41,8 @@
         try {
             Path settings = shared.directory().resolve(address.name() + ".yaml");
             Files.writeString(settings, yaml(address, shared));
-            return new EntryHost(address, shared.directory().resolve(address.name() + ".log"), settings);
+            return new EntryHost(
+                    address, shared.directory().resolve(address.name() + ".log"), settings, shared.heapMegabytes());
         } catch (IOException e) {
             throw Ports.failed(e);
         }
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/JavaProcess.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/JavaProcess.java
@@ -1,5 +1,6 @@
 package org.geraniumstand.proofs.process;
 
+import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,6 +13,8 @@
     private static final String JAVA =
             Path.of(System.getProperty("java.home"), "bin", "java").toString();
 
+    private static final int LAST_LINES = 20;
+
     private final String name;
     private final Process process;
     private final Path log;
@@ -70,9 +73,30 @@
 
     /** Returns the resident memory of the process, in kilobytes, or 0 if it is not reported. */
     long residentKilobytes() {
+        return statusKilobytes("VmRSS:");
+    }
+
+    /** Returns the largest resident memory of the process so far, in kilobytes, or 0 if the process has ended. */
+    long peakKilobytes() {
+        return alive() ? statusKilobytes("VmHWM:") : 0;
+    }
+
+    /** Returns the number of open descriptors of the process, or 0 if it has ended. */
+    int descriptors() {
+        String[] names = new File("/proc/" + process.pid() + "/fd").list();
+        return names == null ? 0 : names.length;
+    }
+
+    /** Returns the last lines of the log, for the message of a failed assertion. */
+    String lastLines() {
+        List<String> lines = log().lines().toList();
+        return String.join("\n", lines.subList(Math.max(0, lines.size() - LAST_LINES), lines.size()));
+    }
+
+    private long statusKilobytes(String entry) {
         try {
             return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
-                    .filter(line -> line.startsWith("VmRSS:"))
+                    .filter(line -> line.startsWith(entry))
                     .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
                     .findFirst()
                     .orElse(0);
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/RelayCluster.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/RelayCluster.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.stream.IntStream;
 import org.geraniumstand.support.io.Closer;
 
@@ -17,6 +18,7 @@
     private static final int CONCURRENT_STARTS = 3;
 
     private final Closer closer = new Closer();
+    private final OptionalInt heapMegabytes;
     private final Path directory;
     private final RelayStore store = closer.add(new RelayStore());
     private final List<ScriptedServer> servers = new ArrayList<>();
@@ -25,6 +27,16 @@
     private final RelayHost[] hosts;
 
     RelayCluster(int processes) {
+        this(processes, OptionalInt.empty());
+    }
+
+    /** Creates processes whose heap is smaller than in the deployment. */
+    RelayCluster(int processes, int heapMegabytes) {
+        this(processes, OptionalInt.of(heapMegabytes));
+    }
+
+    private RelayCluster(int processes, OptionalInt heapMegabytes) {
+        this.heapMegabytes = heapMegabytes;
         try {
             Path parent = Files.createDirectories(Path.of("target", "process-proofs"));
             directory = Files.createTempDirectory(parent, "relay-");
@@ -68,7 +80,7 @@
 
     /** Starts a process, or starts one again that has ended. */
     void startProcess(int process) {
-        hosts[process] = RelayHost.start(addresses.get(process), directory, store.port(), addresses);
+        hosts[process] = RelayHost.start(addresses.get(process), directory, store.port(), addresses, heapMegabytes);
     }
 
     void awaitReady(int process) {
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/RelayHost.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/RelayHost.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.stream.Collectors;
 
 /** Starts and controls one process of the relay, with the settings template and the options of the deployment. */
@@ -43,16 +44,17 @@
         }
     }
 
-    private RelayHost(Address address, Path log, Path settings) {
-        super(address.name(), log, options(), List.of("org.geraniumstand.entry.RelayMain", settings.toString()));
+    private RelayHost(Address address, Path log, Path settings, List<String> options) {
+        super(address.name(), log, options, List.of("org.geraniumstand.entry.RelayMain", settings.toString()));
         this.address = address;
     }
 
-    static RelayHost start(Address address, Path directory, int storePort, List<Address> seeds) {
+    static RelayHost start(
+            Address address, Path directory, int storePort, List<Address> seeds, OptionalInt heapMegabytes) {
         try {
             Path settings = directory.resolve(address.name() + ".yaml");
             Files.writeString(settings, settings(address, storePort, seeds));
-            return new RelayHost(address, directory.resolve(address.name() + ".log"), settings);
+            return new RelayHost(address, directory.resolve(address.name() + ".log"), settings, options(heapMegabytes));
         } catch (IOException e) {
             throw Ports.failed(e);
         }
@@ -67,7 +69,7 @@
     }
 
     /** Returns the options of the deployed command, without the archive of classes, which fits its class path only. */
-    private static List<String> options() {
+    private static List<String> options(OptionalInt heapMegabytes) {
         try {
             String command = Files.readAllLines(DEPLOYMENT.resolve("system.toml")).stream()
                     .filter(line -> line.startsWith("run = \"java "))
@@ -76,6 +78,9 @@
             String options = command.substring("run = \"java ".length(), command.indexOf(" -cp "));
             return Arrays.stream(options.split(" ", -1))
                     .filter(option -> !option.startsWith("-XX:SharedArchiveFile="))
+                    .map(option -> heapMegabytes.isPresent() && option.startsWith("-Xmx")
+                            ? "-Xmx" + heapMegabytes.getAsInt() + "m"
+                            : option)
                     .toList();
         } catch (IOException e) {
             throw Ports.failed(e);
