Bound what a process holds for its callers

Cause: nothing bounded what callers together made a process hold. Bodies were read as long as their routes allowed, grown by doubling and copied twice; the library's receiver reads on without a pause and queues a task for each chunk (825,155 of them in a dump of a 32 MB heap that 1-byte chunks filled); heads are parsed as they come, on any number of connections.

Change: CallerMemory decides from the size of the heap whether a request may hold more, in three steps, so that small requests keep room; MemoryAccount adds up; CallerGate accepts callers' connections at both entrances, at most one for each 64 kB of heap; GatedConnection charges unfinished heads; BodyReader reserves blocks before it allocates them and reads in turns. What doesn't fit is refused with 503 overloaded, not run, Retry-After, and its connection closes; a refusal unread for 2 s ends its connection. Header lines are bounded by memory instead of 100.

Heads are charged, answers kept for repeats or slow callers are not (docs/design/caller-memory.md).

--- a/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
@@ -1,16 +1,19 @@
 package org.geraniumstand.http.caller;
 
-import io.undertow.io.Receiver;
+import io.undertow.connector.PooledByteBuffer;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.SameThreadExecutor;
-import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.geraniumstand.http.filter.Rejection;
+import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.support.net.HttpBody;
 import org.xnio.XnioExecutor;
+import org.xnio.channels.StreamSourceChannel;
 
 /**
  * Reads the body of a request within a size limit and a timeout, and reports the result exactly once.
@@ -22,10 +25,18 @@
 public final class BodyReader {
     private static final long MAX_READ_AFTER_REFUSAL_BYTES = 1024 * 1024;
 
+    /** Number of reads after which other connections come first; each returns one chunk of the body at most. */
+    private static final int READS_PER_TURN = 64;
+
+    /** Retry delay of a request for which there is no memory, in milliseconds; other processes may take it at once. */
+    private static final long RETRY_AFTER_MILLIS = 200;
+
     private final HttpServerExchange exchange;
     private final long maxBytes;
+    private final MemoryAccount.Holding holding;
     private final Consumer<Result<HttpBody, Rejection>> callback;
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final BodyBuffer body;
+    private StreamSourceChannel channel;
     private XnioExecutor.Key timer;
     private boolean done;
 
@@ -34,11 +45,18 @@
      *
      * @param exchange the caller's exchange
      * @param maxBytes maximum size of the body in bytes
+     * @param holding what is held for the request; the body is added to it
      * @param callback called once with the body or with the rejection
      */
-    public BodyReader(HttpServerExchange exchange, long maxBytes, Consumer<Result<HttpBody, Rejection>> callback) {
+    public BodyReader(
+            HttpServerExchange exchange,
+            long maxBytes,
+            MemoryAccount.Holding holding,
+            Consumer<Result<HttpBody, Rejection>> callback) {
         this.exchange = exchange;
         this.maxBytes = maxBytes;
+        this.holding = holding;
+        this.body = new BodyBuffer(exchange.getRequestContentLength());
         this.callback = callback;
     }
 
@@ -59,27 +77,54 @@
                                 Result.err(Rejection.of(RefusalReason.SLOW_SENDER, "the body did not arrive in time"))),
                         timeoutMillis,
                         TimeUnit.MILLISECONDS);
-        Receiver receiver = exchange.getRequestReceiver();
-        receiver.receivePartialBytes(
-                (_exchange, part, last) -> onPart(receiver, part, last),
-                (_exchange, _e) -> finish(Result.err(Rejection.malformed("the body cannot be read"))));
+        channel = exchange.getRequestChannel();
+        channel.getReadSetter().set(_channel -> readTurn());
+        channel.wakeupReads();
     }
 
-    private void onPart(Receiver receiver, byte[] part, boolean last) {
+    // The library queues a task of its own for each chunk that it reads, so a turn without end would exhaust the heap.
+    private void readTurn() {
         if (done) {
             return;
         }
-        if (body.size() + part.length > maxBytes) {
-            receiver.pause();
-            finish(tooLarge());
-            return;
+        try (PooledByteBuffer pooled =
+                exchange.getConnection().getByteBufferPool().allocate()) {
+            for (int i = 0; i < READS_PER_TURN && !done; i++) {
+                ByteBuffer part = pooled.getBuffer();
+                part.clear();
+                int count = channel.read(part);
+                if (count < 0) {
+                    finish(Result.ok(body.toBody()));
+                } else if (count == 0) {
+                    channel.resumeReads();
+                    return;
+                } else {
+                    onPart(part.flip());
+                }
+            }
+        } catch (IOException _e) {
+            finish(Result.err(Rejection.malformed("the body cannot be read")));
+        }
+        channel.suspendReads();
+        if (!done) {
+            exchange.getIoThread().execute(this::readTurn);
         }
-        body.write(part, 0, part.length);
-        if (last) {
-            finish(Result.ok(HttpBody.of(body.toByteArray())));
+    }
+
+    private void onPart(ByteBuffer part) {
+        if (body.size() + part.remaining() > maxBytes) {
+            finish(tooLarge());
+        } else if (!body.add(part, holding::grow)) {
+            finish(Result.err(noMemory()));
         }
     }
 
+    /** Returns the rejection of a request that finds no room in the memory of callers. */
+    public static Rejection noMemory() {
+        return new Rejection(
+                Refusal.notRun(RefusalReason.OVERLOADED, RETRY_AFTER_MILLIS), "too much is held for other requests");
+    }
+
     private Result<HttpBody, Rejection> tooLarge() {
         return Result.err(Rejection.of(RefusalReason.BODY_TOO_LARGE, "the body is larger than " + maxBytes + " bytes"));
     }
@@ -89,6 +134,8 @@
             return;
         }
         done = true;
+        // The connection keeps this reader for as long as the rest of a refused body is discarded.
+        body.clear();
         if (timer != null) {
             timer.remove();
         }
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
@@ -8,6 +8,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.geraniumstand.http.CoreInbox;
 import org.geraniumstand.http.filter.Admission;
@@ -35,6 +36,7 @@
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
 import org.geraniumstand.support.net.HttpBody;
+import org.xnio.OptionMap;
 import org.xnio.XnioIoThread;
 
 /** Accepts callers' requests, applies the filters to them and submits those that pass to the core. */
@@ -42,8 +44,6 @@
     private static final Log LOG = Log.of(CallerListener.class);
     private static final int IDLE_TIMEOUT_MILLIS = 60_000;
     private static final int HEAD_TIMEOUT_MILLIS = 10_000;
-    private static final int MAX_HEADER_BYTES = 32 * 1024;
-    private static final int MAX_HEADERS = 100;
     private static final int BUFFER_BYTES = 16 * 1024;
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
@@ -54,6 +54,7 @@
     private volatile boolean keepAliveDisabled;
     private final DefaultByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER_BYTES);
     private final Undertow server;
+    private final CallerGate gate;
     private final Filter headFilters = Filter.chain(List.of(
             new CheckHeaders(),
             new CheckPath(),
@@ -97,23 +98,24 @@
         UpstreamClient upstream = new UpstreamClient(buffers);
         this.context = new RequestContext(self, core, upstream, setup.orders());
         this.server = Undertow.builder()
-                .addHttpListener(setup.port(), setup.host())
-                .setByteBufferPool(buffers)
                 .setIoThreads(setup.ioThreads())
                 .setWorkerThreads(1)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
-                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
-                .setHandler(this::handle)
                 .build();
         server.start();
+        OptionMap options = OptionMap.create(
+                UndertowOptions.NO_REQUEST_TIMEOUT,
+                IDLE_TIMEOUT_MILLIS,
+                UndertowOptions.REQUEST_PARSE_TIMEOUT,
+                HEAD_TIMEOUT_MILLIS);
         List<XnioIoThread> threads = new ArrayList<>();
         for (int i = 0; i < setup.ioThreads(); i++) {
             threads.add(server.getWorker().getIoThread(i));
         }
         this.heldStreams = new HeldStreams(context, threads);
         this.reconnectHandler = new ReconnectHandler(self, heldStreams, setup.lookup(), upstream);
+        InetSocketAddress address = InetSocketAddress.createUnresolved(setup.host(), setup.port());
+        this.gate = CallerGate.open(server.getWorker(), address, buffers, options, this::handle);
+        gate.accept();
     }
 
     /**
@@ -127,9 +129,7 @@
 
     /** Returns the port on which the listener accepts connections. */
     public int port() {
-        InetSocketAddress address =
-                (InetSocketAddress) server.getListenerInfo().get(0).getAddress();
-        return address.getPort();
+        return gate.port();
     }
 
     /** Returns the streams that are being relayed. */
@@ -149,6 +149,7 @@
 
     @Override
     public void close() {
+        gate.close();
         server.stop();
         buffers.close();
     }
@@ -164,6 +165,11 @@
         }
         RequestId id = new RequestId(self + "-" + sequence.incrementAndGet());
         CallerRequest request = RequestReader.read(exchange, id);
+        Optional<MemoryAccount.Holding> holding = gate.onRequest(exchange);
+        if (holding.isEmpty()) {
+            reject(exchange, request, BodyReader.noMemory());
+            return;
+        }
         Configuration configuration = core.configuration().orElse(null);
         if (configuration == null) {
             Refusal refusal = Refusal.notRun(RefusalReason.STOPPING, RETRY_AFTER_MILLIS);
@@ -173,19 +179,20 @@
         Result<Admission, Rejection> result =
                 headFilters.apply(Admission.of(request, configuration, System.nanoTime()));
         if (result instanceof Result.Ok<Admission, Rejection> ok) {
-            readBody(exchange, id, ok.held());
+            readBody(exchange, id, ok.held(), holding.get());
         } else {
             result.error().ifPresent(rejection -> reject(exchange, request, rejection));
         }
     }
 
-    private void readBody(HttpServerExchange exchange, RequestId id, Admission admission) {
+    private void readBody(
+            HttpServerExchange exchange, RequestId id, Admission admission, MemoryAccount.Holding holding) {
         if (exchange.isRequestComplete()) {
             admit(exchange, id, admission);
             return;
         }
         long limit = admission.route().map(Route::maxBodyBytes).orElse(0L);
-        BodyReader reader = new BodyReader(exchange, limit, result -> {
+        BodyReader reader = new BodyReader(exchange, limit, holding, result -> {
             if (result instanceof Result.Ok<HttpBody, Rejection> ok) {
                 admit(exchange, id, admission.withBody(ok.held()));
             } else {
@@ -236,6 +243,7 @@
             exchange.setPersistent(false);
         }
         ProblemWriter.send(exchange, printableId(request), rejection.refusal(), rejection.detail());
+        CallerGate.limitRefusal(exchange);
     }
 
     private static String printableId(CallerRequest request) {
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -13,7 +13,9 @@
 import java.util.function.BooleanSupplier;
 import org.geraniumstand.decisions.relay.RelayCall;
 import org.geraniumstand.http.caller.BodyReader;
+import org.geraniumstand.http.caller.CallerGate;
 import org.geraniumstand.http.caller.CallerWatch;
+import org.geraniumstand.http.caller.MemoryAccount;
 import org.geraniumstand.http.filter.Rejection;
 import org.geraniumstand.http.upstream.UpstreamClient;
 import org.geraniumstand.model.relay.CallerHead;
@@ -26,6 +28,7 @@
 import org.geraniumstand.outside.relay.HeaderCodec;
 import org.geraniumstand.support.log.Log;
 import org.geraniumstand.support.net.HttpBody;
+import org.xnio.OptionMap;
 import org.xnio.XnioWorker;
 
 /** Accepts calls that are relayed without interpreting their bodies, and the load balancer's readiness checks. */
@@ -38,9 +41,6 @@
     /** Timeout for receiving the head of a request, in milliseconds; configurations require 3,000. */
     private static final int HEAD_TIMEOUT_MILLIS = 3_000;
 
-    private static final int MAX_HEADER_BYTES = 32 * 1024;
-    private static final int MAX_HEADERS = 100;
-
     /**
      * Time for which a request waits for the first configuration, in milliseconds; an available store answers within
      * a few milliseconds.
@@ -56,9 +56,17 @@
     /** Retry delay that a refusal states during shutdown, in milliseconds; short because another process is ready. */
     private static final long STOPPING_RETRY_MILLIS = 50;
 
+    private static final OptionMap OPTIONS = OptionMap.builder()
+            .set(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
+            .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
+            .set(UndertowOptions.ALWAYS_SET_DATE, false)
+            .set(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
+            .getMap();
+
     private final OpaqueContext context;
     private final Undertow server;
     private final BooleanSupplier ready;
+    private CallerGate gate;
     private final CallerConnections connections = new CallerConnections();
     private long lastCallNumber;
     private boolean keepAliveDisabled;
@@ -99,14 +107,10 @@
         this.server = Undertow.builder()
                 .setWorker(setup.worker())
                 .setByteBufferPool(setup.buffers())
-                .addHttpListener(setup.callers().getPort(), setup.callers().getHostString(), this::handle)
                 .addHttpListener(setup.readiness().getPort(), setup.readiness().getHostString(), this::sendReadiness)
                 .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_TIMEOUT_MILLIS)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, HEAD_TIMEOUT_MILLIS)
-                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-                .setServerOption(UndertowOptions.MAX_HEADERS, MAX_HEADERS)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setServerOption(UndertowOptions.ALLOW_UNESCAPED_CHARACTERS_IN_URL, true)
                 .build();
     }
 
@@ -118,6 +122,8 @@
     public static OpaqueListener start(Setup setup) {
         OpaqueListener listener = new OpaqueListener(setup);
         listener.server.start();
+        listener.gate = CallerGate.open(setup.worker(), setup.callers(), setup.buffers(), OPTIONS, listener::handle);
+        listener.gate.accept();
         return listener;
     }
 
@@ -141,6 +147,7 @@
 
     @Override
     public void close() {
+        gate.close();
         server.stop();
     }
 
@@ -163,7 +170,12 @@
             rejectStopping(exchange);
             return;
         }
-        awaitConfiguration(exchange, arrivedNanos);
+        Optional<MemoryAccount.Holding> holding = gate.onRequest(exchange);
+        if (holding.isEmpty()) {
+            reject(exchange, BodyReader.noMemory());
+            return;
+        }
+        awaitConfiguration(exchange, holding.get(), arrivedNanos);
     }
 
     private void rejectStopping(HttpServerExchange exchange) {
@@ -174,16 +186,17 @@
     }
 
     // A process that has just started usually reads its first configuration within a few milliseconds.
-    private void awaitConfiguration(HttpServerExchange exchange, long arrivedNanos) {
+    private void awaitConfiguration(HttpServerExchange exchange, MemoryAccount.Holding holding, long arrivedNanos) {
         Optional<RelayConfiguration> configuration =
                 context.dispatcherTask().dispatcher().configuration();
         if (configuration.isPresent()) {
-            check(exchange, configuration.get(), arrivedNanos);
+            check(exchange, configuration.get(), holding, arrivedNanos);
         } else if (System.nanoTime() - arrivedNanos < AWAIT_CONFIGURATION_MILLIS * Timestamp.NANOS_PER_MILLI) {
             context.thread()
                     .executeAfter(
                             () -> exchange.dispatch(
-                                    SameThreadExecutor.INSTANCE, () -> awaitConfiguration(exchange, arrivedNanos)),
+                                    SameThreadExecutor.INSTANCE,
+                                    () -> awaitConfiguration(exchange, holding, arrivedNanos)),
                             CONFIGURATION_POLL_MILLIS,
                             TimeUnit.MILLISECONDS);
         } else {
@@ -195,11 +208,15 @@
         }
     }
 
-    private void check(HttpServerExchange exchange, RelayConfiguration configuration, long arrivedNanos) {
+    private void check(
+            HttpServerExchange exchange,
+            RelayConfiguration configuration,
+            MemoryAccount.Holding holding,
+            long arrivedNanos) {
         Result<OpaqueRequest, Rejection> read = OpaqueRequest.read(exchange, configuration, context.codec());
         read.fold(
                 request -> {
-                    readBody(exchange, request, configuration, arrivedNanos);
+                    readBody(exchange, request, configuration, holding, arrivedNanos);
                     return true;
                 },
                 rejection -> {
@@ -209,7 +226,11 @@
     }
 
     private void readBody(
-            HttpServerExchange exchange, OpaqueRequest request, RelayConfiguration configuration, long arrivedNanos) {
+            HttpServerExchange exchange,
+            OpaqueRequest request,
+            RelayConfiguration configuration,
+            MemoryAccount.Holding holding,
+            long arrivedNanos) {
         if (exchange.isRequestComplete()) {
             serve(exchange, request, HttpBody.EMPTY, arrivedNanos);
             return;
@@ -217,6 +238,7 @@
         BodyReader reader = new BodyReader(
                 exchange,
                 configuration.limits().maxBodyBytes(),
+                holding,
                 result -> result.fold(
                         body -> {
                             serve(exchange, request, body, arrivedNanos);
@@ -295,5 +317,6 @@
             exchange.setPersistent(false);
         }
         new CallerAnswer(exchange, context.date(), context.codec()).refuse(rejection.refusal(), attempt);
+        CallerGate.limitRefusal(exchange);
     }
 }
--- a/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
+++ b/model/src/main/java/org/geraniumstand/model/request/RefusalReason.java
@@ -34,6 +34,8 @@
     PROMPT_QUARANTINED("prompt-quarantined", 503, "Backend servers crash when they answer a part of this prompt."),
     /** The claim of an order cannot be recorded in the store at present. */
     STORE_UNAVAILABLE("store-unavailable", 503, "The claim of the order cannot be recorded now."),
+    /** The process holds too much for other requests to take this one. */
+    OVERLOADED("overloaded", 503, "The process holds too much for other requests."),
     /** The process is shutting down. */
     STOPPING("stopping", 503, "The process is stopping."),
     /** The process stopped before the backend server had answered. */
--- a/support/src/main/java/org/geraniumstand/support/net/HttpBody.java
+++ b/support/src/main/java/org/geraniumstand/support/net/HttpBody.java
@@ -5,6 +5,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 
 /** Holds the immutable bytes of a request or response body. */
 public final class HttpBody {
@@ -26,6 +27,23 @@
         return new HttpBody(bytes.clone());
     }
 
+    /**
+     * Returns a body that contains the first bytes of several parts, which are copied once.
+     *
+     * @param parts the parts in order
+     * @param size number of bytes, at most as many as the parts have
+     */
+    public static HttpBody join(List<byte[]> parts, int size) {
+        byte[] joined = new byte[size];
+        int filled = 0;
+        for (byte[] part : parts) {
+            int count = Math.min(part.length, size - filled);
+            System.arraycopy(part, 0, joined, filled, count);
+            filled += count;
+        }
+        return new HttpBody(joined);
+    }
+
     /**
      * Returns a body that contains a text encoded as UTF-8.
      *
