Don't take the reading of a call's own prompt for a wait that shows tight room

Cause, found in review: room counted as tight from a quarter of the target on, reading the call's own prompt included. An idle engine takes as long for that, so a busy spell of large prompts could keep the service throttled.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
@@ -36,6 +36,7 @@
     private int callsAhead;
     private boolean speedLearned;
     private OptionalDouble expectedMillis = OptionalDouble.empty();
+    private double ownMillis;
     private boolean mayHaveRun;
     private boolean relayed;
     private boolean positionKnown = true;
@@ -187,9 +188,20 @@
         next.addHeldTokens(CallNeeds.heldTokens(this));
     }
 
-    /** Records after how many milliseconds the answer of the current attempt is expected to begin. */
-    void setExpectedMillis(double next) {
+    /**
+     * Records after how many milliseconds the answer of the current attempt is expected to begin.
+     *
+     * @param next the milliseconds
+     * @param own the milliseconds of them in which the server reads the call's own prompt
+     */
+    void setExpectedMillis(double next, double own) {
         expectedMillis = OptionalDouble.of(next);
+        ownMillis = own;
+    }
+
+    /** Returns the milliseconds in which the server of the current attempt is expected to read the call's own prompt. */
+    double ownMillis() {
+        return ownMillis;
     }
 
     /** Returns what was expected if the answer of the current attempt hasn't been compared with it yet. */
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -168,7 +168,9 @@
         roomShare(service.id()).onSent(ownMillis);
         if (service.engineCapacity().isPresent()) {
             double aheadMillis = room.aheadMillis(selection.server(), service, speed, nowNanos);
-            call.setExpectedMillis((aheadMillis + ownMillis) / room.pace().factor());
+            call.setExpectedMillis(
+                    (aheadMillis + ownMillis) / room.pace().factor(),
+                    ownMillis / room.pace().factor());
         }
     }
 
@@ -180,6 +182,7 @@
                         .onStarted(
                                 expectedMillis,
                                 (double) (nowNanos - call.sentNanos()) / Timestamp.NANOS_PER_MILLI,
+                                call.ownMillis(),
                                 (double) call.route().targetMillis()));
     }
 
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerRoomTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/ServerRoomTest.java
@@ -23,7 +23,7 @@
 
     ServerRoomTest() {
         for (int i = 0; i < 100; i++) {
-            room.pace().onStarted(600, 600, 600);
+            room.pace().onStarted(600, 600, 0, 600);
         }
     }
 
@@ -65,7 +65,7 @@
         assertThat(fits(TARGET_TOKENS, 600), is(false));
 
         for (int i = 0; i < 100; i++) {
-            room.pace().onStarted(50, 50, 600);
+            room.pace().onStarted(50, 50, 0, 600);
         }
         assertThat(fits(TARGET_TOKENS, 600), is(true));
     }
@@ -76,7 +76,7 @@
         assertThat(fits(TARGET_TOKENS / 2, 600), is(true));
 
         for (int i = 0; i < 100; i++) {
-            room.pace().onStarted(100, 300, 600);
+            room.pace().onStarted(100, 300, 0, 600);
         }
         engine.onRemoteInFlight(1, TARGET_TOKENS / 10, 0);
         room.onMeanRemoteTokens(TARGET_TOKENS / 10.0);
