Suspend the reading of a body before its callback may watch the connection

Found in review: the callback may resume reads to notice that the caller leaves, and they were suspended after it. Not shown by a red test; the tests of callers that leave were green before too.

--- a/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/BodyReader.java
@@ -105,8 +105,8 @@
         } catch (IOException _e) {
             finish(Result.err(Rejection.malformed("the body cannot be read")));
         }
-        channel.suspendReads();
         if (!done) {
+            channel.suspendReads();
             exchange.getIoThread().execute(this::readTurn);
         }
     }
@@ -134,6 +134,10 @@
             return;
         }
         done = true;
+        if (channel != null) {
+            // Before the callback, which may watch the connection for the caller's disconnect.
+            channel.suspendReads();
+        }
         // The connection keeps this reader for as long as the rest of a refused body is discarded.
         body.clear();
         if (timer != null) {
