--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayCall.java
@@ -192,14 +192,14 @@
      * Records after how many milliseconds the answer of the current attempt is expected to begin.
      *
      * @param next the milliseconds
-     * @param own the milliseconds of them in which the server reads the call's own prompt
+     * @param own the milliseconds that it would take at an idle server
      */
     void setExpectedMillis(double next, double own) {
         expectedMillis = OptionalDouble.of(next);
         ownMillis = own;
     }
 
-    /** Returns the milliseconds in which the server of the current attempt is expected to read the call's own prompt. */
+    /** Returns the milliseconds after which an idle server would begin to answer the current attempt. */
     double ownMillis() {
         return ownMillis;
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -170,7 +170,7 @@
             double aheadMillis = room.aheadMillis(selection.server(), service, speed, nowNanos);
             call.setExpectedMillis(
                     (aheadMillis + ownMillis) / room.pace().factor(),
-                    ownMillis / room.pace().factor());
+                    ownMillis / room.pace().factor() + speed.firstTokenMillis());
         }
     }
 
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RoomPace.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RoomPace.java
@@ -21,7 +21,7 @@
     private static final double MOST = 20;
 
     /**
-     * Part of the target that answers wait on average, besides reading their own prompts, from which on room is tight. Where an engine takes no more
+     * Part of the target that answers wait on average, beyond what an idle engine takes, from which on room is tight. Where an engine takes no more
      * than this, a call that comes by chance when more waits is still in time.
      */
     private static final double TIGHT_WAIT_SHARE = 0.25;
@@ -42,11 +42,11 @@
      *
      * @param expected the milliseconds that the work known at its server let expect as the call was sent
      * @param observed the milliseconds that it took
-     * @param own the milliseconds of it that its server took to read the call's own prompt, as far as known
+     * @param own the milliseconds that it would have taken at an idle server, as far as known
      * @param target the latency target of the call in milliseconds
      */
     void onStarted(double expected, double observed, double own, double target) {
-        // Reading the call's own prompt takes as long at an idle engine, so it says nothing of room.
+        // What an idle engine and this host take says nothing of room.
         double waited = Math.max(0, observed - own);
         waitShare += WAIT_NEWS_SHARE * (waited / Math.max(1, target) - waitShare);
         tight = waitShare > (tight ? AMPLE_WAIT_SHARE : TIGHT_WAIT_SHARE);
