Take room for tight only while work waits at the engines

Cause: late answers alone don't show a lack of room; small hosts see them from idle engines, too. Now the unprocessed prompt tokens of all processes must be a tenth of a target besides.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -198,6 +198,7 @@
     private boolean hasRoom(
             RelayCall call, ServerView view, RelayService service, double uncachedTokens, long nowNanos) {
         return call.relayed()
+                || !roomShare(service.id()).isLimited()
                 || room(service.id())
                         .fits(
                                 CallNeeds.of(call, uncachedTokens, nowNanos),
@@ -217,11 +218,19 @@
             roomShare.refill();
             return true;
         }
-        room(service.id())
-                .onMeanRemoteTokens(servers.stream()
-                        .mapToDouble(view -> view.remotePendingTokens(nowNanos).orElse(0))
-                        .average()
-                        .orElse(0));
+        double ownTokens = 0;
+        double remoteTokens = 0;
+        for (ServerView view : servers) {
+            ownTokens += view.pendingTokens();
+            remoteTokens += view.remotePendingTokens(nowNanos).orElse(0);
+        }
+        int count = Math.max(1, servers.size());
+        room(service.id()).onMeanRemoteTokens(remoteTokens / count);
+        if (!room(service.id())
+                .tight(ownTokens / count, speed(service.id()), call.route().targetMillis())) {
+            roomShare.refill();
+            return true;
+        }
         double freeMillis = 0;
         int ownCalls = 0;
         int allCalls = 0;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RoomShare.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RoomShare.java
@@ -53,6 +53,11 @@
         begun = false;
     }
 
+    /** Returns whether room was lacking when it was last looked at. */
+    boolean isLimited() {
+        return begun;
+    }
+
     /** Returns whether this process may send a call; a call of any size may be sent while there is some room. */
     boolean isOpen() {
         return creditMillis > 0;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerRoom.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerRoom.java
@@ -34,6 +34,12 @@
      */
     private static final double FIGURES_HOLD_MILLIS = 150;
 
+    /**
+     * Part of a call's target that engines need on average for what waits there, from which on it matters which engine is chosen;
+     * less, and a call is in time at any of them.
+     */
+    private static final double WAITING_WORK_SHARE = 0.1;
+
     private final RoomPace pace = new RoomPace();
     private double meanRemoteTokens;
 
@@ -90,6 +96,19 @@
         meanRemoteTokens = tokens;
     }
 
+    /**
+     * Returns whether it matters for a call how much waits at each engine: answers begin late, and what waits is a part of it that
+     * counts. A host that is slow itself sees late answers from idle engines, too.
+     *
+     * @param ownTokens the unprocessed prompt tokens of this process at the engines of the service, on average
+     * @param speed how fast the servers of the service work
+     * @param targetMillis the latency target of the call in milliseconds
+     */
+    boolean tight(double ownTokens, ServiceSpeed speed, long targetMillis) {
+        double waitingMillis = (ownTokens + meanRemoteTokens) * speed.prefillMillisPerToken();
+        return pace.tight() && waitingMillis > WAITING_WORK_SHARE * targetMillis;
+    }
+
     /**
      * Returns the unprocessed prompt tokens to expect at an engine: the older the figures, the nearer to the mean of all
      * engines.
