--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServersNeeded.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServersNeeded.java
@@ -20,7 +20,7 @@
      * 0.9 a fleet that lost half of its engines by turns served 0.81 and 0.79 of its worth, with a third fewer server-seconds
      * for the latter.
      */
-    private static final double DEMAND_SHARE = 0.8;
+    private static final double DEMAND_SHARE = 0.64;
 
     /** Servers in addition to those that the load needs, because one may crash at any time. */
     private static final int SPARE_SERVERS = 1;
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayServersNeededTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/RelayServersNeededTest.java
@@ -12,7 +12,7 @@
 
     private final RelayServersNeeded needed = new RelayServersNeeded();
 
-    private double processedPerSecond = 75_000;
+    private double processedPerSecond = 94_000;
     private double allowedPerSecond = Double.POSITIVE_INFINITY;
 
     private int decide(double tokensPerSecond, int found, long atMillis) {
@@ -69,7 +69,7 @@
     /** Engines that read prompts at two fifths of the pace were ordered as if they were fast: 16 where 39 were needed. */
     @Test
     void needsMoreOfSlowerServers() {
-        processedPerSecond = 30_400;
+        processedPerSecond = 38_000;
         decide(900_000, 0, 0);
 
         assertThat(decide(900_000, 0, 6_000), is(39));
