Remove what the room of plain servers left behind

Plain servers are limited by their places, so what their work takes was worked out at each send and never read.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayServerSelector.java
@@ -161,17 +161,18 @@
 
     /** Records that a call is sent to a selected server. */
     void onSent(RelayCall call, RelayService service, Selection selection, long nowNanos) {
+        if (service.engineCapacity().isEmpty()) {
+            return;
+        }
         CallNeeds needs = CallNeeds.of(call, selection.uncachedTokens(), nowNanos);
         ServerRoom room = room(service.id());
         ServiceSpeed speed = speed(service.id());
-        double ownMillis = room.ownMillis(needs, selection.server(), service, speed, nowNanos);
+        double ownMillis = room.ownMillis(needs, selection.server(), speed, nowNanos);
         roomShare(service.id()).onSent(ownMillis);
-        if (service.engineCapacity().isPresent()) {
-            double aheadMillis = room.aheadMillis(selection.server(), service, speed, nowNanos);
-            call.setExpectedMillis(
-                    (aheadMillis + ownMillis) / room.pace().factor(),
-                    ownMillis / room.pace().factor() + speed.firstTokenMillis());
-        }
+        double aheadMillis = room.aheadMillis(selection.server(), speed, nowNanos);
+        call.setExpectedMillis(
+                (aheadMillis + ownMillis) / room.pace().factor(),
+                ownMillis / room.pace().factor() + speed.firstTokenMillis());
     }
 
     /** Records that a part of a successful answer arrived. */
@@ -237,7 +238,7 @@
         boolean othersKnown = false;
         for (ServerView view : servers) {
             freeMillis += call.route().targetMillis() * TARGET_SHARE
-                    - room(service.id()).aheadMillis(view, service, speed(service.id()), nowNanos);
+                    - room(service.id()).aheadMillis(view, speed(service.id()), nowNanos);
             ownCalls += view.inFlight();
             allCalls += view.occupiedSlots(nowNanos);
             othersKnown |= view.othersKnown(nowNanos);
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerRoom.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/ServerRoom.java
@@ -16,7 +16,7 @@
      */
     private static final double ENGINE_QUEUE_SHARE = 0.6;
 
-    /** Fewest requests that may queue at a plain server beyond its slots, if they can be done in time. */
+    /** Fewest requests that may queue at a plain server beyond its slots. */
     private static final int PLAIN_QUEUE_LENGTH = 6;
 
     /**
@@ -73,9 +73,8 @@
         if (service.engineCapacity().isEmpty() || !pace.tight() || view.occupiedSlots(nowNanos) <= 0) {
             return true;
         }
-        double ahead = aheadMillis(view, service, speed, nowNanos);
-        boolean inTime =
-                ahead + ownMillis(needs, view, service, speed, nowNanos) <= KNOWN_WORK_SHARE * needs.waitMillis();
+        double ahead = aheadMillis(view, speed, nowNanos);
+        boolean inTime = ahead + ownMillis(needs, view, speed, nowNanos) <= KNOWN_WORK_SHARE * needs.waitMillis();
         return (inTime || ahead <= LATE_CALL_SHARE * needs.targetMillis())
                 && fitsMemory(needs, view, service, nowNanos);
     }
@@ -122,26 +121,15 @@
         return view.pendingTokens() + meanRemoteTokens + weight * (remote.getAsDouble() - meanRemoteTokens);
     }
 
-    /** Returns the milliseconds that a server needs for the work of all processes that waits there. */
-    double aheadMillis(ServerView view, RelayService service, ServiceSpeed speed, long nowNanos) {
-        if (service.engineCapacity().isPresent()) {
-            double millis =
-                    expectedPendingTokens(view, nowNanos) * speed.prefillMillisPerToken() * view.slowness(nowNanos)
-                            + view.occupiedSlots(nowNanos) * speed.runningRequestMillis();
-            return millis * pace.factor();
-        }
-        int ahead = Math.max(0, view.occupiedSlots(nowNanos) + 1 - view.server().slots());
-        return ahead
-                * speed.plainCallMillis()
-                * view.slowness(nowNanos)
-                / Math.max(1, view.server().slots());
+    /** Returns the milliseconds that an engine needs for the work of all processes that waits there. */
+    double aheadMillis(ServerView view, ServiceSpeed speed, long nowNanos) {
+        double millis = expectedPendingTokens(view, nowNanos) * speed.prefillMillisPerToken() * view.slowness(nowNanos)
+                + view.occupiedSlots(nowNanos) * speed.runningRequestMillis();
+        return millis * pace.factor();
     }
 
-    /** Returns the milliseconds of a server's time that a call takes before its answer begins. */
-    double ownMillis(CallNeeds needs, ServerView view, RelayService service, ServiceSpeed speed, long nowNanos) {
-        double millis = service.engineCapacity().isPresent()
-                ? needs.uncachedTokens() * speed.prefillMillisPerToken() * pace.factor()
-                : speed.plainCallMillis();
-        return millis * view.slowness(nowNanos);
+    /** Returns the milliseconds of an engine's time that a call takes before its answer begins. */
+    double ownMillis(CallNeeds needs, ServerView view, ServiceSpeed speed, long nowNanos) {
+        return needs.uncachedTokens() * speed.prefillMillisPerToken() * pace.factor() * view.slowness(nowNanos);
     }
 }
