Tell how the end of an answer is recognized, and log answers that are broken off

The logs could not tell whether a server's or a caller's answer ended with its connection, nor that an answer was broken off and how much of it had been sent. attempt-ended now has the framing of the server's answer, call-sent the caller's protocol and whether its connection stays open (the only trace of a call whose process is killed), and answer-aborted says that an answer that had begun was broken off.

--- a/http/src/main/java/org/geraniumstand/http/caller/AnswerRelay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/AnswerRelay.java
@@ -37,7 +37,7 @@
         this.exchange = exchange;
         this.callerRequestId = callerRequestId;
         this.idempotent = idempotent;
-        this.output = new CallerOutput(exchange);
+        this.output = new CallerOutput(exchange, callerRequestId);
     }
 
     @Override
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerEventWriter.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerEventWriter.java
@@ -20,7 +20,7 @@
     CallerEventWriter(HttpServerExchange exchange, String callerRequestId) {
         this.exchange = exchange;
         this.callerRequestId = callerRequestId;
-        this.output = new CallerOutput(exchange);
+        this.output = new CallerOutput(exchange, callerRequestId);
     }
 
     @Override
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
@@ -8,11 +8,16 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.geraniumstand.http.AnswerFraming;
 import org.geraniumstand.http.upstream.FlowControl;
+import org.geraniumstand.model.timeline.Field;
+import org.geraniumstand.support.log.Log;
 import org.xnio.IoUtils;
 
 /** Writes bytes to a caller in order and pauses reading from the backend server while the caller reads slowly. */
 public final class CallerOutput {
+    private static final Log LOG = Log.of(CallerOutput.class);
+
     /** Number of queued bytes above which reading from the backend server is paused. */
     private static final int PAUSE_BYTES = 256 * 1024;
 
@@ -22,20 +27,24 @@
     private static final long FLUSH_TIMEOUT_MILLIS = 2_000;
 
     private final HttpServerExchange exchange;
+    private final String requestId;
     private List<ByteBuffer> queue = new ArrayList<>();
     private int queuedBytes;
     private FlowControl flow;
     private boolean paused;
     private boolean sending;
     private Runnable onDrained;
+    private boolean aborted;
 
     /**
      * Creates an output for one exchange.
      *
      * @param exchange the caller's exchange
+     * @param requestId the id by which the log names the request
      */
-    public CallerOutput(HttpServerExchange exchange) {
+    public CallerOutput(HttpServerExchange exchange, String requestId) {
         this.exchange = exchange;
+        this.requestId = requestId;
     }
 
     /**
@@ -68,6 +77,19 @@
 
     /** Closes the connection, so that the caller can tell that the answer is incomplete. */
     public void abort() {
+        if (aborted) {
+            return;
+        }
+        aborted = true;
+        if (!exchange.isResponseComplete()) {
+            LOG.info(
+                    "answer-aborted",
+                    Field.of("request", requestId),
+                    Field.of("protocol", exchange.getProtocol()),
+                    Field.of("framing", AnswerFraming.of(exchange.getResponseHeaders())),
+                    Field.of("sentBytes", exchange.getResponseBytesSent()),
+                    Field.of("queuedBytes", queuedBytes));
+        }
         IoUtils.safeClose(exchange.getConnection());
     }
 
--- a/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
@@ -22,11 +22,11 @@
     private boolean started;
     private boolean ended;
 
-    CallerAnswer(HttpServerExchange exchange, HttpDate date, HeaderCodec codec) {
+    CallerAnswer(HttpServerExchange exchange, String attempt, HttpDate date, HeaderCodec codec) {
         this.exchange = exchange;
         this.date = date;
         this.codec = codec;
-        this.output = new CallerOutput(exchange);
+        this.output = new CallerOutput(exchange, attempt);
     }
 
     boolean started() {
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -316,7 +316,7 @@
             // The rest of the request stays unread, so the connection cannot carry another request.
             exchange.setPersistent(false);
         }
-        new CallerAnswer(exchange, context.date(), context.codec()).refuse(rejection.refusal(), attempt);
+        new CallerAnswer(exchange, attempt, context.date(), context.codec()).refuse(rejection.refusal(), attempt);
         CallerGate.limitRefusal(exchange);
     }
 }
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -62,7 +62,7 @@
         this.call = call;
         this.body = body;
         this.context = context;
-        this.answer = new CallerAnswer(exchange, context.date(), context.codec());
+        this.answer = new CallerAnswer(exchange, call.head().attempt(), context.date(), context.codec());
         this.order = new EventOrder(call.head().lastEventId(), call.route().resumable());
         this.splitter = new EventSplitter(order, this::onOutOfOrder);
     }
@@ -159,7 +159,9 @@
                 Field.of("listedMillis", send.assumedState().listedMillis()),
                 Field.of("processes", send.assumedState().processes()),
                 Field.of("limitPerSecond", send.assumedState().limitPerSecond().orElse(0)),
-                Field.of("leftMillis", remainingMillis));
+                Field.of("leftMillis", remainingMillis),
+                Field.of("protocol", exchange.getProtocol()),
+                Field.of("persistent", exchange.isPersistent()));
         context.observer().attemptStarted(send.assumedState().cold());
         AttemptSpec spec = new AttemptSpec(
                 server.address(),
@@ -384,6 +386,7 @@
                     Field.of("parts", partsText()),
                     Field.of("end", classified),
                     Field.of("status", head == null ? 0 : head.status()),
+                    Field.of("framing", head == null ? "" : head.framing()),
                     Field.of("signed", head != null && serverAnswer.signed()),
                     Field.of("unsentMillis", sendDelayNanos < 0 ? -1 : sendDelayNanos / Timestamp.NANOS_PER_MILLI),
                     Field.of("answerMillis", answerMillis()),
--- a/http/src/main/java/org/geraniumstand/http/upstream/AnswerHead.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/AnswerHead.java
@@ -4,6 +4,7 @@
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
 import java.util.Optional;
+import org.geraniumstand.http.AnswerFraming;
 
 /**
  * Holds the status and headers of a backend server's answer.
@@ -30,6 +31,11 @@
         return Optional.ofNullable(headers.getFirst(Headers.CONTENT_LENGTH));
     }
 
+    /** Returns how the end of the body is recognized, if there is a body. */
+    public AnswerFraming framing() {
+        return AnswerFraming.of(headers);
+    }
+
     /** Returns whether the backend server declares that it did not run the request. */
     public boolean declaresNotRun() {
         return NOT_RUN.equals(headers.getFirst(OUTCOME));
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -13,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.geraniumstand.http.AnswerFraming;
 import org.geraniumstand.model.request.AttemptEnd;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
@@ -270,8 +271,7 @@
      */
     private boolean mayBeCut() {
         boolean endsWithConnection = !headRequest()
-                && !head.headers().contains(Headers.CONTENT_LENGTH)
-                && !head.headers().contains(Headers.TRANSFER_ENCODING)
+                && head.framing() == AnswerFraming.CONNECTION
                 && head.status() != StatusCodes.NO_CONTENT
                 && head.status() != StatusCodes.NOT_MODIFIED;
         return endsWithConnection && !writer.written() && !statement.notRun();
