--- a/http/src/test/java/org/geraniumstand/http/fake/Caller.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/Caller.java
@@ -28,7 +28,8 @@
      * @param status the HTTP status code
      * @param headers the headers by lower-case name
      * @param body the part of the body that arrived
-     * @param complete whether the whole body arrived
+     * @param complete whether the body looks whole: by its length or its last chunk, or because the connection ended in order
+     *     where the head states neither
      */
     public record Answer(int status, Map<String, String> headers, String body, boolean complete) {
         /**
@@ -104,6 +105,13 @@
         return read.toString();
     }
 
+    /** Waits until the next answer begins to arrive. */
+    public void awaitAnswer() throws IOException {
+        in.mark(1);
+        readByte();
+        in.reset();
+    }
+
     /** Reads and discards everything until the listener closes the connection. */
     public void discardAll() throws IOException {
         byte[] part = new byte[BUFFER_BYTES];
@@ -143,6 +151,12 @@
                 copy(Integer.parseInt(headers.get("content-length")), body);
                 return true;
             }
+            if (!headers.containsKey("transfer-encoding")) {
+                for (int next = in.read(); next >= 0; next = in.read()) {
+                    body.write(next);
+                }
+                return true;
+            }
             for (int size = Integer.parseInt(readLine(), 16); size > 0; size = Integer.parseInt(readLine(), 16)) {
                 copy(size, body);
                 readLine();
