Prove that cut answers look complete to callers without chunks

A stream or large plain answer that is cut short reaches callers of HTTP/1.0 and those with `Connection: close` as complete: it has neither length nor chunks, and its connection ends in order. The same holds for any HTTP/1.1 caller whose answer begins after SIGTERM.

A scripted server can now reset its connections, and a new caller tells how an answer ended.

--- a/proofs/src/test/java/org/geraniumstand/proofs/process/RelayCluster.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/RelayCluster.java
@@ -95,6 +95,11 @@
         return new RelayCaller(addresses.get(process).callerPort());
     }
 
+    /** Returns a caller of a process that says what this kind says about its connection. */
+    VersionedCaller caller(int process, VersionedCaller.Kind kind, int receiveBufferBytes) {
+        return new VersionedCaller(kind, addresses.get(process).callerPort(), receiveBufferBytes);
+    }
+
     /** Returns the number of connections that the processes have opened to all servers. */
     int connections() {
         return servers.stream().mapToInt(ScriptedServer::connections).sum();
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/ScriptedServer.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/ScriptedServer.java
@@ -42,11 +42,13 @@
 
     /** The side of a connection that a script writes to. */
     final class Connection {
+        private final Socket socket;
         private final OutputStream out;
         private boolean answering;
 
-        private Connection(OutputStream out) {
-            this.out = out;
+        private Connection(Socket socket) throws IOException {
+            this.socket = socket;
+            this.out = socket.getOutputStream();
         }
 
         String serverId() {
@@ -60,6 +62,12 @@
             out.flush();
         }
 
+        /** Resets the connection. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         private synchronized void endAnswer() {
             answering = false;
         }
@@ -150,7 +158,7 @@
         try (socket) {
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            Connection connection = new Connection(socket.getOutputStream());
+            Connection connection = new Connection(socket);
             while (true) {
                 HttpMessage request = HttpMessage.read(in);
                 script.answer(request, connection);
