Show every cut answer as cut, whatever its caller speaks

What callers saw: a stream that was cut short ended as complete, for HTTP/1.0 callers, for those that ask for Connection: close and for any caller of a stopping process; at both entrances, in streams and in plain answers that are relayed as they arrive.

Cause: an answer of unknown length to such a caller ends with its connection, and a connection that is closed in the middle of an answer, by the process or by its death, ends in the same way as one behind a whole answer.

Fix: HTTP/1.1 callers always get chunks, whether their connection stays open or not, so that the last chunk tells the end. HTTP/1.0 callers know no chunks, so the connection is set to end with a reset before the first byte of such an answer, and back to an orderly end when the last byte is written. The kernel resets it, too, if the process is killed, which no code of its own could do.

--- a/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
@@ -3,6 +3,8 @@
 import io.undertow.io.IoCallback;
 import io.undertow.io.Sender;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.util.HeaderMap;
+import io.undertow.util.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -13,8 +15,14 @@
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
 import org.xnio.IoUtils;
-
-/** Writes bytes to a caller in order and pauses reading from the backend server while the caller reads slowly. */
+import org.xnio.Options;
+
+/**
+ * Writes an answer to a caller in order, and pauses reading from the backend server while the caller reads slowly.
+ *
+ * <p>A caller can tell a part of an answer from a whole one, however this process ends: the answer has a length or chunks, or,
+ * where the caller knows no chunks, its connection is reset unless the answer is complete.
+ */
 public final class CallerOutput {
     private static final Log LOG = Log.of(CallerOutput.class);
 
@@ -34,6 +42,8 @@
     private boolean paused;
     private boolean sending;
     private Runnable onDrained;
+    private boolean framed;
+    private boolean endsWithConnection;
     private boolean aborted;
 
     /**
@@ -64,6 +74,7 @@
      * @param bytes the bytes, which must not be modified afterwards
      */
     public void send(ByteBuffer bytes) {
+        frame();
         queue.add(bytes);
         queuedBytes += bytes.remaining();
         updateBackpressure();
@@ -72,7 +83,7 @@
 
     /** Completes the answer once all queued bytes are sent. */
     public void end() {
-        runWhenDrained(exchange::endExchange);
+        runWhenDrained(this::endExchange);
     }
 
     /** Closes the connection, so that the caller can tell that the answer is incomplete. */
@@ -99,6 +110,40 @@
         runWhenDrained(this::abort);
     }
 
+    private void frame() {
+        if (framed) {
+            return;
+        }
+        framed = true;
+        HeaderMap headers = exchange.getResponseHeaders();
+        if (AnswerFraming.of(headers) != AnswerFraming.CONNECTION) {
+            return;
+        }
+        if (exchange.isHttp11()) {
+            // The library would leave the chunks out where the connection does not stay open.
+            headers.put(Headers.TRANSFER_ENCODING, Headers.CHUNKED.toString());
+        } else {
+            endsWithConnection = true;
+            resetOnClose(true);
+        }
+    }
+
+    private void endExchange() {
+        if (endsWithConnection) {
+            resetOnClose(false);
+        }
+        exchange.endExchange();
+    }
+
+    /** Sets whether the connection is reset when it is closed, also by the end of the process. */
+    private void resetOnClose(boolean reset) {
+        try {
+            exchange.getConnection().setOption(Options.CLOSE_ABORT, reset);
+        } catch (IOException _e) {
+            abort();
+        }
+    }
+
     private void runWhenDrained(Runnable action) {
         onDrained = action;
         sendQueued();
