Show that the own interface refuses many header lines in calm

A caller that sends one order with 2,000 short header lines of one name, 10 kB in all, is refused while nothing else is in progress. The bounds for the crowd are unchanged.

--- a/proofs/src/test/java/org/geraniumstand/proofs/process/LimitlessClientsProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/LimitlessClientsProofTest.java
@@ -5,6 +5,9 @@
 import static org.hamcrest.Matchers.lessThan;
 
 import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.Test;
 
@@ -72,7 +75,11 @@
 
     @Test
     void ownInterfaceSurvivesManyHeaderLines() {
-        checkOwn(clients -> clients.open(HEAD_CLIENTS, OWN_HEAD, "a:\r\n", HEADER_LINES, ""));
+        try (Cluster cluster = own()) {
+            Http.Answer answer = order(cluster, Collections.nCopies(HEADER_LINES, "a"));
+            assertThat("one request with many header lines in calm: " + answer.text(), answer.status() / 100, is(2));
+            checkOwn(cluster, clients -> clients.open(HEAD_CLIENTS, OWN_HEAD, "a:\r\n", HEADER_LINES, ""));
+        }
     }
 
     @Test
@@ -125,17 +132,35 @@
     }
 
     private static void checkOwn(Crowd crowd) {
-        try (Cluster cluster = Cluster.start(1, 5, HEAP_MEGABYTES)) {
-            EntryHost host = cluster.hosts().get(0);
-            int port = host.address().callerPort();
-            String[] headers = {
-                "Authorization", "Bearer " + TestConfigurations.COUNTER_TOKEN, "Content-Type", "application/json"
-            };
-            BooleanSupplier served =
-                    () -> Http.send(port, "POST", "/orders", "{}", headers).status() / 100 == 2;
-            Conditions.await("the process serves", served);
-            check(host, port, crowd, served);
+        try (Cluster cluster = own()) {
+            checkOwn(cluster, crowd);
+        }
+    }
+
+    private static void checkOwn(Cluster cluster, Crowd crowd) {
+        EntryHost host = cluster.hosts().get(0);
+        check(host, host.address().callerPort(), crowd, () -> ordered(cluster));
+    }
+
+    private static Cluster own() {
+        Cluster cluster = Cluster.start(1, 5, HEAP_MEGABYTES);
+        Conditions.await("the process serves", () -> ordered(cluster));
+        return cluster;
+    }
+
+    private static boolean ordered(Cluster cluster) {
+        return order(cluster, List.of()).status() / 100 == 2;
+    }
+
+    /** Sends an order with a further, empty header line for each of the names. */
+    private static Http.Answer order(Cluster cluster, List<String> names) {
+        List<String> headers = new ArrayList<>(List.of(
+                "Authorization", "Bearer " + TestConfigurations.COUNTER_TOKEN, "Content-Type", "application/json"));
+        for (String name : names) {
+            headers.addAll(List.of(name, ""));
         }
+        int port = cluster.hosts().get(0).address().callerPort();
+        return Http.send(port, "POST", "/orders", "{}", headers.toArray(new String[0]));
     }
 
     /** Checks the process while the crowd's connections are still open. */
