Serve a request with many header lines of one name

Callers saw: a single request of 8 kB (16 kB are allowed) with 2,000 short lines of one name was refused with a status of 4xx in calm, at the relay (400) and at the own interface. Cause: the HTTP library counts the values of a name in a byte and throws beyond 127 (HeaderValues); neither its options nor its final header classes allow more.

HeadLines, below the library's parser, passes the first 100 header lines of a head as they come and keeps the rest of the head until it ends. Of each name 26 further lines stay, and the next one takes the values of all others (RFC 9110, section 5.3; "; " for cookies), so that no name has more than 127. First values and repetitions stay visible to the checks that refuse repeated headers. Lines that frame a message or concern its connection are never joined, and a head with an unclear line passes unchanged, so that the library decides as before. What follows a head is never changed: bytes are followed only from the end of one exchange to the start of the next, and those that the library gave back are followed where they lie. Kept bytes are part of what a head is charged.

--- a/http/src/main/java/org/geraniumstand/http/caller/CallerGate.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerGate.java
@@ -118,10 +118,11 @@
      * @return what is held for the request, or empty if there is no room for it
      */
     public Optional<MemoryAccount.Holding> onRequest(HttpServerExchange exchange) {
+        int keptBytes = 0;
         if (exchange.getConnection() instanceof HttpServerConnection connection) {
             GatedConnection gated = connections.get(connection.getChannel());
             if (gated != null) {
-                gated.onRequest(exchange);
+                keptBytes = gated.onRequest(exchange);
             }
         }
         MemoryAccount.Holding holding = account.open();
@@ -129,7 +130,7 @@
             holding.release();
             next.proceed();
         });
-        return holding.grow(headBytes(exchange)) ? Optional.of(holding) : Optional.empty();
+        return holding.grow(headBytes(exchange) + keptBytes) ? Optional.of(holding) : Optional.empty();
     }
 
     /**
@@ -164,7 +165,7 @@
             IoUtils.safeClose(connection);
             return;
         }
-        GatedConnection gated = new GatedConnection(connection, account);
+        GatedConnection gated = new GatedConnection(connection, account, MAX_HEADER_BYTES);
         connections.put(connection, gated);
         connection.getSourceChannel().setConduit(gated);
         http.handleEvent(connection);
--- a/http/src/main/java/org/geraniumstand/http/caller/GatedConnection.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/GatedConnection.java
@@ -5,16 +5,22 @@
 import io.undertow.server.protocol.http.HttpServerConnection;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.util.concurrent.TimeUnit;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
 import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
+import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.ConduitReadableByteChannel;
+import org.xnio.conduits.Conduits;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
- * Charges the heads that arrive on a caller's connection to the memory of callers, and closes the connection if a head
- * doesn't fit; confined to the connection's I/O thread, except {@link #waitingSinceNanos} and {@link #onClosed}.
+ * Charges the heads that arrive on a caller's connection to the memory of callers, closes the connection if a head
+ * doesn't fit, and joins header lines that the HTTP library wouldn't take (see {@link HeadLines}); confined to the
+ * connection's I/O thread, except {@link #waitingSinceNanos} and {@link #onClosed}.
  */
 final class GatedConnection extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private static final Log LOG = Log.of(GatedConnection.class);
@@ -24,12 +30,21 @@
 
     private final StreamConnection connection;
     private final MemoryAccount.Holding head;
+    private final HeadLines lines;
     private volatile long waitingSinceNanos = System.nanoTime();
 
-    GatedConnection(StreamConnection connection, MemoryAccount account) {
+    /**
+     * Creates an instance for a connection on which no byte has arrived.
+     *
+     * @param connection the caller's connection
+     * @param account what is held for all callers
+     * @param maxHeadBytes size of a head beyond which the HTTP library ends the connection, in bytes
+     */
+    GatedConnection(StreamConnection connection, MemoryAccount account, int maxHeadBytes) {
         super(connection.getSourceChannel().getConduit());
         this.connection = connection;
         this.head = account.open();
+        this.lines = new HeadLines(maxHeadBytes);
     }
 
     /** Returns since when the connection has waited for a whole head, or {@link #BUSY} while a request is in progress. */
@@ -41,36 +56,97 @@
         return connection;
     }
 
-    /** Records that the head of a request is complete; it is charged to the request from now on. */
-    void onRequest(HttpServerExchange exchange) {
+    /**
+     * Records that the head of a request is complete; it is charged to the request from now on.
+     *
+     * @return memory that is kept for bytes which came after the head, in bytes
+     */
+    int onRequest(HttpServerExchange exchange) {
         waitingSinceNanos = BUSY;
         head.clear();
         exchange.addExchangeCompleteListener((completed, next) -> {
             waitingSinceNanos = System.nanoTime();
-            chargeNextHead(completed);
+            beginNextHead(completed);
             next.proceed();
         });
+        return lines.keptBytes();
     }
 
     void onClosed() {
         head.release();
     }
 
+    // Only bytes that arrive while no request is in progress belong to a head, so those of a body are never scanned.
     @Override
     public int read(ByteBuffer dst) throws IOException {
-        int count = super.read(dst);
-        if (count > 0 && waitingSinceNanos != BUSY && !charge(count)) {
-            throw new IOException("no memory for the head of a request");
+        int start = dst.position();
+        do {
+            boolean scanned = lines.hasKept() && !lines.keptIsNew();
+            int count = lines.hasKept() ? lines.take(dst) : super.read(dst);
+            if (count <= 0 || scanned || waitingSinceNanos == BUSY) {
+                return count;
+            }
+            if (!charge(count)) {
+                throw new IOException("no memory for the head of a request");
+            }
+            dst.position(lines.scan(dst, start, dst.position()));
+        } while (dst.position() == start && lines.hasKept());
+        return dst.position() - start;
+    }
+
+    @Override
+    public long read(ByteBuffer[] dsts, int offs, int len) throws IOException {
+        for (int i = offs; i < offs + len; i++) {
+            if (dsts[i].hasRemaining()) {
+                return read(dsts[i]);
+            }
+        }
+        return 0;
+    }
+
+    @Override
+    public long transferTo(long position, long count, FileChannel target) throws IOException {
+        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
+    }
+
+    @Override
+    public long transferTo(long count, ByteBuffer throughBuffer, StreamSinkChannel target) throws IOException {
+        return Conduits.transfer(this, count, throughBuffer, target);
+    }
+
+    @Override
+    public void resumeReads() {
+        super.resumeReads();
+        if (lines.hasKept()) {
+            // The socket may have no more bytes that would wake the reader.
+            super.wakeupReads();
+        }
+    }
+
+    @Override
+    public void awaitReadable() throws IOException {
+        if (!lines.hasKept()) {
+            super.awaitReadable();
+        }
+    }
+
+    @Override
+    public void awaitReadable(long time, TimeUnit timeUnit) throws IOException {
+        if (!lines.hasKept()) {
+            super.awaitReadable(time, timeUnit);
         }
-        return count;
     }
 
-    /** Charges bytes that arrived while the last request was in progress. */
-    private void chargeNextHead(HttpServerExchange completed) {
+    /** Charges and follows bytes that arrived while the last request was in progress. */
+    private void beginNextHead(HttpServerExchange completed) {
+        lines.begin();
         if (completed.getConnection() instanceof HttpServerConnection server) {
             PooledByteBuffer extra = server.getExtraBytes();
             if (extra != null && extra.isOpen()) {
-                charge(extra.getBuffer().remaining());
+                ByteBuffer bytes = extra.getBuffer();
+                if (charge(bytes.remaining())) {
+                    bytes.limit(lines.scan(bytes, bytes.position(), bytes.limit()));
+                }
             }
         }
     }
--- a/proofs/src/test/java/org/geraniumstand/proofs/process/LimitlessClientsProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/LimitlessClientsProofTest.java
@@ -40,6 +40,7 @@
             "POST /desk/a HTTP/1.1\r\nHost: " + RelayCluster.HOST + "\r\nAttempt-Id: a1\r\nDeadline-Ms: 10000\r\n";
     private static final String OWN_HEAD = "POST /orders HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer "
             + TestConfigurations.COUNTER_TOKEN + "\r\nContent-Type: application/json\r\n";
+    private static final String NO_BODY = "Content-Length: 0\r\n\r\n";
     private static final String CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
 
     @Test
@@ -50,6 +51,7 @@
             caller.close();
             assertThat("one request with many header lines in calm", answer.status(), is(200));
             checkRelay(cluster, clients -> clients.open(HEAD_CLIENTS, RELAY_HEAD, "a:\r\n", HEADER_LINES, ""));
+            checkRelay(cluster, clients -> clients.open(HEAD_CLIENTS, RELAY_HEAD, "a:\r\n", HEADER_LINES, NO_BODY));
         }
     }
 
@@ -79,6 +81,7 @@
             Http.Answer answer = order(cluster, Collections.nCopies(HEADER_LINES, "a"));
             assertThat("one request with many header lines in calm: " + answer.text(), answer.status() / 100, is(2));
             checkOwn(cluster, clients -> clients.open(HEAD_CLIENTS, OWN_HEAD, "a:\r\n", HEADER_LINES, ""));
+            checkOwn(cluster, clients -> clients.open(HEAD_CLIENTS, OWN_HEAD, "a:\r\n", HEADER_LINES, NO_BODY));
         }
     }
 
