--- a/http/src/test/java/org/geraniumstand/http/caller/HandoverTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/HandoverTest.java
@@ -14,8 +14,10 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.http.fake.Caller;
+import org.geraniumstand.http.fake.Configurations;
 import org.geraniumstand.http.fake.Eventually;
 import org.geraniumstand.http.fake.FakeServer;
 import org.geraniumstand.http.fake.ListenerFixture;
@@ -228,6 +230,83 @@
         }
     }
 
+    /** Guards against a holder that is cut off, while its answer ends with its connection, as older versions send it. */
+    @Test
+    void streamOfAHolderThatIsCutOffLooksCut() throws IOException {
+        FakeServer.Script cut = (_request, connection) -> {
+            connection.write("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+                    + "id: 3\ndata: {\"choices\":[{\"delta\":{\"content\":\"t2 \"}}]}\n\n");
+            connection.abort();
+        };
+        try (FakeServer holder = FakeServer.start(cut);
+                ListenerFixture third = new ListenerFixture(
+                        (_team, _name, callback) ->
+                                callback.accept(Optional.of(new HolderLookup.Holder("127.0.0.1", holder.port()))),
+                        REMAINING_TOKENS)) {
+            Caller.Answer answer = third.call("POST", PATH, ID + "Last-Event-ID: 2\r\n", BODY);
+
+            assertThat(answer.body(), containsString("id: 3"));
+            assertThat(answer.complete(), is(false));
+        }
+    }
+
+    /** Guards against the end of an answer's connection that carries another answer by then. */
+    @Test
+    void sendsAnEndedStreamTwiceOnOneConnection() throws IOException, InterruptedException {
+        try (ListenerFixture receiver = new ListenerFixture(REMAINING_TOKENS);
+                Caller caller = new Caller(receiver.listener().port())) {
+            HeldStreams held = receiver.listener().heldStreams();
+            held.takeOver(snapshot("t0 t1 ", 2), new RequestId("taken-1"));
+            Eventually.await("the receiving process holds the stream", () -> held.holds("counter", "mine"));
+            for (int i = 0; i < 2; i++) {
+                caller.send("POST", PATH, ID + "Last-Event-ID: 2\r\n", BODY);
+                assertRemainingEvents(caller.read("POST"));
+            }
+        }
+    }
+
+    /** Guards against events that a handover takes from a slow caller, and that the next process no longer has. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1", "HTTP/1.0"})
+    void slowCallerGoesOnAfterAHandover(String protocol) throws IOException, InterruptedException {
+        AtomicBoolean sent = new AtomicBoolean();
+        FakeServer.Script manyTokens = (_request, connection) -> {
+            connection.startStream();
+            for (int i = 0; i < 100; i++) {
+                connection.token("x".repeat(1_000));
+            }
+            sent.set(true);
+            connection.stallUntilClosed();
+        };
+        String body = BODY.replace(":6", ":1000");
+        try (ListenerFixture old = new ListenerFixture(manyTokens);
+                ListenerFixture receiver = new ListenerFixture(STALLS_AFTER_TWO_TOKENS);
+                Caller slow = new Caller(old.listener().port(), 4_096)) {
+            slow.write("POST " + PATH + ' ' + protocol + "\r\nHost: x\r\nAuthorization: Bearer " + Configurations.TOKEN
+                    + "\r\n" + ID + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+            Eventually.await("the server has sent its events", sent::get);
+            Thread.sleep(300);
+            for (LiveStreams.Stream stream : old.listener().liveStreams().all()) {
+                stream.suspend(snapshot -> {
+                    receiver.listener().heldStreams().takeOver(snapshot.orElseThrow(), new RequestId("taken-1"));
+                    stream.onHandedOver();
+                });
+            }
+            Eventually.await(
+                    "the receiving process holds the stream",
+                    () -> receiver.listener().heldStreams().holds("counter", "mine"));
+            Thread.sleep(300);
+            String part = slow.read("POST").body();
+            int last = part.split("\n\n", -1).length - 1;
+            try (Caller caller = new Caller(receiver.listener().port())) {
+                caller.send("POST", PATH, ID + "Last-Event-ID: " + last + "\r\n", body);
+
+                assertThat("after event " + last, caller.readUntil("\r\n"), containsString("200"));
+                caller.readUntil("id: 102");
+            }
+        }
+    }
+
     // Returns the text that the caller read before its connection was closed.
     private static String handOver(ListenerFixture old, ListenerFixture receiver)
             throws IOException, InterruptedException {
--- a/http/src/test/java/org/geraniumstand/http/fake/Caller.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/Caller.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
@@ -48,7 +49,19 @@
      * @param port the port of the listener
      */
     public Caller(int port) throws IOException {
-        this.socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        this(port, BUFFER_BYTES);
+    }
+
+    /**
+     * Connects to a listener on the loopback interface with a receive buffer of a certain size.
+     *
+     * @param port the port of the listener
+     * @param receiveBytes the size of the receive buffer; a small one leaves what the caller does not read with the listener
+     */
+    public Caller(int port, int receiveBytes) throws IOException {
+        this.socket = new Socket();
+        this.socket.setReceiveBufferSize(receiveBytes);
+        this.socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
         this.socket.setSoTimeout(TIMEOUT_MILLIS);
         this.in = new BufferedInputStream(socket.getInputStream());
     }
--- a/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
@@ -267,6 +267,12 @@
             }
         }
 
+        /** Resets the connection without completing the answer. */
+        public void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
         /** Closes the connection without completing the answer. */
         public void abort() throws IOException {
             socket.close();
