Don't close the connection of an answer that is complete

What callers saw: the second request on a kept connection got no answer where its first one had been for a stream that is held for another process: the held stream keeps the caller of an answer that has ended, and the next caller's arrival closed that connection, which carried the next request by then.

Fix: an answer that is complete can't be broken off. HandoverTest#sendsAnEndedStreamTwiceOnOneConnection was red before.

--- a/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
@@ -88,19 +88,18 @@
 
     /** Closes the connection, so that the caller can tell that the answer is incomplete. */
     public void abort() {
-        if (aborted) {
+        if (aborted || exchange.isResponseComplete()) {
+            // The connection may carry the next request by now.
             return;
         }
         aborted = true;
-        if (!exchange.isResponseComplete()) {
-            LOG.info(
-                    "answer-aborted",
-                    Field.of("request", requestId),
-                    Field.of("protocol", exchange.getProtocol()),
-                    Field.of("framing", AnswerFraming.of(exchange.getResponseHeaders())),
-                    Field.of("sentBytes", exchange.getResponseBytesSent()),
-                    Field.of("queuedBytes", queuedBytes));
-        }
+        LOG.info(
+                "answer-aborted",
+                Field.of("request", requestId),
+                Field.of("protocol", exchange.getProtocol()),
+                Field.of("framing", AnswerFraming.of(exchange.getResponseHeaders())),
+                Field.of("sentBytes", exchange.getResponseBytesSent()),
+                Field.of("queuedBytes", queuedBytes));
         IoUtils.safeClose(exchange.getConnection());
     }
 
