Give HTTP/1.0 callers time to receive what was sent before a cut answer is reset

What callers saw, since answers that end with their connection are reset when they are cut: a slow HTTP/1.0 caller lost the events that had been sent and not received; 5 of 100 arrived, and where the stream had been handed over, the next process refused to go on from there as it keeps 32 K characters only.

Fix: such a connection is reset 500 ms after the last byte was written instead of at once. A killed process still resets at once. HandoverTest#slowCallerGoesOnAfterAHandover and SlowCallerTest#slowCallerGetsTheEventsBeforeACut were red before for HTTP/1.0.

--- a/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
@@ -34,6 +34,9 @@
 
     private static final long FLUSH_TIMEOUT_MILLIS = 2_000;
 
+    /** Time between the last byte and a reset, in milliseconds: a reset takes from a caller what it has not received. */
+    private static final long RESET_DELAY_MILLIS = 500;
+
     private final HttpServerExchange exchange;
     private final String requestId;
     private List<ByteBuffer> queue = new ArrayList<>();
@@ -106,7 +109,7 @@
     /** Closes the connection once all queued bytes are sent, or after 2 s if the caller does not read them. */
     public void drainAndAbort() {
         exchange.getIoThread().executeAfter(this::abort, FLUSH_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        runWhenDrained(this::abort);
+        runWhenDrained(endsWithConnection ? this::abortLater : this::abort);
     }
 
     private void frame() {
@@ -143,6 +146,10 @@
         }
     }
 
+    private void abortLater() {
+        exchange.getIoThread().executeAfter(this::abort, RESET_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     private void runWhenDrained(Runnable action) {
         onDrained = action;
         sendQueued();
