Take a handed-over stream that ends with its holder's connection for cut

What callers saw: a stream that a process relayed from its holder ended as complete when the holder, of an earlier version and stopping, was killed. Fix: processes state a length or send chunks to each other, so an answer of a holder that ends with its connection counts as broken off. HandoverTest#streamOfAHolderThatIsCutOffLooksCut was red before.

--- a/http/src/main/java/org/geraniumstand/http/caller/ReconnectHandler.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/ReconnectHandler.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.geraniumstand.decisions.Action.AttemptLimits;
+import org.geraniumstand.http.AnswerFraming;
 import org.geraniumstand.http.filter.Admission;
 import org.geraniumstand.http.filter.CallerRequest;
 import org.geraniumstand.http.upstream.AnswerHead;
@@ -88,9 +89,18 @@
     }
 
     /** Relays the answer of the process that holds the stream. */
-    private record AnswerListener(AnswerRelay relay) implements AttemptListener {
+    private static final class AnswerListener implements AttemptListener {
+        private final AnswerRelay relay;
+        private boolean endsWithConnection;
+
+        AnswerListener(AnswerRelay relay) {
+            this.relay = relay;
+        }
+
         @Override
         public void onHead(AnswerHead head) {
+            // Processes of this version send a length or chunks; the end of an older one's answer may be that of its process.
+            endsWithConnection = head.framing() == AnswerFraming.CONNECTION;
             relay.onHead(head);
         }
 
@@ -101,8 +111,9 @@
 
         @Override
         public void onEnd(AttemptEnd end) {
-            relay.classify(end);
-            if (end == AttemptEnd.ANSWERED || relay.committed()) {
+            AttemptEnd classified = endsWithConnection && end == AttemptEnd.ANSWERED ? AttemptEnd.BROKEN : end;
+            relay.classify(classified);
+            if (classified == AttemptEnd.ANSWERED || relay.committed()) {
                 relay.finish();
             } else {
                 relay.refuse(Refusal.unknown(RefusalReason.STREAM_UNKNOWN));
