Don't invent the end of a stream of several choices or one whose usage is due

What callers saw at the own interface: the first finish_reason, or the number of tokens of all choices, was taken for the end of the content. When the engine broke off after it, the caller got [DONE] and a complete answer, without the rest of its other choices or without the usage it had asked for. Fix: without the engine's [DONE] content is complete only if one choice was asked for and no usage is due; otherwise the stream is broken off, as another engine can't go on.

--- a/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
@@ -38,6 +38,7 @@
 
     private final Completion completion;
     private final EventSink sink;
+    private final boolean usageDue;
     private final Optional<AnswerRelay> errorRelay;
     private final EventHistory history = new EventHistory(HISTORY_CHARACTERS);
     private final StringBuilder generated = new StringBuilder();
@@ -46,6 +47,7 @@
     private boolean errorStatus;
     private boolean resumed;
     private boolean finishReasonSeen;
+    private boolean usageSeen;
     private boolean doneSent;
     private boolean positionKnown = true;
     private int tokens;
@@ -56,6 +58,7 @@
         this.completion = completion;
         this.sink = sink;
         this.errorRelay = errorRelay;
+        this.usageDue = completion.document().path("stream_options").path("include_usage").asBoolean(false);
     }
 
     /** Restores the state of a stream that another process relayed so far. */
@@ -148,12 +151,22 @@
 
     @Override
     public boolean contentComplete() {
+        return generationEnded() && completion.document().path("n").asInt(1) == 1 && (usageSeen || !usageDue);
+    }
+
+    /** Returns whether a first choice has ended; others, or the usage, may still be due. */
+    private boolean generationEnded() {
         return finishReasonSeen || tokens >= completion.maxTokens();
     }
 
+    /** Returns whether no other engine can go on with the stream, although its content is not complete. */
+    private boolean cannotContinue() {
+        return !doneSent && !contentComplete() && (!positionKnown || generationEnded());
+    }
+
     @Override
     public boolean committed() {
-        return !positionKnown || errorRelay.map(AnswerRelay::committed).orElse(false);
+        return cannotContinue() || errorRelay.map(AnswerRelay::committed).orElse(false);
     }
 
     @Override
@@ -172,7 +185,7 @@
             errorRelay.ifPresent(AnswerRelay::finish);
             return;
         }
-        if (!positionKnown && !doneSent && !contentComplete()) {
+        if (cannotContinue()) {
             sink.refuse(Refusal.unknown(RefusalReason.SERVER_FAILED));
             return;
         }
@@ -222,6 +235,7 @@
             tokens++;
         }
         finishReasonSeen |= hasFinishReason;
+        usageSeen |= usage.isObject();
         cachedTokens = usage.path("prompt_tokens_details").path("cached_tokens").asInt(cachedTokens);
         boolean resumable = holdsOnlyText(event.path("choices"));
         positionKnown &= resumable;
