Test that a request kept behind many header lines is served

A request that was sent ahead and read together with the end of a head of 1,000 to 1,099 lines must be served though no further byte arrives.

--- a/http/src/test/java/org/geraniumstand/http/caller/ManyHeaderLinesTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/ManyHeaderLinesTest.java
@@ -84,6 +84,24 @@
         }
     }
 
+    @Test
+    void nextRequestIsServedThoughNoMoreBytesArrive() throws Exception {
+        start(1_000);
+        String body = "x".repeat(200);
+        String next = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+        // The second request begins at other places of the buffers each time.
+        for (int lines = 1_000; lines < 1_100; lines++) {
+            try (Caller caller = new Caller(gate.port())) {
+                caller.write(START + "a:\r\n".repeat(lines) + "Content-Length: 200\r\n\r\n" + body + next);
+
+                assertThat(caller.read("POST").status(), is(200));
+                assertThat(lines + " lines", caller.read("GET").status(), is(200));
+                assertThat(requests.poll(5, TimeUnit.SECONDS), is(",".repeat(lines) + "|" + body));
+                assertThat(requests.poll(5, TimeUnit.SECONDS), is("|"));
+            }
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"a: 1\n", "no colon\r\n", ": 1\r\n", "a: \0\r\n", " folded\r\n", "a : 1\r\n"})
     void unclearLineLeadsToTheSameWithManyLines(String line) throws Exception {
