--- a/http/src/main/java/org/geraniumstand/http/caller/ReconnectHandler.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/ReconnectHandler.java
@@ -99,7 +99,8 @@
 
         @Override
         public void onHead(AnswerHead head) {
-            // Processes of this version send a length or chunks; the end of an older one's answer may be that of its process.
+            // Processes of this version send a length or chunks; the end of an older one's answer may be that of its
+            // process.
             endsWithConnection = head.framing() == AnswerFraming.CONNECTION;
             relay.onHead(head);
         }
--- a/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/StreamRelay.java
@@ -58,7 +58,11 @@
         this.completion = completion;
         this.sink = sink;
         this.errorRelay = errorRelay;
-        this.usageDue = completion.document().path("stream_options").path("include_usage").asBoolean(false);
+        this.usageDue = completion
+                .document()
+                .path("stream_options")
+                .path("include_usage")
+                .asBoolean(false);
     }
 
     /** Restores the state of a stream that another process relayed so far. */
