--- a/proofs/src/test/java/org/geraniumstand/proofs/process/LimitlessClientsProofTest.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/LimitlessClientsProofTest.java
@@ -12,8 +12,8 @@
 import org.junit.jupiter.api.Test;
 
 /**
- * Checks that clients without limits end no process: many odd header lines, bodies that stop short of their end, and
- * requests sent ahead whose answers stay unread, at both entrances. The heap is small, so that a small crowd suffices.
+ * Checks that clients without limits end no process: many odd header lines, bodies that stop short of their end,
+ * requests sent ahead whose answers stay unread, and large answers that nobody reads, at both entrances. The heap is small, so that a small crowd suffices.
  */
 final class LimitlessClientsProofTest {
     private static final int HEAP_MEGABYTES = 32;
@@ -35,6 +35,23 @@
     private static final String TINY_CHUNK = "1\r\nx\r\n";
     private static final int AHEAD_CLIENTS = 100;
     private static final int REQUESTS_AHEAD = 3_000;
+    private static final int UNREAD_CLIENTS = 150;
+    private static final int LARGE_ANSWER_PARTS = 96;
+    private static final String ANSWER_PART = "x".repeat(CHUNK_BYTES);
+
+    /** Time that the clients who read nothing allow for their answers, in milliseconds; longer than the checks last. */
+    private static final int UNREAD_TIMEOUT_MILLIS = 120_000;
+
+    private static final String RELAY_LARGE = "GET /files/a HTTP/1.1\r\nHost: " + RelayCluster.HOST
+            + "\r\nAttempt-Id: large\r\nDeadline-Ms: " + UNREAD_TIMEOUT_MILLIS + "\r\n\r\n";
+    private static final String LARGE_ORDER = "large";
+
+    /** The stand-in's HTTP library takes bodies of up to 2 MB. */
+    private static final int LARGE_ORDER_PARTS = 56;
+
+    private static final String OWN_LARGE = "GET /orders/" + LARGE_ORDER
+            + " HTTP/1.1\r\nHost: localhost\r\nAuthorization: Bearer " + TestConfigurations.COUNTER_TOKEN
+            + "\r\nRequest-Timeout: " + UNREAD_TIMEOUT_MILLIS / 1_000 + "\r\n\r\n";
 
     private static final String RELAY_HEAD =
             "POST /desk/a HTTP/1.1\r\nHost: " + RelayCluster.HOST + "\r\nAttempt-Id: a1\r\nDeadline-Ms: 10000\r\n";
@@ -99,6 +116,35 @@
         checkOwn(clients -> clients.open(AHEAD_CLIENTS, "", request, REQUESTS_AHEAD, ""));
     }
 
+    @Test
+    void relaySurvivesLargeAnswersThatNobodyReads() {
+        try (RelayCluster cluster = relay()) {
+            checkRelay(
+                    cluster,
+                    clients ->
+                            clients.open(UNREAD_CLIENTS, RELAY_LARGE, "", 0, "").awaitAnswers());
+        }
+    }
+
+    @Test
+    void relaySurvivesClientsThatReadNothingAndComeAgain() {
+        try (RelayCluster cluster = relay()) {
+            checkRelay(
+                    cluster,
+                    clients -> clients.openAgain(UNREAD_CLIENTS, RELAY_LARGE).awaitAnswers());
+        }
+    }
+
+    @Test
+    void ownInterfaceSurvivesLargeAnswersThatNobodyReads() {
+        checkOwn(clients -> clients.open(UNREAD_CLIENTS, OWN_LARGE, "", 0, "").awaitAnswers());
+    }
+
+    @Test
+    void ownInterfaceSurvivesClientsThatReadNothingAndComeAgain() {
+        checkOwn(clients -> clients.openAgain(UNREAD_CLIENTS, OWN_LARGE).awaitAnswers());
+    }
+
     /** Opens the connections of a crowd. */
     @FunctionalInterface
     private interface Crowd {
@@ -109,6 +155,7 @@
         RelayCluster cluster = new RelayCluster(1, HEAP_MEGABYTES);
         cluster.configure(RelayConfigurations.builder()
                 .route("desk", "desk", "safe", false, 3, TIMEOUT_MILLIS)
+                .route("files", "desk", "safe", false, 3, UNREAD_TIMEOUT_MILLIS)
                 .service("desk")
                 .build());
         cluster.addServer("desk", 64, LimitlessClientsProofTest::answer);
@@ -118,8 +165,14 @@
     }
 
     private static void answer(HttpMessage request, ScriptedServer.Connection connection) throws IOException {
+        boolean large = request.target().startsWith("/files/");
+        String body = large ? ANSWER_PART : "ok";
+        int parts = large ? LARGE_ANSWER_PARTS : 1;
         connection.write("HTTP/1.1 200 OK\r\nAttempt-Id: " + request.header("Attempt-Id") + "\r\nReplica-Seal: s."
-                + connection.serverId() + "\r\nContent-Length: 2\r\n\r\nok");
+                + connection.serverId() + "\r\nContent-Length: " + parts * body.length() + "\r\n\r\n" + body);
+        for (int i = 1; i < parts; i++) {
+            connection.write(body);
+        }
     }
 
     private static boolean served(RelayCluster cluster) {
@@ -136,6 +189,7 @@
 
     private static void checkOwn(Crowd crowd) {
         try (Cluster cluster = own()) {
+            addLargeOrder(cluster);
             checkOwn(cluster, crowd);
         }
     }
@@ -166,6 +220,16 @@
         return Http.send(port, "POST", "/orders", "{}", headers.toArray(new String[0]));
     }
 
+    /** Places an order at each desk, past the process, which answers every look-up of it with 1.8 MB. */
+    private static void addLargeOrder(Cluster cluster) {
+        String body = ANSWER_PART.repeat(LARGE_ORDER_PARTS);
+        for (Backends.OrderDesk desk : cluster.backends().orderDesks()) {
+            Http.Answer answer =
+                    Http.send(desk.standin().port(), "POST", "/orders", body, "Idempotency-Key", LARGE_ORDER);
+            assertThat("the large order is placed, " + answer.text(), answer.status(), is(201));
+        }
+    }
+
     /** Checks the process while the crowd's connections are still open. */
     private static void check(JavaProcess host, int port, Crowd crowd, BooleanSupplier served) {
         try (LimitlessClients clients = new LimitlessClients(port)) {
