Close callers that take nothing of their answers, and count what waits for them

Answers that nobody reads kept the places at backend servers until the route's time-out, and what was queued for them wasn't counted. What is queued and kept is charged to an account of answers; without room the server's connection is paused.

--- a/http/src/main/java/org/geraniumstand/http/caller/AnswerRelay.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/AnswerRelay.java
@@ -3,7 +3,6 @@
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
 import io.undertow.util.Methods;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import org.geraniumstand.http.upstream.AnswerHead;
 import org.geraniumstand.http.upstream.FlowControl;
@@ -25,7 +24,7 @@
     private final HttpServerExchange exchange;
     private final String callerRequestId;
     private final boolean idempotent;
-    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private final KeptAnswer buffered;
     private final CallerOutput output;
     private FlowControl flow;
     private AnswerHead head;
@@ -37,12 +36,13 @@
         this.exchange = exchange;
         this.callerRequestId = callerRequestId;
         this.idempotent = idempotent;
+        this.buffered = new KeptAnswer(exchange);
         this.output = new CallerOutput(exchange, callerRequestId);
     }
 
     @Override
     public HttpBody bodyFor(HttpBody original) {
-        buffered.reset();
+        buffered.clear();
         head = null;
         complete = false;
         return original;
@@ -72,12 +72,12 @@
             output.send(ByteBuffer.wrap(part));
             return;
         }
-        if (buffered.size() + part.length <= AnswerLimits.MAX_BUFFERED_BYTES) {
-            buffered.write(part, 0, part.length);
-            return;
+        boolean room = buffered.add(part);
+        // Without room an answer is passed on as it comes, but not one that another attempt should replace.
+        boolean mayPassOn = !head.serverError() && !head.declaresNotRun();
+        if (buffered.size() > AnswerLimits.MAX_BUFFERED_BYTES || (!room && mayPassOn)) {
+            commit();
         }
-        commit();
-        output.send(ByteBuffer.wrap(part));
     }
 
     @Override
@@ -151,7 +151,7 @@
         head.contentLength().ifPresent(length -> exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length));
         output.setUpstream(flow);
         if (buffered.size() > 0) {
-            output.send(ByteBuffer.wrap(buffered.toByteArray()));
+            output.send(ByteBuffer.wrap(buffered.take()));
         }
     }
 
@@ -162,7 +162,7 @@
                     .ifPresent(length -> exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, length));
             exchange.endExchange();
         } else {
-            exchange.getResponseSender().send(ByteBuffer.wrap(buffered.toByteArray()));
+            CallerOutput.sendWhole(exchange, buffered.take());
         }
     }
 
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerGate.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerGate.java
@@ -11,10 +11,12 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
 import org.xnio.ChannelListener;
@@ -45,6 +47,8 @@
     private static final long REFUSAL_READ_MILLIS = 2_000;
 
     private final MemoryAccount account;
+    private final MemoryAccount answers;
+    private final StalledCallers stalledCallers;
     private final Map<StreamConnection, GatedConnection> connections = new ConcurrentHashMap<>();
     private final HttpOpenListener http;
     private final AcceptingChannel<StreamConnection> server;
@@ -56,8 +60,10 @@
             OptionMap options,
             HttpHandler handler)
             throws IOException {
-        this.account =
-                new MemoryAccount(CallerMemory.ofHeap(Runtime.getRuntime().maxMemory()));
+        CallerMemory limits = CallerMemory.ofHeap(Runtime.getRuntime().maxMemory());
+        this.account = new MemoryAccount(limits);
+        this.answers = new MemoryAccount(limits);
+        this.stalledCallers = new StalledCallers(worker.getIoThread(0), List.of(account, answers));
         this.http = new HttpOpenListener(
                 buffers,
                 OptionMap.builder()
@@ -111,6 +117,11 @@
         return server.getLocalAddress(InetSocketAddress.class).getPort();
     }
 
+    /** Returns the memory held for all callers and their answers, in bytes. */
+    public long heldBytes() {
+        return account.totalBytes() + answers.totalBytes();
+    }
+
     /**
      * Charges the head of a request to the memory of callers until its answer is complete.
      *
@@ -118,13 +129,9 @@
      * @return what is held for the request, or empty if there is no room for it
      */
     public Optional<MemoryAccount.Holding> onRequest(HttpServerExchange exchange) {
-        int keptBytes = 0;
-        if (exchange.getConnection() instanceof HttpServerConnection connection) {
-            GatedConnection gated = connections.get(connection.getChannel());
-            if (gated != null) {
-                keptBytes = gated.onRequest(exchange);
-            }
-        }
+        int keptBytes =
+                gated(exchange).map(gated -> gated.onRequest(exchange)).orElse(0);
+        AnswerMemory.open(exchange, answers);
         MemoryAccount.Holding holding = account.open();
         exchange.addExchangeCompleteListener((_exchange, next) -> {
             holding.release();
@@ -133,6 +140,23 @@
         return holding.grow(headBytes(exchange) + keptBytes) ? Optional.of(holding) : Optional.empty();
     }
 
+    /**
+     * Sets what a call keeps from others while its caller takes nothing of the answer, until the exchange is complete.
+     *
+     * @param exchange the caller's exchange
+     * @param waitingCalls returns the number of calls that wait for the place which the call holds at a backend server, or 0 if
+     *     it holds none; called on the worker's first I/O thread
+     */
+    public void onServed(HttpServerExchange exchange, IntSupplier waitingCalls) {
+        gated(exchange).ifPresent(gated -> gated.setWaitingCalls(waitingCalls));
+    }
+
+    private Optional<GatedConnection> gated(HttpServerExchange exchange) {
+        return exchange.getConnection() instanceof HttpServerConnection connection
+                ? Optional.ofNullable(connections.get(connection.getChannel()))
+                : Optional.empty();
+    }
+
     /**
      * Closes the connection of a refused request if the caller has not read the refusal, or not sent the rest of the
      * request, some seconds later.
@@ -165,9 +189,9 @@
             IoUtils.safeClose(connection);
             return;
         }
-        GatedConnection gated = new GatedConnection(connection, account, MAX_HEADER_BYTES);
+        GatedConnection gated = new GatedConnection(connection, account, stalledCallers, MAX_HEADER_BYTES);
         connections.put(connection, gated);
-        connection.getSourceChannel().setConduit(gated);
+        gated.install();
         http.handleEvent(connection);
         // The HTTP server sets a listener of its own when it takes the connection.
         ChannelListener<? super StreamConnection> closed = connection.getCloseListener();
@@ -182,6 +206,7 @@
 
     private void onClosed(GatedConnection gated) {
         connections.remove(gated.connection());
+        stalledCallers.onClosed(gated);
         gated.onClosed();
     }
 
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerListener.java
@@ -96,7 +96,7 @@
         this.core = setup.core();
         this.bodyTimeoutMillis = setup.bodyTimeoutMillis();
         UpstreamClient upstream = new UpstreamClient(buffers);
-        this.context = new RequestContext(self, core, upstream, setup.orders());
+        this.context = new RequestContext(self, core, upstream, setup.orders(), new WaitingCalls());
         this.server = Undertow.builder()
                 .setIoThreads(setup.ioThreads())
                 .setWorkerThreads(1)
@@ -132,6 +132,11 @@
         return gate.port();
     }
 
+    /** Returns the memory held for all callers and their answers, in bytes. */
+    public long heldBytes() {
+        return gate.heldBytes();
+    }
+
     /** Returns the streams that are being relayed. */
     public LiveStreams liveStreams() {
         return liveStreams;
@@ -219,12 +224,17 @@
 
     private void serve(HttpServerExchange exchange, RequestId id, Admission admission) {
         RequestTask task = RequestTaskFactory.create(exchange, id, admission, context);
+        WaitingCalls.Call waiting =
+                context.waitingCalls().add(admission.service().orElseThrow().id());
+        task.setWaiting(waiting);
+        gate.onServed(exchange, waiting::waitingForPlace);
         if (admission.streaming()) {
             liveStreams.add(task);
         }
         exchange.addExchangeCompleteListener((_exchange, next) -> {
             liveStreams.remove(task);
             task.onCallerDisconnected();
+            waiting.onEnded();
             next.proceed();
         });
         CallerWatch.start(exchange, task::onCallerDisconnected);
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerMemory.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerMemory.java
@@ -16,6 +16,9 @@
         summary =
                 "Refuses memory to a caller if too much is held for all; small requests keep room that large ones can't take.")
 public record CallerMemory(long budgetBytes, int maxConnections) {
+    /** Limits that nothing meets. */
+    static final CallerMemory UNLIMITED = new CallerMemory(Long.MAX_VALUE / 2, Integer.MAX_VALUE);
+
     /**
      * Memory that a byte of a head can take once it is parsed, in bytes: the shortest line with a name of its own has
      * five bytes and becomes five objects with about 200 bytes.
--- a/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
@@ -39,10 +39,12 @@
 
     private final HttpServerExchange exchange;
     private final String requestId;
+    private final MemoryAccount.Holding memory;
     private List<ByteBuffer> queue = new ArrayList<>();
     private int queuedBytes;
     private FlowControl flow;
     private boolean paused;
+    private boolean noRoom;
     private boolean sending;
     private Runnable onDrained;
     private boolean framed;
@@ -58,6 +60,7 @@
     public CallerOutput(HttpServerExchange exchange, String requestId) {
         this.exchange = exchange;
         this.requestId = requestId;
+        this.memory = AnswerMemory.of(exchange);
     }
 
     /**
@@ -80,10 +83,22 @@
         frame();
         queue.add(bytes);
         queuedBytes += bytes.remaining();
+        noRoom |= !memory.charge(bytes.remaining());
         updateBackpressure();
         sendQueued();
     }
 
+    /**
+     * Sends the whole body of an answer and completes it; what waits counts until the exchange is complete.
+     *
+     * @param exchange the caller's exchange
+     * @param body the body, which must not be modified afterwards
+     */
+    public static void sendWhole(HttpServerExchange exchange, byte[] body) {
+        AnswerMemory.of(exchange).charge(body.length);
+        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+    }
+
     /** Completes the answer once all queued bytes are sent. */
     public void end() {
         runWhenDrained(this::endExchange);
@@ -177,10 +192,10 @@
         if (flow == null) {
             return;
         }
-        if (!paused && queuedBytes > PAUSE_BYTES) {
+        if (!paused && (queuedBytes > PAUSE_BYTES || noRoom)) {
             paused = true;
             flow.pause();
-        } else if (paused && queuedBytes < RESUME_BYTES) {
+        } else if (paused && queuedBytes < RESUME_BYTES && !noRoom) {
             paused = false;
             flow.resume();
         }
@@ -197,6 +212,9 @@
         public void onComplete(HttpServerExchange _exchange, Sender _sender) {
             sending = false;
             queuedBytes -= bytes;
+            memory.shrink(bytes);
+            // Without room nothing is read from the backend server until the caller has taken all that waits.
+            noRoom &= queuedBytes > 0;
             updateBackpressure();
             sendQueued();
         }
--- a/http/src/main/java/org/geraniumstand/http/caller/GatedConnection.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/GatedConnection.java
@@ -6,21 +6,26 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
 import org.xnio.IoUtils;
+import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.ConduitReadableByteChannel;
+import org.xnio.conduits.ConduitStreamSinkChannel;
 import org.xnio.conduits.Conduits;
 import org.xnio.conduits.StreamSourceConduit;
 
 /**
  * Charges the heads that arrive on a caller's connection to the memory of callers, closes the connection if a head
- * doesn't fit, and joins header lines that the HTTP library wouldn't take (see {@link HeadLines}); confined to the
- * connection's I/O thread, except {@link #waitingSinceNanos} and {@link #onClosed}.
+ * doesn't fit, joins header lines that the HTTP library wouldn't take (see {@link HeadLines}), and watches what the caller
+ * takes of its answers; confined to the connection's I/O thread, except {@link #waitingSinceNanos}, {@link #stalledSinceNanos},
+ * {@link #waitingCalls}, {@link #tryToWrite}, {@link #reset} and {@link #onClosed}.
  */
 final class GatedConnection extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private static final Log LOG = Log.of(GatedConnection.class);
@@ -31,20 +36,67 @@
     private final StreamConnection connection;
     private final MemoryAccount.Holding head;
     private final HeadLines lines;
+    private final GatedOutput output;
     private volatile long waitingSinceNanos = System.nanoTime();
+    private volatile Optional<IntSupplier> waitingCalls = Optional.empty();
 
     /**
      * Creates an instance for a connection on which no byte has arrived.
      *
      * @param connection the caller's connection
      * @param account what is held for all callers
+     * @param stalledCallers is told when the caller has not taken all that was written
      * @param maxHeadBytes size of a head beyond which the HTTP library ends the connection, in bytes
      */
-    GatedConnection(StreamConnection connection, MemoryAccount account, int maxHeadBytes) {
+    GatedConnection(StreamConnection connection, MemoryAccount account, StalledCallers stalledCallers, int maxHeadBytes) {
         super(connection.getSourceChannel().getConduit());
         this.connection = connection;
         this.head = account.open();
         this.lines = new HeadLines(maxHeadBytes);
+        this.output = new GatedOutput(connection.getSinkChannel().getConduit(), () -> stalledCallers.onStalled(this));
+    }
+
+    /** Takes the place of the connection's conduits, before the HTTP server takes the connection. */
+    void install() {
+        connection.getSourceChannel().setConduit(this);
+        connection.getSinkChannel().setConduit(output);
+    }
+
+    /** Returns when the caller last took a byte of what waits for it since then, or {@link GatedOutput#NOTHING_WAITS}. */
+    long stalledSinceNanos() {
+        return output.stalledSinceNanos();
+    }
+
+    /** Returns the number of calls that wait for the place which this connection's call holds at a backend server. */
+    int waitingCalls() {
+        return waitingCalls.map(IntSupplier::getAsInt).orElse(0);
+    }
+
+    /** Sets the function that returns {@link #waitingCalls}, until the exchange is complete. */
+    void setWaitingCalls(IntSupplier next) {
+        waitingCalls = Optional.of(next);
+    }
+
+    /** Tries to write what waits: the system reports a full connection as writable only once a third of its buffer is free. */
+    void tryToWrite() {
+        connection.getIoThread().execute(() -> {
+            ConduitStreamSinkChannel channel = connection.getSinkChannel();
+            if (stalledSinceNanos() != GatedOutput.NOTHING_WAITS && channel.isWriteResumed()) {
+                channel.wakeupWrites();
+            }
+        });
+    }
+
+    /** Resets the connection, so that the caller can't take its answer for complete and nothing of it stays with the system. */
+    void reset() {
+        connection.getIoThread().execute(() -> {
+            try {
+                connection.setOption(Options.CLOSE_ABORT, true);
+            } catch (IOException _e) {
+                // The connection has ended meanwhile.
+            }
+            IoUtils.safeClose(connection);
+        });
     }
 
     /** Returns since when the connection has waited for a whole head, or {@link #BUSY} while a request is in progress. */
@@ -66,6 +118,7 @@
         head.clear();
         exchange.addExchangeCompleteListener((completed, next) -> {
             waitingSinceNanos = System.nanoTime();
+            waitingCalls = Optional.empty();
             beginNextHead(completed);
             next.proceed();
         });
--- a/http/src/main/java/org/geraniumstand/http/caller/MemoryAccount.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/MemoryAccount.java
@@ -6,6 +6,7 @@
 public final class MemoryAccount {
     private final CallerMemory limits;
     private final AtomicLong totalBytes = new AtomicLong();
+    private final AtomicLong refusals = new AtomicLong();
 
     /**
      * Creates an account without holdings.
@@ -26,6 +27,11 @@
         return totalBytes.get();
     }
 
+    /** Returns how often a holding could not grow. */
+    public long refusals() {
+        return refusals.get();
+    }
+
     /** Returns a new, empty holding. */
     public Holding open() {
         return new Holding();
@@ -53,9 +59,37 @@
                 }
                 total = totalBytes.get();
             }
+            refusals.incrementAndGet();
+            return false;
+        }
+
+        /**
+         * Adds to the holding, beyond the limits if need be, for what can't be refused any more.
+         *
+         * @param more the additional memory, in bytes
+         * @return whether the limits allow it
+         */
+        public synchronized boolean charge(long more) {
+            if (released || grow(more)) {
+                return true;
+            }
+            totalBytes.addAndGet(more);
+            bytes += more;
             return false;
         }
 
+        /**
+         * Returns a part of what is held to the account; nothing once the holding is released.
+         *
+         * @param less what is no longer held, in bytes
+         */
+        public synchronized void shrink(long less) {
+            if (!released) {
+                totalBytes.addAndGet(-less);
+                bytes -= less;
+            }
+        }
+
         /** Returns what is held to the account; the holding may grow again. */
         public synchronized void clear() {
             totalBytes.addAndGet(-bytes);
--- a/http/src/main/java/org/geraniumstand/http/caller/RequestContext.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestContext.java
@@ -10,7 +10,8 @@
 import org.xnio.XnioIoThread;
 
 /** Holds the collaborators that all request tasks of a process share. */
-record RequestContext(ProcessId self, CoreInbox core, UpstreamClient upstream, OrderClaims orders) {
+record RequestContext(
+        ProcessId self, CoreInbox core, UpstreamClient upstream, OrderClaims orders, WaitingCalls waitingCalls) {
     OrderGate gate(RequestId id, Admission admission, XnioIoThread thread, OrderGate.ClaimHandler handler) {
         return new OrderGate(self, id, admission, orders, upstream, thread, handler);
     }
--- a/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestTask.java
@@ -40,6 +40,7 @@
     private final AnswerRecorder recorder = new AnswerRecorder();
     private final List<Action> deferred = new ArrayList<>();
     private Optional<Replay> replay = Optional.empty();
+    private Optional<WaitingCalls.Call> waiting = Optional.empty();
     private Attempt attempt;
     private boolean mayHaveRun;
     private boolean callerDone;
@@ -69,6 +70,11 @@
         replay = Optional.of(sender);
     }
 
+    /** Sets the record of whether the call waits for a place at a backend server or holds one. */
+    void setWaiting(WaitingCalls.Call call) {
+        waiting = Optional.of(call);
+    }
+
     @Override
     public void post(Action action) {
         thread.execute(() -> executeAction(action));
@@ -186,6 +192,7 @@
             callerDone = true;
             relay.finish();
         } else if (dispatch.attempt() == 1 && gate.isPresent()) {
+            waiting.ifPresent(WaitingCalls.Call::onSent);
             gate.get().requestClaim(dispatch);
         } else {
             startAttempt(dispatch);
@@ -194,6 +201,7 @@
 
     private void startAttempt(Action.Dispatch dispatch) {
         cancelAttempt();
+        waiting.ifPresent(WaitingCalls.Call::onSent);
         CallerRequest request = admission.request();
         AttemptSpec spec = new AttemptSpec(
                 dispatch.server().address(),
@@ -297,6 +305,7 @@
 
         @Override
         public void onEnd(AttemptEnd end) {
+            waiting.ifPresent(WaitingCalls.Call::onEnded);
             AttemptEnd classified = relay.classify(end);
             boolean provenNotRun = classified == AttemptEnd.NOT_CONNECTED || classified == AttemptEnd.DECLINED;
             boolean answered = classified == AttemptEnd.ANSWERED
--- a/http/src/main/java/org/geraniumstand/http/caller/RequestTaskFactory.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/RequestTaskFactory.java
@@ -2,7 +2,6 @@
 
 import io.undertow.server.HttpServerExchange;
 import io.undertow.util.Headers;
-import java.nio.ByteBuffer;
 import java.util.Base64;
 import java.util.Optional;
 import org.geraniumstand.decisions.orders.RecordedAnswer;
@@ -33,6 +32,6 @@
         if (!answer.contentType().isEmpty()) {
             exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, answer.contentType());
         }
-        exchange.getResponseSender().send(ByteBuffer.wrap(Base64.getDecoder().decode(answer.body())));
+        CallerOutput.sendWhole(exchange, Base64.getDecoder().decode(answer.body()));
     }
 }
--- a/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/CallerAnswer.java
@@ -67,7 +67,7 @@
         start(head);
         ended = true;
         exchange.getResponseHeaders().put(Headers.CONTENT_LENGTH, body.length);
-        exchange.getResponseSender().send(ByteBuffer.wrap(body));
+        CallerOutput.sendWhole(exchange, body);
     }
 
     /** Closes the connection after the bytes sent so far, so that the caller can tell that the answer is incomplete. */
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -127,6 +127,11 @@
         return listener;
     }
 
+    /** Returns the memory held for all callers and their answers, in bytes. */
+    public long heldBytes() {
+        return gate.heldBytes();
+    }
+
     /** Closes each connection after its next answer, so that callers reconnect through the load balancer. */
     public void disableKeepAlive() {
         context.thread().execute(() -> keepAliveDisabled = true);
@@ -287,6 +292,8 @@
             task.onCallerDisconnected();
             next.proceed();
         });
+        gate.onServed(
+                exchange, () -> task.isDone() ? 0 : context.dispatcherTask().waitingCalls(call));
         task.start(CallerWatch.create(exchange, task::onCallerDisconnected));
         if (!task.isDone()) {
             context.dispatcherTask().submit(task);
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueTask.java
@@ -1,7 +1,6 @@
 package org.geraniumstand.http.opaque;
 
 import io.undertow.server.HttpServerExchange;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +9,7 @@
 import org.geraniumstand.decisions.relay.RelayCall;
 import org.geraniumstand.decisions.relay.RelayStep;
 import org.geraniumstand.http.caller.CallerWatch;
+import org.geraniumstand.http.caller.KeptAnswer;
 import org.geraniumstand.http.upstream.AnswerHead;
 import org.geraniumstand.http.upstream.Attempt;
 import org.geraniumstand.http.upstream.AttemptListener;
@@ -245,7 +245,7 @@
 
     /** Relays the answer of one attempt. */
     private final class AnswerListener implements AttemptListener {
-        private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+        private final KeptAnswer buffered = new KeptAnswer(exchange);
         private AnswerHead head;
         private ServerHead serverAnswer;
         private boolean success;
@@ -329,11 +329,10 @@
                 answer.send(part);
                 return;
             }
-            buffered.write(part, 0, part.length);
-            if (success && buffered.size() > AnswerLimits.MAX_BUFFERED_BYTES) {
+            boolean room = buffered.add(part);
+            if (success && (!room || buffered.size() > AnswerLimits.MAX_BUFFERED_BYTES)) {
                 handling = BodyHandling.RELAY;
-                relay(buffered.toByteArray());
-                buffered.reset();
+                relay(buffered.take());
             }
             abortIfTooLarge(buffered.size());
         }
@@ -398,6 +397,8 @@
             }
             if (answered) {
                 complete();
+            } else {
+                buffered.clear();
             }
             context.dispatcherTask().onAttemptEnded(call, answered ? AttemptEnd.ANSWERED : classified);
         }
@@ -453,7 +454,7 @@
             finish();
             context.observer().answered(call.route().kind(), millisSinceArrival());
             if (!success) {
-                answer.sendComplete(head, buffered.toByteArray());
+                answer.sendComplete(head, buffered.take());
                 return;
             }
             context.dispatcherTask().onSucceeded(call);
@@ -461,7 +462,7 @@
             if (answer.started()) {
                 answer.end();
             } else {
-                answer.sendComplete(head, buffered.toByteArray());
+                answer.sendComplete(head, buffered.take());
             }
         }
     }
--- a/http/src/test/java/org/geraniumstand/http/caller/MemoryAccountTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/MemoryAccountTest.java
@@ -31,6 +31,32 @@
         assertThat("a released holding does not grow", holding.grow(1), is(false));
     }
 
+    @Test
+    void chargesWhatCannotBeRefusedBeyondTheLimits() {
+        MemoryAccount.Holding holding = account.open();
+
+        assertThat(holding.charge(500), is(true));
+        assertThat(holding.charge(600), is(false));
+        assertThat(account.totalBytes(), is(1_100L));
+        assertThat(account.refusals(), is(1L));
+        assertThat(account.open().grow(1), is(false));
+        holding.release();
+        assertThat(account.totalBytes(), is(0L));
+    }
+
+    @Test
+    void returnsPartsOnlyUntilTheHoldingIsReleased() {
+        MemoryAccount.Holding holding = account.open();
+        holding.charge(600);
+        holding.shrink(200);
+        assertThat(account.totalBytes(), is(400L));
+
+        holding.release();
+        holding.shrink(400);
+        holding.charge(50);
+        assertThat(account.totalBytes(), is(0L));
+    }
+
     @Test
     void aClearedHoldingGrowsAgain() {
         MemoryAccount.Holding holding = account.open();
