Don't close callers that read slowly but steadily, or that read while the process stood still

The window of a slow caller opens in steps of up to 64 kB, so 7 of 30 callers that read 32 kB/s were closed after 2 s while a call waited, and one that read 2.5 kB/s after 15 s; callers that had read all the time were closed after the process had stood still for 16 s.

Only memory that answers lack counts as pressure, and connections that have ended are forgotten.

--- a/http/src/main/java/org/geraniumstand/http/caller/CallerGate.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerGate.java
@@ -11,7 +11,6 @@
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
@@ -63,7 +62,7 @@
         CallerMemory limits = CallerMemory.ofHeap(Runtime.getRuntime().maxMemory());
         this.account = new MemoryAccount(limits);
         this.answers = new MemoryAccount(limits);
-        this.stalledCallers = new StalledCallers(worker.getIoThread(0), List.of(account, answers));
+        this.stalledCallers = new StalledCallers(worker.getIoThread(0), answers);
         this.http = new HttpOpenListener(
                 buffers,
                 OptionMap.builder()
@@ -129,8 +128,7 @@
      * @return what is held for the request, or empty if there is no room for it
      */
     public Optional<MemoryAccount.Holding> onRequest(HttpServerExchange exchange) {
-        int keptBytes =
-                gated(exchange).map(gated -> gated.onRequest(exchange)).orElse(0);
+        int keptBytes = gated(exchange).map(gated -> gated.onRequest(exchange)).orElse(0);
         AnswerMemory.open(exchange, answers);
         MemoryAccount.Holding holding = account.open();
         exchange.addExchangeCompleteListener((_exchange, next) -> {
--- a/http/src/main/java/org/geraniumstand/http/caller/GatedConnection.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/GatedConnection.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
+import org.geraniumstand.model.time.Timestamp;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
 import org.xnio.IoUtils;
@@ -25,7 +26,7 @@
  * Charges the heads that arrive on a caller's connection to the memory of callers, closes the connection if a head
  * doesn't fit, joins header lines that the HTTP library wouldn't take (see {@link HeadLines}), and watches what the caller
  * takes of its answers; confined to the connection's I/O thread, except {@link #waitingSinceNanos}, {@link #stalledSinceNanos},
- * {@link #waitingCalls}, {@link #tryToWrite}, {@link #reset} and {@link #onClosed}.
+ * {@link #waitingCalls}, {@link #tryToWrite}, {@link #resetIfStalledSince} and {@link #onClosed}.
  */
 final class GatedConnection extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private static final Log LOG = Log.of(GatedConnection.class);
@@ -33,6 +34,9 @@
     /** Value of {@link #waitingSinceNanos} while a request is in progress. */
     static final long BUSY = Long.MAX_VALUE;
 
+    /** Time for a last attempt to write before a connection is reset, in milliseconds. */
+    private static final long LAST_WRITE_MILLIS = 100;
+
     private final StreamConnection connection;
     private final MemoryAccount.Holding head;
     private final HeadLines lines;
@@ -48,7 +52,8 @@
      * @param stalledCallers is told when the caller has not taken all that was written
      * @param maxHeadBytes size of a head beyond which the HTTP library ends the connection, in bytes
      */
-    GatedConnection(StreamConnection connection, MemoryAccount account, StalledCallers stalledCallers, int maxHeadBytes) {
+    GatedConnection(
+            StreamConnection connection, MemoryAccount account, StalledCallers stalledCallers, int maxHeadBytes) {
         super(connection.getSourceChannel().getConduit());
         this.connection = connection;
         this.head = account.open();
@@ -87,16 +92,44 @@
         });
     }
 
-    /** Resets the connection, so that the caller can't take its answer for complete and nothing of it stays with the system. */
-    void reset() {
-        connection.getIoThread().execute(() -> {
-            try {
-                connection.setOption(Options.CLOSE_ABORT, true);
-            } catch (IOException _e) {
-                // The connection has ended meanwhile.
-            }
-            IoUtils.safeClose(connection);
-        });
+    /** Returns the longest time after which the caller took the next bytes of what waited for it, in nanoseconds. */
+    long longestGapNanos() {
+        return output.longestGapNanos();
+    }
+
+    /**
+     * Resets the connection unless the caller takes something after all: this process may have stood still, not the caller. A
+     * reset lets the caller tell that its answer is incomplete, and leaves nothing of it with the system.
+     *
+     * @param sinceNanos since when the caller had taken nothing when this was decided
+     */
+    void resetIfStalledSince(long sinceNanos) {
+        tryToWrite();
+        connection
+                .getIoThread()
+                .executeAfter(
+                        () -> {
+                            if (stalledSinceNanos() == sinceNanos) {
+                                reset(sinceNanos);
+                            }
+                        },
+                        LAST_WRITE_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void reset(long sinceNanos) {
+        LOG.info(
+                "caller-closed",
+                Field.of("reason", "unread"),
+                Field.of("peer", connection.getPeerAddress()),
+                Field.of("stalledMillis", (System.nanoTime() - sinceNanos) / Timestamp.NANOS_PER_MILLI),
+                Field.of("waiting", waitingCalls()));
+        try {
+            connection.setOption(Options.CLOSE_ABORT, true);
+        } catch (IOException _e) {
+            // The connection has ended meanwhile.
+        }
+        IoUtils.safeClose(connection);
     }
 
     /** Returns since when the connection has waited for a whole head, or {@link #BUSY} while a request is in progress. */
--- a/http/src/main/java/org/geraniumstand/http/caller/GatedOutput.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/GatedOutput.java
@@ -16,6 +16,7 @@
 
     private final Runnable onStalled;
     private volatile long stalledSinceNanos = NOTHING_WAITS;
+    private volatile long longestGapNanos;
 
     /**
      * Creates an output.
@@ -33,6 +34,11 @@
         return stalledSinceNanos;
     }
 
+    /** Returns the longest time after which the caller took the next bytes of what waited for it, in nanoseconds. */
+    long longestGapNanos() {
+        return longestGapNanos;
+    }
+
     @Override
     public int write(ByteBuffer src) throws IOException {
         int offered = src.remaining();
@@ -67,6 +73,9 @@
 
     // Reads the clock only if the caller has not taken everything.
     private void onWritten(long offered, long written) {
+        if (written > 0 && stalledSinceNanos != NOTHING_WAITS) {
+            longestGapNanos = Math.max(longestGapNanos, System.nanoTime() - stalledSinceNanos);
+        }
         if (written >= offered) {
             if (stalledSinceNanos != NOTHING_WAITS) {
                 stalledSinceNanos = NOTHING_WAITS;
--- a/http/src/main/java/org/geraniumstand/http/caller/StalledCallers.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/StalledCallers.java
@@ -8,8 +8,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.geraniumstand.http.caller.CallerPace.Stalled;
 import org.geraniumstand.model.time.Timestamp;
-import org.geraniumstand.model.timeline.Field;
-import org.geraniumstand.support.log.Log;
 import org.xnio.XnioIoThread;
 
 /**
@@ -17,16 +15,11 @@
  * written, and none runs while there is no such connection.
  */
 final class StalledCallers {
-    private static final Log LOG = Log.of(StalledCallers.class);
-
     /** Interval of the sweeps, in milliseconds; short compared with the times that callers have. */
     private static final long SWEEP_MILLIS = 500;
 
-    /** Maximum number of callers closed in one sweep that have a line of their own in the log. */
-    private static final int MAX_LINES = 8;
-
     private final XnioIoThread thread;
-    private final List<MemoryAccount> accounts;
+    private final MemoryAccount answers;
     private final Set<GatedConnection> stalled = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean scheduled = new AtomicBoolean();
     private long refusals;
@@ -35,11 +28,11 @@
      * Creates a set without callers.
      *
      * @param thread the I/O thread on which callers are checked
-     * @param accounts the memory that callers hold
+     * @param answers the memory that answers hold
      */
-    StalledCallers(XnioIoThread thread, List<MemoryAccount> accounts) {
+    StalledCallers(XnioIoThread thread, MemoryAccount answers) {
         this.thread = thread;
-        this.accounts = List.copyOf(accounts);
+        this.answers = answers;
     }
 
     /** Records that not all could be written to a caller; may be called on any thread. */
@@ -73,24 +66,27 @@
 
     private void check() {
         long now = System.nanoTime();
-        List<Stalled<GatedConnection>> callers = new ArrayList<>();
+        List<Stalled<Seen>> callers = new ArrayList<>();
+        stalled.removeIf(connection -> !connection.connection().isOpen());
         for (GatedConnection connection : stalled) {
             long sinceNanos = connection.stalledSinceNanos();
             if (sinceNanos == GatedOutput.NOTHING_WAITS) {
                 forget(connection);
             } else {
                 long millis = (now - sinceNanos) / Timestamp.NANOS_PER_MILLI;
-                callers.add(new Stalled<>(connection, millis, connection.waitingCalls()));
+                long gapMillis = connection.longestGapNanos() / Timestamp.NANOS_PER_MILLI;
+                callers.add(
+                        new Stalled<>(new Seen(connection, sinceNanos), millis, connection.waitingCalls(), gapMillis));
             }
         }
-        long refusedSoFar = accounts.stream().mapToLong(MemoryAccount::refusals).sum();
-        List<Stalled<GatedConnection>> closed = CallerPace.toClose(callers, refusedSoFar > refusals);
+        long refusedSoFar = answers.refusals();
+        List<Stalled<Seen>> closed = CallerPace.toClose(callers, refusedSoFar > refusals);
         refusals = refusedSoFar;
-        closed.forEach(caller -> caller.caller().reset());
-        log(closed);
+        closed.forEach(caller ->
+                caller.caller().connection().resetIfStalledSince(caller.caller().sinceNanos()));
         callers.stream()
                 .filter(caller -> caller.millis() >= SWEEP_MILLIS)
-                .forEach(caller -> caller.caller().tryToWrite());
+                .forEach(caller -> caller.caller().connection().tryToWrite());
     }
 
     // The caller may have stalled again meanwhile, which was not recorded, as it was in the set.
@@ -101,17 +97,6 @@
         }
     }
 
-    private static void log(List<Stalled<GatedConnection>> closed) {
-        closed.stream()
-                .limit(MAX_LINES)
-                .forEach(caller -> LOG.info(
-                        "caller-closed",
-                        Field.of("reason", "unread"),
-                        Field.of("peer", caller.caller().connection().getPeerAddress()),
-                        Field.of("stalledMillis", caller.millis()),
-                        Field.of("waiting", caller.waiting())));
-        if (closed.size() > MAX_LINES) {
-            LOG.info("caller-closed", Field.of("reason", "unread"), Field.of("others", closed.size() - MAX_LINES));
-        }
-    }
+    /** A caller that had taken nothing since a time when it was last looked at. */
+    private record Seen(GatedConnection connection, long sinceNanos) {}
 }
