--- a/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/CallerOutput.java
@@ -34,9 +34,6 @@
 
     private static final long FLUSH_TIMEOUT_MILLIS = 2_000;
 
-    /** Time between the last byte and a reset, in milliseconds: a reset takes from a caller what it has not received. */
-    private static final long RESET_DELAY_MILLIS = 500;
-
     /**
      * Maximum number of bytes sent together with the head of an answer. The library keeps them with the connection until the next
      * answer; an idle connection would keep the first part of a large answer.
@@ -159,10 +156,15 @@
         IoUtils.safeClose(exchange.getConnection());
     }
 
-    /** Closes the connection once all queued bytes are sent, or after 2 s if the caller does not read them. */
+    /**
+     * Closes the connection once all queued bytes are sent, or after 2 s if the caller does not read them. A connection that is
+     * reset is always closed after 2 s, as the reset takes from the caller what it has not received.
+     */
     public void drainAndAbort() {
         exchange.getIoThread().executeAfter(this::abort, FLUSH_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-        runWhenDrained(endsWithConnection ? this::abortLater : this::abort);
+        if (!endsWithConnection) {
+            runWhenDrained(this::abort);
+        }
     }
 
     private void frame() {
@@ -199,10 +201,6 @@
         }
     }
 
-    private void abortLater() {
-        exchange.getIoThread().executeAfter(this::abort, RESET_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-    }
-
     private void runWhenDrained(Runnable action) {
         onDrained = action;
         sendQueued();
