Share the framed bodies of the tests of header lines, and say plainly since when a caller has taken nothing

Two tests had the same method. The Javadoc of stalledSinceNanos could be read as the time of the last byte.

--- a/http/src/main/java/org/geraniumstand/http/caller/GatedConnection.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/GatedConnection.java
@@ -67,7 +67,7 @@
         connection.getSinkChannel().setConduit(output);
     }
 
-    /** Returns when the caller last took a byte of what waits for it since then, or {@link GatedOutput#NOTHING_WAITS}. */
+    /** Returns since when the caller has taken nothing of what waits for it, or {@link GatedOutput#NOTHING_WAITS}. */
     long stalledSinceNanos() {
         return output.stalledSinceNanos();
     }
--- a/http/src/main/java/org/geraniumstand/http/caller/GatedOutput.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/GatedOutput.java
@@ -29,7 +29,7 @@
         this.onStalled = onStalled;
     }
 
-    /** Returns when the caller last took a byte of what waits for it since then, or {@link #NOTHING_WAITS}. */
+    /** Returns since when the caller has taken nothing of what waits for it, or {@link #NOTHING_WAITS}. */
     long stalledSinceNanos() {
         return stalledSinceNanos;
     }
--- a/http/src/test/java/org/geraniumstand/http/caller/MixedRequestsAheadTest.java
+++ b/http/src/test/java/org/geraniumstand/http/caller/MixedRequestsAheadTest.java
@@ -11,11 +11,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.geraniumstand.http.fake.Caller;
+import org.geraniumstand.http.fake.FramedBody;
 import org.geraniumstand.model.result.Result;
 import org.geraniumstand.support.net.HttpBody;
 import org.junit.jupiter.api.AfterEach;
@@ -61,7 +61,7 @@
             String body = "POST / HTTP/1.1\r\n" + "a: x\r\n".repeat(random.nextInt(700)) + "\r\n";
             sent.append("POST ").append(path).append(" HTTP/1.1\r\nHost: x\r\n");
             sent.append(("a: " + i + "\r\n").repeat(lines));
-            sent.append(framed(body, random));
+            sent.append(FramedBody.of(body, random));
             expected.add(path + "|" + (i + ",").repeat(lines) + "|" + (path.equals("/refused") ? "" : body));
         }
         try (Caller caller = new Caller(gate.port())) {
@@ -142,22 +142,6 @@
         exchange.endExchange();
     }
 
-    private static String framed(String body, Random random) {
-        if (random.nextBoolean()) {
-            return "Content-Length: " + body.length() + "\r\n\r\n" + body;
-        }
-        StringBuilder chunks = new StringBuilder("Transfer-Encoding: chunked\r\n\r\n");
-        for (int start = 0; start < body.length(); ) {
-            int end = Math.min(body.length(), start + 1 + random.nextInt(500));
-            chunks.append(Integer.toHexString(end - start).toLowerCase(Locale.ROOT))
-                    .append("\r\n")
-                    .append(body, start, end)
-                    .append("\r\n");
-            start = end;
-        }
-        return chunks.append("0\r\n\r\n").toString();
-    }
-
     private static void write(Caller caller, String text, Random random) {
         try {
             for (int start = 0; start < text.length(); ) {
