Log and measure what a process knows of the others' use of quotas

Cause: the hypotheses on QUOTA can't be told apart: nothing shows whether a process knows the use of the others, among how many processes it divides a quota, or which use is left out of the sums.

Change: quota-usage-known (on a change, once in an exchange at most) and quota-usage-excluded in the log; two gauges.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLimiter.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLimiter.java
@@ -170,6 +170,15 @@
         return processes.liveCount(nowNanos) <= 1 || activeAggregator(nowNanos).isPresent();
     }
 
+    /**
+     * Returns what this process knows of the usage of the other processes.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public QuotaKnowledge knowledge(long nowNanos) {
+        return new QuotaKnowledge(remoteUsageKnown(nowNanos), knownProcesses(nowNanos), processes.liveCount(nowNanos));
+    }
+
     /** Returns the units that all processes have admitted for all teams since they started, as far as reported. */
     public long totalUsage() {
         long sum = 0;
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaUsageSums.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaUsageSums.java
@@ -38,17 +38,21 @@
      * @param process the reporting process
      * @param usages its usage by team, net of refunds
      * @param nowNanos the monotonic time in nanoseconds
+     * @return the units that this report left out of the sums
      */
-    public void onReport(ProcessId process, List<TeamUsage> usages, long nowNanos) {
+    public long onReport(ProcessId process, List<TeamUsage> usages, long nowNanos) {
         boolean firstReport = !usageByProcess.containsKey(process);
         ProcessUsage processUsage = usageByProcess.computeIfAbsent(process, _key -> new ProcessUsage());
         processUsage.reportedNanos = nowNanos;
+        long excludedUnits = 0;
         for (TeamUsage teamUsage : usages) {
             Long previousUnits = processUsage.reportedUnits.put(teamUsage.team(), teamUsage.units());
             long addedUnits = firstReport ? 0 : teamUsage.units() - (previousUnits == null ? 0 : previousUnits);
             totals.merge(teamUsage.team(), addedUnits, Long::sum);
             processUsage.includedUnits.merge(teamUsage.team(), addedUnits, Long::sum);
+            excludedUnits += firstReport ? teamUsage.units() : 0;
         }
+        return excludedUnits;
     }
 
     /**
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -10,6 +10,7 @@
 import org.geraniumstand.decisions.relay.ConfigurationPullTiming;
 import org.geraniumstand.decisions.relay.InFlightSums;
 import org.geraniumstand.decisions.relay.LostServers;
+import org.geraniumstand.decisions.relay.QuotaKnowledge;
 import org.geraniumstand.decisions.relay.QuotaUsageSums;
 import org.geraniumstand.decisions.relay.RelayDispatcher;
 import org.geraniumstand.decisions.relay.ServerLimitExchange;
@@ -80,6 +81,7 @@
     private StoreWatcher storeWatcher;
     private LeaderElection leaderElection;
     private UsageTask usageTask;
+    private QuotaKnowledge quotaKnowledge = new QuotaKnowledge(false, 0, 0);
     private long sentVersion = -1;
     private long sentNanos;
     private Optional<PeerMessage.RelayConfigurationResponse> configurationInForce = Optional.empty();
@@ -276,7 +278,10 @@
 
     private void onQuotaUsage(ProcessId from, PeerMessage.QuotaUsageReport report) {
         long now = System.nanoTime();
-        quotaUsage.onReport(from, report.usages(), now);
+        long excludedUnits = quotaUsage.onReport(from, report.usages(), now);
+        if (excludedUnits > 0) {
+            LOG.info("quota-usage-excluded", Field.of("process", from), Field.of("units", excludedUnits));
+        }
         inFlightCalls.onReport(from, report.inFlight(), now);
         waitingCalls.onReport(from, report.waiting(), now);
         lostServers.onReport(from, report.lostServers(), now);
@@ -382,6 +387,7 @@
         sendVersion();
         long now = System.nanoTime();
         dispatcher.processes().onActive(now);
+        logQuotaKnowledge(now);
         PeerMessage.QuotaUsageReport report = new PeerMessage.QuotaUsageReport(
                 dispatcher.quotas().localUsage(),
                 dispatcher.fleet().inFlight(now),
@@ -396,6 +402,18 @@
         aggregators.forEach(aggregator -> network.send(aggregator, report));
     }
 
+    private void logQuotaKnowledge(long nowNanos) {
+        QuotaKnowledge knowledge = dispatcher.quotas().knowledge(nowNanos);
+        if (!knowledge.equals(quotaKnowledge)) {
+            quotaKnowledge = knowledge;
+            LOG.info(
+                    "quota-usage-known",
+                    Field.of("known", knowledge.known()),
+                    Field.of("reporting", knowledge.reporting()),
+                    Field.of("processes", knowledge.processes()));
+        }
+    }
+
     /** Sends the version in force in this process to the connected neighbours; those with a newer one reply with theirs. */
     private void sendVersion() {
         long now = System.nanoTime();
--- a/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/RelayProcess.java
@@ -210,6 +210,12 @@
         metrics.gauge("geraniumstand_calls_waiting", dispatcher::queuedCount);
         metrics.gauge("geraniumstand_call_retries", dispatcher::retryCount);
         metrics.gauge("geraniumstand_call_retries_denied", dispatcher::deniedRetryCount);
+        metrics.gauge(
+                "geraniumstand_quota_processes",
+                () -> dispatcher.quotas().knowledge(System.nanoTime()).processes());
+        metrics.gauge(
+                "geraniumstand_quota_processes_reporting",
+                () -> dispatcher.quotas().knowledge(System.nanoTime()).reporting());
         metrics.gauge("geraniumstand_servers_limited", dispatcher.fleet().limits()::limitedServers);
         metrics.gauge(
                 "geraniumstand_configuration_version",
