Work out the share of known processes once for all teams

Cause: at each message of sums it was worked out anew for each team, twice.

Change: QuotaLimiter#refillAll passes it on.

Result: the same figures in QuotaTroubleTest and QuotaStartTest; processor time was not measured.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLimiter.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLimiter.java
@@ -262,7 +262,8 @@
     }
 
     private void refillAll(long nowNanos) {
-        limitedTeams.values().forEach(team -> refill(team, nowNanos));
+        double share = knownShare(nowNanos);
+        limitedTeams.values().forEach(team -> refill(team, share, nowNanos));
     }
 
     /**
@@ -516,7 +517,10 @@
 
     private QuotaBucket refill(RelayTeam team, long nowNanos) {
         limitedTeams.put(team.id(), team);
-        double share = knownShare(nowNanos);
+        return refill(team, knownShare(nowNanos), nowNanos);
+    }
+
+    private QuotaBucket refill(RelayTeam team, double share, long nowNanos) {
         QuotaBucket bucket = buckets.computeIfAbsent(team.id(), _key -> new QuotaBucket(share, nowNanos));
         bucket.advance(
                 team.ratePerSecond() * (1 + overrun),
