Reject answers whose head holds a malformed name

Cause: the HTTP client ends a name at a blank, CR or LF, takes other bytes into it, and ends the head at a first line of blanks. Its parsed head looks well-formed, and only that was checked. Of the bytes as received only the status was, and only for relayed calls.

Change: AnswerHeadSyntax, in place of StatusLine, checks heads byte by byte below the HTTP client, so neither the client's reading nor the place of a cut matters. ServerConnection.sendRequest arms it for all requests. Such an answer breaks its attempt and its connection. Folded lines and line ends without CR stay valid. HeadLines shares the table of token bytes.

Trailers, and a blank before the colon of a length or an encoding, were handled before; their cases stay.

Not in this commit: the head of an answer behind the copy of an earlier one.

--- a/http/src/main/java/org/geraniumstand/http/caller/HeadLines.java
+++ b/http/src/main/java/org/geraniumstand/http/caller/HeadLines.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import org.geraniumstand.support.net.HttpTokens;
 
 /**
  * Joins the lines of one name in a head that has more of them than the HTTP library takes, so that "a: 1" and "a: 2"
@@ -46,7 +47,6 @@
             "upgrade");
 
     private static final ByteBuffer NONE = ByteBuffer.allocate(0);
-    private static final String TOKEN_MARKS = "!#$%&'*+-.^_`|~";
     private static final int FIRST_MARK = 0x21;
     private static final int DELETE = 0x7f;
     private static final int BYTE = 0xff;
@@ -174,7 +174,7 @@
     private State after(int next) {
         switch (state) {
             case METHOD:
-                return next == ' ' ? State.TARGET : sameIf(isToken(next));
+                return next == ' ' ? State.TARGET : sameIf(HttpTokens.allows(next));
             case TARGET:
                 return next == ' ' ? State.VERSION : sameIf(isVisible(next));
             case VERSION:
@@ -182,9 +182,9 @@
             case VERSION_END:
                 return next == '\n' ? State.LINE_START : State.UNCLEAR;
             case LINE_START:
-                return next == '\r' ? State.HEAD_END : isToken(next) ? State.NAME : State.UNCLEAR;
+                return next == '\r' ? State.HEAD_END : HttpTokens.allows(next) ? State.NAME : State.UNCLEAR;
             case NAME:
-                return next == ':' ? State.VALUE : sameIf(isToken(next));
+                return next == ':' ? State.VALUE : sameIf(HttpTokens.allows(next));
             case VALUE:
                 return next == '\r' ? State.VALUE_END : sameIf(isVisible(next) || next == ' ' || next == '\t');
             case VALUE_END:
@@ -205,13 +205,6 @@
         return next >= FIRST_MARK && next != DELETE;
     }
 
-    private static boolean isToken(int next) {
-        return (next >= 'a' && next <= 'z')
-                || (next >= 'A' && next <= 'Z')
-                || (next >= '0' && next <= '9')
-                || TOKEN_MARKS.indexOf(next) >= 0;
-    }
-
     private void hold(ByteBuffer bytes, int from, int to) {
         int count = to - from;
         if (heldBytes + count > held.length) {
--- a/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
+++ b/http/src/main/java/org/geraniumstand/http/upstream/Attempt.java
@@ -24,6 +24,7 @@
 import org.geraniumstand.support.net.ConnectionPool;
 import org.geraniumstand.support.net.Connections;
 import org.geraniumstand.support.net.FramingLimit;
+import org.geraniumstand.support.net.InvalidHeadException;
 import org.geraniumstand.support.net.ServerConnection;
 import org.xnio.IoUtils;
 import org.xnio.XnioExecutor;
@@ -167,14 +168,12 @@
         connection = established;
         connectionPort = localPort(established);
         repeatedAnswers = new RepeatedAnswers(established, buffers, this::readHead, this::failReading);
-        connection.framing().onProgress();
-        connection.statusLine().expect();
         ClientRequest request =
                 new ClientRequest().setMethod(Methods.fromString(spec.method())).setPath(spec.path());
         HeaderMap headers = request.getRequestHeaders();
         headers.put(Headers.CONTENT_LENGTH, spec.body().size());
         spec.protocol().writeHead(headers, origin.authority(), spec);
-        established.client().sendRequest(request, Callbacks.of(this::writeBody, _e -> fail(AttemptEnd.BROKEN)));
+        established.sendRequest(request, this::writeBody, _e -> fail(AttemptEnd.BROKEN));
     }
 
     private static int localPort(ServerConnection connection) {
@@ -299,6 +298,13 @@
                     Field.of("server", origin.authority()),
                     Field.of("reason", reason.getMessage()));
         }
+        if (reason instanceof InvalidHeadException) {
+            LOG.warn(
+                    "answer-invalid",
+                    Field.of("request", spec.attemptId()),
+                    Field.of("server", origin.authority()),
+                    Field.of("reason", reason.getMessage()));
+        }
         fail(AttemptEnd.BROKEN);
     }
 
--- a/support/src/main/java/org/geraniumstand/support/net/FramingLimitConduit.java
+++ b/support/src/main/java/org/geraniumstand/support/net/FramingLimitConduit.java
@@ -7,15 +7,15 @@
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
 
-/** Reports the bytes that are read from a connection to its limit, and those of heads to the check of the status. */
+/** Reports the bytes that are read from a connection to its limit, and those of heads to the check of their syntax. */
 final class FramingLimitConduit extends AbstractStreamSourceConduit<StreamSourceConduit> {
     private final FramingLimit limit;
-    private final StatusLine statusLine;
+    private final AnswerHeadSyntax heads;
 
-    FramingLimitConduit(StreamSourceConduit next, FramingLimit limit, StatusLine statusLine) {
+    FramingLimitConduit(StreamSourceConduit next, FramingLimit limit, AnswerHeadSyntax heads) {
         super(next);
         this.limit = limit;
-        this.statusLine = statusLine;
+        this.heads = heads;
     }
 
     @Override
@@ -24,7 +24,7 @@
         int count = next.read(target);
         limit.onRead(count);
         // The HTTP client reads heads with this method only.
-        statusLine.onRead(target, from, from + count);
+        heads.onRead(target, from, from + count);
         return count;
     }
 
--- a/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
+++ b/support/src/main/java/org/geraniumstand/support/net/HttpExchange.java
@@ -68,7 +68,6 @@
             return;
         }
         connection = openConnection;
-        connection.framing().onProgress();
         ClientRequest clientRequest =
                 new ClientRequest().setMethod(new HttpString(request.method())).setPath(request.path());
         clientRequest.getRequestHeaders().put(Headers.HOST, request.origin().getAuthority());
@@ -78,13 +77,11 @@
         request.headers()
                 .forEach(
                         header -> clientRequest.getRequestHeaders().put(new HttpString(header.name()), header.value()));
-        openConnection
-                .client()
-                .sendRequest(clientRequest, Callbacks.of(this::writeBody, _e -> fail(HttpFailure.BROKEN)));
+        openConnection.sendRequest(clientRequest, this::writeBody, _e -> fail(HttpFailure.BROKEN));
     }
 
     private void writeBody(ClientExchange exchange) {
-        exchange.setResponseListener(Callbacks.of(this::readResponse, _e -> fail(HttpFailure.BROKEN)));
+        exchange.setResponseListener(Callbacks.of(this::readResponse, this::failReading));
         new BodyWriter(exchange.getRequestChannel(), request.body(), () -> fail(HttpFailure.BROKEN)).start();
     }
 
@@ -104,6 +101,17 @@
         reader.start();
     }
 
+    private void failReading(IOException reason) {
+        if (reason instanceof InvalidHeadException) {
+            LOG.warn(
+                    "answer-invalid",
+                    Field.of("origin", request.origin()),
+                    Field.of("path", request.path()),
+                    Field.of("reason", reason.getMessage()));
+        }
+        fail(HttpFailure.BROKEN);
+    }
+
     private void succeed(ClientResponse response) {
         if (done) {
             return;
--- a/support/src/main/java/org/geraniumstand/support/net/LimitedIoThread.java
+++ b/support/src/main/java/org/geraniumstand/support/net/LimitedIoThread.java
@@ -9,26 +9,26 @@
 import org.xnio.XnioIoThread;
 
 /**
- * Opens connections on another I/O thread, limits what is read from them, finds what is left unread and can discard what is
- * written to them.
+ * Opens connections on another I/O thread, limits and checks what is read from them, finds what is left unread and can discard
+ * what is written to them.
  *
- * <p>Undertow's HTTP client has no limit on a response's head, does not tell whether more than a response has arrived and has
+ * <p>Undertow's HTTP client has no limit on a response's head, does not show its bytes, does not tell whether more than a response has arrived and has
  * no way to expect a second response. It opens its connections by way of the I/O thread that it is given, which is the only place
  * to add them. This thread itself is never started.
  */
 final class LimitedIoThread extends XnioIoThread {
     private final XnioIoThread delegate;
     private final FramingLimit limit;
-    private final StatusLine statusLine;
+    private final AnswerHeadSyntax heads;
     private final WriteSwitch writes;
     private final UnreadInput unread;
 
     LimitedIoThread(
-            XnioIoThread delegate, FramingLimit limit, StatusLine statusLine, WriteSwitch writes, UnreadInput unread) {
+            XnioIoThread delegate, FramingLimit limit, AnswerHeadSyntax heads, WriteSwitch writes, UnreadInput unread) {
         super(delegate.getWorker(), delegate.getNumber());
         this.delegate = delegate;
         this.limit = limit;
-        this.statusLine = statusLine;
+        this.heads = heads;
         this.writes = writes;
         this.unread = unread;
     }
@@ -43,7 +43,7 @@
                     connection
                             .getSourceChannel()
                             .setConduit(new FramingLimitConduit(
-                                    connection.getSourceChannel().getConduit(), limit, statusLine));
+                                    connection.getSourceChannel().getConduit(), limit, heads));
                     connection
                             .getSinkChannel()
                             .setConduit(new DiscardingConduit(
--- a/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
@@ -25,7 +25,7 @@
 
     private final ClientConnection client;
     private final FramingLimit framing;
-    private final StatusLine statusLine;
+    private final AnswerHeadSyntax heads;
     private final WriteSwitch writes;
     private final UnreadInput unread;
     private final AnsweredIds answeredIds = new AnsweredIds();
@@ -34,12 +34,12 @@
     private ServerConnection(
             ClientConnection client,
             FramingLimit framing,
-            StatusLine statusLine,
+            AnswerHeadSyntax heads,
             WriteSwitch writes,
             UnreadInput unread) {
         this.client = client;
         this.framing = framing;
-        this.statusLine = statusLine;
+        this.heads = heads;
         this.writes = writes;
         this.unread = unread;
     }
@@ -54,11 +54,6 @@
         return framing;
     }
 
-    /** Returns the check of the status in an answer's first line. */
-    public StatusLine statusLine() {
-        return statusLine;
-    }
-
     /** Returns the requests that were answered on this connection. */
     public AnsweredIds answeredIds() {
         return answeredIds;
@@ -83,6 +78,19 @@
         return client.isOpen() && !unread.present();
     }
 
+    /**
+     * Sends the head of a request, whose answer is limited and checked as it is received.
+     *
+     * @param request the head of the request
+     * @param onSent called with the exchange, whose request body is to be written and whose listener is to be set
+     * @param onFailed called with the reason if the head is not sent
+     */
+    public void sendRequest(ClientRequest request, Consumer<ClientExchange> onSent, Consumer<IOException> onFailed) {
+        framing.onProgress();
+        heads.expect();
+        client.sendRequest(request, Callbacks.of(onSent, onFailed));
+    }
+
     /**
      * Waits for another answer after one was read to its end that belongs to an earlier request; sends nothing.
      *
@@ -136,17 +144,17 @@
             Consumer<ServerConnection> onConnected,
             Consumer<IOException> onFailed) {
         FramingLimit limit = new FramingLimit();
-        StatusLine statusLine = new StatusLine();
+        AnswerHeadSyntax heads = new AnswerHeadSyntax();
         WriteSwitch writes = new WriteSwitch();
         UnreadInput unread = new UnreadInput();
         UndertowClient.getInstance()
                 .connect(
                         Callbacks.of(
-                                client -> onConnected.accept(
-                                        new ServerConnection(client, limit, statusLine, writes, unread)),
+                                client ->
+                                        onConnected.accept(new ServerConnection(client, limit, heads, writes, unread)),
                                 onFailed),
                         origin,
-                        new LimitedIoThread(thread, limit, statusLine, writes, unread),
+                        new LimitedIoThread(thread, limit, heads, writes, unread),
                         buffers,
                         OptionMap.EMPTY);
     }
--- a/support/src/test/java/org/geraniumstand/support/net/AsyncHttpClientTest.java
+++ b/support/src/test/java/org/geraniumstand/support/net/AsyncHttpClientTest.java
@@ -69,7 +69,14 @@
             strings = {
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nbody",
                 "HTTP/1.1 2000 OK\r\nContent-Length: 4\r\n\r\nbody",
-                "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nbody"
+                "HTTP/1.1 103 Early Hints\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 0200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 200 OK\r\nX Note: a\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 200 OK\r\nX-Note : a\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 200 OK\r\nX-\0Note: a\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 200 OK\r\nX-No\rte: a\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 200 OK\r\n\tX-Note: a\r\nContent-Length: 4\r\n\r\nbody",
+                "HTTP/1.1 503 Busy\r\nX-Note\u007f: a\r\nContent-Length: 4\r\n\r\nbody"
             })
     void rejectsWhatIsNoAnswerOfHttp(String text) throws Exception {
         try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
--- a/support/src/test/java/org/geraniumstand/support/net/FurtherAnswerTest.java
+++ b/support/src/test/java/org/geraniumstand/support/net/FurtherAnswerTest.java
@@ -101,14 +101,8 @@
                     .setMethod(HttpString.tryFromString(method))
                     .setPath(path);
             request.getRequestHeaders().put(Headers.HOST, "x");
-            connection.framing().onProgress();
-            connection
-                    .client()
-                    .sendRequest(
-                            request,
-                            Callbacks.of(
-                                    exchange -> exchange.setResponseListener(Callbacks.of(onHead, onFailed)),
-                                    onFailed));
+            connection.sendRequest(
+                    request, exchange -> exchange.setResponseListener(Callbacks.of(onHead, onFailed)), onFailed);
             return request;
         });
         assertThat(read(request(method, path).length()), is(request(method, path)));
