Check the head of an answer that arrives behind the copy of an earlier one

Cause: the HTTP client reads the head together with the end of the copy and puts it back, so its bytes pass the check of received bytes before the head is due. The check was not armed for further answers at all, nor was that of the status.

Change: awaitFurtherAnswer checks what was put back, then arms the check for what is received. FakeServer sends each write at once, so that answers are cut where a test says.

--- a/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
+++ b/http/src/test/java/org/geraniumstand/http/fake/FakeServer.java
@@ -114,6 +114,7 @@
 
     private void serve(Socket socket) {
         try (socket) {
+            socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             Connection connection = new Connection(socket);
             Optional<Request> request = read(in);
--- a/http/src/test/java/org/geraniumstand/http/upstream/MalformedHeadTest.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/MalformedHeadTest.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.http.upstream;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import java.io.IOException;
@@ -14,14 +15,17 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** Tests that an answer with a malformed name in its head is no answer, wherever its bytes are cut. */
+/** Tests that an answer with a malformed name in its head is no answer, wherever its bytes are cut and whatever came before it. */
 @Timeout(60)
 final class MalformedHeadTest extends AttemptFixture {
     private static final Ended BROKEN = new Ended(AttemptEnd.BROKEN, 0, "");
     private static final long PACKET_PAUSE_MILLIS = 3;
+    private static final String REFUSED = "refused";
+    private static final String COPY = "HTTP/1.1 503 Full\r\nX-Request-Id: " + REFUSED + "\r\nX-Outcome: not-run\r\n";
 
     private static String unescape(String text) {
         return text.replace("\\r", "\r").replace("\\n", "\n").replace("\\0", "\0");
@@ -108,6 +112,54 @@
         }
     }
 
+    /** Starts a server that refuses a request, whose connection the next one uses, and answers all others by a script. */
+    private FakeServer startAndRefuse(FakeServer.Script script) throws Exception {
+        FakeServer server = FakeServer.start((request, c) -> {
+            if (request.attemptId().equals(REFUSED)) {
+                c.write(COPY + "Content-Length: 0\r\n\r\n");
+            } else {
+                script.answer(request, c);
+            }
+        });
+        assertThat(send(server, "POST", REFUSED), is(new Ended(AttemptEnd.DECLINED, 503, "")));
+        return server;
+    }
+
+    /** The HTTP client may have read the head together with the end of the answer before it. */
+    @ParameterizedTest
+    @CsvSource({
+        "'Content-Length: 0\\r\\n\\r\\n', X Note: a",
+        "'Content-Length: 4\\r\\n\\r\\nfull', X-Note : a",
+        "'Content-Length: 4\\r\\n\\r\\nfull', X-\\0: a",
+        "'Transfer-Encoding: chunked\\r\\n\\r\\n4\\r\\nfull\\r\\n0\\r\\n\\r\\n', X Note: a",
+        "'Transfer-Encoding: chunked\\r\\n\\r\\n4\\r\\nfull\\r\\n0\\r\\n\\r\\n', X-No\\rte: a",
+    })
+    void breaksTheAttemptBehindACopyOfAnEarlierAnswer(String framing, String line) throws Exception {
+        String both = COPY
+                + unescape(framing)
+                + answers("a", "200 OK", unescape(line)).get(1);
+        AtomicInteger cut = new AtomicInteger();
+        for (int i = 0; i <= both.length(); i++) {
+            cut.set(i);
+            try (FakeServer server = startAndRefuse((_request, c) -> {
+                c.write(both.substring(0, cut.get()));
+                Thread.sleep(PACKET_PAUSE_MILLIS);
+                c.write(both.substring(cut.get()));
+            })) {
+                assertThat("cut after " + i + " bytes", send(server, "POST", "a"), is(BROKEN));
+                assertThat(server.requests(), hasSize(2));
+            }
+        }
+    }
+
+    @Test
+    void breaksTheAttemptIfTheCopyOfAnEarlierAnswerIsMalformed() throws Exception {
+        try (FakeServer server = startAndRefuse(
+                (request, c) -> c.write(COPY + "X Note: a\r\nContent-Length: 0\r\n\r\n" + own(request)))) {
+            assertThat(send(server, "POST", "a"), is(BROKEN));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"100 Continue", "102 Processing", "103 Early Hints"})
     void breaksTheAttemptInAnInterimHead(String status) throws Exception {
--- a/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
+++ b/support/src/main/java/org/geraniumstand/support/net/ServerConnection.java
@@ -8,6 +8,7 @@
 import io.undertow.util.HttpString;
 import java.io.IOException;
 import java.net.URI;
+import java.nio.ByteBuffer;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.geraniumstand.model.timeline.Field;
@@ -102,6 +103,14 @@
      */
     public void awaitFurtherAnswer(
             HttpString method, Consumer<ClientExchange> onAnswer, Consumer<IOException> onFailed) {
+        try {
+            ByteBuffer input = unread.peek();
+            heads.expect();
+            heads.onRead(input, input.position(), input.limit());
+        } catch (IOException e) {
+            onFailed.accept(e);
+            return;
+        }
         ClientRequest unsent = new ClientRequest().setMethod(method).setPath(UNSENT_PATH);
         AtomicReference<ClientExchange> exchange = new AtomicReference<>();
         writes.discardWritesOf(() -> client.sendRequest(unsent, Callbacks.of(exchange::set, _e -> {})));
--- a/support/src/main/java/org/geraniumstand/support/net/UnreadInput.java
+++ b/support/src/main/java/org/geraniumstand/support/net/UnreadInput.java
@@ -5,12 +5,17 @@
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.support.log.Log;
 import org.geraniumstand.support.log.StackSummary;
+import org.xnio.Buffers;
 import org.xnio.conduits.ConduitStreamSourceChannel;
+import org.xnio.conduits.PushBackStreamSourceConduit;
 
-/** Tells whether an idle connection has input, which belongs to no answer; confined to one I/O thread. */
+/** Tells what has arrived behind an answer that was read to its end; confined to one I/O thread. */
 final class UnreadInput {
     private static final Log LOG = Log.of(UnreadInput.class);
 
+    /** Maximum number of bytes that {@link #peek} returns, at least as many as a read buffer of the HTTP client holds. */
+    private static final int MAX_PEEKED_BYTES = 64 * 1024;
+
     private ConduitStreamSourceChannel source;
 
     /**
@@ -31,4 +36,22 @@
             return true;
         }
     }
+
+    /**
+     * Returns input without taking it, at least what the HTTP client has put back.
+     *
+     * @throws IOException if the connection has failed
+     */
+    ByteBuffer peek() throws IOException {
+        ByteBuffer input = ByteBuffer.allocate(MAX_PEEKED_BYTES);
+        source.read(input);
+        input.flip();
+        if (input.hasRemaining()) {
+            if (!(source.getConduit() instanceof PushBackStreamSourceConduit putBack)) {
+                throw new IOException("input cannot be put back");
+            }
+            putBack.pushBack(Buffers.pooledWrapper(input.duplicate()));
+        }
+        return input;
+    }
 }
