Test whitespace before the first name of a head

Cause: the tests of malformed names had no line that begins with whitespace right after the status line, but for calls to the platform. The HTTP client takes " X-Note" for X-Note, and ends the head at a line of blanks, so that its fields become the start of the body.

Change: MalformedHeadTest#breaksTheAttemptIfTheFirstLineBeginsWithWhitespace. No code is changed.

--- a/http/src/test/java/org/geraniumstand/http/upstream/MalformedHeadTest.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/MalformedHeadTest.java
@@ -67,6 +67,18 @@
         }
     }
 
+    /** No line stands before that such a line could continue, and the HTTP client ends the head at a blank one. */
+    @ParameterizedTest
+    @ValueSource(strings = {" X-Note: a", "\tX-Note: a", " ", "\t"})
+    void breaksTheAttemptIfTheFirstLineBeginsWithWhitespace(String line) throws Exception {
+        try (FakeServer server = FakeServer.start((_request, c) -> {
+            c.write(answers("a", "200 OK", line).get(0));
+            throw new IOException("end of the connection");
+        })) {
+            assertThat(send(server, "POST", "a"), is(BROKEN));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(
             strings = {"X Note: a", "X-Note : a", "X-\\0: a", "X-No\\rte: a", "X-No\\nte: a", "Content-Length : 4"})
