Reject answers whose head holds a control character in a value

Seen: a NUL, DEL or other control byte in the value of a field reached callers as it was.

Cause: the HTTP client takes any byte but CR and LF into a value, and the check of received heads looked at names only. RFC 9110, section 5.5, calls such values invalid, and those with NUL dangerous.

Change: AnswerHeadSyntax rejects control characters other than tab in values and in the reason.

Evidence: MalformedHeadTest#breaksTheAttemptIfAValueOrTheReasonHoldsAControlByte, AnswerHeadSyntaxTest#valuesAndReasonsHoldNoControlBytes and 3 of 4 cases of MalformedHeadRelayTest#orderIsNotAnsweredWithAControlByteInAValue (a CR was rejected already) are red on the commit before and green now. Tabs, bytes above 127, empty values and folded lines are still served.

--- a/http/src/test/java/org/geraniumstand/http/opaque/MalformedHeadRelayTest.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/MalformedHeadRelayTest.java
@@ -136,6 +136,19 @@
         }
     }
 
+    @ParameterizedTest
+    @ValueSource(strings = {"X-Note: a\0b", "X-Note: a\u0001b", "X-Note: \u007f", "X-Note: a\rX-More: b"})
+    void orderIsNotAnsweredWithAControlByteInAValue(String line) throws Exception {
+        for (String status : List.of("200 OK", "500 Oops", "404 Gone")) {
+            try (FakeServer server = FakeServer.start(malformedFirst(answer(status, line, "body"), "fine"))) {
+                replaceServers(SLOTS, server);
+
+                assertThat(status, call("POST", "/unsafe/", CALL_HEADERS, "x").status(), is(502));
+                assertThat(server.requests(), hasSize(1));
+            }
+        }
+    }
+
     @Test
     void streamThatMayNotBeRepeatedFails() throws Exception {
         for (String line : malformedLines()) {
--- a/http/src/test/java/org/geraniumstand/http/upstream/MalformedHeadTest.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/MalformedHeadTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.is;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -67,6 +68,39 @@
         }
     }
 
+    /** Returns the control bytes, but for those that stand for whitespace or end a line. */
+    private static char[] controls() {
+        StringBuilder controls = new StringBuilder("\u007f");
+        for (char next = 0; next < ' '; next++) {
+            if (next != '\t' && next != '\n') {
+                controls.append(next);
+            }
+        }
+        return controls.toString().toCharArray();
+    }
+
+    /** Guards against a control byte that reaches the caller in a value. */
+    @Test
+    void breaksTheAttemptIfAValueOrTheReasonHoldsAControlByte() throws Exception {
+        AtomicReference<String> answer = new AtomicReference<>();
+        try (FakeServer server = FakeServer.start((_request, c) -> {
+            c.write(answer.get());
+            throw new IOException("end of the connection");
+        })) {
+            for (char next : controls()) {
+                List<String> texts = new ArrayList<>(answers("a", "200 O" + next + "K", "X-Note: a"));
+                texts.addAll(answers("a", "200 OK", "X-Note: a" + next + "b"));
+                texts.addAll(answers("a", "200 OK", "X-Note: " + next + "b"));
+                texts.addAll(answers("a", "200 OK", "X-Note: a\r\n b" + next));
+                for (String text : texts) {
+                    answer.set(text);
+
+                    assertThat(MalformedLines.printable(text), send(server, "POST", "a"), is(BROKEN));
+                }
+            }
+        }
+    }
+
     /** No line stands before that such a line could continue, and the HTTP client ends the head at a blank one. */
     @ParameterizedTest
     @ValueSource(strings = {" X-Note: a", "\tX-Note: a", " ", "\t"})
--- a/support/src/main/java/org/geraniumstand/support/net/AnswerHeadSyntax.java
+++ b/support/src/main/java/org/geraniumstand/support/net/AnswerHeadSyntax.java
@@ -7,11 +7,12 @@
  *
  * <p>The HTTP client's parsed head doesn't show what was sent: a status is read with any number of digits, and a name ends at a
  * blank, CR or LF and holds any other byte. So this class rejects a status that isn't three digits, a name that isn't a token,
- * whitespace before the colon or before the first name, and a CR without LF. Folded lines and line ends without CR are valid.
- * Source: RFC 9112, sections 2.2, 4 and 5; RFC 9110, section 5.1.
+ * whitespace before the colon or before the first name, a CR without LF, and a control character in a value or the reason. Folded
+ * lines and line ends without CR are valid. Source: RFC 9112, sections 2.2, 4 and 5; RFC 9110, sections 5.1 and 5.5.
  */
 final class AnswerHeadSyntax {
     private static final int STATUS_DIGITS = 3;
+    private static final byte DELETE = 0x7f;
 
     private Part part = Part.NONE;
     private int digits;
@@ -114,11 +115,17 @@
         return Part.NAME;
     }
 
-    private static Part afterText(byte next, Part text, Part returned, Part nextLine) {
+    private static Part afterText(byte next, Part text, Part returned, Part nextLine) throws InvalidHeadException {
         if (next == '\r') {
             return returned;
         }
-        return next == '\n' ? nextLine : text;
+        if (next == '\n') {
+            return nextLine;
+        }
+        if ((next >= 0 && next < ' ' && next != '\t') || next == DELETE) {
+            throw new InvalidHeadException("a value or the reason holds a control character");
+        }
+        return text;
     }
 
     private static Part afterReturn(byte next, Part nextLine) throws InvalidHeadException {
--- a/support/src/test/java/org/geraniumstand/support/net/AnswerHeadSyntaxTest.java
+++ b/support/src/test/java/org/geraniumstand/support/net/AnswerHeadSyntaxTest.java
@@ -14,6 +14,7 @@
     private static final String TOKEN_BYTES =
             "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ";
     private static final int BYTE_VALUES = 256;
+    private static final char DELETE = 0x7f;
 
     /** Returns whether the bytes are accepted, in one part and in two parts cut at any byte. */
     private static boolean accepts(String text) {
@@ -70,6 +71,17 @@
         assertThat(acceptsLine(line), is(true));
     }
 
+    @Test
+    void valuesAndReasonsHoldNoControlBytes() {
+        for (char next = 0; next < BYTE_VALUES; next++) {
+            // A line end begins another line, which needs a name.
+            boolean allowed = next == '\t' || (next >= ' ' && next != DELETE);
+            String number = "byte " + (int) next;
+            assertThat(number, acceptsLine("a: b" + next + "c"), is(allowed));
+            assertThat(number, accepts("HTTP/1.1 200 O" + next + "K\r\n\r\n"), is(allowed));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {" b", "\tb", " b: c", " ", " \r\n c"})
     void linesAfterTheFirstMayContinueAValue(String line) {
