--- a/proofs/src/test/java/org/geraniumstand/proofs/process/RelayCaller.java
+++ b/proofs/src/test/java/org/geraniumstand/proofs/process/RelayCaller.java
@@ -6,6 +6,7 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /** A client that sends one request at a time to one relay process, on a connection that it keeps. */
 final class RelayCaller implements AutoCloseable {
@@ -20,11 +21,12 @@
     }
 
     /** Holds an answer; status 0 means that the connection ended without a whole answer. */
-    record Answer(String attempt, int status, String body, double millis) {}
+    record Answer(String attempt, int status, Map<String, String> headers, String body, double millis) {}
 
     Answer call(String method, String path, String attempt, int deadlineMillis, String headers) {
         long start = System.nanoTime();
         int status = 0;
+        Map<String, String> answerHeaders = Map.of();
         String body = "";
         try {
             connect();
@@ -34,6 +36,7 @@
                     + (method.equals("POST") ? "Content-Length: 4\r\n\r\nbody" : "\r\n");
             socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
             HttpMessage answer = HttpMessage.read(in);
+            answerHeaders = answer.headers();
             body = answer.body();
             if (answer.complete()) {
                 status = Integer.parseInt(answer.target());
@@ -44,7 +47,7 @@
         } catch (IOException _e) {
             close();
         }
-        return new Answer(attempt, status, body, (System.nanoTime() - start) / 1e6);
+        return new Answer(attempt, status, answerHeaders, body, (System.nanoTime() - start) / 1e6);
     }
 
     private void connect() throws IOException {
