Share the refused request between tests of attempts

Cause: MalformedHeadTest repeated what RepeatedAnswersTest had.

Change: both take it from AttemptFixture. No code and no assertion is changed.

--- a/http/src/test/java/org/geraniumstand/http/upstream/AttemptFixture.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/AttemptFixture.java
@@ -1,5 +1,8 @@
 package org.geraniumstand.http.upstream;
 
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.is;
+
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -28,6 +31,12 @@
     static final AttemptLimits PATIENT = new AttemptLimits(5_000, 5_000, false);
     static final HttpBody EMPTY = HttpBody.of(new byte[0]);
 
+    /** The request that {@link #startAndRefuse} sends. */
+    static final String REFUSED = "refused";
+
+    /** Start of the head of its refusal, which a server may send again. */
+    static final String COPY = "HTTP/1.1 503 Full\r\nX-Request-Id: " + REFUSED + "\r\nX-Outcome: not-run\r\n";
+
     XnioWorker worker;
     private UpstreamClient client;
 
@@ -75,6 +84,20 @@
         return send(spec(server.port(), method, id, EMPTY, PATIENT));
     }
 
+    /** Starts a server that refuses a request, whose connection the next one uses, and answers all others by a script. */
+    FakeServer startAndRefuse(FakeServer.Script script)
+            throws ExecutionException, InterruptedException, TimeoutException {
+        FakeServer server = FakeServer.start((request, c) -> {
+            if (request.attemptId().equals(REFUSED)) {
+                c.write(COPY + "Content-Length: 0\r\n\r\n");
+            } else {
+                script.answer(request, c);
+            }
+        });
+        assertThat(send(server, "POST", REFUSED), is(new Ended(AttemptEnd.DECLINED, 503, "")));
+        return server;
+    }
+
     CompletableFuture<Ended> start(AttemptSpec spec, AtomicReference<Attempt> started) {
         Recorder recorder = new Recorder();
         worker.getIoThread(0).execute(() -> {
--- a/http/src/test/java/org/geraniumstand/http/upstream/MalformedHeadTest.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/MalformedHeadTest.java
@@ -25,8 +25,6 @@
 final class MalformedHeadTest extends AttemptFixture {
     private static final Ended BROKEN = new Ended(AttemptEnd.BROKEN, 0, "");
     private static final long PACKET_PAUSE_MILLIS = 3;
-    private static final String REFUSED = "refused";
-    private static final String COPY = "HTTP/1.1 503 Full\r\nX-Request-Id: " + REFUSED + "\r\nX-Outcome: not-run\r\n";
 
     private static String unescape(String text) {
         return text.replace("\\r", "\r").replace("\\n", "\n").replace("\\0", "\0");
@@ -158,19 +156,6 @@
         }
     }
 
-    /** Starts a server that refuses a request, whose connection the next one uses, and answers all others by a script. */
-    private FakeServer startAndRefuse(FakeServer.Script script) throws Exception {
-        FakeServer server = FakeServer.start((request, c) -> {
-            if (request.attemptId().equals(REFUSED)) {
-                c.write(COPY + "Content-Length: 0\r\n\r\n");
-            } else {
-                script.answer(request, c);
-            }
-        });
-        assertThat(send(server, "POST", REFUSED), is(new Ended(AttemptEnd.DECLINED, 503, "")));
-        return server;
-    }
-
     /** The HTTP client may have read the head together with the end of the answer before it. */
     @ParameterizedTest
     @CsvSource({
--- a/http/src/test/java/org/geraniumstand/http/upstream/RepeatedAnswersTest.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/RepeatedAnswersTest.java
@@ -13,9 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.Action.AttemptLimits;
@@ -33,23 +31,6 @@
 /** Tests that the copy of an earlier answer costs an attempt nothing but time, within limits. */
 @Timeout(60)
 final class RepeatedAnswersTest extends AttemptFixture {
-    private static final String REFUSED = "refused";
-    private static final String COPY = "HTTP/1.1 503 Full\r\nX-Request-Id: " + REFUSED + "\r\nX-Outcome: not-run\r\n";
-
-    /** Starts a server that refuses a request, whose connection the next one uses, and answers all others by a script. */
-    private FakeServer startAndRefuse(FakeServer.Script script)
-            throws ExecutionException, InterruptedException, TimeoutException {
-        FakeServer server = FakeServer.start((request, c) -> {
-            if (request.attemptId().equals(REFUSED)) {
-                c.write(COPY + "Content-Length: 0\r\n\r\n");
-            } else {
-                script.answer(request, c);
-            }
-        });
-        assertThat(send(server, "POST", REFUSED), is(new Ended(AttemptEnd.DECLINED, 503, "")));
-        return server;
-    }
-
     /** Guards against an order that is answered 502 because the copy of an earlier refusal came before its own answer. */
     @ParameterizedTest
     @CsvSource({
