Take the ports of the listener's tests from below the ephemeral range

Cause: OpaqueListenerFixture took a port of the ephemeral range and released it before it listened, so that a connection opened meanwhile could have it.

No assertion is changed.

No code is changed.

--- a/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerFixture.java
+++ b/http/src/test/java/org/geraniumstand/http/opaque/OpaqueListenerFixture.java
@@ -5,6 +5,7 @@
 
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.List;
@@ -13,6 +14,7 @@
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.geraniumstand.decisions.relay.RelayBounds;
 import org.geraniumstand.decisions.relay.RelayDispatcher;
@@ -53,6 +55,11 @@
     static final String SIGNED_HEADERS = "attempt: a-1\r\nsigned: yes\r\n";
     static final String CALL_HEADERS = "attempt: a-1\r\nkey: right\r\nwait: 1500\r\n";
 
+    private static final int FIRST_PORT = 12_000;
+    private static final int PORTS = 18_000;
+    private static final AtomicInteger NEXT_PORT =
+            new AtomicInteger((int) (ProcessHandle.current().pid() * 61 % PORTS));
+
     XnioWorker worker;
     OpaqueListener listener;
     final AtomicReference<Runnable> beforeSend = new AtomicReference<>(() -> {});
@@ -86,9 +93,22 @@
         worker.shutdownNow();
     }
 
-    static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /** Returns a free port below the ephemeral range, from which connections opened meanwhile take theirs. */
+    private static int freePort() {
+        for (int i = 0; i < PORTS; i++) {
+            int candidate = FIRST_PORT + Math.floorMod(NEXT_PORT.getAndIncrement(), PORTS);
+            if (isFree(candidate)) {
+                return candidate;
+            }
+        }
+        throw new IllegalStateException("no free port from " + FIRST_PORT + " on");
+    }
+
+    private static boolean isFree(int candidate) {
+        try (ServerSocket socket = new ServerSocket(candidate, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException _e) {
+            return false;
         }
     }
 
