Log the levels of teams that are near their quota

Cause: the log can't tell the hypotheses of quota-exceeded-between-exchanges apart: neither the level that a process acts on nor what it has admitted between two exchanges of sums is in it.

Change: quota-low, at most four teams an exchange, with a test of the readings.

No logic is changed.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLimiter.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLimiter.java
@@ -73,6 +73,11 @@
     /** Milliseconds after which usage that no aggregator has received no longer matters. */
     private static final long UNREPORTED_VALID_MILLIS = 30_000;
 
+    /** Fraction of a burst below which a level is worth a reading. */
+    private static final double READING_LEVEL_SHARE = 0.25;
+
+    private static final int MAX_READINGS = 4;
+
     private final double slack;
     private final double overrun;
     private final Random random;
@@ -365,6 +370,25 @@
         return new QuotaKnowledge(remoteUsageKnown(nowNanos), knownProcesses(nowNanos), processes.quotaCount(nowNanos));
     }
 
+    /**
+     * Returns the levels of the teams that have used most of their burst, as this process sees them.
+     *
+     * @param nowNanos the monotonic time in nanoseconds
+     */
+    public List<QuotaReading> readings(long nowNanos) {
+        refillAll(nowNanos);
+        return limitedTeams.values().stream()
+                .filter(team -> buckets.get(team.id()).available() < team.burst() * READING_LEVEL_SHARE)
+                .map(team -> new QuotaReading(
+                        team.id(),
+                        Math.round(buckets.get(team.id()).available()),
+                        localUsage.getOrDefault(team.id(), 0L),
+                        remoteUsage.getOrDefault(team.id(), 0L)))
+                .sorted(Comparator.comparingLong(QuotaReading::available))
+                .limit(MAX_READINGS)
+                .toList();
+    }
+
     /** Returns the units that all processes have admitted for all teams since they started, as far as reported. */
     public long totalUsage() {
         long sum = 0;
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaLimiterTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaLimiterTest.java
@@ -120,6 +120,17 @@
         assertThat(limiter.totalUsage(), is(40L));
     }
 
+    @Test
+    void readsTeamsThatAreNearTheirQuota() {
+        withTeam();
+
+        assertThat(limiter.readings(SECOND), is(List.of()));
+
+        limiter.tryAcquire(Calls.TEAM, 900, SECOND);
+
+        assertThat(limiter.readings(SECOND), is(List.of(new QuotaReading(Calls.TEAM.id(), 100, 900, 0))));
+    }
+
     @Test
     void ignoresUsageBeforeFirstSumsOfAggregator() {
         processes.onLive(2, 0);
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -11,6 +11,7 @@
 import org.geraniumstand.decisions.relay.InFlightSums;
 import org.geraniumstand.decisions.relay.LostServers;
 import org.geraniumstand.decisions.relay.QuotaKnowledge;
+import org.geraniumstand.decisions.relay.QuotaReading;
 import org.geraniumstand.decisions.relay.QuotaUsageSums;
 import org.geraniumstand.decisions.relay.RelayDispatcher;
 import org.geraniumstand.decisions.relay.ServerLimitExchange;
@@ -439,6 +440,14 @@
                     Field.of("reporting", knowledge.reporting()),
                     Field.of("processes", knowledge.processes()));
         }
+        for (QuotaReading reading : dispatcher.quotas().readings(nowNanos)) {
+            LOG.info(
+                    "quota-low",
+                    Field.of("team", reading.team()),
+                    Field.of("available", reading.available()),
+                    Field.of("usedHere", reading.usedHere()),
+                    Field.of("usedElsewhere", reading.usedElsewhere()));
+        }
     }
 
     /** Sends the version in force in this process to the connected neighbours; those with a newer one reply with theirs. */
