--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaTroubleSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaTroubleSimulation.java
@@ -81,6 +81,8 @@
         private List<ProcessId> aggregators = List.of();
         private boolean ended;
         private int frozenUntilMillis;
+        private int chokedUntilMillis;
+        private int chokedMillis;
 
         Life(int host) {
             this.host = host;
@@ -184,7 +186,8 @@
         }
 
         private void send(Life to, Runnable message) {
-            after(this == to ? 1 : between(1, maxLatencyMillis), () -> {
+            int delay = chokedUntilMillis > millis ? between(chokedMillis / 2, chokedMillis) : 0;
+            after(this == to ? 1 : delay + between(1, maxLatencyMillis), () -> {
                 if (reaches(to) && !to.ended) {
                     // What reaches a frozen process is read when it goes on.
                     after(Math.max(0, to.frozenUntilMillis - millis), () -> {
@@ -323,6 +326,18 @@
         return this;
     }
 
+    /** Delays all that the first of the processes that add up the use sends. */
+    QuotaTroubleSimulation chokeAggregator(int fromMillis, int untilMillis, int delayMillis) {
+        at(fromMillis, () -> {
+            ProcessId first = lives.get(0).aggregators.get(0);
+            lives.stream().filter(life -> life.id.equals(first)).forEach(life -> {
+                life.chokedUntilMillis = untilMillis;
+                life.chokedMillis = delayMillis;
+            });
+        });
+        return this;
+    }
+
     /** Kills the processes that add up the use at a time. */
     QuotaTroubleSimulation killAggregators(int atMillis, int downMillis) {
         at(atMillis, () -> {
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaTroubleTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaTroubleTest.java
@@ -106,6 +106,20 @@
                         .cut(19_000, 26_000, host -> host % 3 == 0));
     }
 
+    /** A sum counted as recent when it arrived, however old it was, so the crowded link of one aggregator broke the limit. */
+    @ParameterizedTest
+    @ValueSource(ints = {7, 33, 70})
+    void keepsLimitWhileAnAggregatorAnswersLate(int count) {
+        for (int delayMillis : new int[] {400, 1_000, 2_200}) {
+            assertKeepsLimit(
+                    count,
+                    simulation -> simulation
+                            .demandFrom(1, 0.5)
+                            .demandFrom(15_000, HOT)
+                            .chokeAggregator(14_000, 30_000, delayMillis));
+        }
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {7, 33, 70})
     void keepsLimitWhileHalfAreKilledDuringACut(int count) {
