--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBucket.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaBucket.java
@@ -3,8 +3,8 @@
 import org.geraniumstand.model.time.Timestamp;
 
 /**
- * Holds the level of a team's quota. The level is divided between the processes whose usage is known, which share one
- * part, and the others, whose part is set aside until their usage is known. Not thread-safe.
+ * Holds the level of a team's quota at an aggregator. The level is divided between the processes that report to it and
+ * the others, whose part is set aside until they report. Not thread-safe.
  */
 final class QuotaBucket {
     private static final double NANOS_IN_SECOND = Timestamp.NANOS_PER_MILLI * 1e3;
@@ -12,17 +12,18 @@
     /** Seconds of the team's rate that a debt may amount to; what was used earlier no longer counts. */
     private static final double MAX_DEBT_SECONDS = 8;
 
+    /** Longest time that is refilled at once; an aggregator that stood still does not know who reported meanwhile. */
+    private static final double MAX_STEP_SECONDS = 1;
+
     private double available;
-    private double pending;
     private double setAside;
-    private double charged;
     private double share;
     private long refilledNanos;
 
     /**
      * Creates an empty bucket, because other processes may have used the whole burst.
      *
-     * @param share fraction of the processes whose usage is known
+     * @param share fraction of the processes that report
      * @param nowNanos the monotonic time in nanoseconds
      */
     QuotaBucket(double share, long nowNanos) {
@@ -35,22 +36,18 @@
      *
      * @param rate units per second that are refilled
      * @param burst maximum level of the whole bucket
-     * @param nextShare fraction of the processes whose usage is known now
-     * @param ownShare fraction that this process alone makes up
-     * @param unreportedUnits units that this process has used and the others don't know of
+     * @param nextShare fraction of the processes that report now
      * @param nowNanos the monotonic time in nanoseconds
      */
-    void advance(double rate, double burst, double nextShare, double ownShare, long unreportedUnits, long nowNanos) {
-        double refill = rate * Math.max(0, nowNanos - refilledNanos) / NANOS_IN_SECOND;
+    void advance(double rate, double burst, double nextShare, long nowNanos) {
+        double seconds = Math.min(MAX_STEP_SECONDS, Math.max(0, nowNanos - refilledNanos) / NANOS_IN_SECOND);
         double refillShare = Math.min(share, nextShare);
-        available += refill * ownShare;
-        pending += refill * (refillShare - ownShare);
-        setAside += refill * (1 - refillShare);
+        available += rate * seconds * refillShare;
+        setAside += rate * seconds * (1 - refillShare);
         refilledNanos = nowNanos;
         if (nextShare < share) {
-            release();
-            // The processes that are no longer known have the same level, except for what this process didn't report.
-            double moved = (available + unreportedUnits) * (1 - nextShare / share);
+            // A debt stays whole, because those that no longer report may have ended.
+            double moved = Math.max(0, available) * (1 - nextShare / share);
             available -= moved;
             setAside += moved;
         } else if (nextShare > share) {
@@ -59,55 +56,37 @@
             setAside -= returned;
         }
         share = nextShare;
-        double maxDebt = rate * MAX_DEBT_SECONDS + burst;
-        available = Math.max(-maxDebt * share, Math.min(burst * share, available));
-        pending = Math.min(burst * share - available, pending);
+        available = Math.max(-rate * MAX_DEBT_SECONDS - burst, Math.min(burst * share, available));
+        setAside = Math.min(burst * (1 - share), setAside);
     }
 
-    /**
-     * Makes available what was refilled since the usage of the others was last known; until then this process uses only its
-     * own share of it.
-     */
-    void release() {
-        available += pending;
-        pending = 0;
+    /** Subtracts units that were used; negative units are given back. */
+    void charge(double units) {
+        available -= units;
     }
 
-    /** Subtracts units that this process or others have used; negative units are refunded. */
-    void charge(long units) {
-        available -= units;
-        charged += units;
+    /** Raises the level of the processes that report to at least a value. */
+    void raiseTo(double minAvailable) {
+        available = Math.max(available, minAvailable);
     }
 
-    /** Returns the units that were charged since the bucket was created or replaced. */
-    double charged() {
-        return charged;
+    /** Replaces the whole level. */
+    void replace(double total) {
+        available = total > 0 ? total * share : total;
+        setAside = total > 0 ? total * (1 - share) : 0;
     }
 
-    /**
-     * Replaces the level by that of another process.
-     *
-     * @param nextAvailable units that the processes whose usage is known may use together
-     * @param nextSetAside units that the other processes may have used
-     */
-    void replace(long nextAvailable, long nextSetAside) {
-        available = nextAvailable;
-        setAside = nextSetAside;
-        pending = 0;
-        charged = 0;
+    /** Returns the fraction of the processes that report. */
+    double share() {
+        return share;
     }
 
-    /** Returns the units that the processes whose usage is unknown may have used. */
+    /** Returns the units that the processes which don't report may use. */
     double setAside() {
         return setAside;
     }
 
-    /** Returns the units that the processes whose usage is known may use together, including what is not released yet. */
-    double total() {
-        return available + pending;
-    }
-
-    /** Returns the units that the processes whose usage is known may use together; negative if they are in debt. */
+    /** Returns the units that the processes which report may use together; negative if they are in debt. */
     double available() {
         return available;
     }
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaUsageSums.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaUsageSums.java
@@ -34,6 +34,7 @@
         private final Map<TeamId, Long> reportedUnits = new HashMap<>();
         private final Map<TeamId, Long> includedUnits = new HashMap<>();
         private long reportedNanos;
+        private boolean baselineUnknown;
     }
 
     /** Creates sums without any report. */
@@ -46,30 +47,55 @@
      * @param usages its usage by team, net of refunds
      * @param earlierUsages the part of its usage that another aggregator had received, by team; empty if it is unknown
      * @param nowNanos the monotonic time in nanoseconds
+     * @return the units that were added to the sums, by team; negative for refunds
      */
-    public void onReport(
+    public List<TeamUsage> onReport(
             ProcessId process, List<TeamUsage> usages, Optional<List<TeamUsage>> earlierUsages, long nowNanos) {
         ProcessUsage processUsage = usageByProcess.get(process);
         if (processUsage == null || isForgotten(processUsage, nowNanos)) {
             processUsage = new ProcessUsage();
+            processUsage.baselineUnknown = true;
             usageByProcess.put(process, processUsage);
+        }
+        if (processUsage.baselineUnknown) {
+            processUsage.baselineUnknown = false;
+            processUsage.reportedUnits.clear();
             for (TeamUsage earlier : earlierUsages.orElse(usages)) {
                 processUsage.reportedUnits.put(earlier.team(), earlier.units());
             }
         }
         processUsage.reportedNanos = nowNanos;
+        List<TeamUsage> added = new ArrayList<>();
         for (TeamUsage teamUsage : usages) {
             Long previousUnits = processUsage.reportedUnits.put(teamUsage.team(), teamUsage.units());
             long addedUnits = teamUsage.units() - (previousUnits == null ? 0 : previousUnits);
             totals.merge(teamUsage.team(), addedUnits, Long::sum);
             processUsage.includedUnits.merge(teamUsage.team(), addedUnits, Long::sum);
+            if (addedUnits != 0) {
+                added.add(new TeamUsage(teamUsage.team(), addedUnits));
+            }
         }
+        return added;
     }
 
     private static boolean isForgotten(ProcessUsage processUsage, long nowNanos) {
         return nowNanos - processUsage.reportedNanos > PROCESS_VALID_MILLIS * Timestamp.NANOS_PER_MILLI;
     }
 
+    /** Counts of each process only what no aggregator has received before its next report. */
+    void forgetReports() {
+        usageByProcess.values().forEach(usage -> usage.baselineUnknown = true);
+    }
+
+    /**
+     * Returns whether what a process reports can be compared with its last report.
+     *
+     * @param process the process
+     */
+    boolean knows(ProcessId process) {
+        return usageByProcess.containsKey(process) && !usageByProcess.get(process).baselineUnknown;
+    }
+
     /**
      * Removes processes that have ended; the usage that they admitted stays in the sums. A process that is no longer a member
      * may still admit requests while it stops or is cut off, so it is remembered for some time.
@@ -96,6 +122,15 @@
         return sums;
     }
 
+    /**
+     * Returns the units that all processes except one have used, over all teams.
+     *
+     * @param process the process to exclude
+     */
+    public long totalExcluding(ProcessId process) {
+        return sumExcluding(process).stream().mapToLong(TeamUsage::units).sum();
+    }
+
     /**
      * Returns the number of processes that reported recently.
      *
--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/RelayDispatcher.java
@@ -111,36 +111,15 @@
     }
 
     /**
-     * Charges a call to its team's quota, or refuses the call if the quota is exhausted.
+     * Decides whether a call may use its team's quota.
      *
      * @param head the parsed head of the request
      * @param team the call's team, if known
      * @param nowNanos the monotonic time in nanoseconds
-     * @return the refusal, or empty if the call is admitted
      */
-    public Optional<Refusal> chargeQuota(CallerHead head, Optional<RelayTeam> team, long nowNanos) {
-        if (team.isEmpty()) {
-            return Optional.empty();
-        }
-        return overQuota(quotas.tryAcquire(team.get(), QuotaLimiter.cost(team.get(), head), nowNanos));
-    }
-
-    /**
-     * Decides on a call for which quota was reserved while the usage of the other processes was unknown.
-     *
-     * @param head the parsed head of the request
-     * @param team the call's team
-     * @param nowNanos the monotonic time in nanoseconds
-     * @return the refusal, or empty if the call is admitted
-     */
-    public Optional<Refusal> chargeReserved(CallerHead head, RelayTeam team, long nowNanos) {
-        return overQuota(quotas.decideReserved(team, QuotaLimiter.cost(team, head), nowNanos));
-    }
-
-    private static Optional<Refusal> overQuota(OptionalLong wait) {
-        return wait.isPresent()
-                ? Optional.of(Refusal.notRun(RefusalReason.OVER_QUOTA, wait.getAsLong()))
-                : Optional.empty();
+    public QuotaAdmission requestQuota(CallerHead head, Optional<RelayTeam> team, long nowNanos) {
+        return team.map(known -> quotas.request(known, QuotaLimiter.cost(known, head), nowNanos))
+                .orElse(QuotaAdmission.Admitted.INSTANCE);
     }
 
     /** Returns the count of processes that share limits. */
@@ -220,11 +199,11 @@
         arrivals(service).onArrival(nowNanos);
         OptionalLong blockedMillis = crashingPrompts.blockedMillis(call, nowNanos);
         if (blockedMillis.isPresent()) {
-            refuse(call, quarantineRefusal(call, blockedMillis.getAsLong()), steps);
+            refuse(call, quarantineRefusal(call, blockedMillis.getAsLong()), nowNanos, steps);
             return;
         }
         if (configuration.flatMap(c -> c.service(service)).isEmpty() || !selector.hasEligibleServer(service)) {
-            refuse(call, Refusal.notRun(RefusalReason.NO_SERVER, retryAfterMillis(call)), steps);
+            refuse(call, Refusal.notRun(RefusalReason.NO_SERVER, retryAfterMillis(call)), nowNanos, steps);
             return;
         }
         queue(service).add(call);
@@ -323,7 +302,7 @@
         if (selector.hasEligibleServer(call.service())) {
             queue(call.service()).add(call);
         } else {
-            refuse(call, refusal(call, AttemptEnd.NOT_CONNECTED), steps);
+            refuse(call, refusal(call, AttemptEnd.NOT_CONNECTED), nowNanos, steps);
         }
         dispatchQueued(call.service(), nowNanos, steps);
         refuseUnservable(call.service(), nowNanos, steps);
@@ -427,7 +406,7 @@
             queue(call.service()).add(call);
             return;
         }
-        refuse(call, refusal(call, end), steps);
+        refuse(call, refusal(call, end), nowNanos, steps);
     }
 
     private boolean acquireRetry(ServiceId service, long nowNanos) {
@@ -460,9 +439,9 @@
         return retryDenials.total();
     }
 
-    private void refuse(RelayCall call, Refusal refusal, List<RelayStep> steps) {
+    private void refuse(RelayCall call, Refusal refusal, long nowNanos, List<RelayStep> steps) {
         if (!call.mayHaveRun()) {
-            call.team().ifPresent(team -> quotas.refund(team, QuotaLimiter.cost(team, call.head())));
+            call.team().ifPresent(team -> quotas.refund(team, QuotaLimiter.cost(team, call.head()), nowNanos));
         }
         steps.add(new RelayStep.Refuse(call, refusal));
     }
@@ -545,7 +524,7 @@
                 refusal = Refusal.notRun(
                         RefusalReason.NO_SERVER, Math.max(requested.firstMillis(), retryAfterMillis(call)));
             }
-            refuse(call, refusal, steps);
+            refuse(call, refusal, nowNanos, steps);
         }
     }
 
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaStartSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaStartSimulation.java
@@ -12,7 +12,8 @@
 import java.util.stream.IntStream;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.TeamId;
-import org.geraniumstand.model.relay.QuotaLevels;
+import org.geraniumstand.model.relay.QuotaAnswer;
+import org.geraniumstand.model.relay.QuotaRequest;
 import org.geraniumstand.model.relay.RelayTeam;
 import org.geraniumstand.model.relay.TeamUsage;
 
@@ -34,7 +35,7 @@
     private static final int START_MILLIS = 300;
 
     /** Interval at which a request that waits for the use of the others is looked at again. */
-    private static final int POLL_MILLIS = 25;
+    private static final int POLL_MILLIS = 10;
 
     private static final ProcessId AGGREGATOR = new ProcessId("p0");
 
@@ -48,7 +49,6 @@
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(Comparator.comparingInt(Event::millis).thenComparingLong(Event::sequence));
     private final Deque<Use> window = new ArrayDeque<>();
-    private QuotaUsageSums sums = new QuotaUsageSums();
     private long sequence;
     private int millis;
     private int measuredFromMillis;
@@ -76,10 +76,11 @@
             processes.onActive(now());
             processes.onRegisteredAt(listedEndpoints(), now());
             limiter.onTeams(List.of(team), now());
+            limiter.setQuestionListener(() -> after(0, this::ask));
             int discovery = MIN_DISCOVERY_MILLIS + random.nextInt(MAX_DISCOVERY_MILLIS - MIN_DISCOVERY_MILLIS);
             after(discovery, () -> {
                 processes.onLive(count, now());
-                limiter.onAggregators(List.of(AGGREGATOR));
+                limiter.onAggregators(List.of(AGGREGATOR), now());
                 report();
             });
         }
@@ -89,32 +90,32 @@
                 return;
             }
             processes.onActive(now());
-            boolean needsLevels = limiter.needsLevels(now());
-            List<TeamUsage> earlier = limiter.acknowledgedUsage(now());
-            sums.onReport(id, limiter.reportUsage(now()), needsLevels ? Optional.of(earlier) : Optional.empty(), now());
-            limiter.onRemoteUsage(
-                    AGGREGATOR,
-                    sums.sumExcluding(id),
-                    sums.reportingProcesses(now()),
-                    levels(this, needsLevels),
-                    now());
+            Optional<List<TeamUsage>> earlier = limiter.needsLevels(AGGREGATOR, now())
+                    ? Optional.of(limiter.acknowledgedUsage(now()))
+                    : Optional.empty();
+            exchange(limiter.localUsage(), earlier, limiter.report(AGGREGATOR, now()), true);
             after(Math.min(400, Math.max(200, 2 * count)), this::report);
         }
-    }
 
-    /** Returns the levels of the aggregator, which starts with all others; it has none for itself. */
-    private QuotaLevels levels(Life receiver, boolean needed) {
-        return lives.stream()
-                .filter(life -> needed && life != receiver && life.id.equals(AGGREGATOR))
-                .findFirst()
-                .map(this::levels)
-                .orElse(QuotaLevels.NONE);
-    }
+        private void ask() {
+            if (lifeGeneration == generation) {
+                limiter.nextQuestion(now())
+                        .ifPresent(
+                                question -> exchange(question.usages(), Optional.empty(), question.request(), false));
+            }
+        }
 
-    private QuotaLevels levels(Life aggregator) {
-        aggregator.limiter.onRemoteUsage(
-                AGGREGATOR, sums.sumExcluding(AGGREGATOR), sums.reportingProcesses(now()), QuotaLevels.NONE, now());
-        return aggregator.limiter.levels(AGGREGATOR, now());
+        private void exchange(
+                List<TeamUsage> usages, Optional<List<TeamUsage>> earlier, QuotaRequest request, boolean complete) {
+            lives.stream()
+                    .filter(life -> life.id.equals(AGGREGATOR))
+                    .findFirst()
+                    .ifPresent(aggregator -> {
+                        QuotaLedger ledger = aggregator.limiter.ledger();
+                        QuotaAnswer answer = ledger.onRequest(id, usages, earlier, request, complete, now());
+                        limiter.onAnswer(AGGREGATOR, answer, ledger.reportingProcesses(now()), now());
+                    });
+        }
     }
 
     /**
@@ -164,7 +165,6 @@
 
     private void startAll() {
         generation++;
-        sums = new QuotaUsageSums();
         lives.clear();
         for (int i = 0; i < count; i++) {
             int index = i;
@@ -194,12 +194,7 @@
             Life life = lives.get(random.nextInt(lives.size()));
             boolean passes = exact >= cost;
             exact -= passes ? cost : 0;
-            if (life.limiter.awaitsUsage(team, now(), now())) {
-                life.limiter.reserve(team, cost, now());
-                decide(life, cost, passes, now());
-            } else {
-                onDecided(life.limiter.tryAcquire(team, cost, now()).isEmpty(), cost, passes);
-            }
+            decide(life, life.limiter.request(team, cost, now()), cost, passes);
         }
         double perMilli = demand * team.ratePerSecond() / meanCost / 1_000.0;
         // Several requests may fall into one millisecond.
@@ -207,14 +202,14 @@
         at(millis + (int) (wait + random.nextDouble()), this::request);
     }
 
-    private void decide(Life life, int cost, boolean passes, long arrivedNanos) {
+    private void decide(Life life, QuotaAdmission admission, int cost, boolean passes) {
         if (life.lifeGeneration != generation) {
             return;
         }
-        if (life.limiter.awaitsUsage(team, arrivedNanos, now())) {
-            after(POLL_MILLIS, () -> decide(life, cost, passes, arrivedNanos));
+        if (admission instanceof QuotaAdmission.Waiting waiting) {
+            after(POLL_MILLIS, () -> decide(life, life.limiter.poll(waiting.ticket(), now()), cost, passes));
         } else {
-            onDecided(life.limiter.decideReserved(team, cost, now()).isEmpty(), cost, passes);
+            onDecided(admission instanceof QuotaAdmission.Admitted, cost, passes);
         }
     }
 
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaTroubleSimulation.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaTroubleSimulation.java
@@ -15,7 +15,8 @@
 import java.util.function.IntPredicate;
 import org.geraniumstand.model.id.ProcessId;
 import org.geraniumstand.model.id.TeamId;
-import org.geraniumstand.model.relay.QuotaLevels;
+import org.geraniumstand.model.relay.QuotaAnswer;
+import org.geraniumstand.model.relay.QuotaRequest;
 import org.geraniumstand.model.relay.RelayTeam;
 import org.geraniumstand.model.relay.TeamUsage;
 
@@ -30,7 +31,7 @@
     private static final int WINDOW_MILLIS = 8_000;
     private static final int LOST_MILLIS = 4_000;
     private static final int STOPPING_MILLIS = 3_000;
-    private static final int POLL_MILLIS = 25;
+    private static final int POLL_MILLIS = 10;
 
     private final Random random;
     private final RelayTeam team;
@@ -51,6 +52,7 @@
     private int exactMillis;
     private double passable;
     private double refused;
+    private double usedUnits;
 
     private record Event(int millis, long sequence, Runnable action) {}
 
@@ -61,8 +63,9 @@
      *
      * @param worst the largest use of a window as a fraction of what the rule allows
      * @param refused units that were refused although an exact limiter would pass them, as a fraction of what it passes
+     * @param used units that were used from the measured time on, as a fraction of the team's rate
      */
-    record Figures(double worst, double refused) {}
+    record Figures(double worst, double refused, double used) {}
 
     /** An address at which one process after the other runs. */
     private static final class Host {
@@ -76,7 +79,6 @@
         private final ProcessId id;
         private final ProcessCount processes = new ProcessCount(330, now());
         private final QuotaLimiter limiter = new QuotaLimiter(SLACK, OVERRUN, processes, new Random(random.nextLong()));
-        private final QuotaUsageSums sums = new QuotaUsageSums();
         private final Map<ProcessId, Life> members = new LinkedHashMap<>();
         private List<ProcessId> aggregators = List.of();
         private boolean ended;
@@ -95,6 +97,7 @@
             }
             processes.onRegisteredAt(listed, now());
             limiter.onTeams(List.of(team), now());
+            limiter.setQuestionListener(() -> after(0, this::ask));
             after(between(300, 1_200), this::join);
             after(interval(), this::report);
         }
@@ -144,8 +147,14 @@
                 return;
             }
             aggregators = TaskCoordinators.select(TaskCoordinators.Task.ADD_UP_USE, members.keySet());
-            sums.retain(Set.copyOf(members.keySet()), now());
-            limiter.onAggregators(aggregators);
+            limiter.ledger().retain(Set.copyOf(members.keySet()), now());
+            limiter.onAggregators(aggregators, now())
+                    .forEach((former, request) -> lives.stream()
+                            .filter(life -> life.id.equals(former))
+                            .forEach(life -> send(
+                                    life,
+                                    () -> life.onRequest(
+                                            this, limiter.localUsage(), Optional.empty(), request, true))));
             processes.onLiveAt(
                     members.values().stream()
                             .map(member -> "host-" + member.host)
@@ -162,27 +171,41 @@
                 return;
             }
             processes.onActive(now());
-            List<TeamUsage> usages = limiter.reportUsage(now());
+            List<TeamUsage> usages = limiter.localUsage();
             List<TeamUsage> earlier = limiter.acknowledgedUsage(now());
-            boolean needsLevels = limiter.needsLevels(now());
             for (Life other : List.copyOf(members.values())) {
                 if (aggregators.contains(other.id)) {
-                    send(other, () -> other.onReport(this, usages, earlier, needsLevels));
+                    boolean needsLevels = limiter.needsLevels(other.id, now());
+                    QuotaRequest request = limiter.report(other.id, now());
+                    Optional<List<TeamUsage>> counted = needsLevels ? Optional.of(earlier) : Optional.empty();
+                    send(other, () -> other.onRequest(this, usages, counted, request, true));
                 }
             }
         }
 
-        private void onReport(Life from, List<TeamUsage> usages, List<TeamUsage> earlier, boolean needsLevels) {
-            sums.onReport(from.id, usages, needsLevels ? Optional.of(earlier) : Optional.empty(), now());
-            int reporting = sums.reportingProcesses(now());
-            QuotaLevels levels = QuotaLevels.NONE;
-            if (needsLevels && from != this) {
-                limiter.onRemoteUsage(id, sums.sumExcluding(id), reporting, QuotaLevels.NONE, now());
-                levels = limiter.levels(id, now());
+        private void ask() {
+            if (runs()) {
+                limiter.nextQuestion(now()).ifPresent(question -> {
+                    Life asked = members.get(question.aggregator());
+                    if (asked != null) {
+                        send(
+                                asked,
+                                () -> asked.onRequest(
+                                        this, question.usages(), Optional.empty(), question.request(), false));
+                    }
+                });
             }
-            List<TeamUsage> answer = sums.sumExcluding(from.id);
-            QuotaLevels sent = levels;
-            send(from, () -> from.limiter.onRemoteUsage(id, answer, reporting, sent, now()));
+        }
+
+        private void onRequest(
+                Life from,
+                List<TeamUsage> usages,
+                Optional<List<TeamUsage>> earlier,
+                QuotaRequest request,
+                boolean complete) {
+            QuotaAnswer answer = limiter.ledger().onRequest(from.id, usages, earlier, request, complete, now());
+            int reporting = limiter.ledger().reportingProcesses(now());
+            send(from, () -> from.limiter.onAnswer(id, answer, reporting, now()));
         }
 
         private void send(Life to, Runnable message) {
@@ -373,22 +396,19 @@
     }
 
     private void admit(Life life, int cost, boolean passes) {
-        if (life.limiter.awaitsUsage(team, now(), now())) {
-            life.limiter.reserve(team, cost, now());
-            decide(life, cost, passes, now());
-        } else {
-            onDecided(life.limiter.tryAcquire(team, cost, now()).isEmpty(), cost, passes);
-        }
+        decide(life, life.limiter.request(team, cost, now()), cost, passes);
     }
 
-    private void decide(Life life, int cost, boolean passes, long arrivedNanos) {
+    private void decide(Life life, QuotaAdmission admission, int cost, boolean passes) {
         if (life.ended) {
             return;
         }
-        if (life.limiter.awaitsUsage(team, arrivedNanos, now())) {
-            after(POLL_MILLIS, () -> decide(life, cost, passes, arrivedNanos));
+        if (admission instanceof QuotaAdmission.Waiting waiting) {
+            after(
+                    Math.max(POLL_MILLIS, life.frozenUntilMillis - millis),
+                    () -> decide(life, life.limiter.poll(waiting.ticket(), now()), cost, passes));
         } else {
-            onDecided(life.limiter.decideReserved(team, cost, now()).isEmpty(), cost, passes);
+            onDecided(admission instanceof QuotaAdmission.Admitted, cost, passes);
         }
     }
 
@@ -403,6 +423,7 @@
     }
 
     private void use(double units) {
+        usedUnits += millis < measuredFromMillis ? 0 : units;
         window.add(new Use(millis, units));
         windowUse += units;
         while (window.peek().millis() <= millis - WINDOW_MILLIS) {
@@ -419,7 +440,8 @@
             next.action().run();
         }
         double allowed = (team.ratePerSecond() * WINDOW_MILLIS / 1_000.0 + team.burst()) * (1 + OVERRUN) + SLACK;
-        return new Figures(worstUse / allowed, refused / Math.max(1, passable));
+        double rateUnits = team.ratePerSecond() * (untilMillis - measuredFromMillis) / 1_000.0;
+        return new Figures(worstUse / allowed, refused / Math.max(1, passable), usedUnits / rateUnits);
     }
 
     private int between(int min, int max) {
--- a/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaTroubleTest.java
+++ b/decisions/src/test/java/org/geraniumstand/decisions/relay/QuotaTroubleTest.java
@@ -1,6 +1,7 @@
 package org.geraniumstand.decisions.relay;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
@@ -131,6 +132,42 @@
                         .restartInTurn(26_000, 400));
     }
 
+    /** What was admitted between two exchanges of sums was unseen, which is most for teams with a high rate. */
+    @ParameterizedTest
+    @ValueSource(ints = {7, 33, 70})
+    void keepsLimitOfLargeTeamThatBecomesHot(int count) {
+        for (int ratePerSecond : new int[] {300_000, 623_000, 680_000}) {
+            for (int latencyMillis : new int[] {20, 200}) {
+                QuotaTroubleSimulation.Figures figures = new QuotaTroubleSimulation(count, ratePerSecond, 5_000, 0.5, 1)
+                        .demandFrom(15_000, 9)
+                        .measureFrom(10_000)
+                        .latency(latencyMillis)
+                        .run(25_000);
+
+                assertThat("limit " + ratePerSecond, figures.worst(), lessThanOrEqualTo(1.0));
+            }
+        }
+    }
+
+    /** A hot team gets what it is owed, and no more. */
+    @ParameterizedTest
+    @ValueSource(ints = {7, 33, 70})
+    void usesQuotaOfHotTeam(int count) {
+        for (int[] team : TEAMS) {
+            QuotaTroubleSimulation.Figures figures = run(count, team, HOT, 1, simulation -> simulation);
+
+            assertThat("limit " + team[0], figures.used(), greaterThan(0.95));
+        }
+    }
+
+    /** The level was kept at each process, so a team near its limit was refused wherever the others' use was known late. */
+    @ParameterizedTest
+    @ValueSource(ints = {7, 33, 70})
+    void passesTeamBelowItsLimitInCalmAndBesideALateAggregator(int count) {
+        assertPassesTeamBelowItsLimit(count, simulation -> simulation);
+        assertPassesTeamBelowItsLimit(count, simulation -> simulation.chokeAggregator(14_000, 30_000, 1_000));
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {7, 33, 70})
     void passesTeamBelowItsLimitAfterKillsAndRestarts(int count) {
--- a/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
+++ b/entry/src/main/java/org/geraniumstand/entry/relay/PeerTask.java
@@ -11,8 +11,9 @@
 import org.geraniumstand.decisions.relay.InFlightSums;
 import org.geraniumstand.decisions.relay.LostServers;
 import org.geraniumstand.decisions.relay.QuotaKnowledge;
+import org.geraniumstand.decisions.relay.QuotaLedger;
+import org.geraniumstand.decisions.relay.QuotaLimiter;
 import org.geraniumstand.decisions.relay.QuotaReading;
-import org.geraniumstand.decisions.relay.QuotaUsageSums;
 import org.geraniumstand.decisions.relay.RelayDispatcher;
 import org.geraniumstand.decisions.relay.ServerLimitExchange;
 import org.geraniumstand.decisions.relay.TaskCoordinators;
@@ -23,8 +24,16 @@
 import org.geraniumstand.model.id.ServerId;
 import org.geraniumstand.model.member.Member;
 import org.geraniumstand.model.member.ProtocolLevel;
+import org.geraniumstand.model.relay.CrashEvidence;
+import org.geraniumstand.model.relay.LimitDemand;
+import org.geraniumstand.model.relay.LostServer;
+import org.geraniumstand.model.relay.QuotaAnswer;
 import org.geraniumstand.model.relay.QuotaLevels;
+import org.geraniumstand.model.relay.QuotaRequest;
+import org.geraniumstand.model.relay.ServerInFlight;
 import org.geraniumstand.model.relay.ServerLimit;
+import org.geraniumstand.model.relay.TeamUsage;
+import org.geraniumstand.model.relay.WaitingCalls;
 import org.geraniumstand.model.time.Timestamp;
 import org.geraniumstand.model.timeline.Field;
 import org.geraniumstand.peer.PeerMessage;
@@ -69,7 +78,6 @@
     private final Timer timer;
     private final int readinessPort;
     private final ConfigurationListener onPeerConfiguration;
-    private final QuotaUsageSums quotaUsage = new QuotaUsageSums();
     private final InFlightSums inFlightCalls = new InFlightSums();
     private final WaitingSums waitingCalls = new WaitingSums();
     private final LostServers lostServers = new LostServers();
@@ -84,6 +92,7 @@
     private LeaderElection leaderElection;
     private UsageTask usageTask;
     private QuotaKnowledge quotaKnowledge = new QuotaKnowledge(false, 0, 0);
+    private boolean questionScheduled;
     private long sentVersion = -1;
     private long sentNanos;
     private Optional<PeerMessage.RelayConfigurationResponse> configurationInForce = Optional.empty();
@@ -150,6 +159,7 @@
     /** Starts peer discovery and the periodic reports of usage. */
     void start() {
         network.start();
+        dispatcher.quotas().setQuestionListener(this::scheduleQuestion);
         timer.after(this::reportUsage, MIN_REPORT_MILLIS);
     }
 
@@ -224,6 +234,12 @@
         network.setMembersConsumer(members -> timer.after(() -> onMembers(members), 0));
         handle(PeerMessage.QuotaUsageReport.class, this::onQuotaUsage);
         handle(PeerMessage.AggregateQuotaUsage.class, this::onAggregatedUsage);
+        handle(PeerMessage.QuotaUnitsRequest.class, this::onUnitsRequest);
+        handle(
+                PeerMessage.QuotaUnitsAnswer.class,
+                (from, units) -> dispatcher
+                        .quotas()
+                        .onAnswer(from, units.answer(), units.reportingProcesses(), System.nanoTime()));
         handle(PeerMessage.StoreUpdate.class, (_from, changes) -> storeWatcher.onPeerChanges(changes));
         handle(
                 PeerMessage.RequestCountReport.class,
@@ -275,52 +291,79 @@
         leaderElection.setPreferred(TaskCoordinators.select(TaskCoordinators.Task.HOLD_DUTIES, liveProcesses)
                 .contains(network.self().id()));
         usageTask.setCollectors(TaskCoordinators.select(TaskCoordinators.Task.COUNT_REQUESTS, liveProcesses));
-        quotaUsage.retain(liveProcesses, System.nanoTime());
-        dispatcher.quotas().onAggregators(aggregators);
+        dispatcher.quotas().ledger().retain(liveProcesses, System.nanoTime());
+        dispatcher
+                .quotas()
+                .onAggregators(aggregators, System.nanoTime())
+                .forEach((former, request) -> network.send(
+                        former,
+                        new PeerMessage.QuotaUnitsRequest(dispatcher.quotas().localUsage(), request)));
         dispatcher.processes().onLiveAt(members.stream().map(PeerTask::endpoint).toList(), System.nanoTime());
     }
 
     private void onQuotaUsage(ProcessId from, PeerMessage.QuotaUsageReport report) {
         long now = System.nanoTime();
-        quotaUsage.onReport(
+        QuotaLedger ledger = dispatcher.quotas().ledger();
+        QuotaRequest request = report.quotaRequest();
+        QuotaAnswer answer = ledger.onRequest(
                 from,
                 report.usages(),
                 report.needsLevels() ? Optional.of(report.earlierUsages()) : Optional.empty(),
+                request,
+                true,
                 now);
         inFlightCalls.onReport(from, report.inFlight(), now);
         waitingCalls.onReport(from, report.waiting(), now);
         lostServers.onReport(from, report.lostServers(), now);
         crashEvidence.onEvidence(from, report.evidence(), now);
         logLimits(from, serverLimits.onReport(from, report.limits(), now));
-        QuotaLevels levels = levelsFor(from, report.needsLevels(), now);
+        boolean needsLevels = report.needsLevels() && !request.usesGrants();
         network.send(
                 from,
                 new PeerMessage.AggregateQuotaUsage(
-                        quotaUsage.sumExcluding(from),
-                        quotaUsage.reportingProcesses(now),
+                        request.usesGrants() ? List.of() : ledger.sumExcluding(from),
+                        ledger.reportingProcesses(now),
                         // The second aggregator has the same figures.
                         isFirstAggregator() ? inFlightCalls.sumExcluding(from) : List.of(),
                         lostServers.recentLosses(now),
                         crashEvidence.aggregate(),
                         serverLimits.shares(from, now),
                         isFirstAggregator() ? waitingCalls.sumExcluding(from) : List.of(),
-                        levels));
+                        needsLevels ? ledger.levels(now) : QuotaLevels.NONE,
+                        answer));
     }
 
-    private QuotaLevels levelsFor(ProcessId other, boolean needed, long nowNanos) {
-        ProcessId self = network.self().id();
-        if (!needed || other.equals(self)) {
-            return QuotaLevels.NONE;
+    /** Asks for units that waiting requests need; a question that is due already covers requests that wait later. */
+    private void scheduleQuestion() {
+        if (!questionScheduled) {
+            questionScheduled = true;
+            timer.after(this::sendQuestion, 0);
         }
+    }
+
+    private void sendQuestion() {
+        questionScheduled = false;
         dispatcher
                 .quotas()
-                .onRemoteUsage(
-                        self,
-                        quotaUsage.sumExcluding(self),
-                        quotaUsage.reportingProcesses(nowNanos),
-                        QuotaLevels.NONE,
-                        nowNanos);
-        return dispatcher.quotas().levels(self, nowNanos);
+                .nextQuestion(System.nanoTime())
+                .ifPresent(question -> network.send(
+                        question.aggregator(),
+                        new PeerMessage.QuotaUnitsRequest(question.usages(), question.request())));
+    }
+
+    private void onUnitsRequest(ProcessId from, PeerMessage.QuotaUnitsRequest question) {
+        long now = System.nanoTime();
+        QuotaLedger ledger = dispatcher.quotas().ledger();
+        QuotaAnswer answer = ledger.onRequest(
+                from,
+                question.usages(),
+                Optional.empty(),
+                question.request(),
+                question.request().leaving(),
+                now);
+        if (!question.request().leaving()) {
+            network.send(from, new PeerMessage.QuotaUnitsAnswer(ledger.reportingProcesses(now), answer));
+        }
     }
 
     private void logAvoided(long nowNanos) {
@@ -352,9 +395,12 @@
 
     private void onAggregatedUsage(ProcessId aggregator, PeerMessage.AggregateQuotaUsage aggregate) {
         long now = System.nanoTime();
-        dispatcher
-                .quotas()
-                .onRemoteUsage(aggregator, aggregate.usages(), aggregate.reportingProcesses(), aggregate.levels(), now);
+        QuotaLimiter quotas = dispatcher.quotas();
+        if (aggregate.quotaAnswer().number() > 0) {
+            quotas.onAnswer(aggregator, aggregate.quotaAnswer(), aggregate.reportingProcesses(), now);
+        } else {
+            quotas.onSums(aggregator, aggregate.usages(), aggregate.reportingProcesses(), aggregate.levels(), now);
+        }
         dispatcher.fleet().onRemoteLosses(aggregate.lostServers(), now);
         logAvoided(now);
         crashEvidence.onEvidence(aggregator, aggregate.evidence(), now);
@@ -413,21 +459,32 @@
         long now = System.nanoTime();
         dispatcher.processes().onActive(now);
         logQuotaKnowledge(now);
-        boolean needsLevels = dispatcher.quotas().needsLevels(now);
-        PeerMessage.QuotaUsageReport report = new PeerMessage.QuotaUsageReport(
-                dispatcher.quotas().reportUsage(now),
-                dispatcher.fleet().inFlight(now),
-                dispatcher.fleet().lostServers(now),
-                crashEvidence.evaluate(liveProcesses, isFirstAggregator(), now),
-                serverLimits.report(now),
-                dispatcher.waitingCalls(now),
-                needsLevels,
-                needsLevels ? dispatcher.quotas().acknowledgedUsage(now) : List.of());
+        QuotaLimiter quotas = dispatcher.quotas();
+        List<TeamUsage> usages = quotas.localUsage();
+        List<ServerInFlight> inFlight = dispatcher.fleet().inFlight(now);
+        List<LostServer> lost = dispatcher.fleet().lostServers(now);
+        CrashEvidence evidence = crashEvidence.evaluate(liveProcesses, isFirstAggregator(), now);
+        List<LimitDemand> limits = serverLimits.report(now);
+        List<WaitingCalls> waiting = dispatcher.waitingCalls(now);
         serverLimits.retain(liveProcesses, now);
         inFlightCalls.retain(liveProcesses, now);
         waitingCalls.retain(liveProcesses, now);
         // A report to this process itself is delivered like any other message.
-        aggregators.forEach(aggregator -> network.send(aggregator, report));
+        for (ProcessId aggregator : aggregators) {
+            boolean needsLevels = quotas.needsLevels(aggregator, now);
+            network.send(
+                    aggregator,
+                    new PeerMessage.QuotaUsageReport(
+                            usages,
+                            inFlight,
+                            lost,
+                            evidence,
+                            limits,
+                            waiting,
+                            needsLevels,
+                            needsLevels ? quotas.acknowledgedUsage(now) : List.of(),
+                            quotas.report(aggregator, now)));
+        }
     }
 
     private void logQuotaKnowledge(long nowNanos) {
@@ -440,13 +497,13 @@
                     Field.of("reporting", knowledge.reporting()),
                     Field.of("processes", knowledge.processes()));
         }
-        for (QuotaReading reading : dispatcher.quotas().readings(nowNanos)) {
+        for (QuotaReading reading : dispatcher.quotas().readings()) {
             LOG.info(
                     "quota-low",
                     Field.of("team", reading.team()),
                     Field.of("available", reading.available()),
                     Field.of("usedHere", reading.usedHere()),
-                    Field.of("usedElsewhere", reading.usedElsewhere()));
+                    Field.of("held", reading.held()));
         }
     }
 
--- a/entry/src/test/java/org/geraniumstand/entry/relay/ScaleTaskTest.java
+++ b/entry/src/test/java/org/geraniumstand/entry/relay/ScaleTaskTest.java
@@ -25,13 +25,12 @@
 import org.geraniumstand.model.relay.CallerHead;
 import org.geraniumstand.model.relay.CallerLimits;
 import org.geraniumstand.model.relay.EngineCapacity;
-import org.geraniumstand.model.relay.QuotaLevels;
+import org.geraniumstand.model.relay.QuotaAnswer;
 import org.geraniumstand.model.relay.RelayConfiguration;
 import org.geraniumstand.model.relay.RelayServer;
 import org.geraniumstand.model.relay.RelayService;
 import org.geraniumstand.model.relay.RelayTeam;
 import org.geraniumstand.model.relay.ScalingBounds;
-import org.geraniumstand.model.relay.TeamUsage;
 import org.geraniumstand.model.time.Timestamp;
 import org.geraniumstand.outside.relay.LeaderApi;
 import org.junit.jupiter.api.Test;
@@ -124,7 +123,7 @@
             int tokens = (int) (tokensPerSecond * TICK_MILLIS / 1_000);
             CallerHead head = new CallerHead(
                     "x", Optional.empty(), OptionalLong.empty(), Optional.empty(), tokens, 0, true, List.of());
-            dispatcher.chargeQuota(head, Optional.of(TEAM), nanos());
+            dispatcher.requestQuota(head, Optional.of(TEAM), nanos());
             timer.run(TICK_MILLIS);
         }
     }
@@ -148,13 +147,13 @@
     void releasesNoServersWhileNoPeerReportsItsUsage() {
         startWithReclaimableServers();
         dispatcher.processes().onLive(8, nanos());
-        dispatcher.quotas().onAggregators(List.of(AGGREGATOR));
+        dispatcher.quotas().onAggregators(List.of(AGGREGATOR), nanos());
         for (long elapsedMillis = 0; elapsedMillis < 10_000; elapsedMillis += TICK_MILLIS) {
             peerUsage += 2_300_000 * TICK_MILLIS / 1_000;
+            long number = dispatcher.quotas().report(AGGREGATOR, nanos()).number();
             dispatcher
                     .quotas()
-                    .onRemoteUsage(
-                            AGGREGATOR, List.of(new TeamUsage(TEAM.id(), peerUsage)), 7, QuotaLevels.NONE, nanos());
+                    .onAnswer(AGGREGATOR, new QuotaAnswer(number, true, List.of(), List.of(), peerUsage), 7, nanos());
             simulateDemand(TICK_MILLIS, 100_000);
         }
         orders.clear();
--- a/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
+++ b/http/src/main/java/org/geraniumstand/http/opaque/OpaqueListener.java
@@ -11,7 +11,9 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.geraniumstand.decisions.relay.QuotaAdmission;
 import org.geraniumstand.decisions.relay.QuotaLimiter;
+import org.geraniumstand.decisions.relay.QuotaTicket;
 import org.geraniumstand.decisions.relay.RelayCall;
 import org.geraniumstand.http.caller.BodyReader;
 import org.geraniumstand.http.caller.CallerGate;
@@ -21,7 +23,6 @@
 import org.geraniumstand.http.upstream.UpstreamClient;
 import org.geraniumstand.model.relay.CallerHead;
 import org.geraniumstand.model.relay.RelayConfiguration;
-import org.geraniumstand.model.relay.RelayTeam;
 import org.geraniumstand.model.request.Refusal;
 import org.geraniumstand.model.request.RefusalReason;
 import org.geraniumstand.model.result.Result;
@@ -52,8 +53,8 @@
     /** Interval at which a waiting request checks for the first configuration, in milliseconds. */
     private static final long CONFIGURATION_POLL_MILLIS = 20;
 
-    /** Interval at which a waiting request checks whether the usage of quotas is known, in milliseconds. */
-    private static final long USAGE_POLL_MILLIS = 25;
+    /** Interval at which a waiting request checks whether it got units of its team's quota, in milliseconds. */
+    private static final long UNITS_POLL_MILLIS = 10;
 
     /** Retry delay that a refusal states while there is no configuration, in milliseconds. */
     private static final long NO_CONFIGURATION_RETRY_MILLIS = 300;
@@ -267,45 +268,56 @@
             rejectStopping(exchange);
             return;
         }
-        QuotaLimiter quotas = context.dispatcherTask().dispatcher().quotas();
-        Optional<RelayTeam> waiting =
-                request.team().filter(team -> quotas.awaitsUsage(team, arrivedNanos, System.nanoTime()));
-        if (waiting.isPresent()) {
-            // Until it knows what the others have used, a starting process would have to refuse most requests.
-            quotas.reserve(waiting.get(), QuotaLimiter.cost(waiting.get(), request.head()), System.nanoTime());
-            awaitUsage(exchange, request, body, arrivedNanos);
-            return;
-        }
-        serveWithin(
+        decide(
                 exchange,
                 request,
                 body,
                 arrivedNanos,
-                context.dispatcherTask().dispatcher().chargeQuota(request.head(), request.team(), System.nanoTime()));
+                context.dispatcherTask().dispatcher().requestQuota(request.head(), request.team(), System.nanoTime()));
     }
 
-    private void awaitUsage(HttpServerExchange exchange, OpaqueRequest request, HttpBody body, long arrivedNanos) {
-        RelayTeam team = request.team().orElseThrow();
-        if (context.dispatcherTask().dispatcher().quotas().awaitsUsage(team, arrivedNanos, System.nanoTime())) {
-            context.thread()
-                    .executeAfter(
-                            () -> exchange.dispatch(
-                                    SameThreadExecutor.INSTANCE,
-                                    () -> awaitUsage(exchange, request, body, arrivedNanos)),
-                            USAGE_POLL_MILLIS,
-                            TimeUnit.MILLISECONDS);
-            return;
-        }
+    private void decide(
+            HttpServerExchange exchange,
+            OpaqueRequest request,
+            HttpBody body,
+            long arrivedNanos,
+            QuotaAdmission admission) {
+        admission.match(
+                () -> {
+                    serveWithin(exchange, request, body, arrivedNanos, Optional.empty());
+                    return true;
+                },
+                retryAfterMillis -> {
+                    Refusal refusal = Refusal.notRun(RefusalReason.OVER_QUOTA, retryAfterMillis);
+                    serveWithin(exchange, request, body, arrivedNanos, Optional.of(refusal));
+                    return true;
+                },
+                ticket -> {
+                    awaitUnits(exchange, request, body, arrivedNanos, ticket);
+                    return false;
+                });
+    }
+
+    private void awaitUnits(
+            HttpServerExchange exchange, OpaqueRequest request, HttpBody body, long arrivedNanos, QuotaTicket ticket) {
+        context.thread()
+                .executeAfter(
+                        () -> exchange.dispatch(
+                                SameThreadExecutor.INSTANCE,
+                                () -> decideWaiting(exchange, request, body, arrivedNanos, ticket)),
+                        UNITS_POLL_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    private void decideWaiting(
+            HttpServerExchange exchange, OpaqueRequest request, HttpBody body, long arrivedNanos, QuotaTicket ticket) {
+        QuotaLimiter quotas = context.dispatcherTask().dispatcher().quotas();
         if (refusingRequests) {
+            quotas.cancel(ticket, System.nanoTime());
             rejectStopping(exchange);
-            return;
+        } else {
+            decide(exchange, request, body, arrivedNanos, quotas.poll(ticket, System.nanoTime()));
         }
-        serveWithin(
-                exchange,
-                request,
-                body,
-                arrivedNanos,
-                context.dispatcherTask().dispatcher().chargeReserved(request.head(), team, System.nanoTime()));
     }
 
     private void serveWithin(
--- a/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
+++ b/peer/src/main/java/org/geraniumstand/peer/PeerMessage.java
@@ -15,7 +15,9 @@
 import org.geraniumstand.model.relay.LimitDemand;
 import org.geraniumstand.model.relay.LimitShare;
 import org.geraniumstand.model.relay.LostServer;
+import org.geraniumstand.model.relay.QuotaAnswer;
 import org.geraniumstand.model.relay.QuotaLevels;
+import org.geraniumstand.model.relay.QuotaRequest;
 import org.geraniumstand.model.relay.ServerInFlight;
 import org.geraniumstand.model.relay.StoreRevision;
 import org.geraniumstand.model.relay.TeamUsage;
@@ -206,6 +208,7 @@
      * @param needsLevels whether the sender needs the levels of the quotas and tells which usage is not new
      * @param earlierUsages the part of the usage that an aggregator had received earlier, one entry per team; empty unless
      *     the sender needs the levels
+     * @param quotaRequest what the sender holds of quotas and wants in advance
      */
     record QuotaUsageReport(
             List<TeamUsage> usages,
@@ -215,7 +218,8 @@
             List<LimitDemand> limits,
             List<WaitingCalls> waiting,
             boolean needsLevels,
-            List<TeamUsage> earlierUsages)
+            List<TeamUsage> earlierUsages,
+            QuotaRequest quotaRequest)
             implements PeerMessage {
         /** Copies the lists. */
         public QuotaUsageReport {
@@ -240,6 +244,7 @@
      * @param limits limits that servers have named to any process, with the shares granted to the receiver
      * @param waiting waiting calls of those processes; empty if the sender does not share them with the receiver
      * @param levels levels of the quotas at the sender; empty if the receiver does not need them
+     * @param quotaAnswer units of quotas for the receiver
      */
     record AggregateQuotaUsage(
             List<TeamUsage> usages,
@@ -249,7 +254,8 @@
             CrashEvidence evidence,
             List<LimitShare> limits,
             List<WaitingCalls> waiting,
-            QuotaLevels levels)
+            QuotaLevels levels,
+            QuotaAnswer quotaAnswer)
             implements PeerMessage {
         /** Copies the lists. */
         public AggregateQuotaUsage {
@@ -261,6 +267,27 @@
         }
     }
 
+    /**
+     * Asks an aggregator for units of quotas that waiting requests need.
+     *
+     * @param usages units that the sender has used since it started, one entry per team in the request
+     * @param request what the sender holds and asks for
+     */
+    record QuotaUnitsRequest(List<TeamUsage> usages, QuotaRequest request) implements PeerMessage {
+        /** Copies the list. */
+        public QuotaUnitsRequest {
+            usages = List.copyOf(usages);
+        }
+    }
+
+    /**
+     * Answers a {@link QuotaUnitsRequest}.
+     *
+     * @param reportingProcesses number of processes that recently reported to the sender
+     * @param answer units for the receiver
+     */
+    record QuotaUnitsAnswer(int reportingProcesses, QuotaAnswer answer) implements PeerMessage {}
+
     /**
      * Reports the number of requests that the sender has started.
      *
--- a/peer/src/main/java/org/geraniumstand/peer/codec/AggregateQuotaUsageCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/AggregateQuotaUsageCodec.java
@@ -17,7 +17,7 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.AggregateQuotaUsage message) {
-        out.fields(8 + CrashEvidenceFields.COUNT)
+        out.fields(8 + CrashEvidenceFields.COUNT + QuotaFields.ANSWER_COUNT)
                 .list(message.usages(), QuotaUsageReportCodec::writeTeamUsage)
                 .number(message.reportingProcesses())
                 .list(message.inFlight(), QuotaUsageReportCodec::writeServerInFlight)
@@ -27,6 +27,7 @@
                 .list(message.waiting(), QuotaUsageReportCodec::writeWaiting)
                 .flag(message.levels().settled())
                 .list(message.levels().levels(), QuotaUsageReportCodec::writeTeamLevel);
+        QuotaFields.writeAnswer(out, message.quotaAnswer());
     }
 
     @Override
@@ -39,6 +40,7 @@
                 CrashEvidenceFields.read(in),
                 in.list(ServerLimitFields::readShare),
                 in.list(QuotaUsageReportCodec::readWaiting),
-                new QuotaLevels(in.flag(), in.list(QuotaUsageReportCodec::readTeamLevel)));
+                new QuotaLevels(in.flag(), in.list(QuotaUsageReportCodec::readTeamLevel)),
+                QuotaFields.readAnswer(in));
     }
 }
--- a/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/MessageCodecs.java
@@ -42,7 +42,9 @@
             new RelayConfigurationRequestCodec(),
             new StoreUpdateCodec(),
             new RequestCountReportCodec(),
-            new RequestCountAckCodec());
+            new RequestCountAckCodec(),
+            new QuotaUnitsRequestCodec(),
+            new QuotaUnitsAnswerCodec());
     private static final Map<Integer, MessageCodec<?>> BY_NUMBER =
             ALL.stream().collect(Collectors.toMap(MessageCodec::number, Function.identity()));
     private static final Map<Class<?>, MessageCodec<?>> BY_TYPE =
--- a/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
+++ b/peer/src/main/java/org/geraniumstand/peer/codec/QuotaUsageReportCodec.java
@@ -26,7 +26,7 @@
 
     @Override
     public void write(FieldWriter out, PeerMessage.QuotaUsageReport message) {
-        out.fields(7 + CrashEvidenceFields.COUNT)
+        out.fields(7 + CrashEvidenceFields.COUNT + QuotaFields.REQUEST_COUNT)
                 .list(message.usages(), QuotaUsageReportCodec::writeTeamUsage)
                 .list(message.inFlight(), QuotaUsageReportCodec::writeServerInFlight)
                 .list(message.lostServers(), QuotaUsageReportCodec::writeLostServer);
@@ -35,6 +35,7 @@
                 .list(message.waiting(), QuotaUsageReportCodec::writeWaiting)
                 .flag(message.needsLevels())
                 .list(message.earlierUsages(), QuotaUsageReportCodec::writeTeamUsage);
+        QuotaFields.writeRequest(out, message.quotaRequest());
     }
 
     @Override
@@ -47,7 +48,8 @@
                 in.list(ServerLimitFields::readDemand),
                 in.list(QuotaUsageReportCodec::readWaiting),
                 in.flag(),
-                in.list(QuotaUsageReportCodec::readTeamUsage));
+                in.list(QuotaUsageReportCodec::readTeamUsage),
+                QuotaFields.readRequest(in));
     }
 
     static void writeTeamUsage(FieldWriter out, TeamUsage usage) {
--- a/peer/src/main/java/org/geraniumstand/peer/net/ConnectionManager.java
+++ b/peer/src/main/java/org/geraniumstand/peer/net/ConnectionManager.java
@@ -207,6 +207,8 @@
                 || message instanceof PeerMessage.DemandReport
                 || message instanceof PeerMessage.QuotaUsageReport
                 || message instanceof PeerMessage.AggregateQuotaUsage
+                || message instanceof PeerMessage.QuotaUnitsRequest
+                || message instanceof PeerMessage.QuotaUnitsAnswer
                 || message instanceof PeerMessage.RequestCountReport
                 || message instanceof PeerMessage.RequestCountAck
                 || message instanceof PeerMessage.RelayConfigurationVersion
--- a/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
+++ b/peer/src/test/java/org/geraniumstand/peer/codec/MessageCodecsTest.java
@@ -42,7 +42,11 @@
 import org.geraniumstand.model.relay.LimitShare;
 import org.geraniumstand.model.relay.LostServer;
 import org.geraniumstand.model.relay.QuarantinedPrompt;
+import org.geraniumstand.model.relay.QuotaAnswer;
+import org.geraniumstand.model.relay.QuotaGrant;
+import org.geraniumstand.model.relay.QuotaHolding;
 import org.geraniumstand.model.relay.QuotaLevels;
+import org.geraniumstand.model.relay.QuotaRequest;
 import org.geraniumstand.model.relay.ServerInFlight;
 import org.geraniumstand.model.relay.ServerLimit;
 import org.geraniumstand.model.relay.ServicePart;
@@ -141,6 +145,26 @@
                         List.of(new RevisionStore.Change("key", Optional.of("value"), changed)))))));
     }
 
+    /** A build without grants sends 12 fields. */
+    @Test
+    void readsQuotaUsageReportOfAnEarlierBuildAsOneWithoutGrants() {
+        PeerMessage.QuotaUsageReport current = new PeerMessage.QuotaUsageReport(
+                List.of(new TeamUsage(new TeamId("t"), 7)),
+                List.of(),
+                List.of(),
+                CrashEvidence.NONE,
+                List.of(),
+                List.of(),
+                true,
+                List.of(),
+                QuotaRequest.NONE);
+        byte[] bytes = MessageCodecs.encode(current);
+        byte[] earlier = Arrays.copyOf(bytes, bytes.length - QuotaFields.REQUEST_COUNT);
+        earlier[3] = (byte) (bytes[3] - QuotaFields.REQUEST_COUNT);
+
+        assertThat(MessageCodecs.decode(earlier), is(Result.ok(Optional.of(current))));
+    }
+
     @Test
     void skipsMessageTypesOfLaterProtocolLevel() {
         byte[] later =
@@ -170,25 +194,47 @@
                 Combinators.combine(texts(), texts()).as(PeerMessage.StreamLookup::new),
                 fleetChanges().map(PeerMessage.FleetUpdate::new),
                 Combinators.combine(
-                                teamUsages(),
+                                Combinators.combine(teamUsages(), teamUsages(), quotaRequests())
+                                        .as(ReportParts::new),
                                 inFlightCounts(),
                                 lostServers(),
                                 crashEvidence(),
                                 limitDemands(),
                                 waitingCalls(),
-                                Arbitraries.of(true, false),
-                                teamUsages())
-                        .as(PeerMessage.QuotaUsageReport::new),
+                                Arbitraries.of(true, false))
+                        .as((parts, inFlight, lost, evidence, limits, waiting, needsLevels) ->
+                                new PeerMessage.QuotaUsageReport(
+                                        parts.usages(),
+                                        inFlight,
+                                        lost,
+                                        evidence,
+                                        limits,
+                                        waiting,
+                                        needsLevels,
+                                        parts.earlier(),
+                                        parts.request())),
                 Combinators.combine(
-                                teamUsages(),
-                                integers(),
+                                Combinators.combine(teamUsages(), integers(), quotaAnswers())
+                                        .as(PeerMessageParts::new),
                                 inFlightCounts(),
                                 lostServers(),
                                 crashEvidence(),
                                 limitShares(),
                                 waitingCalls(),
                                 quotaLevels())
-                        .as(PeerMessage.AggregateQuotaUsage::new),
+                        .as((parts, inFlight, lost, evidence, limits, waiting, levels) ->
+                                new PeerMessage.AggregateQuotaUsage(
+                                        parts.usages(),
+                                        parts.count(),
+                                        inFlight,
+                                        lost,
+                                        evidence,
+                                        limits,
+                                        waiting,
+                                        levels,
+                                        parts.answer())),
+                Combinators.combine(teamUsages(), quotaRequests()).as(PeerMessage.QuotaUnitsRequest::new),
+                Combinators.combine(integers(), quotaAnswers()).as(PeerMessage.QuotaUnitsAnswer::new),
                 windows().map(PeerMessage.RequestCountReport::new),
                 Combinators.combine(numbers(), numbers())
                         .as(WindowTotal::new)
@@ -203,14 +249,39 @@
                 Combinators.combine(processes(), numbers(), contents()).as(PeerMessage.BroadcastEnvelope::new));
     }
 
+    private record PeerMessageParts(List<TeamUsage> usages, int count, QuotaAnswer answer) {}
+
+    private record ReportParts(List<TeamUsage> usages, List<TeamUsage> earlier, QuotaRequest request) {}
+
+    private static Arbitrary<QuotaRequest> quotaRequests() {
+        Arbitrary<List<QuotaHolding>> holdings = Combinators.combine(
+                        names().map(TeamId::new), numbers(), numbers(), numbers(), integers())
+                .as(QuotaHolding::new)
+                .list()
+                .ofMaxSize(4);
+        return Combinators.combine(numbers(), numbers(), holdings, teamLevels(), numbers(), Arbitraries.of(true, false))
+                .as(QuotaRequest::new);
+    }
+
+    private static Arbitrary<QuotaAnswer> quotaAnswers() {
+        Arbitrary<List<QuotaGrant>> grants = Combinators.combine(
+                        names().map(TeamId::new), numbers(), numbers(), numbers())
+                .as(QuotaGrant::new)
+                .list()
+                .ofMaxSize(4);
+        return Combinators.combine(numbers(), Arbitraries.of(true, false), teamLevels(), grants, numbers())
+                .as(QuotaAnswer::new);
+    }
+
+    private static Arbitrary<List<TeamLevel>> teamLevels() {
+        return Combinators.combine(names().map(TeamId::new), numbers(), numbers())
+                .as(TeamLevel::new)
+                .list()
+                .ofMaxSize(4);
+    }
+
     private static Arbitrary<QuotaLevels> quotaLevels() {
-        return Combinators.combine(
-                        Arbitraries.of(true, false),
-                        Combinators.combine(names().map(TeamId::new), numbers(), numbers())
-                                .as(TeamLevel::new)
-                                .list()
-                                .ofMaxSize(4))
-                .as(QuotaLevels::new);
+        return Combinators.combine(Arbitraries.of(true, false), teamLevels()).as(QuotaLevels::new);
     }
 
     private static Arbitrary<PeerMessage.StoreUpdate> storeUpdates() {
