Wait for the pause before the server goes on in the test of repeated answers

Cause: the test queued the pause for the I/O thread and let the server go on at once, so the rest of the answer could be read before the pause.

Change: the test waits until the pause has been made. No assertion changes.

--- a/http/src/test/java/org/geraniumstand/http/upstream/RepeatedAnswersTest.java
+++ b/http/src/test/java/org/geraniumstand/http/upstream/RepeatedAnswersTest.java
@@ -170,7 +170,9 @@
             AtomicReference<Attempt> attempt = new AtomicReference<>();
             CompletableFuture<Ended> ended = start(spec(server.port(), "POST", "a", EMPTY, PATIENT), attempt);
             Eventually.await("the request arrives", () -> server.requests().size() == 2);
-            worker.getIoThread(0).execute(() -> attempt.get().pause());
+            // A task that is queued only may run after what the server sends next has been read.
+            CompletableFuture.runAsync(() -> attempt.get().pause(), worker.getIoThread(0))
+                    .get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
             resumed.countDown();
             Thread.sleep(50);
             assertThat(ended.isDone(), is(false));
