Count the reporting processes once for each request for units

Cause: an aggregator counted all reporting processes again for each team in a request, on the hottest path of its work.

Change: the share is worked out once for each request and passed on.

Processor time not measured.

--- a/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLedger.java
+++ b/decisions/src/main/java/org/geraniumstand/decisions/relay/QuotaLedger.java
@@ -152,13 +152,14 @@
         if (startNanos.isEmpty()) {
             startNanos = OptionalLong.of(nowNanos);
         }
+        double share = share(nowNanos);
         Set<TeamId> ids = new HashSet<>();
         for (RelayTeam team : teams) {
             ids.add(team.id());
-            Account account = accounts.computeIfAbsent(
-                    team.id(), _key -> new Account(team, new QuotaBucket(share(nowNanos), nowNanos)));
+            Account account =
+                    accounts.computeIfAbsent(team.id(), _key -> new Account(team, new QuotaBucket(share, nowNanos)));
             account.team = team;
-            advance(account, nowNanos);
+            advance(account, share, nowNanos);
         }
         accounts.keySet().retainAll(ids);
         holders.values().forEach(holder -> holder.holdings.keySet().retainAll(ids));
@@ -191,15 +192,16 @@
             holder.silent = false;
             holder.holdings.forEach(this::takeBackAssumption);
         }
+        double share = share(nowNanos);
         if (complete || sums.knows(from)) {
             for (TeamUsage added : sums.onReport(from, usages, earlierUsages, nowNanos)) {
                 Account account = accounts.get(added.team());
                 if (account != null) {
-                    charge(account, (double) added.units(), silentSeconds, nowNanos);
+                    charge(account, (double) added.units(), silentSeconds, share, nowNanos);
                 }
             }
         }
-        adopt(request, nowNanos);
+        adopt(request, share, nowNanos);
         if (request.leaving()) {
             holder.heardNanos = nowNanos - 2 * SILENT_MILLIS * Timestamp.NANOS_PER_MILLI;
             markSilent(nowNanos);
@@ -221,7 +223,7 @@
         for (QuotaHolding holding : request.holdings()) {
             Account account = accounts.get(holding.team());
             if (account != null) {
-                advance(account, nowNanos);
+                advance(account, share, nowNanos);
                 Holding known = holder.holdings.computeIfAbsent(holding.team(), _key -> new Holding());
                 settle(holding.team(), known, (double) holding.held(), request.acknowledged());
                 grant(account, known, holding, request.number(), nowNanos).ifPresent(grants::add);
@@ -232,10 +234,10 @@
     }
 
     /** Charges what a process has used. What it used of its part while it was silent makes no debt. */
-    private void charge(Account account, double units, double silentSeconds, long nowNanos) {
+    private void charge(Account account, double units, double silentSeconds, double share, long nowNanos) {
         double before = account.bucket.available();
         account.charge(units);
-        advance(account, nowNanos);
+        advance(account, share, nowNanos);
         if (silentSeconds > 0) {
             double part = (account.team.ratePerSecond() * silentSeconds + account.team.burst())
                     / processes.quotaCount(nowNanos);
@@ -257,8 +259,9 @@
         holders.clear();
         boolean starting = startNanos.isPresent()
                 && nowNanos - startNanos.getAsLong() < STARTING_MILLIS * Timestamp.NANOS_PER_MILLI;
+        double share = share(nowNanos);
         accounts.values().forEach(account -> {
-            advance(account, nowNanos);
+            advance(account, share, nowNanos);
             account.out = 0;
             account.adopted = false;
             account.chargedSince = 0;
@@ -347,7 +350,7 @@
     }
 
     /** Takes over the levels that another aggregator told a reporting process. */
-    private void adopt(QuotaRequest request, long nowNanos) {
+    private void adopt(QuotaRequest request, double share, long nowNanos) {
         if (request.told().isEmpty() || isSettled(nowNanos)) {
             return;
         }
@@ -356,7 +359,7 @@
             if (account == null) {
                 continue;
             }
-            advance(account, nowNanos);
+            advance(account, share, nowNanos);
             double refilled = account.team.ratePerSecond() * request.toldAgeMillis() / MILLIS_IN_SECOND;
             double total = Math.min(account.team.burst(), level.available() + level.setAside() + refilled);
             double own = account.bucket.available() + account.bucket.setAside();
@@ -394,9 +397,9 @@
         }
     }
 
-    private void advance(Account account, long nowNanos) {
+    private void advance(Account account, double share, long nowNanos) {
         RelayTeam team = account.team;
-        account.bucket.advance(team.ratePerSecond() * (1 + overrun), team.burst(), share(nowNanos), nowNanos);
+        account.bucket.advance(team.ratePerSecond() * (1 + overrun), team.burst(), share, nowNanos);
     }
 
     /** Returns the fraction of the processes that report; each of the others is assumed to use an equal share. */
@@ -431,7 +434,8 @@
      * @param nowNanos the monotonic time in nanoseconds
      */
     public QuotaLevels levels(long nowNanos) {
-        accounts.values().forEach(account -> advance(account, nowNanos));
+        double share = share(nowNanos);
+        accounts.values().forEach(account -> advance(account, share, nowNanos));
         return new QuotaLevels(
                 isSettled(nowNanos),
                 accounts.values().stream()
